--- a/cmd/galena-control/main.go
+++ b/cmd/galena-control/main.go
@@ -9,26 +9,40 @@
 	"github.com/galenaarch/galenaarch/control"
 	"github.com/galenaarch/galenaarch/kernel"
 	"github.com/galenaarch/galenaarch/kernel/settings"
+	"github.com/galenaarch/galenaarch/registrar"
 	"github.com/galenaarch/galenaarch/telemetry"
+
+	_ "github.com/galenaarch/galenaarch/platform"
 )
 
+// options are the settings of the program's parts.
+type options struct {
+	control   control.Settings
+	registrar registrar.Settings
+	memory    kernel.MemorySettings
+	telemetry telemetry.Settings
+}
+
 func main() {
-	var s control.Settings
-	var t telemetry.Settings
-	settings.ParseOrExit("galena-control", &s, &t)
-	if err := run(s, t); err != nil {
+	var o options
+	settings.ParseOrExit("galena-control", &o.control, &o.registrar, &o.memory, &o.telemetry)
+	if err := run(o); err != nil {
 		fmt.Fprintln(os.Stderr, "galena-control:", err)
 		os.Exit(1)
 	}
 }
 
-func run(s control.Settings, t telemetry.Settings) error {
+func run(o options) error {
+	o.memory.Apply()
 	ctx := context.Background()
-	tel, err := telemetry.New(ctx, "galena-control", s.Instance, t, os.Stderr)
+	w := telemetry.NewWriter(os.Stdout)
+	defer w.Close()
+	tel, err := telemetry.New(ctx, "galena-control", o.control.Instance, o.telemetry, w)
 	if err != nil {
 		return err
 	}
 	defer tel.Close(ctx)
-	r := control.NewReplica(s)
-	return kernel.NewApp(tel.Context, telemetry.NewServer(s.MetricsListen, r.Ready), r).Run(0)
+	replica := control.NewReplica(o.control)
+	return kernel.NewApp(tel.Context,
+		telemetry.NewServer(o.control.MetricsListen, replica.Ready), replica, registrar.New(o.registrar, replica)).Run(0)
 }
--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -43,7 +43,7 @@
 			b.Run(fmt.Sprintf("replicas=%d/callers=%d", replicas, callers), func(b *testing.B) {
 				g := newTrio(b, replicas)
 				g.begin("a", "warm")
-				before := g.running[g.leader()].log.group.Counts()
+				before := g.running[g.leader()].Log().group.Counts()
 				var next atomic.Int64
 				var mu sync.Mutex
 				var latencies []time.Duration
@@ -69,7 +69,7 @@
 				}
 				wg.Wait()
 				b.StopTimer()
-				after := g.running[g.leader()].log.group.Counts()
+				after := g.running[g.leader()].Log().group.Counts()
 				syncs := after.Syncs - before.Syncs
 				b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "entries/s")
 				b.ReportMetric(float64(b.N)/float64(max(1, syncs)), "entries/sync")
@@ -121,7 +121,7 @@
 		for w := range 128 {
 			wg.Go(func() {
 				for i := range entries / 128 {
-					_, _ = g.running[leader].log.Propose(context.Background(), &controlv1.Command{Body: &controlv1.Command_BeginCall{BeginCall: &controlv1.BeginCallRequest{
+					_, _ = g.running[leader].Log().Propose(context.Background(), &controlv1.Command{Body: &controlv1.Command_BeginCall{BeginCall: &controlv1.BeginCallRequest{
 						ClientAccount: fmt.Sprint(w), Key: fmt.Sprint(i), BodyDigest: make([]byte, 32), DispatchId: "d",
 					}}})
 				}
@@ -134,14 +134,14 @@
 		base, peak := m.HeapAlloc, uint64(0)
 		b.StartTimer()
 		g.start(behind)
-		for g.running[behind].log.group.Status().Applied < g.running[leader].log.group.Status().Commit-1 {
+		for g.running[behind].Log().group.Status().Applied < g.running[leader].Log().group.Status().Commit-1 {
 			runtime.ReadMemStats(&m)
 			peak = max(peak, m.HeapAlloc)
 			time.Sleep(10 * time.Millisecond)
 		}
 		b.StopTimer()
 		b.ReportMetric(float64(peak-base)/1e6, "peak-MB-over-base")
-		b.ReportMetric(float64(g.running[behind].log.group.Status().SnapshotIndex), "snapshot-index")
+		b.ReportMetric(float64(g.running[behind].Log().group.Status().SnapshotIndex), "snapshot-index")
 	}
 }
 
--- a/control/client/client.go
+++ b/control/client/client.go
@@ -23,6 +23,9 @@
 	// attemptTimeout bounds one attempt, so that a replica that is cut off in
 	// silence does not hold a request that another could serve.
 	attemptTimeout = 2 * time.Second
+	// publishTimeout bounds one attempt at a published document: an author
+	// waits about a second before it tries another instance.
+	publishTimeout = 700 * time.Millisecond
 )
 
 // maxReplicas bounds the replicas that leaders are followed to.
@@ -204,6 +207,16 @@
 	return call(ctx, c, attemptTimeout, r, controlv1.Control.BeginCall)
 }
 
+// Publish implements controlv1.Control.
+func (c *Client) Publish(ctx context.Context, r *controlv1.PublishRequest) (*controlv1.PublishResponse, error) {
+	return call(ctx, c, publishTimeout, r, controlv1.Control.Publish)
+}
+
+// GetPublished implements controlv1.Control.
+func (c *Client) GetPublished(ctx context.Context, r *controlv1.GetPublishedRequest) (*controlv1.GetPublishedResponse, error) {
+	return call(ctx, c, publishTimeout, r, controlv1.Control.GetPublished)
+}
+
 // FinishCall implements controlv1.Control.
 func (c *Client) FinishCall(ctx context.Context, r *controlv1.FinishCallRequest) (*controlv1.FinishCallResponse, error) {
 	return call(ctx, c, attemptTimeout, r, controlv1.Control.FinishCall)
--- a/control/group.go
+++ b/control/group.go
@@ -5,7 +5,6 @@
 	"errors"
 	"log/slog"
 	"net/http"
-	"path/filepath"
 	"sync"
 	"time"
 
@@ -47,10 +46,9 @@
 // OpenGroupLog opens this replica's part of a group.
 func OpenGroupLog(name string, s Settings, client *http.Client, logger *slog.Logger) (*GroupLog, error) {
 	m := newMachine()
-	group, err := replog.Open(replog.Settings{
-		Group: name, Name: s.Instance, Dir: filepath.Join(s.DataDir, name), Replicas: s.peers(), CompactEntries: s.compactEntries,
-		Logger: logger, Client: client,
-	}, m)
+	rs := s.replog(name)
+	rs.Logger, rs.Client = logger, client
+	group, err := replog.Open(rs, m)
 	if err != nil {
 		return nil, err
 	}
@@ -144,6 +142,15 @@
 // Leader implements Log.
 func (l *GroupLog) Leader() string { return l.group.LeaderURL() }
 
+// Members lists the base URLs of the group's replicas.
+func (l *GroupLog) Members() []string {
+	var urls []string
+	for _, m := range l.group.Status().Membership.GetMembers() {
+		urls = append(urls, m.Url)
+	}
+	return urls
+}
+
 // expire proposes, while this replica leads, to drop what has outlived its
 // use. Dropping is a logged step, so that all replicas drop the same.
 func (l *GroupLog) expire(ctx context.Context) {
@@ -191,7 +198,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	result := m.state.Apply(&cmd)
-	if result.GetApplyConfig().GetAccepted() || result.GetUpdateRouting().GetAccepted() || result.GetRequestDrain().GetAccepted() {
+	if result.GetApplyConfig().GetAccepted() || result.GetUpdateRouting().GetAccepted() || result.GetRequestDrain().GetAccepted() ||
+		result.GetPublish().GetOutcome() == controlv1.PublishOutcome_PUBLISH_OUTCOME_ACCEPTED {
 		m.notify()
 	}
 	return result
--- a/control/group_test.go
+++ b/control/group_test.go
@@ -54,7 +54,7 @@
 	var replicas []string
 	for i := range count {
 		name := fmt.Sprintf("control-%d", i+1)
-		s := Settings{Instance: name, FailureDomain: "d1", Listen: freeAddress(t), DataDir: filepath.Join(g.dir, name), compactEntries: compactEntries}
+		s := Settings{Instance: name, FailureDomain: "d1", Listen: freeAddress(t), DataDir: filepath.Join(g.dir, name), CompactEntries: compactEntries}
 		require.NoError(t, os.MkdirAll(s.DataDir, 0o700))
 		g.names = append(g.names, name)
 		g.settings[name] = s
@@ -87,7 +87,7 @@
 // kill ends a replica without a handover.
 func (g *trio) kill(r *Replica) {
 	_ = r.server.Close()
-	r.log.group.Kill()
+	r.Log().group.Kill()
 }
 
 func (g *trio) crash(name string) {
@@ -113,7 +113,7 @@
 	var name string
 	require.Eventually(g.t, func() bool {
 		for n, r := range g.running {
-			if r.log.group.Err() == nil && r.log.group.Status().Role.String() == "leader" {
+			if r.Log().group.Err() == nil && r.Log().group.Status().Role.String() == "leader" {
 				name = n
 				return true
 			}
@@ -155,7 +155,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
-	alone := NewServer(g.running[leader].log)
+	alone := NewServer(g.running[leader].Log())
 	_, err := alone.GetStatus(ctx, &controlv1.GetStatusRequest{})
 	require.Error(t, err, "a leader alone serves no read")
 	_, err = alone.AcquireLease(ctx, &controlv1.AcquireLeaseRequest{Name: "l", Holder: "h", TermMs: 1000})
@@ -178,15 +178,15 @@
 			other = name
 		}
 	}
-	old := g.running[lost].log.group.ID()
+	old := g.running[lost].Log().group.ID()
 	g.crash(lost)
 	require.NoError(t, os.RemoveAll(g.settings[lost].DataDir))
 	require.NoError(t, os.MkdirAll(g.settings[lost].DataDir, 0o700))
 	g.start(lost)
-	fresh := g.running[lost].log.group.ID()
+	fresh := g.running[lost].Log().group.ID()
 	require.NotEqual(t, old, fresh)
 	require.Eventually(t, func() bool {
-		members := g.running[leader].log.group.Status().Membership.Members
+		members := g.running[leader].Log().group.Status().Membership.Members
 		for _, m := range members {
 			if m.Id == old || m.Learner {
 				return false
@@ -221,15 +221,15 @@
 		g.begin("b", fmt.Sprint(i))
 	}
 	require.Eventually(t, func() bool {
-		s := g.running[leader].log.group.Status()
-		return s.Match[g.running[victim].log.group.ID()] == s.Last && s.Commit == s.Last
+		s := g.running[leader].Log().group.Status()
+		return s.Match[g.running[victim].Log().group.ID()] == s.Last && s.Commit == s.Last
 	}, testTimeout, 10*time.Millisecond)
 	g.crash(victim)
 	require.NoError(t, os.RemoveAll(g.settings[victim].DataDir))
 	require.NoError(t, os.CopyFS(g.settings[victim].DataDir, os.DirFS(backup)))
 	g.start(victim)
-	require.Eventually(t, func() bool { return g.running[victim].log.group.Err() != nil }, testTimeout, 10*time.Millisecond)
-	require.ErrorIs(t, g.running[victim].log.group.Err(), replog.ErrOldDisk)
+	require.Eventually(t, func() bool { return g.running[victim].Log().group.Err() != nil }, testTimeout, 10*time.Millisecond)
+	require.ErrorIs(t, g.running[victim].Log().group.Err(), replog.ErrOldDisk)
 }
 
 func TestReplicaIsAddedAndRemovedByOperators(t *testing.T) {
@@ -244,7 +244,7 @@
 	s.Replicas += ",control-2=http://" + s.Listen
 	g.settings["control-2"] = s
 	g.start("control-2")
-	id := g.running["control-2"].log.group.ID()
+	id := g.running["control-2"].Log().group.ID()
 	peers := consensusv1.NewConsensusProtobufClient(g.urls[0], &http.Client{})
 	_, err := peers.AddReplica(g.context(), &consensusv1.AddReplicaRequest{Group: MainGroup, Id: id, Url: "http://" + s.Listen})
 	require.NoError(t, err)
@@ -280,7 +280,7 @@
 	for i := range 400 {
 		g.begin("a", fmt.Sprint(i))
 	}
-	status := func(name string) consensus.Status { return g.running[name].log.group.Status() }
+	status := func(name string) consensus.Status { return g.running[name].Log().group.Status() }
 	require.Eventually(t, func() bool { return status(leader).First > 200 }, testTimeout, 10*time.Millisecond)
 	g.start(behind)
 	require.Eventually(t, func() bool {
@@ -296,6 +296,6 @@
 	}
 	require.EqualValues(t, 1, g.begin("a", "7").Record.Attempt)
 	var records uint64
-	g.running[behind].log.Peek(func(st *state.State) { records = st.Status("").CallsRecorded })
+	g.running[behind].Log().Peek(func(st *state.State) { records = st.Status("").CallsRecorded })
 	require.EqualValues(t, 401, records)
 }
--- a/control/process.go
+++ b/control/process.go
@@ -6,7 +6,10 @@
 	"flag"
 	"log/slog"
 	"net/http"
+	"net/netip"
+	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -35,8 +38,18 @@
 	Replicas string
 	// CallRetention is how long the record of a finished call is kept.
 	CallRetention time.Duration
-	// compactEntries is for tests; 0 for the default.
-	compactEntries uint64
+	// Seeds lists the IP:port of a few instances of this program, as others
+	// know them; with it the group is open, and Replicas is not used. PeerPort
+	// replaces the port: the port for the system's other processes.
+	Seeds    string
+	PeerPort int
+	// Found lets the first seed found the group.
+	Found bool
+	// TrustFolder says that the data folder is never older than what this
+	// replica acknowledged: it comes back as it was, or empty.
+	TrustFolder bool
+	// CompactEntries are applied between two snapshots; 0 for the default.
+	CompactEntries uint64
 	// TLS secures the connections to the system's other processes.
 	TLS transport.Settings
 }
@@ -50,6 +63,11 @@
 	s.TLS.RegisterFlags(fs)
 	fs.StringVar(&s.DataDir, "data-dir", "", "folder for durable state")
 	fs.StringVar(&s.Replicas, "replicas", "", "initial replicas as name=URL, comma-separated, in the same order at all of them; the first founds the group")
+	fs.StringVar(&s.Seeds, "seeds", "", "IP:port of a few control instances, comma-separated, in the same order at all; in place of -replicas")
+	fs.IntVar(&s.PeerPort, "peer-port", 0, "port that replaces the one in -seeds, for the system's other processes; 0 leaves it")
+	fs.BoolVar(&s.Found, "found", false, "the first of -seeds may found the group; only at the very first start")
+	fs.BoolVar(&s.TrustFolder, "trust-folder", false, "the data folder never comes back older than it was")
+	fs.Uint64Var(&s.CompactEntries, "compact-entries", 0, "log entries between two snapshots; 0 for the default of 50,000")
 	fs.DurationVar(&s.CallRetention, "call-retention", DefaultCallRetention, "how long the record of a finished call is kept; longer than any client retries")
 }
 
@@ -62,6 +80,15 @@
 	s.TLS.Check(c, []string{s.Listen}, nil)
 	c.WritableDir("data-dir", s.DataDir)
 	settings.Positive(c, "call-retention", s.CallRetention, "duration")
+	if s.Seeds != "" {
+		if s.Replicas != "" {
+			c.Add("seeds", "excludes -replicas")
+		}
+		for _, a := range settings.List(s.Seeds) {
+			c.Address("seeds", a)
+		}
+		return
+	}
 	peers := s.peers()
 	own := false
 	for _, p := range peers {
@@ -78,6 +105,9 @@
 
 // peers lists the initial replicas.
 func (s *Settings) peers() []replog.Peer {
+	if s.Seeds != "" {
+		return SeedPeers(s.Seeds, s.PeerPort)
+	}
 	var list []replog.Peer
 	for _, part := range settings.List(s.Replicas) {
 		name, url, _ := strings.Cut(part, "=")
@@ -93,12 +123,44 @@
 	return list
 }
 
+// SeedPeers makes base URLs of a list of seeds. A port above 0 replaces theirs.
+func SeedPeers(seeds string, port int) []replog.Peer {
+	var list []replog.Peer
+	for _, a := range settings.List(seeds) {
+		ap, err := netip.ParseAddrPort(a)
+		if err != nil {
+			continue // refused by Check
+		}
+		if port > 0 {
+			ap = netip.AddrPortFrom(ap.Addr(), uint16(port))
+		}
+		list = append(list, replog.Peer{URL: "http://" + ap.String()})
+	}
+	return list
+}
+
+// replog are the settings of this replica's part of a group.
+func (s *Settings) replog(group string) replog.Settings {
+	r := replog.Settings{
+		Group: group, Name: s.Instance, Dir: filepath.Join(s.DataDir, group), Replicas: s.peers(),
+		CompactEntries: s.CompactEntries, Open: s.Seeds != "", MayFound: s.Found,
+	}
+	if r.Open {
+		r.URL = "http://" + s.Listen
+	}
+	if s.TrustFolder {
+		r.LeaderWait = -1
+	}
+	return r
+}
+
 // Replica is the component of a control process.
 type Replica struct {
 	settings Settings
 	kernel   *kernel.Context
 	logger   *slog.Logger
-	log      *GroupLog
+	log      atomic.Pointer[GroupLog]
+	mounts   map[string]http.Handler
 	secured  *transport.Transport
 	server   *http.Server
 }
@@ -108,7 +170,7 @@
 	if s.CallRetention == 0 {
 		s.CallRetention = DefaultCallRetention
 	}
-	return &Replica{settings: s}
+	return &Replica{settings: s, mounts: make(map[string]http.Handler)}
 }
 
 // Name implements kernel.Component.
@@ -130,12 +192,12 @@
 	if err != nil {
 		return eris.Wrapf(err, "open state in %s", r.settings.DataDir)
 	}
-	r.log = log
+	r.log.Store(log)
 	listener, err := r.secured.Listen(r.settings.Listen)
 	if err != nil {
 		return err
 	}
-	r.server = httpserver.New(r.routes(), httpserver.Internal)
+	r.server = httpserver.New(r.routes(log), httpserver.Internal)
 	go func() {
 		if err := r.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			r.logger.Error("listener ended", slog.Any("error", err))
@@ -145,26 +207,40 @@
 	return log.Start(ctx)
 }
 
-func (r *Replica) routes() http.Handler {
+func (r *Replica) routes(log *GroupLog) http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(controlv1.ControlPathPrefix, telemetry.Handler("control", controlv1.NewControlServer(NewServer(r.log))))
-	mux.Handle(consensusv1.ConsensusPathPrefix, consensusv1.NewConsensusServer(newPeerServer(r.log)))
+	mux.Handle(controlv1.ControlPathPrefix, telemetry.Handler("control", controlv1.NewControlServer(NewServer(log))))
+	mux.Handle(consensusv1.ConsensusPathPrefix, consensusv1.NewConsensusServer(newPeerServer(log)))
+	for prefix, h := range r.mounts {
+		mux.Handle(prefix, h)
+	}
 	return mux
 }
 
+// Mount adds a handler for the system's other processes. It must be called
+// before Start.
+func (r *Replica) Mount(prefix string, h http.Handler) { r.mounts[prefix] = h }
+
+// Log is this replica's part of the log, or nil before Start.
+func (r *Replica) Log() *GroupLog { return r.log.Load() }
+
+// Local is the service of this replica, without the network.
+func (r *Replica) Local() controlv1.Control { return NewServer(r.Log()) }
+
 // Ready says why the replica cannot serve, or nil. A follower is ready: it
 // tells callers who leads.
 func (r *Replica) Ready() error {
-	if r.log == nil {
+	log := r.Log()
+	if log == nil {
 		return errors.New("state is not open")
 	}
-	return r.log.Ready()
+	return log.Ready()
 }
 
 // Stop implements kernel.Stopper. A leader hands over first.
 func (r *Replica) Stop(context.Context) error {
-	if r.log != nil {
-		_ = r.log.Close() // always nil
+	if log := r.Log(); log != nil {
+		_ = log.Close() // always nil
 	}
 	if r.server != nil {
 		_ = r.server.Close() // requests under way learn that the outcome is unknown
--- a/control/replog/hearing.go
+++ b/control/replog/hearing.go
@@ -13,12 +13,14 @@
 	// own is 1 if the starting replica has a vote.
 	own   int
 	heard map[string]bool
+	// patience is how long the leader is waited for.
+	patience time.Duration
 	// leader is true once a leader has answered.
 	leader bool
 }
 
-func newHearing(id string, membership *consensusv1.Membership) *hearing {
-	h := &hearing{heard: make(map[string]bool)}
+func newHearing(id string, membership *consensusv1.Membership, patience time.Duration) *hearing {
+	h := &hearing{heard: make(map[string]bool), patience: patience}
 	for _, m := range membership.GetMembers() {
 		switch {
 		case m.Learner:
@@ -50,5 +52,5 @@
 	if h.own+len(h.heard) <= h.voters/2 {
 		return false
 	}
-	return h.leader || len(h.heard) == len(h.peers) || waited >= leaderWait
+	return h.leader || len(h.heard) == len(h.peers) || waited >= h.patience
 }
--- a/control/replog/hearing_test.go
+++ b/control/replog/hearing_test.go
@@ -32,7 +32,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			h := newHearing("a", &consensusv1.Membership{Members: []*consensusv1.Member{
 				{Id: "a"}, {Id: "b"}, {Id: "c"}, {Id: "d", Learner: true},
-			}})
+			}}, leaderWait)
 			for _, a := range tt.heard {
 				h.take(a.asked, &consensusv1.IdentifyResponse{Id: a.answered, Leader: a.leader})
 			}
--- a/control/replog/join.go
+++ b/control/replog/join.go
@@ -7,6 +7,8 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -70,6 +72,9 @@
 func (g *Group) ID() string { return g.id }
 
 func (g *Group) url() string {
+	if g.settings.URL != "" {
+		return g.settings.URL
+	}
 	for _, p := range g.settings.Replicas {
 		if p.Name == g.settings.Name {
 			return p.URL
@@ -84,30 +89,72 @@
 // the first of the settings, which founds the group if nobody knows of one.
 func (g *Group) join(ctx context.Context) error {
 	if len(g.node.Membership().Members) > 0 {
-		return g.checkDisk(ctx)
+		if err := g.checkDisk(ctx); err != nil || !g.settings.Open {
+			return err
+		}
+		g.beginAnnouncing(ctx)
+		return nil
 	}
-	if g.settings.Replicas[0].Name != g.settings.Name {
-		g.wg.Add(1)
-		go g.announce(ctx)
+	if !g.founder() {
+		g.beginAnnouncing(ctx)
 		return nil
 	}
 	for ctx.Err() == nil {
 		answers := g.askAll(ctx, g.settings.Replicas)
 		for _, a := range answers {
 			if len(a.Membership.GetMembers()) > 0 {
-				g.wg.Add(1)
-				go g.announce(ctx)
+				g.beginAnnouncing(ctx)
 				return nil
 			}
 		}
 		if len(answers) == len(g.settings.Replicas)-1 {
-			return g.found(answers)
+			if err := g.found(answers); err != nil {
+				return err
+			}
+			if g.settings.Open {
+				g.beginAnnouncing(ctx)
+			}
+			return nil
 		}
 		pause(ctx, askInterval)
 	}
 	return ctx.Err()
 }
 
+func (g *Group) beginAnnouncing(ctx context.Context) {
+	g.wg.Add(1)
+	go g.announce(ctx)
+}
+
+// leaderWait is how long a starting replica waits for the leader's word.
+func (g *Group) leaderWait() time.Duration {
+	if g.settings.LeaderWait == 0 {
+		return leaderWait
+	}
+	return g.settings.LeaderWait
+}
+
+// founder reports whether this replica is the one that may found the group.
+func (g *Group) founder() bool {
+	if g.settings.Open {
+		return g.settings.MayFound && len(g.settings.Replicas) > 0 && g.settings.Replicas[0].URL == g.url()
+	}
+	return g.settings.Replicas[0].Name == g.settings.Name
+}
+
+// isSelf reports whether a peer of the settings is this replica.
+func (g *Group) isSelf(p Peer) bool {
+	return p.Name == g.settings.Name || (p.Name == "" && p.URL == g.url())
+}
+
+// key names a peer among answers: seeds have no names.
+func (p Peer) key() string {
+	if p.Name == "" {
+		return p.URL
+	}
+	return p.Name
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
@@ -120,7 +167,7 @@
 func (g *Group) found(answers map[string]*consensusv1.IdentifyResponse) error {
 	m := &consensusv1.Membership{Members: []*consensusv1.Member{{Id: g.id, Url: g.url()}}}
 	for _, p := range g.settings.Replicas[1:] {
-		m.Members = append(m.Members, &consensusv1.Member{Id: answers[p.Name].Id, Url: p.URL})
+		m.Members = append(m.Members, &consensusv1.Member{Id: answers[p.key()].Id, Url: p.URL})
 	}
 	if err := g.machine.Restore(nil); err != nil {
 		return eris.Wrap(err, "initial state")
@@ -160,7 +207,7 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	for _, p := range peers {
-		if p.Name == g.settings.Name {
+		if g.isSelf(p) {
 			continue
 		}
 		asked++
@@ -169,7 +216,7 @@
 			if err != nil {
 				r = nil
 			}
-			answers <- answer{p.Name, r}
+			answers <- answer{p.key(), r}
 		}()
 	}
 	found := make(map[string]*consensusv1.IdentifyResponse)
@@ -183,8 +230,11 @@
 
 // checkDisk asks the voters what they know this replica to have acknowledged.
 func (g *Group) checkDisk(ctx context.Context) error {
+	if g.settings.LeaderWait < 0 {
+		return nil
+	}
 	s := g.Status()
-	hearing := newHearing(g.id, s.Membership)
+	hearing := newHearing(g.id, s.Membership, g.leaderWait())
 	began := time.Now()
 	for ctx.Err() == nil {
 		for id, a := range g.askAll(ctx, hearing.peers) {
@@ -201,17 +251,51 @@
 	return ctx.Err()
 }
 
-// announce tells the others of this replica until it is in the group, so that
-// the leader takes it in if it replaces one of the same name.
+// announce asks the other replicas to take this one in, until it belongs to
+// the group. In an open group it goes on for as long as the replica lives: one
+// that was dropped after a long silence is taken in again.
 func (g *Group) announce(ctx context.Context) {
 	defer g.wg.Done()
+	learned := make(map[string]Peer)
 	for ctx.Err() == nil {
 		pause(ctx, announceEvery)
-		if len(g.Status().Membership.Members) > 0 {
-			return
+		s := g.Status()
+		if len(s.Membership.Members) > 0 {
+			if !g.settings.Open {
+				return
+			}
+			if s.Leader != "" {
+				continue
+			}
+		}
+		for _, a := range g.askAll(ctx, g.acquaintances(s.Membership, learned)) {
+			for _, m := range a.Membership.GetMembers() {
+				learned[m.Url] = Peer{URL: m.Url}
+			}
+		}
+	}
+}
+
+// acquaintances are the seeds and all members that were ever heard of: seeds
+// may be gone when a replica comes back.
+func (g *Group) acquaintances(m *consensusv1.Membership, learned map[string]Peer) []Peer {
+	peers := g.settings.Replicas
+	if !g.settings.Open {
+		return peers
+	}
+	peers = slices.Clone(peers)
+	add := func(p Peer) {
+		if !slices.ContainsFunc(peers, func(q Peer) bool { return q.URL == p.URL }) {
+			peers = append(peers, p)
 		}
-		g.askAll(ctx, g.settings.Replicas)
 	}
+	for _, r := range m.GetMembers() {
+		add(Peer{URL: r.Url})
+	}
+	for _, url := range slices.Sorted(maps.Keys(learned)) {
+		add(learned[url])
+	}
+	return peers
 }
 
 // Identify answers another replica that starts.
@@ -236,22 +320,34 @@
 // takeIn makes a replica with an emptied disk a learner in place of the one of
 // its name.
 func (g *Group) takeIn(ctx context.Context, r *consensusv1.IdentifyRequest) {
-	if r.Id == "" || r.LastIndex > 0 || nameOf(r.Id) != r.Name {
+	if !g.admissible(r) {
 		return
 	}
-	known := false
+	if err := g.AddReplica(ctx, r.Id, r.Url); err != nil {
+		g.logger.Info("replica not yet taken in", slog.String("replica", r.Id), slog.Any("error", err))
+	}
+}
+
+// admissible reports whether an asking replica may become a learner: one that
+// begins with an empty folder in the place of an older one of its name, and in
+// an open group also one of a new name or one that was dropped.
+func (g *Group) admissible(r *consensusv1.IdentifyRequest) bool {
+	if r.Id == "" || nameOf(r.Id) != r.Name || (r.LastIndex > 0 && !g.settings.Open) {
+		return false
+	}
+	replaces := false
 	for _, m := range g.Status().Membership.Members {
 		if m.Id == r.Id {
-			return
+			return false
+		}
+		if nameOf(m.Id) == r.Name {
+			if m.Id > r.Id {
+				return false
+			}
+			replaces = true
 		}
-		known = known || (nameOf(m.Id) == r.Name && m.Id < r.Id)
-	}
-	if !known {
-		return
-	}
-	if err := g.AddReplica(ctx, r.Id, r.Url); err != nil {
-		g.logger.Info("replica not yet taken in", slog.String("replica", r.Id), slog.Any("error", err))
 	}
+	return replaces || g.settings.Open
 }
 
 // AddReplica makes a replica a learner; it gets its vote once it has caught up.
@@ -333,7 +429,7 @@
 		return
 	}
 	m := proto.CloneOf(l.node.Membership())
-	if !l.promote(m) && !l.dropReplaced(m) {
+	if !l.promote(m) && !l.dropReplaced(m) && !l.dropSilent(m) {
 		return
 	}
 	if _, _, err := l.node.ProposeMembership(m); err != nil {
@@ -364,6 +460,47 @@
 	return false
 }
 
+// Bounds on dropping silent replicas of an open group.
+const (
+	// silentTicks is longer than a restart or a usual cut; 10 s.
+	silentTicks = int(10 * time.Second / TickInterval)
+	// leastVoters remain: with fewer, one more loss would stop the group.
+	leastVoters = 3
+)
+
+// dropSilent removes one replica that has not been heard of for long, if every
+// other voter answers: dead voters would otherwise add up until a majority of
+// the list is dead. A replica that returns is taken in again.
+func (l *loop) dropSilent(m *consensusv1.Membership) bool {
+	if !l.settings.Open {
+		return false
+	}
+	s := l.node.Status()
+	voters, silent := 0, ""
+	for _, r := range m.Members {
+		quiet := r.Id != l.id && s.SilentTicks[r.Id] >= silentTicks
+		if !r.Learner {
+			voters++
+		}
+		switch {
+		case quiet && silent != "":
+			return false
+		case quiet:
+			silent = r.Id
+		}
+	}
+	if silent == "" {
+		return false
+	}
+	for _, r := range m.Members {
+		if r.Id == silent && !r.Learner && voters <= leastVoters {
+			return false
+		}
+	}
+	l.logger.Info("silent replica leaves", slog.String("replica", silent), slog.Int("voters", voters))
+	return remove(m, silent) == nil
+}
+
 // handOverTimeout bounds the transfer of the leadership when a leader stops.
 const handOverTimeout = time.Second
 
--- a/control/replog/replog.go
+++ b/control/replog/replog.go
@@ -37,9 +37,23 @@
 	Name string
 	// Dir is the folder of this group.
 	Dir string
+	// URL is where the other replicas reach this one; empty if Replicas names
+	// it.
+	URL string
 	// Replicas lists the initial replicas with this one among them; the first
-	// one founds the group.
+	// one founds the group. With Open they are only seeds: a few addresses,
+	// without names, that need not include this one.
 	Replicas []Peer
+	// Open admits replicas that Replicas does not name, and lets a voter that
+	// has been silent for long leave.
+	Open bool
+	// MayFound lets the first of open Replicas found the group. It must be
+	// false once a group was founded, or an emptied replica would found another.
+	MayFound bool
+	// LeaderWait is how long a starting replica with a log waits to hear the
+	// leader or all voters before a majority is enough; 0 for the default,
+	// below 0 if folders never come back older than they were.
+	LeaderWait time.Duration
 	// CompactEntries are applied between two snapshots; 0 for the default.
 	CompactEntries uint64
 	Logger         *slog.Logger
--- a/control/state/snapshot.go
+++ b/control/state/snapshot.go
@@ -26,6 +26,7 @@
 			snap.Calls = append(snap.Calls, records[key])
 		}
 	}
+	snap.Published = s.PublishedUnder("")
 	return proto.MarshalOptions{Deterministic: true}.Marshal(snap)
 }
 
@@ -83,6 +84,9 @@
 			s.queues.addEnded(r)
 		}
 	}
+	for _, d := range snap.Published {
+		s.published[d.Name] = d
+	}
 	s.queues.sort()
 	return s, nil
 }
--- a/control/state/state.go
+++ b/control/state/state.go
@@ -40,6 +40,8 @@
 	callCount    uint64
 	answerBytes  int
 	queues       callQueues
+	// published holds the newest version of each named document.
+	published map[string]*controlv1.PublishedDocument
 }
 
 // New returns an empty state.
@@ -48,6 +50,7 @@
 		environments: make(map[string]*environment),
 		leases:       make(map[string]*controlv1.LeaseStatus),
 		calls:        make(map[string]*accountCalls),
+		published:    make(map[string]*controlv1.PublishedDocument),
 	}
 }
 
@@ -78,6 +81,8 @@
 		return result(s.updateRouting(body.UpdateRouting))
 	case *controlv1.Command_RequestDrain:
 		return result(s.environment(body.RequestDrain.Environment).requestDrain(body.RequestDrain, s.nowMS))
+	case *controlv1.Command_Publish:
+		return result(s.publish(body.Publish))
 	case *controlv1.Command_ExpireCalls:
 		s.expire(body.ExpireCalls)
 	}
@@ -103,6 +108,8 @@
 		return &controlv1.Result{Body: &controlv1.Result_UpdateRouting{UpdateRouting: r}}
 	case *controlv1.RequestDrainResponse:
 		return &controlv1.Result{Body: &controlv1.Result_RequestDrain{RequestDrain: r}}
+	case *controlv1.PublishResponse:
+		return &controlv1.Result{Body: &controlv1.Result_Publish{Publish: r}}
 	}
 	return &controlv1.Result{}
 }
--- /dev/null
+++ b/gateway/attempt.go
@@ -0,0 +1,190 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/galenaarch/galenaarch/upstream"
+)
+
+func itoa(n uint64) string { return strconv.FormatUint(n, 10) }
+
+// Bounds on one request's sendings.
+const (
+	// extraSends is how many servers beyond the route's bound a request may be
+	// offered to after servers that proved not to have run it.
+	extraSends = 2
+	// leastLeft is the time that a sending must have left to be worth it.
+	leastLeft = 40 * time.Millisecond
+	// firstPatience is how long a repeatable request waits for the first byte
+	// from one server before it is sent to another: well under the time after
+	// which callers give a stream up.
+	firstPatience = 700 * time.Millisecond
+	// patienceShare is the most of the remaining time that one server gets
+	// while another could still be asked.
+	patienceShare = 0.55
+)
+
+// errSlow ends the wait for a server when another one is to be asked.
+var errSlow = errors.New("no answer in the time for one server")
+
+// errStray says that an answer belonged to another request.
+var errStray = errors.New("the answer belongs to another request")
+
+// verdict is what became of one sending.
+type verdict int
+
+const (
+	// answered: the exchange holds an answer to relay.
+	answered verdict = iota
+	// notRun: the server did not run the request and never will.
+	notRun
+	// unknown: the request may have run.
+	unknown
+	// callerGone: nobody waits any more.
+	callerGone
+)
+
+// attempt is one sending and its outcome.
+type attempt struct {
+	backend  *backend
+	exchange *upstream.Exchange
+	answer   Answer
+	verdict  verdict
+	status   int
+	err      error
+	began    time.Time
+	cancel   context.CancelCauseFunc
+	version  uint64
+}
+
+// end releases what the attempt holds.
+func (a *attempt) end() {
+	if a.exchange != nil {
+		a.exchange.Abandon()
+	}
+	if a.cancel != nil {
+		a.cancel(nil)
+	}
+}
+
+// send sends the request to one server and waits for the head of the answer.
+func (c *call) send(ctx context.Context, r *http.Request, b *backend, lastEvent string, patience time.Duration) *attempt {
+	now := time.Now()
+	a := &attempt{backend: b, began: now}
+	ctx, a.cancel = context.WithCancelCause(ctx)
+	d := &Dispatch{Server: b.id, Left: time.Until(c.deadline), Priority: c.priority(), LastEvent: lastEvent}
+	if c.account != nil {
+		d.Account = c.account.Name
+	}
+	if c.prompt != nil {
+		a.version = b.weightVersion(c.prompt.Model)
+		d.Salt, d.WeightVersion = c.salt(a.version), a.version
+	}
+	b.begin(c.unread, now)
+	timer := time.AfterFunc(patience, func() { a.cancel(errSlow) })
+	x, err := b.pool.Send(ctx, &upstream.Request{
+		Method: r.Method, Target: c.target, Host: r.Host, Header: c.gateway.dialect.Dispatch(r.Header, d), Body: c.body,
+	})
+	inTime := timer.Stop()
+	now = time.Now()
+	a.exchange = x
+	if err != nil {
+		b.awaiting.Add(-1)
+		b.reading.Add(int64(-c.unread))
+	} else {
+		b.firstByte(c.unread, now)
+		if !inTime {
+			err = &upstream.Error{Step: upstream.StepAwait, Peer: b.address, Err: errSlow}
+		}
+	}
+	a.judge(c, r, err, now)
+	c.note(a)
+	return a
+}
+
+// judge says what a sending proved.
+func (a *attempt) judge(c *call, r *http.Request, err error, now time.Time) {
+	a.err = err
+	if err != nil {
+		var e *upstream.Error
+		switch {
+		case r.Context().Err() != nil:
+			a.verdict = callerGone
+		case errors.As(err, &e) && !e.Reached():
+			a.verdict = notRun
+		default:
+			a.verdict = unknown
+		}
+		return
+	}
+	a.status = a.exchange.Answer.StatusCode
+	a.answer = c.gateway.dialect.Answer(a.status, a.exchange.Answer.Header)
+	if a.answer.RequestID != c.request.ID {
+		a.verdict, a.err = unknown, errStray
+		return
+	}
+	if a.answer.Load != nil {
+		a.backend.report(a.answer.Load, now)
+	}
+	if a.answer.WeightVersion > 0 && c.prompt != nil {
+		a.backend.learnWeights(c.prompt.Model, a.answer.WeightVersion)
+	}
+	if a.answer.NotRun {
+		a.verdict = notRun
+	}
+}
+
+// note keeps the books after a sending and logs one that failed.
+func (c *call) note(a *attempt) {
+	b, now := a.backend, time.Now()
+	c.tried[b.id] = true
+	var e *upstream.Error
+	reached := !errors.As(a.err, &e) || e.Reached()
+	if reached {
+		c.sends++
+	}
+	if a.verdict == unknown || a.verdict == answered {
+		c.ran = true
+	}
+	resting := time.Duration(0)
+	switch {
+	case a.verdict == answered && a.status < http.StatusInternalServerError:
+		b.succeed(now.Sub(a.began))
+		return
+	case a.verdict == answered:
+		resting = b.fail(false, now)
+		return
+	case a.verdict == callerGone:
+		return
+	case a.status == http.StatusMisdirectedRequest:
+		c.misdirected(a)
+	case a.verdict == notRun && a.status != 0:
+		// Full servers say so; that is their load, not a failure.
+	case errors.Is(a.err, upstream.ErrLimit):
+	default:
+		hard := e != nil && (e.Step == upstream.StepDial || e.Step == upstream.StepAwait) && !errors.Is(a.err, errSlow)
+		resting = b.fail(hard, now)
+	}
+	c.gateway.metrics.attempt(c, a)
+	c.gateway.logger.Info("sending failed", slog.String("request", c.request.ID), slog.String("route", c.route.Name),
+		slog.String("server", b.id), slog.String("address", b.address), slog.Int("status", a.status), slog.Bool("reached", reached),
+		slog.Bool("not_run", a.verdict == notRun), slog.Duration("took", now.Sub(a.began)), slog.Duration("resting", resting), slog.Any("error", a.err))
+}
+
+// misdirected learns from a server that is not the one, or not on the weights,
+// that was asked for.
+func (c *call) misdirected(a *attempt) {
+	if a.answer.Server != "" && a.answer.Server != a.backend.id || c.prompt == nil {
+		a.backend.retired.Store(true)
+		return
+	}
+	// The same server with other weights: it can only have moved on.
+	if wanted := c.world.wanted[c.prompt.Model]; wanted > a.version {
+		a.backend.learnWeights(c.prompt.Model, wanted)
+	}
+}
--- /dev/null
+++ b/gateway/backend.go
@@ -0,0 +1,172 @@
+package gateway
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/galenaarch/galenaarch/api/fleetv1"
+	"github.com/galenaarch/galenaarch/config/site"
+	"github.com/galenaarch/galenaarch/placement"
+	"github.com/galenaarch/galenaarch/upstream"
+)
+
+// Weights of what is learned of a server.
+const (
+	// learnRate is the weight of the newest request in a mean.
+	learnRate = 0.1
+	// firstRest is how long a server rests after a failure; it doubles with
+	// each further one up to maxRest. A restart takes about a second.
+	firstRest = 400 * time.Millisecond
+	maxRest   = 4 * time.Second
+	// restStreak is how many failures in a row rest a server that answers: one
+	// may be an accident of its connection.
+	restStreak = 3
+	// reportLife is how long a server's own word on its load is worth more than
+	// what this instance has sent there.
+	reportLife = time.Second
+	// silentLife is how long a server that control no longer hears of is used
+	// because it answers this instance.
+	silentLife = 2 * time.Second
+)
+
+// backend is one life of a backend server, as this instance knows it.
+type backend struct {
+	id, address, zone string
+	born              int64
+	service           *site.Service
+	slots             int
+	coldUntil         time.Time
+	pool              *upstream.Pool
+
+	inflight atomic.Int64
+	// awaiting counts requests without a first byte, reading their tokens.
+	awaiting atomic.Int64
+	reading  atomic.Int64
+	// heard is when the server last showed life, or when awaiting rose from 0;
+	// nanoseconds of Unix time.
+	heard atomic.Int64
+	// silent is set while no control instance hears of the server.
+	silent atomic.Bool
+	// retired is set when the server must get no more requests.
+	retired atomic.Bool
+
+	mu        sync.Mutex
+	mean      time.Duration
+	failing   float64
+	streak    int
+	restUntil time.Time
+	trial     bool
+	others    float64
+	reported  time.Time
+	weights   map[string]uint64
+}
+
+func newBackend(a *fleetv1.Announcement, s *site.Service, connections int) *backend {
+	b := &backend{
+		id: a.Server, address: a.Address, zone: a.Zone, born: a.BornUnixMs, service: s, slots: int(a.Slots),
+		coldUntil: time.UnixMilli(a.ColdUntilUnixMs), pool: upstream.NewPool(a.Address, connections), weights: make(map[string]uint64),
+	}
+	if b.slots == 0 && s.Engine != nil {
+		b.slots = s.Engine.Slots
+	}
+	b.heard.Store(time.Now().UnixNano())
+	return b
+}
+
+// learnWeights takes a server's word on its weights; versions only rise.
+func (b *backend) learnWeights(model string, version uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.weights[model] = max(b.weights[model], version)
+}
+
+func (b *backend) weightVersion(model string) uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.weights[model]
+}
+
+// lost reports whether neither control nor this instance hears of the server.
+func (b *backend) lost(now time.Time) bool {
+	return b.silent.Load() && now.Sub(time.Unix(0, b.heard.Load())) > silentLife
+}
+
+// begin counts a request that is about to be sent.
+func (b *backend) begin(tokens int, now time.Time) {
+	b.inflight.Add(1)
+	b.reading.Add(int64(tokens))
+	if b.awaiting.Add(1) == 1 {
+		b.heard.Store(now.UnixNano())
+	}
+}
+
+// firstByte counts a request whose answer has begun.
+func (b *backend) firstByte(tokens int, now time.Time) {
+	b.awaiting.Add(-1)
+	b.reading.Add(int64(-tokens))
+	b.heard.Store(now.UnixNano())
+}
+
+// end counts a request that is over.
+func (b *backend) end() { b.inflight.Add(-1) }
+
+// report takes a server's word on its load.
+func (b *backend) report(l *Load, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.others = max(0, float64(l.Running+l.Waiting)-float64(b.inflight.Load()))
+	b.reported = now
+}
+
+// succeed counts an answer of the usual kind that took a time.
+func (b *backend) succeed(took time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.streak, b.trial = 0, false
+	b.failing *= 1 - learnRate
+	if b.mean == 0 {
+		b.mean = took
+	}
+	b.mean += time.Duration(learnRate * float64(took-b.mean))
+}
+
+// fail counts a failure. hard ones show that the server is not there at all.
+func (b *backend) fail(hard bool, now time.Time) (resting time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.failing += learnRate * (1 - b.failing)
+	b.streak++
+	if !hard && b.streak < restStreak {
+		return 0
+	}
+	rest := firstRest
+	for i := 1; i < b.streak && rest < maxRest; i++ {
+		rest *= 2
+	}
+	resting = min(rest, maxRest)
+	b.restUntil = now.Add(resting)
+	b.trial = true
+	return resting
+}
+
+// view is the server as a decision sees it.
+func (b *backend) view(zone string, now time.Time) placement.Server {
+	own := float64(b.inflight.Load())
+	s := placement.Server{Near: b.zone == zone, Slots: b.slots, ReadingTokens: int(b.reading.Load()), Cold: now.Before(b.coldUntil)}
+	if b.awaiting.Load() > 0 {
+		s.Silence = now.Sub(time.Unix(0, b.heard.Load()))
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	others := b.others
+	if age := now.Sub(b.reported); age > reportLife {
+		others *= float64(reportLife) / float64(age)
+	}
+	total := own + others
+	s.Running = min(total, float64(b.slots))
+	s.Waiting = total - s.Running
+	s.Mean, s.Failing = b.mean, b.failing
+	s.Resting, s.Trial = now.Before(b.restUntil), b.trial
+	return s
+}
--- /dev/null
+++ b/gateway/call.go
@@ -0,0 +1,167 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/galenaarch/galenaarch/config/site"
+	"github.com/galenaarch/galenaarch/placement"
+)
+
+// Figures of engines that the document does not give.
+const (
+	// readRate is the prompt tokens an engine reads in a millisecond, from the
+	// users' sheet of their engines.
+	readRate = 49.6
+	// maxUnary bounds an answer that is held whole before it is passed on, so
+	// that a broken one can be told from a whole one; longer ones stream.
+	maxUnary = 1 << 20
+)
+
+// call is one request of a caller on its way.
+type call struct {
+	gateway *Gateway
+	world   *world
+	request *Request
+	route   *site.Route
+	service *site.Service
+	// account is nil on public routes.
+	account  *site.Account
+	prompt   *Prompt
+	path     string
+	target   string
+	body     []byte
+	began    time.Time
+	deadline time.Time
+	// tried names the servers that were sent the request.
+	tried map[string]bool
+	// sends counts sendings that reached a server, ran says that one of them may
+	// have run the request.
+	sends int
+	ran   bool
+	// unread is the part of the prompt that the chosen server must read.
+	unread int
+}
+
+// rawPath is the path as the caller sent it.
+func rawPath(r *http.Request) string {
+	path, _, _ := strings.Cut(rawTarget(r), "?")
+	return path
+}
+
+// rawTarget is path and query as the caller sent them.
+func rawTarget(r *http.Request) string {
+	target := r.RequestURI
+	if !strings.HasPrefix(target, "/") {
+		if _, rest, ok := strings.Cut(target, "://"); ok {
+			if i := strings.IndexByte(rest, '/'); i >= 0 {
+				return rest[i:]
+			}
+			return "/"
+		}
+	}
+	return target
+}
+
+// read takes the whole body, so that it can be sent again. It answers the
+// caller itself and returns false if that fails.
+func (c *call) read(rw http.ResponseWriter, r *http.Request) bool {
+	c.target = rawTarget(r)
+	limit := int64(c.world.table.Limits.BodyBytes)
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	body := http.MaxBytesReader(rw, r.Body, limit)
+	var err error
+	if r.ContentLength > 0 && r.ContentLength <= limit {
+		c.body = make([]byte, r.ContentLength)
+		_, err = io.ReadFull(body, c.body)
+	} else {
+		c.body, err = io.ReadAll(body)
+	}
+	if err == nil {
+		return true
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		c.gateway.refuse(rw, c, http.StatusRequestEntityTooLarge, "body too large", 0, nil)
+		return false
+	}
+	c.gateway.logger.Info("request not read", slog.String("request", c.request.ID), slog.Any("error", err))
+	c.gateway.metrics.outcome(c, "not read")
+	panic(http.ErrAbortHandler)
+}
+
+// defaultBodyBytes bounds a body where the document does not.
+const defaultBodyBytes = 4 << 20
+
+// job is the request as a decision sees it.
+func (c *call) job() placement.Job {
+	j := placement.Job{Repeatable: c.repeatable(), ReadRate: readRate}
+	if c.prompt != nil {
+		j.PromptTokens = c.prompt.Tokens
+	}
+	return j
+}
+
+// shared returns the parts that other requests may have in common with this
+// one, their tokens, and the key of the last of them.
+func (c *call) shared() (parts []Part, tokens int, key string) {
+	parts = c.prompt.Parts
+	if len(parts) > 1 {
+		parts = parts[:len(parts)-1]
+	}
+	for _, p := range parts {
+		tokens += p.Tokens
+		key = p.ID
+	}
+	return parts, tokens, key
+}
+
+// locate fills in what each server is believed to hold of the prompt. A shared
+// part has one home, so that the memory of all servers holds as many different
+// parts as it can.
+func (c *call) locate(candidates []*backend, servers []placement.Server) {
+	_, tokens, key := c.shared()
+	if key == "" {
+		return
+	}
+	home, best := -1, uint64(0)
+	for i, b := range candidates {
+		if rank := placement.Rank(key, b.id); rank >= best {
+			home, best = i, rank
+		}
+	}
+	servers[home].Home = true
+	servers[home].CachedTokens = tokens
+}
+
+// salt separates contexts by weight version, and by account where an account is
+// isolated: engines find a context only under the same salt.
+func (c *call) salt(version uint64) string {
+	s := "w" + itoa(version)
+	if c.account != nil && c.account.Isolated {
+		s += "-" + c.account.Name
+	}
+	return s
+}
+
+// priority is the rank at an engine. Requests without one have rank 5 there, so
+// ranks are spread around it.
+func (c *call) priority() int {
+	if c.prompt == nil {
+		return -1
+	}
+	p := c.route.Priority
+	if c.account != nil && c.account.HasPriority {
+		p = c.account.Priority
+	}
+	return max(0, min(9, firstRank+p))
+}
+
+// firstRank is the engine's rank of the most urgent requests.
+const firstRank = 2
--- /dev/null
+++ b/gateway/fleet.go
@@ -0,0 +1,138 @@
+package gateway
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/galenaarch/galenaarch/api/fleetv1"
+	"github.com/galenaarch/galenaarch/config/site"
+	"github.com/galenaarch/galenaarch/fleetview"
+)
+
+// connectionShare is the part of a server's connections that the entry
+// instances use together: its own bound falls while its queue is long.
+const connectionShare = 0.8
+
+// world is what requests are served by: the document in force and the servers
+// of each service. It is replaced as a whole and never modified.
+type world struct {
+	table    *site.Table
+	backends map[string]*backend
+	services map[string][]*backend
+	// wanted is the newest weight version asked for, by model.
+	wanted map[string]uint64
+	// entries is the number of entry instances, the lost ones among them.
+	entries int
+}
+
+// rebuild makes the world of a picture of the fleet. Servers keep what was
+// learned of them.
+func (g *Gateway) rebuild(s *fleetview.Snapshot) {
+	old := g.world.Load()
+	next := &world{backends: make(map[string]*backend), services: make(map[string][]*backend), wanted: make(map[string]uint64)}
+	next.table = g.document(s, old)
+	next.entries = max(len(s.Entries), 1)
+	if old != nil {
+		// Invariant: shares only shrink in one life of this process, since an
+		// instance that was lost may still be at work.
+		next.entries = max(next.entries, old.entries)
+	}
+	for name, d := range s.Documents {
+		if len(name) > len(site.WeightsPrefix) && name[:len(site.WeightsPrefix)] == site.WeightsPrefix {
+			next.wanted[name[len(site.WeightsPrefix):]] = d.Version
+		}
+	}
+	if next.table != nil {
+		g.place(s, old, next)
+	}
+	g.world.Store(next)
+	g.retire(old, next)
+	if old == nil || (old.table == nil && next.table != nil) {
+		g.view.Announce(next.table != nil && !g.draining.Load())
+	}
+}
+
+// document compiles the newest document, or keeps the one in force.
+func (g *Gateway) document(s *fleetview.Snapshot, old *world) *site.Table {
+	var held *site.Table
+	if old != nil {
+		held = old.table
+	}
+	d := s.Documents[site.DocumentName]
+	if d == nil || (held != nil && d.Version <= held.Version) {
+		return held
+	}
+	decoded, err := g.dialect.Document(d.Content)
+	if err == nil {
+		err = decoded.Check()
+	}
+	if err != nil {
+		g.logger.Error("document not put in force", slog.Uint64("version", d.Version), slog.Any("error", err))
+		return held
+	}
+	g.logger.Info("document in force", slog.Uint64("version", d.Version), slog.Int("routes", len(decoded.Routes)))
+	return site.Compile(decoded)
+}
+
+// place lists the servers of each service. Of two lives at one address only the
+// younger one is there.
+func (g *Gateway) place(s *fleetview.Snapshot, old, next *world) {
+	youngest := make(map[string]int64)
+	for _, a := range s.Servers {
+		if a.State != fleetv1.ServerState_SERVER_STATE_GONE {
+			youngest[a.Address] = max(youngest[a.Address], a.BornUnixMs)
+		}
+	}
+	for id, a := range s.Servers {
+		service := next.table.Service(a.Service)
+		if service == nil || a.State != fleetv1.ServerState_SERVER_STATE_READY || a.BornUnixMs < youngest[a.Address] {
+			continue
+		}
+		connections := connectionsOf(service, next.entries)
+		var b *backend
+		if old != nil {
+			b = old.backends[id]
+		}
+		if b == nil || b.born != a.BornUnixMs || b.address != a.Address {
+			b = newBackend(a, service, connections)
+		} else {
+			b.pool.SetMax(connections)
+		}
+		for _, w := range a.Weights {
+			b.learnWeights(w.Model, w.Version)
+		}
+		next.backends[id] = b
+		b.silent.Store(a.Silent)
+		if !b.retired.Load() {
+			next.services[a.Service] = append(next.services[a.Service], b)
+		}
+	}
+}
+
+func connectionsOf(s *site.Service, entries int) int {
+	if s.MaxConnections == 0 {
+		return 0
+	}
+	return max(1, int(connectionShare*float64(s.MaxConnections)/float64(entries)))
+}
+
+// retire closes the idle connections of servers that left.
+func (g *Gateway) retire(old, next *world) {
+	if old == nil {
+		return
+	}
+	for id, b := range old.backends {
+		if next.backends[id] != b {
+			b.pool.Close()
+		}
+	}
+}
+
+// trim closes connections that lie idle for too long.
+func (g *Gateway) trim(now time.Time) {
+	if w := g.world.Load(); w != nil {
+		for _, b := range w.backends {
+			b.pool.Trim(now)
+		}
+	}
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,214 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/galenaarch/galenaarch/fleetview"
+	"github.com/galenaarch/galenaarch/placement"
+	"github.com/galenaarch/galenaarch/retry"
+)
+
+// Times of the gateway.
+const (
+	trimEvery = time.Second
+	// answerMargin is kept of a caller's patience, so that the last answer still
+	// reaches it.
+	answerMargin = 30 * time.Millisecond
+)
+
+// Bounds is what the deployment allows all entry instances together.
+type Bounds struct {
+	// RepeatRatio and RepeatSlack bound the requests that are sent again to a
+	// service, in any RepeatWindow.
+	RepeatRatio, RepeatSlack float64
+	RepeatWindow             time.Duration
+}
+
+// budgetShare is the part of the bound on repeats that is used: an instance that
+// restarts has forgotten what it spent.
+const budgetShare = 0.8
+
+// Gateway serves callers' requests.
+type Gateway struct {
+	dialect Dialect
+	view    *fleetview.View
+	zone    string
+	bounds  Bounds
+	logger  *slog.Logger
+	metrics *metrics
+	started time.Time
+
+	world    atomic.Pointer[world]
+	draining atomic.Bool
+	inflight atomic.Int64
+	// arrived is when the last request came; nanoseconds of Unix time.
+	arrived atomic.Int64
+
+	mu      sync.Mutex
+	budgets map[string]*retry.Window
+}
+
+// New returns a gateway in a failure domain.
+func New(d Dialect, v *fleetview.View, zone string, b Bounds, logger *slog.Logger, m *metrics) *Gateway {
+	g := &Gateway{dialect: d, view: v, zone: zone, bounds: b, logger: logger, metrics: m, started: time.Now(), budgets: make(map[string]*retry.Window)}
+	g.world.Store(&world{entries: 1})
+	return g
+}
+
+// Run follows the picture of the fleet until the context ends.
+func (g *Gateway) Run(ctx context.Context) {
+	ticker := time.NewTicker(trimEvery)
+	defer ticker.Stop()
+	for {
+		changed := g.view.Changed()
+		g.rebuild(g.view.Current())
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case now := <-ticker.C:
+			g.trim(now)
+			g.share(now)
+		}
+	}
+}
+
+// Ready reports whether callers may be sent here.
+func (g *Gateway) Ready() bool { return g.world.Load().table != nil && !g.draining.Load() }
+
+// budget is the bound on repeats to a service.
+func (g *Gateway) budget(service string) *retry.Window {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	w := g.budgets[service]
+	if w == nil {
+		w = retry.NewWindow(g.bounds.RepeatWindow, budgetShare*g.bounds.RepeatRatio, g.slack(time.Now()))
+		g.budgets[service] = w
+	}
+	return w
+}
+
+// slack is this instance's share of the constant part. It grows with the life
+// of the process: the one before it may just have spent the whole share.
+func (g *Gateway) slack(now time.Time) float64 {
+	grown := min(1, float64(now.Sub(g.started))/float64(g.bounds.RepeatWindow))
+	return budgetShare * g.bounds.RepeatSlack * grown / float64(g.world.Load().entries)
+}
+
+func (g *Gateway) share(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, w := range g.budgets {
+		w.SetSlack(g.slack(now))
+	}
+}
+
+// choose picks a backend for a request, or nil.
+func (g *Gateway) choose(w *world, c *call, now time.Time) *backend {
+	all := w.services[c.service.Name]
+	candidates := make([]*backend, 0, len(all))
+	for _, b := range all {
+		if !b.lost(now) && !b.retired.Load() {
+			candidates = append(candidates, b)
+		}
+	}
+	if len(candidates) == 0 {
+		for _, b := range all {
+			if !b.retired.Load() {
+				candidates = append(candidates, b)
+			}
+		}
+	}
+	if len(candidates) == 0 {
+		return nil
+	}
+	servers := make([]placement.Server, len(candidates))
+	for i, b := range candidates {
+		servers[i] = b.view(g.zone, now)
+	}
+	if c.prompt != nil {
+		c.locate(candidates, servers)
+	}
+	i := placement.Pick(servers, c.job(), func(i int) bool { return c.tried[candidates[i].id] }, rand.Float64())
+	if i < 0 {
+		return nil
+	}
+	c.unread = max(0, c.job().PromptTokens-servers[i].CachedTokens)
+	return candidates[i]
+}
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	g.inflight.Add(1)
+	defer g.inflight.Add(-1)
+	now := time.Now()
+	g.arrived.Store(now.UnixNano())
+	if g.draining.Load() {
+		rw.Header().Set("Connection", "close")
+	}
+	w := g.world.Load()
+	req, err := g.dialect.Request(r)
+	if err != nil {
+		g.refuse(rw, &call{began: now, request: &Request{}}, http.StatusBadRequest, "malformed", 0, err)
+		return
+	}
+	c := &call{gateway: g, world: w, request: req, began: now, prompt: req.Prompt, tried: make(map[string]bool), path: r.URL.EscapedPath()}
+	if w.table == nil {
+		g.refuse(rw, c, http.StatusServiceUnavailable, "no document yet", comeBack(), nil)
+		return
+	}
+	if status, reason := c.admit(r); status != 0 {
+		g.refuse(rw, c, status, reason, 0, nil)
+		return
+	}
+	if !c.read(rw, r) {
+		return
+	}
+	c.serve(rw, r)
+}
+
+// admit finds route, service and account.
+func (c *call) admit(r *http.Request) (status int, reason string) {
+	t := c.world.table
+	c.route = t.Route(r.Host, rawPath(r))
+	if c.route == nil {
+		return http.StatusNotFound, "no route"
+	}
+	if t.NeedsKey(c.route) {
+		if c.account = t.Account(c.request.Key); c.account == nil {
+			return http.StatusUnauthorized, "unknown key"
+		}
+	}
+	c.service = t.Service(c.route.Pick(rand.Float64()))
+	if c.service.Engine == nil || !c.route.Prompt {
+		c.prompt = nil
+	}
+	patience := c.route.Timeout
+	if c.request.Patience > 0 {
+		patience = min(patience, c.request.Patience)
+	}
+	c.deadline = c.began.Add(patience - min(answerMargin, patience/10))
+	return 0, ""
+}
+
+// repeatable reports whether the request may run on a second server.
+func (c *call) repeatable() bool { return c.route.Repeatable() }
+
+func comeBack() time.Duration {
+	return firstReturn + time.Duration(rand.Int64N(int64(returnSpread)))
+}
+
+// Times for refused callers to come back: spread, so that they do not all
+// return at once.
+const (
+	firstReturn  = 150 * time.Millisecond
+	returnSpread = 400 * time.Millisecond
+)
+
+var _ http.Handler = (*Gateway)(nil)
--- /dev/null
+++ b/gateway/metrics.go
@@ -0,0 +1,49 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// metrics of the path of a request.
+type metrics struct {
+	outcomes *prometheus.CounterVec
+	sendings *prometheus.CounterVec
+	first    *prometheus.HistogramVec
+}
+
+func newMetrics(r prometheus.Registerer) *metrics {
+	m := &metrics{
+		outcomes: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_requests_total", Help: "Requests by kind of route and outcome."}, []string{"kind", "outcome"}),
+		sendings: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_failed_sendings_total", Help: "Sendings to backend servers that brought no answer to relay, by kind of route."}, []string{"kind", "not_run"}),
+		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "galena_gateway_first_byte_seconds", Help: "Time from a request's arrival to the server's first byte.",
+			Buckets: []float64{.005, .01, .025, .05, .1, .2, .3, .5, .8, 1.5, 3, 10}}, []string{"kind"}),
+	}
+	r.MustRegister(m.outcomes, m.sendings, m.first)
+	return m
+}
+
+func kindOf(c *call) string {
+	if c.route == nil {
+		return "none"
+	}
+	return c.route.Kind.String()
+}
+
+func (m *metrics) outcome(c *call, outcome string) {
+	m.outcomes.WithLabelValues(kindOf(c), outcome).Inc()
+}
+
+func (m *metrics) attempt(c *call, a *attempt) {
+	label := "false"
+	if a.verdict == notRun {
+		label = "true"
+	}
+	m.sendings.WithLabelValues(kindOf(c), label).Inc()
+}
+
+func (m *metrics) served(c *call, a *attempt) {
+	m.outcomes.WithLabelValues(kindOf(c), "served").Inc()
+	m.first.WithLabelValues(kindOf(c)).Observe(a.began.Sub(c.began).Seconds() + time.Since(a.began).Seconds())
+}
--- /dev/null
+++ b/gateway/process.go
@@ -0,0 +1,234 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
+
+	"github.com/galenaarch/galenaarch/api/fleetv1"
+	"github.com/galenaarch/galenaarch/control"
+	"github.com/galenaarch/galenaarch/fleetview"
+	"github.com/galenaarch/galenaarch/kernel"
+	"github.com/galenaarch/galenaarch/kernel/settings"
+)
+
+// Times of the listeners.
+const (
+	// headerTimeout bounds the reading of a head, idleTimeout the time between
+	// two requests: above what documents grant callers, who may reuse a
+	// connection for most of it.
+	headerTimeout = 5 * time.Second
+	idleTimeout   = time.Minute
+	// lingerFor is how long a stopping instance takes new connections: callers
+	// keep the directory's answer for up to three times its time to live.
+	lingerFor = 3500 * time.Millisecond
+	// quietFor without a request ends a drain early.
+	quietFor = 600 * time.Millisecond
+	// graceMargin is kept of the grace period for the end of the process.
+	graceMargin   = 500 * time.Millisecond
+	callerUnacked = 5 * time.Second
+	// callerProbe finds callers that went silent.
+	callerProbe = 3 * time.Second
+)
+
+const maxHeaderBytes = 64 << 10
+
+// Settings of a gateway process.
+type Settings struct {
+	Instance, FailureDomain string
+	Dialect                 string
+	// Listen is where callers connect, ReadyListen where the platform asks
+	// whether the instance is ready.
+	Listen, ReadyListen string
+	// Seeds are control instances, PeerPort their port for other processes.
+	Seeds    string
+	PeerPort int
+	// Grace is the time between the order to stop and the end.
+	Grace  time.Duration
+	Bounds Bounds
+}
+
+// RegisterFlags implements settings.Set.
+func (s *Settings) RegisterFlags(fs *flag.FlagSet) {
+	fs.StringVar(&s.Instance, "instance", "", "name of this instance")
+	fs.StringVar(&s.FailureDomain, "failure-domain", "", "failure domain of this instance")
+	fs.StringVar(&s.Dialect, "dialect", "", "module that decodes what callers and servers say")
+	fs.StringVar(&s.Listen, "listen", "", "IP:port for callers")
+	fs.StringVar(&s.ReadyListen, "ready-listen", "", "IP:port for questions whether this instance is ready")
+	fs.StringVar(&s.Seeds, "seeds", "", "IP:port of a few control instances, comma-separated")
+	fs.IntVar(&s.PeerPort, "peer-port", 0, "port that replaces the one in -seeds; 0 leaves it")
+	fs.DurationVar(&s.Grace, "grace", 8*time.Second, "time between the order to stop and the end")
+	fs.Float64Var(&s.Bounds.RepeatRatio, "repeat-ratio", 0.2, "requests that all entry instances may send again, as a share of those of a service")
+	fs.Float64Var(&s.Bounds.RepeatSlack, "repeat-slack", 20, "requests that they may send again besides")
+	fs.DurationVar(&s.Bounds.RepeatWindow, "repeat-window", 10*time.Second, "span in which both are counted")
+}
+
+// Check implements settings.Set.
+func (s *Settings) Check(c *settings.Checker) {
+	c.Required("instance", s.Instance)
+	c.Required("failure-domain", s.FailureDomain)
+	c.Required("dialect", s.Dialect)
+	c.Address("listen", s.Listen)
+	c.Address("ready-listen", s.ReadyListen)
+	c.Required("seeds", s.Seeds)
+	for _, a := range settings.List(s.Seeds) {
+		c.Address("seeds", a)
+	}
+	settings.Positive(c, "grace", s.Grace, "duration")
+	settings.Positive(c, "repeat-window", s.Bounds.RepeatWindow, "duration")
+	if s.Bounds.RepeatRatio < 0 || s.Bounds.RepeatSlack < 0 {
+		c.Add("repeat-ratio", "the bounds on repeats must not be below 0")
+	}
+}
+
+// Process is the component of an entry instance that forwards requests.
+type Process struct {
+	settings Settings
+	logger   *slog.Logger
+	gateway  *Gateway
+	view     *fleetview.View
+	callers  *http.Server
+	ready    *http.Server
+	cancel   context.CancelFunc
+}
+
+// NewProcess returns the component.
+func NewProcess(s Settings) *Process { return &Process{settings: s} }
+
+// Name implements kernel.Component.
+func (p *Process) Name() string { return "gateway" }
+
+// Provision implements kernel.Provisioner.
+func (p *Process) Provision(ctx *kernel.Context) error {
+	p.logger = ctx.Logger
+	dialect, err := kernel.New[Dialect](kernel.ID("gateway.dialect." + p.settings.Dialect))
+	if err != nil {
+		return err
+	}
+	var seeds []string
+	for _, s := range control.SeedPeers(p.settings.Seeds, p.settings.PeerPort) {
+		seeds = append(seeds, s.URL)
+	}
+	self := &fleetv1.EntryInstance{
+		Name: p.settings.Instance, StartedUnixMs: time.Now().UnixMilli(), Address: p.settings.Listen, Zone: p.settings.FailureDomain,
+	}
+	client := &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second,
+	}}
+	p.view = fleetview.New(seeds, self, client, p.logger)
+	p.gateway = New(dialect, p.view, p.settings.FailureDomain, p.settings.Bounds, p.logger, newMetrics(ctx.Registry))
+	return nil
+}
+
+// Ready says why the instance takes no callers, or nil.
+func (p *Process) Ready() error {
+	if !p.gateway.Ready() {
+		return errors.New("no document is in force, or the instance is stopping")
+	}
+	return nil
+}
+
+// Start implements kernel.Starter.
+func (p *Process) Start(context.Context) error {
+	// The picture of the fleet is followed until the drain has ended.
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	p.callers = &http.Server{
+		Handler: p.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: slog.NewLogLogger(p.logger.Handler(), slog.LevelDebug),
+	}
+	p.ready = &http.Server{Handler: http.HandlerFunc(p.serveReady), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	if err := p.serve(p.callers, p.settings.Listen); err != nil {
+		return err
+	}
+	if err := p.serve(p.ready, p.settings.ReadyListen); err != nil {
+		return err
+	}
+	p.view.Start(ctx)
+	go p.gateway.Run(ctx)
+	return nil
+}
+
+func (p *Process) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if err := p.Ready(); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (p *Process) serve(s *http.Server, address string) error {
+	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: callerProbe, Interval: time.Second, Count: 2}}
+	listener, err := config.Listen(context.Background(), "tcp4", address)
+	if err != nil {
+		return eris.Wrapf(err, "listen on %s", address)
+	}
+	go func() {
+		if err := s.Serve(unackedListener{listener}); !errors.Is(err, http.ErrServerClosed) {
+			p.logger.Error("listener ended", slog.String("address", address), slog.Any("error", err))
+		}
+	}()
+	return nil
+}
+
+// unackedListener ends connections whose peer acknowledges nothing.
+type unackedListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l unackedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	if raw, err := c.(*net.TCPConn).SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) {
+			// Without it the keep-alive probes still find a silent peer.
+			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(callerUnacked.Milliseconds()))
+		})
+	}
+	return c, nil
+}
+
+// Drain implements kernel.Drainer: callers are sent elsewhere at once, but new
+// connections are served until they must have heard of it.
+func (p *Process) Drain(ctx context.Context) error {
+	began := time.Now()
+	p.gateway.draining.Store(true)
+	p.view.Announce(false)
+	ticker := time.NewTicker(50 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-ticker.C:
+			quiet := now.Sub(time.Unix(0, p.gateway.arrived.Load())) > quietFor
+			over := now.Sub(began) > p.settings.Grace-graceMargin
+			if over || (now.Sub(began) > lingerFor && quiet && p.gateway.inflight.Load() == 0) {
+				p.logger.Info("drained", slog.Duration("took", now.Sub(began)), slog.Int64("open", p.gateway.inflight.Load()))
+				return nil
+			}
+		}
+	}
+}
+
+// Stop implements kernel.Stopper.
+func (p *Process) Stop(context.Context) error {
+	if p.cancel != nil {
+		p.cancel()
+	}
+	for _, s := range []*http.Server{p.callers, p.ready} {
+		if s != nil {
+			_ = s.Close() // what is open now has run out of grace
+		}
+	}
+	return nil
+}
--- a/kernel/app.go
+++ b/kernel/app.go
@@ -55,6 +55,11 @@
 	Stop(ctx context.Context) error
 }
 
+// Reloader reads its settings again when the process is told to (SIGHUP).
+type Reloader interface {
+	Reload() error
+}
+
 // State is a stage in the life of a process.
 type State string
 
@@ -198,6 +203,19 @@
 	}
 }
 
+// reload lets every component read its settings again; one that cannot goes on
+// with those it has.
+func (a *App) reload() {
+	a.ctx.Logger.Info("reload")
+	for _, c := range a.components {
+		if r, ok := c.(Reloader); ok {
+			if err := r.Reload(); err != nil {
+				a.ctx.Logger.Error("settings not read again", slog.String("component", c.Name()), slog.Any("error", err))
+			}
+		}
+	}
+}
+
 // Run starts the App, waits for SIGTERM or SIGINT, drains and stops it. The
 // drain is bounded by drainLimit only if that is above zero; a second signal
 // ends the drain at once.
@@ -208,7 +226,17 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
-	<-signals
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	defer signal.Stop(reloads)
+	for running := true; running; {
+		select {
+		case <-reloads:
+			a.reload()
+		case <-signals:
+			running = false
+		}
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	if drainLimit > 0 {
--- /dev/null
+++ b/placement/placement.go
@@ -0,0 +1,144 @@
+// Package placement decides which backend server a request goes to. It is pure:
+// time, load and what is believed to be cached are arguments.
+//
+// Each rule answers a load pattern. Waiting counts what this entry instance has
+// sent since the server's last report, so that instances do not herd to one
+// that looked idle (many callers at once). Silence turns new work away from a
+// server before any request to it has failed (a quarter of the servers dark).
+// Failures rests a server whose health is good (servers that fail part of their
+// requests), with a floor below, so that a common cause cannot rest them all.
+package placement
+
+import (
+	"math"
+	"time"
+)
+
+// Weights of the decision.
+const (
+	// farPenalty is the cost of another failure domain: it only breaks ties,
+	// since bytes between domains are dear and the delay is under 1 ms.
+	farPenalty = 2 * time.Millisecond
+	// silenceAllowed is how long a server with work may say nothing before it
+	// looks stuck: longer than the reading of a large prompt.
+	silenceAllowed = 450 * time.Millisecond
+	// silenceFactor turns further silence into expected wait.
+	silenceFactor = 4
+	// restedShare is the largest share of servers that may rest; above it the
+	// cause is likely common and resting would only shrink the capacity.
+	restedShare = 0.5
+	// startOverhead is the time of a server for a request besides its work.
+	startOverhead = 4 * time.Millisecond
+)
+
+// Server is what is known of a backend server at the moment of a decision.
+type Server struct {
+	// Near servers are in this instance's failure domain.
+	Near bool
+	// Slots is how many requests the server runs at once.
+	Slots int
+	// Running and Waiting count requests of all callers, as believed now.
+	Running, Waiting float64
+	// Mean is the usual time of one request there; 0 if not known.
+	Mean time.Duration
+	// ReadingTokens are prompt tokens sent there and not yet read.
+	ReadingTokens int
+	// Silence is how long the server has said nothing while this instance
+	// awaits an answer from it.
+	Silence time.Duration
+	// Resting servers failed lately; Trial ones get a single request at a time.
+	Resting, Trial bool
+	// Failing is the share of failures lately, 0 to 1.
+	Failing float64
+	// Cold servers are still slow after their start.
+	Cold bool
+	// CachedTokens of this prompt are believed to be there, ImportTokens can be
+	// brought from elsewhere at ImportRate.
+	CachedTokens, ImportTokens int
+	// Home marks the server that this prompt's shared part is assigned to.
+	Home bool
+}
+
+// Job is what is to be placed.
+type Job struct {
+	// PromptTokens is 0 for requests of plain services.
+	PromptTokens int
+	// ReadRate is the tokens a server reads in a millisecond; ImportRate those
+	// that its link brings.
+	ReadRate, ImportRate float64
+	// Repeatable jobs may be used to try a server that failed.
+	Repeatable bool
+}
+
+// Cost is the expected time to the answer, or to a stream's first event.
+func Cost(s Server, j Job) time.Duration {
+	cost := startOverhead
+	if !s.Near {
+		cost += farPenalty
+	}
+	if s.Silence > silenceAllowed {
+		cost += silenceFactor * (s.Silence - silenceAllowed)
+	}
+	if j.PromptTokens > 0 {
+		cost += readTime(s, j)
+	}
+	if s.Slots > 0 {
+		if over := s.Running + s.Waiting + 1 - float64(s.Slots); over > 0 {
+			cost += time.Duration(over / float64(s.Slots) * float64(s.Mean))
+		}
+		// A full batch slows every request in it a little.
+		cost += time.Duration(s.Running / float64(s.Slots) * float64(s.Mean) / 4)
+	}
+	if s.Cold {
+		cost += s.Mean
+	}
+	// A failure costs the caller another try, or its answer.
+	cost += time.Duration(s.Failing * float64(max(s.Mean, 100*time.Millisecond)) * 3)
+	return cost
+}
+
+// readTime is the time until a prompt is read: what is before it, then what is
+// not cached, part of it brought over the link.
+func readTime(s Server, j Job) time.Duration {
+	unread := j.PromptTokens - s.CachedTokens
+	imported := min(s.ImportTokens, unread)
+	unread -= imported
+	ms := float64(s.ReadingTokens+unread) / j.ReadRate
+	if imported > 0 && j.ImportRate > 0 {
+		ms += float64(imported) / j.ImportRate
+	}
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+// Pick returns the index of the best server, or -1 if there is none. skip names
+// servers that this request must not go to. at breaks ties and is in [0, 1).
+func Pick(servers []Server, j Job, skip func(i int) bool, at float64) int {
+	best, bestCost := -1, time.Duration(math.MaxInt64)
+	rested := 0
+	for i := range servers {
+		if servers[i].Resting {
+			rested++
+		}
+	}
+	ignoreRest := float64(rested) > restedShare*float64(len(servers))
+	n := len(servers)
+	offset := int(at * float64(n))
+	for pass := 0; pass < 2 && best < 0; pass++ {
+		for k := range servers {
+			i := (k + offset) % n
+			s := &servers[i]
+			if skip(i) {
+				continue
+			}
+			// The first pass leaves out what may fail; the second takes it
+			// where nothing else is left.
+			if pass == 0 && !ignoreRest && (s.Resting || (s.Trial && (!j.Repeatable || s.Running > 0))) {
+				continue
+			}
+			if c := Cost(*s, j); c < bestCost {
+				best, bestCost = i, c
+			}
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/registrar/registrar.go
@@ -0,0 +1,239 @@
+package registrar
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/twitchtv/twirp"
+
+	"github.com/galenaarch/galenaarch/api/controlv1"
+	"github.com/galenaarch/galenaarch/api/fleetv1"
+	"github.com/galenaarch/galenaarch/control"
+	"github.com/galenaarch/galenaarch/control/state"
+	"github.com/galenaarch/galenaarch/httpserver"
+	"github.com/galenaarch/galenaarch/kernel"
+	"github.com/galenaarch/galenaarch/kernel/settings"
+	"github.com/galenaarch/galenaarch/registry"
+)
+
+// Times of a registrar.
+const (
+	// answerTimeout bounds a call of an operator: they try another instance
+	// after a second without an answer.
+	answerTimeout = 900 * time.Millisecond
+	// leaderTimeout bounds one attempt at the leader.
+	leaderTimeout = 600 * time.Millisecond
+	leaderPause   = 40 * time.Millisecond
+)
+
+// Settings of a registrar.
+type Settings struct {
+	// Surface is the module that speaks with the world; empty for none.
+	Surface string
+	// Listen serves operators and backend servers, DirectoryListen callers.
+	Listen, DirectoryListen string
+	// AnnounceInterval is how often servers announce themselves.
+	AnnounceInterval time.Duration
+}
+
+// RegisterFlags implements settings.Set.
+func (s *Settings) RegisterFlags(fs *flag.FlagSet) {
+	fs.StringVar(&s.Surface, "surface", "", "module that speaks with operators, backend servers and callers; empty for none")
+	fs.StringVar(&s.Listen, "surface-listen", "", "IP:port for operators and backend servers")
+	fs.StringVar(&s.DirectoryListen, "directory-listen", "", "IP:port for callers that ask where to connect")
+	fs.DurationVar(&s.AnnounceInterval, "announce-interval", time.Second, "how often backend servers announce themselves")
+}
+
+// Check implements settings.Set.
+func (s *Settings) Check(c *settings.Checker) {
+	if s.Surface == "" {
+		return
+	}
+	c.Address("surface-listen", s.Listen)
+	c.Address("directory-listen", s.DirectoryListen)
+	settings.Positive(c, "announce-interval", s.AnnounceInterval, "duration")
+}
+
+// Registrar is the component of a control process.
+type Registrar struct {
+	settings Settings
+	replica  *control.Replica
+	logger   *slog.Logger
+	hub      *registry.Hub
+	servers  []*http.Server
+	client   *http.Client
+
+	mu      sync.Mutex
+	leaders map[string]controlv1.Control
+}
+
+// New returns the registrar of a replica. It must be started after it.
+func New(s Settings, r *control.Replica) *Registrar {
+	return &Registrar{settings: s, replica: r, leaders: make(map[string]controlv1.Control), client: &http.Client{
+		Transport: &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: 10 * time.Second},
+	}}
+}
+
+// Name implements kernel.Component.
+func (r *Registrar) Name() string { return "registrar" }
+
+// Provision implements kernel.Provisioner.
+func (r *Registrar) Provision(ctx *kernel.Context) error {
+	r.logger = ctx.Logger
+	r.hub = registry.NewHub(r.settings.AnnounceInterval, documents{r.replica}, r.logger)
+	r.replica.Mount(fleetv1.FleetPathPrefix, fleetv1.NewFleetServer(r.hub))
+	return nil
+}
+
+// Hub is the feed of this instance.
+func (r *Registrar) Hub() *registry.Hub { return r.hub }
+
+// Start implements kernel.Starter.
+func (r *Registrar) Start(ctx context.Context) error {
+	go r.hub.Run(ctx)
+	if r.settings.Surface == "" {
+		return nil
+	}
+	surface, err := kernel.New[Surface](kernel.ID("registrar.surface." + r.settings.Surface))
+	if err != nil {
+		return err
+	}
+	if err := r.serve(r.settings.Listen, surface.Control(r)); err != nil {
+		return err
+	}
+	return r.serve(r.settings.DirectoryListen, surface.Directory(r))
+}
+
+func (r *Registrar) serve(address string, h http.Handler) error {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return eris.Wrapf(err, "listen on %s", address)
+	}
+	server := httpserver.New(h, httpserver.Internal)
+	r.servers = append(r.servers, server)
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			r.logger.Error("listener ended", slog.String("address", address), slog.Any("error", err))
+		}
+	}()
+	return nil
+}
+
+// Stop implements kernel.Stopper.
+func (r *Registrar) Stop(context.Context) error {
+	for _, s := range r.servers {
+		_ = s.Close() // callers ask another instance
+	}
+	return nil
+}
+
+// Interface guard.
+var _ Desk = (*Registrar)(nil)
+
+// Hear implements Desk.
+func (r *Registrar) Hear(a *fleetv1.Announcement) { r.hub.Hear(a) }
+
+// Leave implements Desk.
+func (r *Registrar) Leave(server string, born int64) { r.hub.Leave(server, born) }
+
+// Accepting implements Desk.
+func (r *Registrar) Accepting() []string { return r.hub.Accepting() }
+
+// Publish implements Desk.
+func (r *Registrar) Publish(ctx context.Context, d *controlv1.PublishedDocument) (*controlv1.PublishResponse, error) {
+	began := time.Now()
+	response, err := atLeader(ctx, r, &controlv1.PublishRequest{Document: d}, controlv1.Control.Publish)
+	r.logger.Info("document offered", slog.String("document", d.Name), slog.Uint64("version", d.Version), slog.Int("bytes", len(d.Content)),
+		slog.String("outcome", response.GetOutcome().String()), slog.Uint64("held", response.GetHeldVersion()),
+		slog.Duration("took", time.Since(began)), slog.Any("error", err))
+	return response, err
+}
+
+// Newest implements Desk.
+func (r *Registrar) Newest(ctx context.Context, name string) (*controlv1.PublishedDocument, error) {
+	response, err := atLeader(ctx, r, &controlv1.GetPublishedRequest{Name: name}, controlv1.Control.GetPublished)
+	if err != nil {
+		r.logger.Info("newest document not known", slog.String("document", name), slog.Any("error", err))
+	}
+	return response.GetDocument(), err
+}
+
+// atLeader calls this replica, which knows who leads, and then the leader.
+func atLeader[Q, R any](ctx context.Context, r *Registrar, request Q, method func(controlv1.Control, context.Context, Q) (R, error)) (R, error) {
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	var zero R
+	for {
+		response, err := method(r.replica.Local(), ctx, request)
+		if err == nil {
+			return response, nil
+		}
+		if url := leaderOf(err); url != "" {
+			attempt, stop := context.WithTimeout(ctx, leaderTimeout)
+			response, err = method(r.leader(url), attempt, request)
+			stop()
+			if err == nil {
+				return response, nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return zero, eris.Wrap(errors.Join(ErrUnsure, err), "ask the leader")
+		case <-time.After(leaderPause):
+		}
+	}
+}
+
+func leaderOf(err error) string {
+	var te twirp.Error
+	if !errors.As(err, &te) {
+		return ""
+	}
+	return te.Meta(control.LeaderMeta)
+}
+
+func (r *Registrar) leader(url string) controlv1.Control {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.leaders[url]
+	if c == nil {
+		c = controlv1.NewControlProtobufClient(url, r.client)
+		r.leaders[url] = c
+	}
+	return c
+}
+
+// documents is what the feed passes on of this replica's state.
+type documents struct{ replica *control.Replica }
+
+// Published implements registry.Documents.
+func (d documents) Published() []*controlv1.PublishedDocument {
+	var list []*controlv1.PublishedDocument
+	if log := d.replica.Log(); log != nil {
+		log.Peek(func(st *state.State) { list = st.PublishedUnder("") })
+	}
+	return list
+}
+
+// Changed implements registry.Documents.
+func (d documents) Changed() <-chan struct{} {
+	if log := d.replica.Log(); log != nil {
+		return log.ConfigChanged()
+	}
+	return nil
+}
+
+// Members implements registry.Documents.
+func (d documents) Members() []string {
+	if log := d.replica.Log(); log != nil {
+		return log.Members()
+	}
+	return nil
+}
--- a/telemetry/server.go
+++ b/telemetry/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"net"
 	"net/http"
 
@@ -11,6 +12,7 @@
 
 	"github.com/galenaarch/galenaarch/httpserver"
 	"github.com/galenaarch/galenaarch/kernel"
+	"github.com/galenaarch/galenaarch/kernel/settings"
 )
 
 // Server serves /metrics, /livez and /readyz on a port of its own.
@@ -65,3 +67,23 @@
 	}
 	return s.server.Close()
 }
+
+// ListenSettings are the telemetry settings of a program whose own settings do
+// not name the address for metrics.
+type ListenSettings struct {
+	Settings
+	// MetricsListen is the IP:port for metrics and health.
+	MetricsListen string
+}
+
+// RegisterFlags implements settings.Set.
+func (s *ListenSettings) RegisterFlags(fs *flag.FlagSet) {
+	s.Settings.RegisterFlags(fs)
+	fs.StringVar(&s.MetricsListen, "metrics-listen", "127.0.0.1:9091", "IP:port for metrics and health")
+}
+
+// Check implements settings.Set.
+func (s *ListenSettings) Check(c *settings.Checker) {
+	s.Settings.Check(c)
+	c.Address("metrics-listen", s.MetricsListen)
+}
--- a/transport/settings.go
+++ b/transport/settings.go
@@ -20,6 +20,9 @@
 	CAFile   string
 	// InsecureLoopback permits plain TCP between loopback addresses.
 	InsecureLoopback bool
+	// TrustedNetwork permits plain TCP between any addresses: the operator
+	// vouches that only the system's instances reach these ports.
+	TrustedNetwork bool
 }
 
 // CallerSettings name the files by which an entry proves itself to callers.
@@ -62,11 +65,18 @@
 	fs.StringVar(&s.KeyFile, "tls-key", "", "PEM file of this instance's key")
 	fs.StringVar(&s.CAFile, "tls-ca", "", "PEM file of the authorities of the system's certificates")
 	fs.BoolVar(&s.InsecureLoopback, "insecure-loopback", false, "plain TCP between the system's processes, on loopback addresses only")
+	fs.BoolVar(&s.TrustedNetwork, "trusted-network", false, "plain TCP between the system's processes on any address; only where nobody else reaches these ports")
 }
 
 // Check records faults. Addresses are the listeners and URLs the peers that
 // the settings apply to.
 func (s *Settings) Check(c *settings.Checker, addresses, urls []string) {
+	if s.TrustedNetwork {
+		if s.Enabled() || s.InsecureLoopback {
+			c.Add("trusted-network", "excludes -tls-cert and -insecure-loopback")
+		}
+		return
+	}
 	if s.InsecureLoopback {
 		s.checkInsecure(c, addresses, urls)
 		return
