--- a/control/replog/group.go
+++ b/control/replog/group.go
@@ -78,6 +78,10 @@
 	commits, syncs atomic.Uint64
 	syncNanos      atomic.Int64
 
+	// addresses holds the base URL of each replica that identified itself, for
+	// a replica whose log does not yet hold a membership.
+	addresses sync.Map
+
 	mu      sync.Mutex
 	waiters map[uint64]waiter
 	// leaderChanged is closed when the leader or the anchor changes.
--- a/control/replog/join.go
+++ b/control/replog/join.go
@@ -223,6 +223,7 @@
 	for range asked {
 		if a := <-answers; a.response != nil {
 			found[a.name] = a.response
+			g.addresses.Store(a.response.Id, a.response.Url)
 		}
 	}
 	return found
@@ -302,6 +303,9 @@
 func (g *Group) Identify(ctx context.Context, r *consensusv1.IdentifyRequest) *consensusv1.IdentifyResponse {
 	k := g.known.Load()
 	s := k.status
+	if r.Id != "" && r.Url != "" {
+		g.addresses.Store(r.Id, r.Url)
+	}
 	if s.Role == consensus.RoleLeader {
 		g.takeIn(ctx, r)
 	}
--- a/control/replog/loop.go
+++ b/control/replog/loop.go
@@ -240,10 +240,13 @@
 // settingsURL finds a replica that this one's log does not yet know.
 func (l *loop) settingsURL(id string) string {
 	for _, p := range l.settings.Replicas {
-		if p.Name == nameOf(id) {
+		if p.Name != "" && p.Name == nameOf(id) {
 			return p.URL
 		}
 	}
+	if url, ok := l.addresses.Load(id); ok {
+		return url.(string)
+	}
 	return ""
 }
 
