--- /dev/null
+++ b/contexts/store.go
@@ -0,0 +1,163 @@
+// Package contexts keeps an entry instance's picture of what the stores of kept
+// contexts hold, and decides from where the parts of a prompt are read and
+// where they are kept. The decisions have no clock, network or platform.
+package contexts
+
+import "time"
+
+// Key names a part of a prompt under a salt: the same part under another salt
+// is another context.
+type Key struct{ Salt, Part string }
+
+// Rules of reading and keeping.
+const (
+	// FreshFor is how old a store's last word may be for its parts to be read:
+	// a part that was lost and is being written again must not be taken for the
+	// whole one it was.
+	FreshFor = 1500 * time.Millisecond
+	// settleFor is how long a restarted store is not written to: by then every
+	// instance has noticed that it lost what it held.
+	settleFor = 2500 * time.Millisecond
+	// saveFor is how long a save under way keeps its place and is not repeated.
+	saveFor = 4 * time.Second
+	// leastKept is the shortest part that is kept; tokens, an engine's block.
+	leastKept = 16
+	// roomShare is the part of a store that is filled: other instances fill it
+	// at the same time.
+	roomShare = 0.97
+)
+
+// Change is a part that a store completed or lost.
+type Change struct {
+	Key
+	// Tokens is what is kept now; 0 after the loss.
+	Tokens int
+}
+
+// Changes is a store's word on what changed.
+type Changes struct {
+	// Epoch is the life of the store; Next the cursor for the next question.
+	Epoch, Next uint64
+	// Gap says that changes before these are lost.
+	Gap     bool
+	Changes []Change
+}
+
+// Store is the picture of one store. It is not safe for concurrent use.
+type Store struct {
+	Address, Zone string
+	// Capacity is the room in tokens, Rate what its link brings in a
+	// millisecond in tokens, FirstDelay what each transfer waits besides.
+	Capacity   int
+	Rate       float64
+	FirstDelay time.Duration
+
+	epoch, next uint64
+	// began is when this life of the store was first seen; zero for the first
+	// life, which nobody has read from before.
+	began  time.Time
+	heard  time.Time
+	held   map[Key]int
+	used   int
+	saving map[Key]save
+}
+
+type save struct {
+	tokens int
+	began  time.Time
+}
+
+// NewStore returns an empty picture.
+func NewStore(address, zone string) *Store {
+	return &Store{Address: address, Zone: zone, held: make(map[Key]int), saving: make(map[Key]save)}
+}
+
+// Cursor is what to ask for next.
+func (s *Store) Cursor() uint64 { return s.next }
+
+// Take applies a store's word, given at a time or later. It returns false if
+// the picture has a gap and must be replaced by a listing.
+func (s *Store) Take(c *Changes, now time.Time) bool {
+	if c.Epoch != s.epoch {
+		if s.epoch != 0 {
+			s.began = now
+		}
+		s.epoch = c.Epoch
+		s.clear()
+		if s.next > 0 {
+			// The changes after the old cursor are of another life.
+			s.next = 0
+			s.heard = time.Time{}
+			return true
+		}
+	}
+	if c.Gap {
+		s.clear()
+		s.heard = time.Time{}
+		return false
+	}
+	for _, change := range c.Changes {
+		s.apply(change)
+	}
+	s.next, s.heard = c.Next, now
+	return true
+}
+
+// Replace takes a whole listing.
+func (s *Store) Replace(c *Changes, now time.Time) {
+	if c.Epoch != s.epoch && s.epoch != 0 {
+		s.began = now
+	}
+	s.clear()
+	s.epoch, s.next, s.heard = c.Epoch, c.Next, now
+	for _, change := range c.Changes {
+		s.apply(change)
+	}
+}
+
+// Lose forgets everything until the store is heard again.
+func (s *Store) Lose() {
+	s.clear()
+	s.next, s.heard = 0, time.Time{}
+}
+
+func (s *Store) clear() {
+	clear(s.held)
+	clear(s.saving)
+	s.used = 0
+}
+
+func (s *Store) apply(c Change) {
+	s.used += c.Tokens - s.held[c.Key]
+	delete(s.saving, c.Key)
+	if c.Tokens == 0 {
+		delete(s.held, c.Key)
+		return
+	}
+	s.held[c.Key] = c.Tokens
+}
+
+// Fresh reports whether the picture may be acted upon.
+func (s *Store) Fresh(now time.Time) bool { return !s.heard.IsZero() && now.Sub(s.heard) < FreshFor }
+
+// Holds reports whether the store surely has a whole part.
+func (s *Store) Holds(k Key, tokens int, now time.Time) bool {
+	return s.Fresh(now) && tokens > 0 && s.held[k] >= tokens
+}
+
+// room is what may still be kept, with the saves under way taken off.
+func (s *Store) room(now time.Time) int {
+	room := int(roomShare*float64(s.Capacity)) - s.used
+	for k, v := range s.saving {
+		if now.Sub(v.began) > saveFor {
+			delete(s.saving, k)
+			continue
+		}
+		room -= v.tokens
+	}
+	return room
+}
+
+func (s *Store) writable(now time.Time) bool {
+	return s.Fresh(now) && (s.began.IsZero() || now.Sub(s.began) > settleFor)
+}
--- /dev/null
+++ b/contexts/watch.go
@@ -0,0 +1,179 @@
+package contexts
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Times of a watch.
+const (
+	// pollWait is how long a store keeps a question waiting; pollTimeout ends
+	// one whose connection went silent.
+	pollWait    = 700 * time.Millisecond
+	pollTimeout = pollWait + 500*time.Millisecond
+	retryPause  = 200 * time.Millisecond
+	maxPause    = time.Second
+)
+
+// Feed asks stores what they hold.
+type Feed interface {
+	// Changes returns what changed after a cursor; it waits for news for some
+	// time.
+	Changes(ctx context.Context, address string, after uint64, wait time.Duration) (*Changes, error)
+	// List returns all that is held. It delays the store's other work.
+	List(ctx context.Context, address string) (*Changes, error)
+}
+
+// Place describes a store to be watched.
+type Place struct {
+	Address, Zone string
+	Capacity      int
+	// Rate is the tokens that the store's link brings in a millisecond.
+	Rate       float64
+	FirstDelay time.Duration
+}
+
+// Watch keeps the pictures of all stores.
+type Watch struct {
+	feed   Feed
+	logger *slog.Logger
+
+	mu      sync.Mutex
+	stores  map[string]*watched
+	order   []*Store
+	started time.Time
+	boot    time.Duration
+}
+
+type watched struct {
+	*Store
+	cancel context.CancelFunc
+}
+
+// NewWatch returns a watch without stores.
+func NewWatch(f Feed, logger *slog.Logger) *Watch {
+	return &Watch{feed: f, logger: logger, stores: make(map[string]*watched), started: time.Now(), boot: bootTime()}
+}
+
+// bootTime counts also while the machine is suspended.
+func bootTime() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		return time.Duration(time.Now().UnixNano()) // the wall clock counts it too
+	}
+	return time.Duration(t.Nano())
+}
+
+// now is the time on a clock that counts suspensions, so that a machine that
+// stood still does not trust what it knew before.
+func (w *Watch) now() time.Time { return w.started.Add(bootTime() - w.boot) }
+
+// Set makes the watch follow exactly the given stores until the context ends.
+func (w *Watch) Set(ctx context.Context, places []Place) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	wanted := make(map[string]bool, len(places))
+	for _, p := range places {
+		wanted[p.Address] = true
+		s := w.stores[p.Address]
+		if s == nil {
+			follow, cancel := context.WithCancel(ctx)
+			s = &watched{Store: NewStore(p.Address, p.Zone), cancel: cancel}
+			w.stores[p.Address] = s
+			go w.follow(follow, s.Store)
+		}
+		s.Capacity, s.Rate, s.FirstDelay = p.Capacity, p.Rate, p.FirstDelay
+	}
+	w.order = w.order[:0]
+	for address, s := range w.stores {
+		if !wanted[address] {
+			s.cancel()
+			delete(w.stores, address)
+			continue
+		}
+		w.order = append(w.order, s.Store)
+	}
+}
+
+// Plan decides the transfers of a prompt's shared parts.
+func (w *Watch) Plan(parts []Part, zone string) Transfers {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return Plan(w.order, parts, zone, w.now())
+}
+
+// Held is how many tokens of the shared parts, from the first on, some store
+// can bring.
+func (w *Watch) Held(parts []Part) (tokens int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.now()
+	for _, p := range parts {
+		if holderOf(w.order, p, "", now) == nil {
+			break
+		}
+		tokens += p.Tokens
+	}
+	return tokens
+}
+
+func (w *Watch) follow(ctx context.Context, s *Store) {
+	pause := retryPause
+	lost := false
+	for ctx.Err() == nil {
+		err := w.ask(ctx, s)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err == nil:
+			if lost {
+				w.logger.Info("store reached", slog.String("address", s.Address))
+			}
+			pause, lost = retryPause, false
+			continue
+		case !lost:
+			lost = true
+			w.logger.Warn("store lost", slog.String("address", s.Address), slog.Any("error", err))
+		}
+		w.mu.Lock()
+		s.Lose()
+		w.mu.Unlock()
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+		pause = min(2*pause, maxPause)
+	}
+}
+
+// ask asks once. The picture is as old as the question.
+func (w *Watch) ask(ctx context.Context, s *Store) error {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	w.mu.Lock()
+	after := s.Cursor()
+	w.mu.Unlock()
+	changes, err := w.feed.Changes(ctx, s.Address, after, pollWait)
+	if err != nil {
+		return err
+	}
+	w.mu.Lock()
+	whole := s.Take(changes, w.now())
+	w.mu.Unlock()
+	if whole {
+		return nil
+	}
+	w.logger.Info("store's changes have a gap", slog.String("address", s.Address), slog.Uint64("after", after))
+	listing, err := w.feed.List(ctx, s.Address)
+	if err != nil {
+		return err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s.Replace(listing, w.now())
+	return nil
+}
--- a/control/group.go
+++ b/control/group.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/galenaarch/galenaarch/api/controlv1"
+	"github.com/galenaarch/galenaarch/consensus"
 	"github.com/galenaarch/galenaarch/control/replog"
 	"github.com/galenaarch/galenaarch/control/state"
 )
@@ -151,6 +152,21 @@
 	return urls
 }
 
+// Leads reports whether this replica believes that it leads.
+func (l *GroupLog) Leads() bool { return l.group.Status().Role == consensus.RoleLeader }
+
+// Confirm asks the quorum whether this replica leads and returns its term.
+func (l *GroupLog) Confirm(ctx context.Context) (uint64, error) {
+	if err := l.group.Barrier(ctx); err != nil {
+		return 0, err
+	}
+	s := l.group.Status()
+	if s.Role != consensus.RoleLeader {
+		return 0, &replog.NotLeaderError{LeaderURL: l.group.LeaderURL()}
+	}
+	return s.Term, nil
+}
+
 // expire proposes, while this replica leads, to drop what has outlived its
 // use. Dropping is a logged step, so that all replicas drop the same.
 func (l *GroupLog) expire(ctx context.Context) {
--- a/control/process.go
+++ b/control/process.go
@@ -221,6 +221,12 @@
 // before Start.
 func (r *Replica) Mount(prefix string, h http.Handler) { r.mounts[prefix] = h }
 
+// Instance is the name of this instance.
+func (r *Replica) Instance() string { return r.settings.Instance }
+
+// URL is where the system's other processes reach this replica.
+func (r *Replica) URL() string { return "http://" + r.settings.Listen }
+
 // Log is this replica's part of the log, or nil before Start.
 func (r *Replica) Log() *GroupLog { return r.log.Load() }
 
--- a/fleetview/view.go
+++ b/fleetview/view.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/galenaarch/galenaarch/api/controlv1"
 	"github.com/galenaarch/galenaarch/api/fleetv1"
 	"github.com/galenaarch/galenaarch/registry"
@@ -292,12 +294,30 @@
 	if registry.Newer(a, held) {
 		newest, other = a, held
 	}
+	if other.BornUnixMs == newest.BornUnixMs {
+		newest = raised(newest, other)
+	}
 	if newest.Silent && !other.Silent && other.BornUnixMs == newest.BornUnixMs {
-		newest = &fleetv1.Announcement{
-			Server: newest.Server, BornUnixMs: newest.BornUnixMs, Sequence: newest.Sequence, Service: newest.Service,
-			Address: newest.Address, Zone: newest.Zone, Slots: newest.Slots, State: newest.State,
-			Weights: newest.Weights, ColdUntilUnixMs: newest.ColdUntilUnixMs,
-		}
+		newest = proto.CloneOf(newest)
+		newest.Silent = false
 	}
 	servers[a.Server] = newest
 }
+
+// raised is an announcement with the highest weight versions that two words on
+// one life of a server name: a swap is seen before the server announces it.
+func raised(newest, other *fleetv1.Announcement) *fleetv1.Announcement {
+	cloned := false
+	for _, o := range other.Weights {
+		for i := range newest.Weights {
+			if newest.Weights[i].Model != o.Model || newest.Weights[i].Version >= o.Version {
+				continue
+			}
+			if !cloned {
+				newest, cloned = proto.CloneOf(newest), true
+			}
+			newest.Weights[i].Version = o.Version
+		}
+	}
+	return newest
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -84,6 +84,8 @@
 	if c.prompt != nil {
 		a.version = b.weightVersion(c.prompt.Model)
 		d.Salt, d.WeightVersion = c.salt(a.version), a.version
+		t := c.transfers(b, d.Salt)
+		d.Fetch, d.Save = t.Fetch, t.Save
 	}
 	b.begin(c.unread, now)
 	timer := time.AfterFunc(patience, func() { a.cancel(errSlow) })
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/galenaarch/galenaarch/config/site"
+	"github.com/galenaarch/galenaarch/contexts"
 	"github.com/galenaarch/galenaarch/placement"
 )
 
@@ -17,6 +18,9 @@
 	// readRate is the prompt tokens an engine reads in a millisecond, from the
 	// users' sheet of their engines.
 	readRate = 49.6
+	// importRate is the tokens a store brings in a millisecond: the slower of
+	// the users' two kinds of stores, half of it for transfers that wait.
+	importRate = 125
 	// maxUnary bounds an answer that is held whole before it is passed on, so
 	// that a broken one can be told from a whole one; longer ones stream.
 	maxUnary = 1 << 20
@@ -101,7 +105,7 @@
 
 // job is the request as a decision sees it.
 func (c *call) job() placement.Job {
-	j := placement.Job{Repeatable: c.repeatable(), ReadRate: readRate}
+	j := placement.Job{Repeatable: c.repeatable(), ReadRate: readRate, ImportRate: importRate}
 	if c.prompt != nil {
 		j.PromptTokens = c.prompt.Tokens
 	}
@@ -109,35 +113,60 @@
 }
 
 // shared returns the parts that other requests may have in common with this
-// one, their tokens, and the key of the last of them.
-func (c *call) shared() (parts []Part, tokens int, key string) {
-	parts = c.prompt.Parts
-	if len(parts) > 1 {
-		parts = parts[:len(parts)-1]
-	}
-	for _, p := range parts {
-		tokens += p.Tokens
-		key = p.ID
+// one: all but the last, which is the request's or its session's own.
+func (c *call) shared() []Part {
+	parts := c.prompt.Parts
+	return parts[:max(0, len(parts)-1)]
+}
+
+// under names parts under a salt.
+func under(salt string, parts []Part) []contexts.Part {
+	named := make([]contexts.Part, len(parts))
+	for i, p := range parts {
+		named[i] = contexts.Part{Key: contexts.Key{Salt: salt, Part: p.ID}, Tokens: p.Tokens}
 	}
-	return parts, tokens, key
+	return named
 }
 
 // locate fills in what each server is believed to hold of the prompt. A shared
 // part has one home, so that the memory of all servers holds as many different
-// parts as it can.
+// parts as it can; the others bring it from a store that has it.
 func (c *call) locate(candidates []*backend, servers []placement.Server) {
-	_, tokens, key := c.shared()
-	if key == "" {
+	shared := c.shared()
+	if len(shared) == 0 {
 		return
 	}
+	tokens := 0
+	for _, p := range shared {
+		tokens += p.Tokens
+	}
+	key := shared[len(shared)-1].ID
 	home, best := -1, uint64(0)
+	brought := make(map[string]int)
 	for i, b := range candidates {
+		salt := c.salt(b.weightVersion(c.prompt.Model))
+		held, known := brought[salt]
+		if !known {
+			held = c.gateway.stores.Held(under(salt, shared))
+			brought[salt] = held
+		}
+		servers[i].ImportTokens = held
 		if rank := placement.Rank(key, b.id); rank >= best {
 			home, best = i, rank
 		}
 	}
 	servers[home].Home = true
 	servers[home].CachedTokens = tokens
+	servers[home].ImportTokens = 0
+}
+
+// transfers decides what a server reads from stores and keeps there.
+func (c *call) transfers(b *backend, salt string) contexts.Transfers {
+	t := c.gateway.stores.Plan(under(salt, c.shared()), b.zone)
+	for len(t.Fetch) < len(c.prompt.Parts) {
+		t.Fetch, t.Save = append(t.Fetch, ""), append(t.Save, "")
+	}
+	return t
 }
 
 // salt separates contexts by weight version, and by account where an account is
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"context"
 	"log/slog"
 	"time"
 
 	"github.com/galenaarch/galenaarch/api/fleetv1"
 	"github.com/galenaarch/galenaarch/config/site"
+	"github.com/galenaarch/galenaarch/contexts"
 	"github.com/galenaarch/galenaarch/fleetview"
 )
 
@@ -27,7 +29,7 @@
 
 // rebuild makes the world of a picture of the fleet. Servers keep what was
 // learned of them.
-func (g *Gateway) rebuild(s *fleetview.Snapshot) {
+func (g *Gateway) rebuild(ctx context.Context, s *fleetview.Snapshot) {
 	old := g.world.Load()
 	next := &world{backends: make(map[string]*backend), services: make(map[string][]*backend), wanted: make(map[string]uint64)}
 	next.table = g.document(s, old)
@@ -44,6 +46,9 @@
 	}
 	if next.table != nil {
 		g.place(s, old, next)
+		if old == nil || old.table != next.table {
+			g.stores.Set(ctx, places(next.table))
+		}
 	}
 	g.world.Store(next)
 	g.retire(old, next)
@@ -52,6 +57,29 @@
 	}
 }
 
+// bytesPerMsMbit turns Mbit/s into bytes a millisecond.
+const bytesPerMsMbit = 1e6 / 8 / 1000
+
+// places lists the stores of a document with their speed in tokens.
+func places(t *site.Table) []contexts.Place {
+	tokenBytes := 0
+	for i := range t.Services {
+		if e := t.Services[i].Engine; e != nil {
+			tokenBytes = max(tokenBytes, e.TokenBytes)
+		}
+	}
+	var list []contexts.Place
+	for i := range t.Services {
+		if s := t.Services[i].Store; s != nil && tokenBytes > 0 && s.LinkMbps > 0 {
+			list = append(list, contexts.Place{
+				Address: s.Address, Zone: s.Zone, Capacity: s.MemoryTokens, FirstDelay: s.FirstDelay,
+				Rate: s.LinkMbps * bytesPerMsMbit / float64(tokenBytes),
+			})
+		}
+	}
+	return list
+}
+
 // document compiles the newest document, or keeps the one in force.
 func (g *Gateway) document(s *fleetview.Snapshot, old *world) *site.Table {
 	var held *site.Table
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/galenaarch/galenaarch/contexts"
 	"github.com/galenaarch/galenaarch/fleetview"
 	"github.com/galenaarch/galenaarch/placement"
 	"github.com/galenaarch/galenaarch/retry"
@@ -38,6 +39,7 @@
 type Gateway struct {
 	dialect Dialect
 	view    *fleetview.View
+	stores  *contexts.Watch
 	zone    string
 	bounds  Bounds
 	logger  *slog.Logger
@@ -55,8 +57,8 @@
 }
 
 // New returns a gateway in a failure domain.
-func New(d Dialect, v *fleetview.View, zone string, b Bounds, logger *slog.Logger, m *metrics) *Gateway {
-	g := &Gateway{dialect: d, view: v, zone: zone, bounds: b, logger: logger, metrics: m, started: time.Now(), budgets: make(map[string]*retry.Window)}
+func New(d Dialect, v *fleetview.View, stores *contexts.Watch, zone string, b Bounds, logger *slog.Logger, m *metrics) *Gateway {
+	g := &Gateway{dialect: d, view: v, stores: stores, zone: zone, bounds: b, logger: logger, metrics: m, started: time.Now(), budgets: make(map[string]*retry.Window)}
 	g.world.Store(&world{entries: 1})
 	return g
 }
@@ -67,7 +69,7 @@
 	defer ticker.Stop()
 	for {
 		changed := g.view.Changed()
-		g.rebuild(g.view.Current())
+		g.rebuild(ctx, g.view.Current())
 		select {
 		case <-ctx.Done():
 			return
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/galenaarch/galenaarch/api/fleetv1"
+	"github.com/galenaarch/galenaarch/contexts"
 	"github.com/galenaarch/galenaarch/control"
 	"github.com/galenaarch/galenaarch/fleetview"
 	"github.com/galenaarch/galenaarch/kernel"
@@ -124,7 +125,11 @@
 		MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second,
 	}}
 	p.view = fleetview.New(seeds, self, client, p.logger)
-	p.gateway = New(dialect, p.view, p.settings.FailureDomain, p.settings.Bounds, p.logger, newMetrics(ctx.Registry))
+	feed, err := kernel.New[contexts.Feed](kernel.ID("contexts.feed." + p.settings.Dialect))
+	if err != nil {
+		return err
+	}
+	p.gateway = New(dialect, p.view, contexts.NewWatch(feed, p.logger), p.settings.FailureDomain, p.settings.Bounds, p.logger, newMetrics(ctx.Registry))
 	return nil
 }
 
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -17,10 +17,12 @@
 	"github.com/galenaarch/galenaarch/api/fleetv1"
 	"github.com/galenaarch/galenaarch/control"
 	"github.com/galenaarch/galenaarch/control/state"
+	"github.com/galenaarch/galenaarch/fleetview"
 	"github.com/galenaarch/galenaarch/httpserver"
 	"github.com/galenaarch/galenaarch/kernel"
 	"github.com/galenaarch/galenaarch/kernel/settings"
 	"github.com/galenaarch/galenaarch/registry"
+	"github.com/galenaarch/galenaarch/weights"
 )
 
 // Times of a registrar.
@@ -41,6 +43,8 @@
 	Listen, DirectoryListen string
 	// AnnounceInterval is how often servers announce themselves.
 	AnnounceInterval time.Duration
+	// OrderLease is how long the orders of a former leader may still stand.
+	OrderLease time.Duration
 }
 
 // RegisterFlags implements settings.Set.
@@ -49,6 +53,7 @@
 	fs.StringVar(&s.Listen, "surface-listen", "", "IP:port for operators and backend servers")
 	fs.StringVar(&s.DirectoryListen, "directory-listen", "", "IP:port for callers that ask where to connect")
 	fs.DurationVar(&s.AnnounceInterval, "announce-interval", time.Second, "how often backend servers announce themselves")
+	fs.DurationVar(&s.OrderLease, "order-lease", 3*time.Second, "how long a new leader waits before it orders weights")
 }
 
 // Check implements settings.Set.
@@ -105,12 +110,29 @@
 	if err != nil {
 		return err
 	}
+	if err := r.orderWeights(ctx); err != nil {
+		return err
+	}
 	if err := r.serve(r.settings.Listen, surface.Control(r)); err != nil {
 		return err
 	}
 	return r.serve(r.settings.DirectoryListen, surface.Directory(r))
 }
 
+// orderWeights begins to bring servers to the weights asked for, whenever this
+// replica leads.
+func (r *Registrar) orderWeights(ctx context.Context) error {
+	engines, err := kernel.New[weights.Engines](kernel.ID("weights.engines." + r.settings.Surface))
+	if err != nil {
+		return err
+	}
+	view := fleetview.New([]string{r.replica.URL()}, nil, r.client, r.logger)
+	view.Start(ctx)
+	runner := weights.NewRunner(r.replica.Instance(), r.settings.OrderLease, engines, r.replica.Log(), view, r.hub.Observe, r.logger)
+	go runner.Run(ctx)
+	return nil
+}
+
 func (r *Registrar) serve(address string, h http.Handler) error {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
--- a/registry/hub.go
+++ b/registry/hub.go
@@ -109,6 +109,15 @@
 	}
 }
 
+// Observe passes on weight versions that were seen at a server.
+func (h *Hub) Observe(server string, born int64, versions map[string]uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.table.Observe(server, born, versions) {
+		h.notify()
+	}
+}
+
 // Accepting lists the addresses of the entry instances that take callers.
 func (h *Hub) Accepting() []string {
 	h.mu.Lock()
--- a/registry/table.go
+++ b/registry/table.go
@@ -75,6 +75,9 @@
 	if held != nil && !Newer(a, held.Announcement) {
 		return false
 	}
+	if held != nil && held.BornUnixMs == a.BornUnixMs {
+		raise(a.Weights, held.Weights)
+	}
 	changed := held == nil || !sameButSequence(a, held.Announcement)
 	if held == nil {
 		held = &record{}
@@ -87,6 +90,18 @@
 	return changed
 }
 
+// raise keeps a server's word from taking back what was seen since it was
+// written: in one life weight versions only rise.
+func raise(weights, held []*fleetv1.ModelWeights) {
+	for _, w := range weights {
+		for _, h := range held {
+			if h.Model == w.Model {
+				w.Version = max(w.Version, h.Version)
+			}
+		}
+	}
+}
+
 // Leave records that a server ends. Without a birth, whatever life is known is
 // meant; nowMS stands for it if none is known, so that a late announcement of
 // the same life is not taken for a new one.
@@ -103,6 +118,27 @@
 	return t.Hear(a, now)
 }
 
+// Observe notes weight versions that were seen at a server in between its
+// announcements. Versions only rise in one life.
+func (t *Table) Observe(server string, born int64, versions map[string]uint64) bool {
+	held := t.servers[server]
+	if held == nil || held.BornUnixMs != born {
+		return false
+	}
+	next := proto.CloneOf(held.Announcement)
+	changed := false
+	for _, w := range next.Weights {
+		if versions[w.Model] > w.Version {
+			w.Version, changed = versions[w.Model], true
+		}
+	}
+	if changed {
+		held.Announcement = next
+		t.touch(held)
+	}
+	return changed
+}
+
 // sameButSequence compares what listeners act upon.
 func sameButSequence(a, held *fleetv1.Announcement) bool {
 	b := proto.CloneOf(held)
--- /dev/null
+++ b/weights/plan.go
@@ -0,0 +1,203 @@
+// Package weights brings backend servers to the weight versions that operators
+// ask for. One control instance, the leader, gives the orders; the plan is pure
+// and the runner keeps the rules of who may order when.
+package weights
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Times of a swap.
+const (
+	// orderPatience is how long an order may show no effect before it is given
+	// again: its answer, or the order itself, may be lost.
+	orderPatience = 1200 * time.Millisecond
+	// refusalPause follows an order that a server refused.
+	refusalPause = 300 * time.Millisecond
+	// reportEvery is the pause between two looks at a server that swaps.
+	reportEvery = 150 * time.Millisecond
+	// swapShare is the share of a service's servers that load weights at once:
+	// above it loads slow each other down. Two may always.
+	swapShare  = 0.2
+	leastSwaps = 2
+)
+
+// Server is what is known of an engine.
+type Server struct {
+	ID, Address, Service string
+	Born                 int64
+	// Versions holds its weight version by model.
+	Versions map[string]uint64
+	// Load is the number of requests it has; servers with less swap first.
+	Load int
+}
+
+// Report is an engine's own word on its state.
+type Report struct {
+	Versions map[string]uint64
+	// Busy says that it carries an order out.
+	Busy bool
+	// Sequence is the number of orders that it has accepted in this life.
+	Sequence uint64
+	Load     int
+}
+
+// Step is what is to be done with a server next.
+type Step int
+
+// Steps of a swap.
+const (
+	StepNone Step = iota
+	// StepLook: ask the server for its state.
+	StepLook
+	// StepOrder: order it to load the version, expecting the sequence.
+	StepOrder
+)
+
+// Task is a step at a server.
+type Task struct {
+	Step     Step
+	Server   Server
+	Model    string
+	Version  uint64
+	Expected uint64
+}
+
+// progress is the swap of one server.
+type progress struct {
+	server   Server
+	report   *Report
+	looked   time.Time
+	ordered  time.Time
+	notUntil time.Time
+}
+
+// Plan decides the next steps of all swaps. It has no clock and is not safe for
+// concurrent use.
+type Plan struct {
+	swaps map[string]*progress
+}
+
+// NewPlan returns a plan without swaps.
+func NewPlan() *Plan { return &Plan{swaps: make(map[string]*progress)} }
+
+// lacking returns a model for which a server is behind what is wanted.
+func lacking(versions, wanted map[string]uint64) (model string, version uint64) {
+	models := make([]string, 0, len(versions))
+	for m := range versions {
+		models = append(models, m)
+	}
+	slices.Sort(models)
+	for _, m := range models {
+		if wanted[m] > versions[m] {
+			return m, wanted[m]
+		}
+	}
+	return "", 0
+}
+
+// Next lists the steps that are due. Servers that left are forgotten.
+func (p *Plan) Next(servers []Server, wanted map[string]uint64, now time.Time) []Task {
+	present := make(map[string]bool, len(servers))
+	counts := make(map[string]int)
+	for _, s := range servers {
+		present[s.ID] = true
+		counts[s.Service]++
+	}
+	active := make(map[string]int)
+	for id, sw := range p.swaps {
+		if !present[id] {
+			delete(p.swaps, id)
+			continue
+		}
+		active[sw.server.Service]++
+	}
+	servers = slices.Clone(servers)
+	slices.SortFunc(servers, func(a, b Server) int {
+		return cmp.Or(cmp.Compare(a.Load, b.Load), cmp.Compare(a.ID, b.ID))
+	})
+	var tasks []Task
+	for _, s := range servers {
+		sw := p.swaps[s.ID]
+		if sw != nil && sw.server.Born != s.Born {
+			sw = nil // another life: nothing that was ordered holds
+		}
+		if sw == nil {
+			if m, _ := lacking(s.Versions, wanted); m == "" || active[s.Service] >= limit(counts[s.Service]) {
+				continue
+			}
+			active[s.Service]++
+			sw = &progress{}
+			p.swaps[s.ID] = sw
+		}
+		sw.server = s
+		if t := sw.next(wanted, now); t.Step != StepNone {
+			tasks = append(tasks, t)
+		}
+	}
+	return tasks
+}
+
+func limit(servers int) int { return max(leastSwaps, int(swapShare*float64(servers))) }
+
+// next is the step that is due at one server.
+func (sw *progress) next(wanted map[string]uint64, now time.Time) Task {
+	t := Task{Server: sw.server}
+	if now.Before(sw.notUntil) {
+		return t
+	}
+	if sw.report == nil || now.Sub(sw.looked) >= reportEvery {
+		t.Step = StepLook
+		return t
+	}
+	if sw.report.Busy || (!sw.ordered.IsZero() && now.Sub(sw.ordered) < orderPatience) {
+		return t
+	}
+	// Only a look that began after the last order may lead to another one.
+	if t.Model, t.Version = lacking(sw.report.Versions, wanted); t.Model != "" && sw.looked.After(sw.ordered) {
+		t.Step, t.Expected = StepOrder, sw.report.Sequence
+	}
+	return t
+}
+
+// Looked takes a server's report on a look that began at a time. It returns
+// true when the server has all that is wanted.
+func (p *Plan) Looked(id string, r *Report, wanted map[string]uint64, began time.Time) bool {
+	sw := p.swaps[id]
+	if sw == nil {
+		return false
+	}
+	sw.report, sw.looked = r, began
+	if m, _ := lacking(r.Versions, wanted); m == "" && !r.Busy {
+		delete(p.swaps, id)
+		return true
+	}
+	return false
+}
+
+// Ordered notes that an order was sent; accepted is false if the server refused
+// it.
+func (p *Plan) Ordered(id string, accepted bool, now time.Time) {
+	sw := p.swaps[id]
+	if sw == nil {
+		return
+	}
+	if accepted {
+		sw.ordered = now
+		return
+	}
+	sw.report, sw.notUntil = nil, now.Add(refusalPause)
+}
+
+// Failed notes a server that could not be reached.
+func (p *Plan) Failed(id string, now time.Time) {
+	if sw := p.swaps[id]; sw != nil {
+		sw.report, sw.notUntil = nil, now.Add(refusalPause)
+	}
+}
+
+// Release gives up the place of a server that cannot be reached, so that others
+// may swap meanwhile.
+func (p *Plan) Release(id string) { delete(p.swaps, id) }
