--- a/contexts/plan.go
+++ b/contexts/plan.go
@@ -12,39 +12,68 @@
 type Transfers struct {
 	// Fetch and Save hold one address for each part, empty for none.
 	Fetch, Save []string
-	// FetchTokens can be brought, in about FetchTime without waiting.
+	// FetchTokens are brought in about FetchTime.
 	FetchTokens int
 	FetchTime   time.Duration
+
+	from    *Store
+	nominal time.Duration
+}
+
+// Target is the server that a prompt is to be read at.
+type Target struct {
+	Zone string
+	// Bringing is the time that its transfers under way still take: they run
+	// one after another.
+	Bringing time.Duration
+	// ReadRate is the prompt tokens it reads in a millisecond.
+	ReadRate float64
 }
 
-// farFactor is how much longer a transfer between failure domains takes.
-const farFactor = 2
+const (
+	// farFactor is how much longer a transfer between failure domains takes.
+	farFactor = 2
+	// readIsDear is the wait for which a transfer is taken rather than a part
+	// read again, although reading is sooner: it costs other prompts their time.
+	readIsDear = 25 * time.Millisecond
+)
 
-// Plan decides the transfers of a prompt's shared parts for a server in a zone.
-// Parts follow each other, so that one that cannot be had ends the reading.
-func Plan(stores []*Store, parts []Part, zone string, now time.Time) Transfers {
+// Plan decides the transfers of a prompt's shared parts. Parts follow each
+// other, so that one that is not to be had ends the reading.
+func Plan(stores []*Store, parts []Part, to Target, now time.Time) Transfers {
 	t := Transfers{Fetch: make([]string, len(parts)), Save: make([]string, len(parts))}
 	whole := true
 	for i, p := range parts {
-		holder := holderOf(stores, p, zone, now)
-		if holder != nil {
-			if whole {
-				t.Fetch[i] = holder.Address
-				t.FetchTokens += p.Tokens
-				t.FetchTime += holder.transfer(p.Tokens, zone)
+		holder := holderOf(stores, p, to.Zone, now)
+		if holder == nil {
+			whole = false
+			if home := keeperOf(stores, p, to.Zone, now); home != nil {
+				home.saving[p.Key] = save{tokens: p.Tokens, began: now}
+				t.Save[i] = home.Address
 			}
 			continue
 		}
-		whole = false
-		if home := keeperOf(stores, p, zone, now); home != nil {
-			home.saving[p.Key] = save{tokens: p.Tokens, began: now}
-			t.Save[i] = home.Address
+		if !whole {
+			continue
 		}
+		t.Fetch[i] = holder.Address
+		t.FetchTokens += p.Tokens
+		t.FetchTime += holder.transfer(p.Tokens, to.Zone, now)
+		t.nominal += holder.nominal(p.Tokens, to.Zone)
+		t.from = holder
+	}
+	read := time.Duration(float64(t.FetchTokens) / to.ReadRate * float64(time.Millisecond))
+	if t.FetchTokens > 0 && to.Bringing+t.FetchTime > max(read, readIsDear) {
+		t.Fetch, t.FetchTokens, t.FetchTime, t.from = make([]string, len(parts)), 0, 0, nil
+	}
+	if t.from != nil {
+		t.from.bringing += t.FetchTokens
 	}
 	return t
 }
 
-func (s *Store) transfer(tokens int, zone string) time.Duration {
+// nominal is the time of a transfer by the store's figures.
+func (s *Store) nominal(tokens int, zone string) time.Duration {
 	d := time.Duration(float64(tokens) / s.Rate * float64(time.Millisecond))
 	if s.Zone != zone {
 		d *= farFactor
@@ -52,11 +81,30 @@
 	return s.FirstDelay + d
 }
 
+// transfer is the expected time of a transfer, behind those under way.
+func (s *Store) transfer(tokens int, zone string, now time.Time) time.Duration {
+	ahead := time.Duration(float64(s.bringing) / s.Rate * float64(time.Millisecond))
+	return time.Duration(s.slowness(now) * float64(ahead+s.nominal(tokens, zone)))
+}
+
+// end notes that the transfers of a prompt are over; took is what they took, or
+// 0 if that is not known.
+func (t *Transfers) end(took time.Duration, now time.Time) {
+	if t.from == nil {
+		return
+	}
+	t.from.bringing -= t.FetchTokens
+	if took > 0 {
+		t.from.learn(took, t.nominal, now)
+	}
+	t.from = nil
+}
+
 // holderOf is the store that brings a part soonest, or nil.
 func holderOf(stores []*Store, p Part, zone string, now time.Time) *Store {
 	var best *Store
 	for _, s := range stores {
-		if s.Holds(p.Key, p.Tokens, now) && (best == nil || s.transfer(p.Tokens, zone) < best.transfer(p.Tokens, zone)) {
+		if s.Holds(p.Key, p.Tokens, now) && (best == nil || s.transfer(p.Tokens, zone, now) < best.transfer(p.Tokens, zone, now)) {
 			best = s
 		}
 	}
--- a/contexts/store.go
+++ b/contexts/store.go
@@ -3,7 +3,10 @@
 // where they are kept. The decisions have no clock, network or platform.
 package contexts
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Key names a part of a prompt under a salt: the same part under another salt
 // is another context.
@@ -22,6 +25,13 @@
 	saveFor = 4 * time.Second
 	// leastKept is the shortest part that is kept; tokens, an engine's block.
 	leastKept = 16
+	// learnRate is the weight of the newest transfer in a store's slowness, and
+	// forgetAfter the time in which a slowness is half forgotten: a store that
+	// is spared for it would otherwise never be tried again.
+	learnRate   = 0.25
+	forgetAfter = 2 * time.Second
+	// maxSlow bounds the slowness that is believed.
+	maxSlow = 50
 	// roomShare is the part of a store that is filled: other instances fill it
 	// at the same time.
 	roomShare = 0.97
@@ -60,6 +70,12 @@
 	held   map[Key]int
 	used   int
 	saving map[Key]save
+	// slow is how many times as long as by its figures transfers took lately,
+	// as of slowAt.
+	slow   float64
+	slowAt time.Time
+	// bringing is the tokens of this instance's transfers under way.
+	bringing int
 }
 
 type save struct {
@@ -145,6 +161,21 @@
 	return s.Fresh(now) && tokens > 0 && s.held[k] >= tokens
 }
 
+// slowness is what is believed now; 1 is as fast as the figures say.
+func (s *Store) slowness(now time.Time) float64 {
+	if s.slow <= 1 {
+		return 1
+	}
+	return 1 + (s.slow-1)*math.Exp2(-float64(now.Sub(s.slowAt))/float64(forgetAfter))
+}
+
+// learn takes the time of a transfer that would have taken expected.
+func (s *Store) learn(took, expected time.Duration, now time.Time) {
+	ratio := min(maxSlow, max(1, float64(took)/float64(expected)))
+	s.slow = s.slowness(now) + learnRate*(ratio-s.slowness(now))
+	s.slowAt = now
+}
+
 // room is what may still be kept, with the saves under way taken off.
 func (s *Store) room(now time.Time) int {
 	room := int(roomShare*float64(s.Capacity)) - s.used
--- a/contexts/watch.go
+++ b/contexts/watch.go
@@ -99,26 +99,37 @@
 	}
 }
 
-// Plan decides the transfers of a prompt's shared parts.
-func (w *Watch) Plan(parts []Part, zone string) Transfers {
+// Plan decides the transfers of a prompt's shared parts. End must be called when
+// the server has read the prompt, or will not.
+func (w *Watch) Plan(parts []Part, to Target) Transfers {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return Plan(w.order, parts, zone, w.now())
+	return Plan(w.order, parts, to, w.now())
+}
+
+// End notes that the transfers of a prompt are over; took is 0 if it is not
+// known how long they took.
+func (w *Watch) End(t *Transfers, took time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	t.end(took, w.now())
 }
 
 // Held is how many tokens of the shared parts, from the first on, some store
-// can bring.
-func (w *Watch) Held(parts []Part) (tokens int) {
+// can bring, and the time that this takes.
+func (w *Watch) Held(parts []Part) (tokens int, took time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.now()
 	for _, p := range parts {
-		if holderOf(w.order, p, "", now) == nil {
+		s := holderOf(w.order, p, "", now)
+		if s == nil {
 			break
 		}
 		tokens += p.Tokens
+		took += s.transfer(p.Tokens, "", now)
 	}
-	return tokens
+	return tokens, took
 }
 
 func (w *Watch) follow(ctx context.Context, s *Store) {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -6,8 +6,10 @@
 	"log/slog"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
+	"github.com/galenaarch/galenaarch/contexts"
 	"github.com/galenaarch/galenaarch/upstream"
 )
 
@@ -58,8 +60,10 @@
 	status   int
 	err      error
 	began    time.Time
-	cancel   context.CancelCauseFunc
-	version  uint64
+	// head is when the head of the answer came.
+	head    time.Time
+	cancel  context.CancelCauseFunc
+	version uint64
 }
 
 // end releases what the attempt holds.
@@ -86,14 +90,20 @@
 		d.Salt, d.WeightVersion = c.salt(a.version), a.version
 		t := c.transfers(b, d.Salt)
 		d.Fetch, d.Save = t.Fetch, t.Save
+		b.bringing.Add(int64(t.FetchTime))
+		defer func() {
+			b.bringing.Add(-int64(t.FetchTime))
+			c.gateway.stores.End(&t, a.bringTime(c, &t))
+		}()
 	}
 	b.begin(c.unread, now)
-	timer := time.AfterFunc(patience, func() { a.cancel(errSlow) })
+	timer := c.afterPatience(a, patience)
 	x, err := b.pool.Send(ctx, &upstream.Request{
 		Method: r.Method, Target: c.target, Host: r.Host, Header: c.gateway.dialect.Dispatch(r.Header, d), Body: c.body,
 	})
-	inTime := timer.Stop()
+	inTime := timer.stop()
 	now = time.Now()
+	a.head = now
 	a.exchange = x
 	if err != nil {
 		b.awaiting.Add(-1)
@@ -109,6 +119,85 @@
 	return a
 }
 
+// engineOverhead is the time of an engine to a first event besides reading, from
+// the users' sheet of their engines.
+const engineOverhead = 25 * time.Millisecond
+
+// bringTime is what the transfers of an answered prompt took; 0 if that is not
+// known.
+func (a *attempt) bringTime(c *call, t *contexts.Transfers) time.Duration {
+	if a.verdict != answered || t.FetchTokens == 0 {
+		return 0
+	}
+	rest := max(0, c.prompt.Tokens-t.FetchTokens)
+	read := time.Duration(float64(rest) / readRate * float64(time.Millisecond))
+	return max(1, a.head.Sub(a.began)-read-engineOverhead)
+}
+
+// patience ends the wait for a server that says nothing.
+type patience struct {
+	mu    sync.Mutex
+	timer *time.Timer
+	ended bool
+}
+
+// afterPatience gives a server time. After it, the request is taken from a
+// server that is silent, if it may be sent again.
+func (c *call) afterPatience(a *attempt, d time.Duration) *patience {
+	p := &patience{}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.timer = time.AfterFunc(d, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.ended {
+			return
+		}
+		now := time.Now()
+		if c.mayLeave(a, now) {
+			p.ended = true
+			a.cancel(errSlow)
+			return
+		}
+		p.timer.Reset(patienceStep)
+	})
+	return p
+}
+
+// stop returns false if the wait was ended before.
+func (p *patience) stop() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	inTime := !p.ended
+	p.ended = true
+	p.timer.Stop()
+	return inTime
+}
+
+const (
+	// patienceStep lies between two looks at a server that is waited for.
+	patienceStep = 100 * time.Millisecond
+	// silentFor is how long a server with work must have said nothing at all to
+	// count as stuck; one that is only slow goes on.
+	silentFor = 500 * time.Millisecond
+)
+
+// mayLeave reports whether to stop waiting for a server, and if so takes the
+// repeat that this needs from the budget.
+func (c *call) mayLeave(a *attempt, now time.Time) bool {
+	if !c.repeatable() || c.sends+1 >= c.route.MaxServers || c.deadline.Sub(now) < 2*leastLeft {
+		return false
+	}
+	if now.Sub(time.Unix(0, a.backend.heard.Load())) < silentFor {
+		return false
+	}
+	if !c.gateway.budget(c.service.Name).Take(now) {
+		return false
+	}
+	c.granted = true
+	return true
+}
+
 // judge says what a sending proved.
 func (a *attempt) judge(c *call, r *http.Request, err error, now time.Time) {
 	a.err = err
--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -43,6 +43,9 @@
 	// awaiting counts requests without a first byte, reading their tokens.
 	awaiting atomic.Int64
 	reading  atomic.Int64
+	// bringing is the expected time of this instance's transfers of kept context
+	// to the server that are under way; nanoseconds.
+	bringing atomic.Int64
 	// heard is when the server last showed life, or when awaiting rose from 0;
 	// nanoseconds of Unix time.
 	heard atomic.Int64
@@ -92,6 +95,9 @@
 	return b.silent.Load() && now.Sub(time.Unix(0, b.heard.Load())) > silentLife
 }
 
+// bringTime is how long the transfers under way to the server still take.
+func (b *backend) bringTime() time.Duration { return time.Duration(b.bringing.Load()) }
+
 // begin counts a request that is about to be sent.
 func (b *backend) begin(tokens int, now time.Time) {
 	b.inflight.Add(1)
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -18,9 +18,6 @@
 	// readRate is the prompt tokens an engine reads in a millisecond, from the
 	// users' sheet of their engines.
 	readRate = 49.6
-	// importRate is the tokens a store brings in a millisecond: the slower of
-	// the users' two kinds of stores, half of it for transfers that wait.
-	importRate = 125
 	// maxUnary bounds an answer that is held whole before it is passed on, so
 	// that a broken one can be told from a whole one; longer ones stream.
 	maxUnary = 1 << 20
@@ -47,6 +44,8 @@
 	// have run the request.
 	sends int
 	ran   bool
+	// granted says that the budget has already allowed the next repeat.
+	granted bool
 	// unread is the part of the prompt that the chosen server must read.
 	unread int
 }
@@ -105,7 +104,7 @@
 
 // job is the request as a decision sees it.
 func (c *call) job() placement.Job {
-	j := placement.Job{Repeatable: c.repeatable(), ReadRate: readRate, ImportRate: importRate}
+	j := placement.Job{Repeatable: c.repeatable(), ReadRate: readRate}
 	if c.prompt != nil {
 		j.PromptTokens = c.prompt.Tokens
 	}
@@ -142,15 +141,19 @@
 	}
 	key := shared[len(shared)-1].ID
 	home, best := -1, uint64(0)
-	brought := make(map[string]int)
+	type brings struct {
+		tokens int
+		took   time.Duration
+	}
+	brought := make(map[string]brings)
 	for i, b := range candidates {
 		salt := c.salt(b.weightVersion(c.prompt.Model))
 		held, known := brought[salt]
 		if !known {
-			held = c.gateway.stores.Held(under(salt, shared))
+			held.tokens, held.took = c.gateway.stores.Held(under(salt, shared))
 			brought[salt] = held
 		}
-		servers[i].ImportTokens = held
+		servers[i].ImportTokens, servers[i].ImportTime = held.tokens, held.took+b.bringTime()
 		if rank := placement.Rank(key, b.id); rank >= best {
 			home, best = i, rank
 		}
@@ -162,7 +165,7 @@
 
 // transfers decides what a server reads from stores and keeps there.
 func (c *call) transfers(b *backend, salt string) contexts.Transfers {
-	t := c.gateway.stores.Plan(under(salt, c.shared()), b.zone)
+	t := c.gateway.stores.Plan(under(salt, c.shared()), contexts.Target{Zone: b.zone, Bringing: b.bringTime(), ReadRate: readRate})
 	for len(t.Fetch) < len(c.prompt.Parts) {
 		t.Fetch, t.Save = append(t.Fetch, ""), append(t.Save, "")
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"time"
-
 	"github.com/prometheus/client_golang/prometheus"
 )
 
@@ -45,5 +43,5 @@
 
 func (m *metrics) served(c *call, a *attempt) {
 	m.outcomes.WithLabelValues(kindOf(c), "served").Inc()
-	m.first.WithLabelValues(kindOf(c)).Observe(a.began.Sub(c.began).Seconds() + time.Since(a.began).Seconds())
+	m.first.WithLabelValues(kindOf(c)).Observe(a.head.Sub(c.began).Seconds())
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -87,7 +87,7 @@
 
 // patience is how long one server may take to begin its answer.
 func (c *call) patience(left time.Duration) time.Duration {
-	if !c.repeatable() || len(c.tried) >= c.route.MaxServers-1 {
+	if !c.repeatable() {
 		return left
 	}
 	p := time.Duration(patienceShare * float64(left))
@@ -108,6 +108,10 @@
 	if len(c.tried) >= max(1, c.route.MaxServers)+extraSends {
 		return noServer
 	}
+	if c.granted {
+		c.granted = false
+		return ""
+	}
 	if c.sends > 0 && !c.gateway.budget(c.service.Name).Take(now) {
 		return noBudget
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -53,8 +53,9 @@
 	// Cold servers are still slow after their start.
 	Cold bool
 	// CachedTokens of this prompt are believed to be there, ImportTokens can be
-	// brought from elsewhere at ImportRate.
+	// brought from elsewhere in ImportTime.
 	CachedTokens, ImportTokens int
+	ImportTime                 time.Duration
 	// Home marks the server that this prompt's shared part is assigned to.
 	Home bool
 }
@@ -63,9 +64,8 @@
 type Job struct {
 	// PromptTokens is 0 for requests of plain services.
 	PromptTokens int
-	// ReadRate is the tokens a server reads in a millisecond; ImportRate those
-	// that its link brings.
-	ReadRate, ImportRate float64
+	// ReadRate is the tokens a server reads in a millisecond.
+	ReadRate float64
 	// Repeatable jobs may be used to try a server that failed.
 	Repeatable bool
 }
@@ -101,13 +101,13 @@
 // not cached, part of it brought over the link.
 func readTime(s Server, j Job) time.Duration {
 	unread := j.PromptTokens - s.CachedTokens
-	imported := min(s.ImportTokens, unread)
-	unread -= imported
-	ms := float64(s.ReadingTokens+unread) / j.ReadRate
-	if imported > 0 && j.ImportRate > 0 {
-		ms += float64(imported) / j.ImportRate
+	before := time.Duration(float64(s.ReadingTokens) / j.ReadRate * float64(time.Millisecond))
+	read := time.Duration(float64(unread) / j.ReadRate * float64(time.Millisecond))
+	if s.ImportTokens > 0 {
+		rest := time.Duration(float64(unread-min(s.ImportTokens, unread)) / j.ReadRate * float64(time.Millisecond))
+		read = min(read, s.ImportTime+rest)
 	}
-	return time.Duration(ms * float64(time.Millisecond))
+	return before + read
 }
 
 // Pick returns the index of the best server, or -1 if there is none. skip names
