--- a/contexts/plan.go
+++ b/contexts/plan.go
@@ -22,7 +22,8 @@
 
 // Target is the server that a prompt is to be read at.
 type Target struct {
-	Zone string
+	// Address is never read from: what the server has, it need not fetch.
+	Address, Zone string
 	// Bringing is the time that its transfers under way still take: they run
 	// one after another.
 	Bringing time.Duration
@@ -44,15 +45,15 @@
 	t := Transfers{Fetch: make([]string, len(parts)), Save: make([]string, len(parts))}
 	whole := true
 	for i, p := range parts {
-		holder := holderOf(stores, p, to.Zone, now)
+		holder := holderOf(stores, p, to, now)
 		if holder == nil {
 			whole = false
-			if home := keeperOf(stores, p, to.Zone, now); home != nil {
-				home.saving[p.Key] = save{tokens: p.Tokens, began: now}
-				t.Save[i] = home.Address
-			}
+			t.keep(i, stores, p, to, now)
 			continue
 		}
+		if holder.Engine {
+			t.keep(i, stores, p, to, now) // an engine may drop it at any time
+		}
 		if !whole {
 			continue
 		}
@@ -72,6 +73,14 @@
 	return t
 }
 
+// keep has a part saved at a store, if one is to keep it.
+func (t *Transfers) keep(i int, stores []*Store, p Part, to Target, now time.Time) {
+	if home := keeperOf(stores, p, to.Zone, now); home != nil {
+		home.saving[p.Key] = save{tokens: p.Tokens, began: now}
+		t.Save[i] = home.Address
+	}
+}
+
 // nominal is the time of a transfer by the store's figures.
 func (s *Store) nominal(tokens int, zone string) time.Duration {
 	d := time.Duration(float64(tokens) / s.Rate * float64(time.Millisecond))
@@ -100,11 +109,14 @@
 	t.from = nil
 }
 
-// holderOf is the store that brings a part soonest, or nil.
-func holderOf(stores []*Store, p Part, zone string, now time.Time) *Store {
+// holderOf is the store or engine that brings a part soonest, or nil.
+func holderOf(stores []*Store, p Part, to Target, now time.Time) *Store {
 	var best *Store
 	for _, s := range stores {
-		if s.Holds(p.Key, p.Tokens, now) && (best == nil || s.transfer(p.Tokens, zone, now) < best.transfer(p.Tokens, zone, now)) {
+		if s.Address == to.Address || !s.Holds(p.Key, p.Tokens, now) {
+			continue
+		}
+		if best == nil || s.transfer(p.Tokens, to.Zone, now) < best.transfer(p.Tokens, to.Zone, now) {
 			best = s
 		}
 	}
@@ -123,7 +135,7 @@
 		if v, ok := s.saving[p.Key]; ok && now.Sub(v.began) < saveFor {
 			return nil
 		}
-		if !s.writable(now) || s.held[p.Key] > 0 {
+		if s.Engine || !s.writable(now) || s.held[p.Key] > 0 {
 			continue
 		}
 		room := s.room(now) - p.Tokens
--- a/contexts/store.go
+++ b/contexts/store.go
@@ -61,6 +61,8 @@
 	Capacity   int
 	Rate       float64
 	FirstDelay time.Duration
+	// Engine marks a backend server, which is nowhere ordered to keep a part.
+	Engine bool
 
 	epoch, next uint64
 	// began is when this life of the store was first seen; zero for the first
--- a/contexts/watch.go
+++ b/contexts/watch.go
@@ -35,6 +35,9 @@
 	// Rate is the tokens that the store's link brings in a millisecond.
 	Rate       float64
 	FirstDelay time.Duration
+	// Engine marks a backend server: it caches parts for itself, others may read
+	// them, and nothing is saved there by order.
+	Engine bool
 }
 
 // Watch keeps the pictures of all stores.
@@ -83,6 +86,7 @@
 		if s == nil {
 			follow, cancel := context.WithCancel(ctx)
 			s = &watched{Store: NewStore(p.Address, p.Zone), cancel: cancel}
+			s.Engine = p.Engine
 			w.stores[p.Address] = s
 			go w.follow(follow, s.Store)
 		}
@@ -122,7 +126,7 @@
 	defer w.mu.Unlock()
 	now := w.now()
 	for _, p := range parts {
-		s := holderOf(w.order, p, "", now)
+		s := holderOf(w.order, p, Target{}, now)
 		if s == nil {
 			break
 		}
@@ -132,6 +136,39 @@
 	return tokens, took
 }
 
+// Cached is how many tokens of the shared parts, from the first on, an engine
+// holds; known is false if the engine is not watched or was not heard lately.
+func (w *Watch) Cached(address string, parts []Part) (tokens int, known bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := w.stores[address]
+	if s == nil || !s.Fresh(w.now()) {
+		return 0, false
+	}
+	for _, p := range parts {
+		held := min(s.held[p.Key], p.Tokens)
+		tokens += held
+		if held < p.Tokens-blockTokens {
+			break
+		}
+	}
+	return tokens, true
+}
+
+// Read notes that an engine has read parts: its own word comes later.
+func (w *Watch) Read(address string, parts []Part) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if s := w.stores[address]; s != nil && s.Fresh(w.now()) {
+		for _, p := range parts {
+			s.apply(Change{Key: p.Key, Tokens: p.Tokens})
+		}
+	}
+}
+
+// blockTokens is the step in which engines count what they hold; tokens.
+const blockTokens = 16
+
 func (w *Watch) follow(ctx context.Context, s *Store) {
 	pause := retryPause
 	lost := false
--- a/fleetview/view.go
+++ b/fleetview/view.go
@@ -119,10 +119,9 @@
 	if v.self == nil || v.self.Accepting == accepting {
 		return
 	}
-	next := &fleetv1.EntryInstance{
-		Name: v.self.Name, StartedUnixMs: v.self.StartedUnixMs, Address: v.self.Address, Zone: v.self.Zone,
-		Accepting: accepting, Sequence: v.self.Sequence + 1,
-	}
+	next := proto.CloneOf(v.self)
+	next.Accepting = accepting
+	next.Sequence++
 	v.self = next
 	close(v.wake)
 	v.wake = make(chan struct{})
@@ -229,7 +228,7 @@
 func (v *View) take(s *source, r *fleetv1.SyncResponse) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	news := len(r.Announcements) > 0 || r.Feed != s.feed || len(s.entries) != len(r.Entries)
+	news := len(r.Announcements) > 0 || r.Feed != s.feed || !sameEntries(s.entries, r.Entries)
 	if r.Feed != s.feed {
 		s.servers = make(map[string]*fleetv1.Announcement)
 	}
@@ -255,6 +254,10 @@
 	}
 }
 
+func sameEntries(a, b []*fleetv1.EntryInstance) bool {
+	return slices.EqualFunc(a, b, func(x, y *fleetv1.EntryInstance) bool { return proto.Equal(x, y) })
+}
+
 // publish replaces the picture; the caller holds the lock.
 func (v *View) publish() {
 	next := &Snapshot{
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -64,6 +64,10 @@
 	head    time.Time
 	cancel  context.CancelCauseFunc
 	version uint64
+	// fetched tokens are brought by transfers expected to take fetchTime; saved
+	// parts are kept at stores.
+	fetched, saved int
+	fetchTime      time.Duration
 }
 
 // end releases what the attempt holds.
@@ -90,13 +94,26 @@
 		d.Salt, d.WeightVersion = c.salt(a.version), a.version
 		t := c.transfers(b, d.Salt)
 		d.Fetch, d.Save = t.Fetch, t.Save
+		a.fetched, a.fetchTime = t.FetchTokens, t.FetchTime
+		for _, place := range t.Save {
+			if place != "" {
+				a.saved++
+			}
+		}
 		b.bringing.Add(int64(t.FetchTime))
 		defer func() {
 			b.bringing.Add(-int64(t.FetchTime))
 			c.gateway.stores.End(&t, a.bringTime(c, &t))
+			if a.verdict == answered {
+				c.gateway.stores.Read(b.address, under(d.Salt, c.shared()))
+			}
 		}()
 	}
 	b.begin(c.unread, now)
+	if c.unread > 0 {
+		c.gateway.peers.add(b.id, c.unread)
+		defer c.gateway.peers.add(b.id, -c.unread)
+	}
 	timer := c.afterPatience(a, patience)
 	x, err := b.pool.Send(ctx, &upstream.Request{
 		Method: r.Method, Target: c.target, Host: r.Host, Header: c.gateway.dialect.Dispatch(r.Header, d), Body: c.body,
@@ -126,7 +143,7 @@
 // bringTime is what the transfers of an answered prompt took; 0 if that is not
 // known.
 func (a *attempt) bringTime(c *call, t *contexts.Transfers) time.Duration {
-	if a.verdict != answered || t.FetchTokens == 0 {
+	if a.verdict != answered || t.FetchTokens == 0 || c.ahead > 0 {
 		return 0
 	}
 	rest := max(0, c.prompt.Tokens-t.FetchTokens)
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -46,6 +46,10 @@
 	ran   bool
 	// granted says that the budget has already allowed the next repeat.
 	granted bool
+	// home says that the chosen server is the home of the prompt's shared part,
+	// ahead is what it had to read before.
+	home  bool
+	ahead int
 	// unread is the part of the prompt that the chosen server must read.
 	unread int
 }
@@ -107,6 +111,7 @@
 	j := placement.Job{Repeatable: c.repeatable(), ReadRate: readRate}
 	if c.prompt != nil {
 		j.PromptTokens = c.prompt.Tokens
+		j.Long = c.prompt.Tokens >= longPrompt
 	}
 	return j
 }
@@ -131,6 +136,9 @@
 // part has one home, so that the memory of all servers holds as many different
 // parts as it can; the others bring it from a store that has it.
 func (c *call) locate(candidates []*backend, servers []placement.Server) {
+	if c.gateway.sizes.mixed(c.began) {
+		placement.Split(servers, func(i int) string { return candidates[i].id })
+	}
 	shared := c.shared()
 	if len(shared) == 0 {
 		return
@@ -140,32 +148,47 @@
 		tokens += p.Tokens
 	}
 	key := shared[len(shared)-1].ID
+	long := c.prompt.Tokens >= longPrompt
 	home, best := -1, uint64(0)
 	type brings struct {
 		tokens int
 		took   time.Duration
 	}
 	brought := make(map[string]brings)
+	guess := false
 	for i, b := range candidates {
 		salt := c.salt(b.weightVersion(c.prompt.Model))
+		parts := under(salt, shared)
 		held, known := brought[salt]
 		if !known {
-			held.tokens, held.took = c.gateway.stores.Held(under(salt, shared))
+			held.tokens, held.took = c.gateway.stores.Held(parts)
 			brought[salt] = held
 		}
-		servers[i].ImportTokens, servers[i].ImportTime = held.tokens, held.took+b.bringTime()
+		cached, sure := c.gateway.stores.Cached(b.address, parts)
+		guess = guess || !sure
+		servers[i].CachedTokens = cached
+		if held.tokens > cached {
+			servers[i].ImportTokens, servers[i].ImportTime = held.tokens-cached, held.took+b.bringTime()
+		}
+		if servers[i].Group != placement.GroupAny && (servers[i].Group == placement.GroupLong) != long {
+			continue
+		}
 		if rank := placement.Rank(key, b.id); rank >= best {
 			home, best = i, rank
 		}
 	}
+	if home < 0 {
+		return
+	}
 	servers[home].Home = true
-	servers[home].CachedTokens = tokens
-	servers[home].ImportTokens = 0
+	if guess {
+		servers[home].CachedTokens, servers[home].ImportTokens = tokens, 0
+	}
 }
 
 // transfers decides what a server reads from stores and keeps there.
 func (c *call) transfers(b *backend, salt string) contexts.Transfers {
-	t := c.gateway.stores.Plan(under(salt, c.shared()), contexts.Target{Zone: b.zone, Bringing: b.bringTime(), ReadRate: readRate})
+	t := c.gateway.stores.Plan(under(salt, c.shared()), contexts.Target{Address: b.address, Zone: b.zone, Bringing: b.bringTime(), ReadRate: readRate})
 	for len(t.Fetch) < len(c.prompt.Parts) {
 		t.Fetch, t.Save = append(t.Fetch, ""), append(t.Save, "")
 	}
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -46,9 +46,7 @@
 	}
 	if next.table != nil {
 		g.place(s, old, next)
-		if old == nil || old.table != next.table {
-			g.stores.Set(ctx, places(next.table))
-		}
+		g.stores.Set(ctx, append(places(next.table), next.engines()...))
 	}
 	g.world.Store(next)
 	g.retire(old, next)
@@ -80,6 +78,29 @@
 	return list
 }
 
+// engines lists the servers whose caches are watched. Each takes so many
+// questions at once; where there are more instances than that, what engines
+// hold is guessed from the home of each part.
+func (w *world) engines() []contexts.Place {
+	var list []contexts.Place
+	for _, b := range w.backends {
+		s := w.table.Service(b.service.Name)
+		if s != nil && s.Engine != nil && !b.silent.Load() && !b.retired.Load() && w.entries <= s.Engine.Watchers-spareWatchers {
+			list = append(list, contexts.Place{
+				Address: b.address, Zone: b.zone, Engine: true, FirstDelay: engineDelay,
+				Rate: s.Engine.LinkMbps * bytesPerMsMbit / float64(max(1, s.Engine.TokenBytes)),
+			})
+		}
+	}
+	return list
+}
+
+// engineDelay is the start of a transfer between engines, from the users' sheet.
+const engineDelay = 3300 * time.Microsecond
+
+// spareWatchers are left for instances that were replaced but may still ask.
+const spareWatchers = 2
+
 // document compiles the newest document, or keeps the one in force.
 func (g *Gateway) document(s *fleetview.Snapshot, old *world) *site.Table {
 	var held *site.Table
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -40,6 +40,7 @@
 	dialect Dialect
 	view    *fleetview.View
 	stores  *contexts.Watch
+	peers   *peers
 	zone    string
 	bounds  Bounds
 	logger  *slog.Logger
@@ -51,14 +52,16 @@
 	inflight atomic.Int64
 	// arrived is when the last request came; nanoseconds of Unix time.
 	arrived atomic.Int64
+	sizes   sizes
+	served  atomic.Uint64
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Window
 }
 
 // New returns a gateway in a failure domain.
-func New(d Dialect, v *fleetview.View, stores *contexts.Watch, zone string, b Bounds, logger *slog.Logger, m *metrics) *Gateway {
-	g := &Gateway{dialect: d, view: v, stores: stores, zone: zone, bounds: b, logger: logger, metrics: m, started: time.Now(), budgets: make(map[string]*retry.Window)}
+func New(d Dialect, v *fleetview.View, stores *contexts.Watch, p *peers, zone string, b Bounds, logger *slog.Logger, m *metrics) *Gateway {
+	g := &Gateway{dialect: d, view: v, stores: stores, peers: p, zone: zone, bounds: b, logger: logger, metrics: m, started: time.Now(), budgets: make(map[string]*retry.Window)}
 	g.world.Store(&world{entries: 1})
 	return g
 }
@@ -135,13 +138,18 @@
 		servers[i] = b.view(g.zone, now)
 	}
 	if c.prompt != nil {
+		reading := g.peers.reading(now)
+		for i, b := range candidates {
+			servers[i].ReadingTokens += reading[b.id]
+		}
 		c.locate(candidates, servers)
 	}
 	i := placement.Pick(servers, c.job(), func(i int) bool { return c.tried[candidates[i].id] }, rand.Float64())
 	if i < 0 {
 		return nil
 	}
-	c.unread = max(0, c.job().PromptTokens-servers[i].CachedTokens)
+	c.unread = placement.Unread(servers[i], c.job())
+	c.home, c.ahead = servers[i].Home, servers[i].ReadingTokens
 	return candidates[i]
 }
 
@@ -191,6 +199,9 @@
 	if c.service.Engine == nil || !c.route.Prompt {
 		c.prompt = nil
 	}
+	if c.prompt != nil {
+		c.gateway.sizes.note(c.prompt.Tokens, c.began)
+	}
 	patience := c.route.Timeout
 	if c.request.Patience > 0 {
 		patience = min(patience, c.request.Patience)
@@ -199,6 +210,14 @@
 	return 0, ""
 }
 
+// sampleEvery is the share of ordinary served requests that are logged: one in
+// so many. Long prompts are few and dear, and all logged.
+const sampleEvery = 16
+
+func (g *Gateway) sampled(c *call) bool {
+	return c.sends > 1 || (c.prompt != nil && c.prompt.Tokens >= longPrompt) || g.served.Add(1)%sampleEvery == 0
+}
+
 // repeatable reports whether the request may run on a second server.
 func (c *call) repeatable() bool { return c.route.Repeatable() }
 
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -16,6 +16,7 @@
 	"github.com/galenaarch/galenaarch/contexts"
 	"github.com/galenaarch/galenaarch/control"
 	"github.com/galenaarch/galenaarch/fleetview"
+	"github.com/galenaarch/galenaarch/httpserver"
 	"github.com/galenaarch/galenaarch/kernel"
 	"github.com/galenaarch/galenaarch/kernel/settings"
 )
@@ -48,6 +49,8 @@
 	// Listen is where callers connect, ReadyListen where the platform asks
 	// whether the instance is ready.
 	Listen, ReadyListen string
+	// PeerListen is where other entry instances reach this one.
+	PeerListen string
 	// Seeds are control instances, PeerPort their port for other processes.
 	Seeds    string
 	PeerPort int
@@ -63,6 +66,7 @@
 	fs.StringVar(&s.Dialect, "dialect", "", "module that decodes what callers and servers say")
 	fs.StringVar(&s.Listen, "listen", "", "IP:port for callers")
 	fs.StringVar(&s.ReadyListen, "ready-listen", "", "IP:port for questions whether this instance is ready")
+	fs.StringVar(&s.PeerListen, "peer-listen", "", "IP:port for other entry instances")
 	fs.StringVar(&s.Seeds, "seeds", "", "IP:port of a few control instances, comma-separated")
 	fs.IntVar(&s.PeerPort, "peer-port", 0, "port that replaces the one in -seeds; 0 leaves it")
 	fs.DurationVar(&s.Grace, "grace", 8*time.Second, "time between the order to stop and the end")
@@ -78,6 +82,7 @@
 	c.Required("dialect", s.Dialect)
 	c.Address("listen", s.Listen)
 	c.Address("ready-listen", s.ReadyListen)
+	c.Address("peer-listen", s.PeerListen)
 	c.Required("seeds", s.Seeds)
 	for _, a := range settings.List(s.Seeds) {
 		c.Address("seeds", a)
@@ -97,6 +102,8 @@
 	view     *fleetview.View
 	callers  *http.Server
 	ready    *http.Server
+	peers    *peers
+	inner    *http.Server
 	cancel   context.CancelFunc
 }
 
@@ -119,6 +126,7 @@
 	}
 	self := &fleetv1.EntryInstance{
 		Name: p.settings.Instance, StartedUnixMs: time.Now().UnixMilli(), Address: p.settings.Listen, Zone: p.settings.FailureDomain,
+		PeerUrl: "http://" + p.settings.PeerListen,
 	}
 	client := &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
@@ -129,7 +137,8 @@
 	if err != nil {
 		return err
 	}
-	p.gateway = New(dialect, p.view, contexts.NewWatch(feed, p.logger), p.settings.FailureDomain, p.settings.Bounds, p.logger, newMetrics(ctx.Registry))
+	p.peers = newPeers(self, client, p.logger)
+	p.gateway = New(dialect, p.view, contexts.NewWatch(feed, p.logger), p.peers, p.settings.FailureDomain, p.settings.Bounds, p.logger, newMetrics(ctx.Registry))
 	return nil
 }
 
@@ -157,7 +166,14 @@
 	if err := p.serve(p.ready, p.settings.ReadyListen); err != nil {
 		return err
 	}
+	mux := http.NewServeMux()
+	mux.Handle(fleetv1.EntriesPathPrefix, fleetv1.NewEntriesServer(p.peers))
+	p.inner = httpserver.New(mux, httpserver.Internal)
+	if err := p.serve(p.inner, p.settings.PeerListen); err != nil {
+		return err
+	}
 	p.view.Start(ctx)
+	go p.peers.run(ctx, p.view)
 	go p.gateway.Run(ctx)
 	return nil
 }
@@ -230,7 +246,7 @@
 	if p.cancel != nil {
 		p.cancel()
 	}
-	for _, s := range []*http.Server{p.callers, p.ready} {
+	for _, s := range []*http.Server{p.callers, p.ready, p.inner} {
 		if s != nil {
 			_ = s.Close() // what is open now has run out of grace
 		}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"log/slog"
@@ -106,6 +107,19 @@
 
 func (c *call) done(a *attempt) {
 	c.gateway.metrics.served(c, a)
+	if !c.gateway.sampled(c) {
+		return
+	}
+	attributes := []slog.Attr{
+		slog.String("request", c.request.ID), slog.String("route", c.route.Name), slog.String("server", a.backend.id), slog.Int("status", a.status),
+		slog.Int("sends", c.sends), slog.Duration("head", a.head.Sub(c.began)), slog.Duration("took", time.Since(c.began)), slog.Uint64("document", c.world.table.Version),
+	}
+	if c.prompt != nil {
+		attributes = append(attributes, slog.Int("prompt_tokens", c.prompt.Tokens), slog.Int("expected_reading", c.unread), slog.Uint64("weights", a.version),
+			slog.Int("fetched_tokens", a.fetched), slog.Duration("expected_fetch", a.fetchTime), slog.Int("saved_parts", a.saved), slog.Int("ahead_tokens", c.ahead),
+			slog.Bool("home", c.home))
+	}
+	c.gateway.logger.LogAttrs(context.Background(), slog.LevelInfo, "request served", attributes...)
 }
 
 func (c *call) logBroken(a *attempt, err error) {
--- /dev/null
+++ b/placement/group.go
@@ -0,0 +1,51 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Group is the length of prompts that a server is meant for. It answers a mix of
+// many short questions and few long prompts: engines read prompts in the order
+// of their coming, so that a short one behind a long one is late. With a part
+// of the servers for short ones, both stay on time; either goes to the other's
+// servers when its own are busier than the cost of that.
+type Group int
+
+// Groups of servers.
+const (
+	GroupAny Group = iota
+	GroupShort
+	GroupLong
+)
+
+const (
+	// shortShare is the part of the servers for short prompts.
+	shortShare = 0.34
+	// longAmongShort and shortAmongLong are the costs of the other's servers: a
+	// long prompt there delays many, a short one risks meeting a long one.
+	longAmongShort = 250 * time.Millisecond
+	shortAmongLong = 60 * time.Millisecond
+)
+
+// Split assigns the groups, alike at every entry instance. With fewer than three
+// servers there are none.
+func Split(servers []Server, id func(i int) string) {
+	if len(servers) < 3 {
+		return
+	}
+	order := make([]int, len(servers))
+	ranks := make([]uint64, len(servers))
+	for i := range servers {
+		order[i], ranks[i] = i, Rank("short prompts", id(i))
+	}
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(ranks[b], ranks[a]) })
+	short := max(1, int(shortShare*float64(len(servers))+0.5))
+	for n, i := range order {
+		servers[i].Group = GroupLong
+		if n < short {
+			servers[i].Group = GroupShort
+		}
+	}
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -19,6 +19,9 @@
 	// farPenalty is the cost of another failure domain: it only breaks ties,
 	// since bytes between domains are dear and the delay is under 1 ms.
 	farPenalty = 2 * time.Millisecond
+	// awayPenalty keeps a part from spreading over servers for nothing: each
+	// copy takes memory from other parts.
+	awayPenalty = 30 * time.Millisecond
 	// silenceAllowed is how long a server with work may say nothing before it
 	// looks stuck: longer than the reading of a large prompt.
 	silenceAllowed = 450 * time.Millisecond
@@ -56,7 +59,10 @@
 	// brought from elsewhere in ImportTime.
 	CachedTokens, ImportTokens int
 	ImportTime                 time.Duration
-	// Home marks the server that this prompt's shared part is assigned to.
+	// Group is the length of prompts that the server is meant for.
+	Group Group
+	// Home marks the server that this prompt's shared part is assigned to; new
+	// parts begin there.
 	Home bool
 }
 
@@ -66,6 +72,8 @@
 	PromptTokens int
 	// ReadRate is the tokens a server reads in a millisecond.
 	ReadRate float64
+	// Long prompts hold short ones up.
+	Long bool
 	// Repeatable jobs may be used to try a server that failed.
 	Repeatable bool
 }
@@ -81,6 +89,15 @@
 	}
 	if j.PromptTokens > 0 {
 		cost += readTime(s, j)
+		if !s.Home {
+			cost += awayPenalty
+		}
+		if s.Group == GroupShort && j.Long {
+			cost += longAmongShort
+		}
+		if s.Group == GroupLong && !j.Long {
+			cost += shortAmongLong
+		}
 	}
 	if s.Slots > 0 {
 		if over := s.Running + s.Waiting + 1 - float64(s.Slots); over > 0 {
@@ -110,6 +127,13 @@
 	return before + read
 }
 
+// Unread is what a server has to read of a prompt, with what it brings counted
+// as the reading that takes as long.
+func Unread(s Server, j Job) int {
+	s.ReadingTokens = 0
+	return int(readTime(s, j).Seconds() * 1000 * j.ReadRate)
+}
+
 // Pick returns the index of the best server, or -1 if there is none. skip names
 // servers that this request must not go to. at breaks ties and is in [0, 1).
 func Pick(servers []Server, j Job, skip func(i int) bool, at float64) int {
