--- a/config/site/site.go
+++ b/config/site/site.go
@@ -140,6 +140,17 @@
 	Limits   Limits
 }
 
+// Isolated is the number of accounts that share no kept context.
+func (d *Document) Isolated() int {
+	n := 0
+	for _, a := range d.Accounts {
+		if a.Isolated {
+			n++
+		}
+	}
+	return n
+}
+
 // Check reports every fault that makes a document unacceptable.
 func (d *Document) Check() error {
 	var faults []error
--- a/contexts/plan.go
+++ b/contexts/plan.go
@@ -14,7 +14,11 @@
 	Fetch, Save []string
 	// FetchTokens are brought in about FetchTime.
 	FetchTokens int
-	FetchTime   time.Duration
+	// Dismissed tokens could be brought, but are read sooner.
+	Dismissed int
+	// Unkept parts are held by no store and found none to keep them.
+	Unkept    int
+	FetchTime time.Duration
 
 	from    *Store
 	nominal time.Duration
@@ -27,20 +31,18 @@
 	// Bringing is the time that its transfers under way still take: they run
 	// one after another.
 	Bringing time.Duration
+	// Allowed is the wait for transfers that still leaves a prompt on time.
+	Allowed time.Duration
 	// ReadRate is the prompt tokens it reads in a millisecond.
 	ReadRate float64
 }
 
-const (
-	// farFactor is how much longer a transfer between failure domains takes.
-	farFactor = 2
-	// readIsDear is the wait for which a transfer is taken rather than a part
-	// read again, although reading is sooner: it costs other prompts their time.
-	readIsDear = 25 * time.Millisecond
-)
+// farFactor is how much longer a transfer between failure domains takes.
+const farFactor = 2
 
-// Plan decides the transfers of a prompt's shared parts. Parts follow each
-// other, so that one that is not to be had ends the reading.
+// Plan decides the transfers of a prompt's shared parts. A transfer is taken
+// rather than a part read again as long as the prompt stays on time, since
+// reading takes the server's time from other prompts. Parts follow each other, so that one that is not to be had ends the reading.
 func Plan(stores []*Store, parts []Part, to Target, now time.Time) Transfers {
 	t := Transfers{Fetch: make([]string, len(parts)), Save: make([]string, len(parts))}
 	whole := true
@@ -64,7 +66,8 @@
 		t.from = holder
 	}
 	read := time.Duration(float64(t.FetchTokens) / to.ReadRate * float64(time.Millisecond))
-	if t.FetchTokens > 0 && to.Bringing+t.FetchTime > max(read, readIsDear) {
+	if t.FetchTokens > 0 && to.Bringing+t.FetchTime > max(read, to.Allowed) {
+		t.Dismissed = t.FetchTokens
 		t.Fetch, t.FetchTokens, t.FetchTime, t.from = make([]string, len(parts)), 0, 0, nil
 	}
 	if t.from != nil {
@@ -78,7 +81,9 @@
 	if home := keeperOf(stores, p, to.Zone, now); home != nil {
 		home.saving[p.Key] = save{tokens: p.Tokens, began: now}
 		t.Save[i] = home.Address
+		return
 	}
+	t.Unkept++
 }
 
 // nominal is the time of a transfer by the store's figures.
--- a/contexts/store.go
+++ b/contexts/store.go
@@ -34,7 +34,7 @@
 	maxSlow = 50
 	// roomShare is the part of a store that is filled: other instances fill it
 	// at the same time.
-	roomShare = 0.97
+	roomShare = 0.99
 )
 
 // Change is a part that a store completed or lost.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -66,8 +66,8 @@
 	version uint64
 	// fetched tokens are brought by transfers expected to take fetchTime; saved
 	// parts are kept at stores.
-	fetched, saved int
-	fetchTime      time.Duration
+	fetched, saved, dismissed, unkept int
+	fetchTime                         time.Duration
 }
 
 // end releases what the attempt holds.
@@ -94,7 +94,7 @@
 		d.Salt, d.WeightVersion = c.salt(a.version), a.version
 		t := c.transfers(b, d.Salt)
 		d.Fetch, d.Save = t.Fetch, t.Save
-		a.fetched, a.fetchTime = t.FetchTokens, t.FetchTime
+		a.fetched, a.fetchTime, a.dismissed, a.unkept = t.FetchTokens, t.FetchTime, t.Dismissed, t.Unkept
 		for _, place := range t.Save {
 			if place != "" {
 				a.saved++
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -18,6 +18,8 @@
 	// readRate is the prompt tokens an engine reads in a millisecond, from the
 	// users' sheet of their engines.
 	readRate = 49.6
+	// allowedShare is the part of a route's objective that transfers may take.
+	allowedShare = 0.4
 	// maxUnary bounds an answer that is held whole before it is passed on, so
 	// that a broken one can be told from a whole one; longer ones stream.
 	maxUnary = 1 << 20
@@ -188,7 +190,7 @@
 
 // transfers decides what a server reads from stores and keeps there.
 func (c *call) transfers(b *backend, salt string) contexts.Transfers {
-	t := c.gateway.stores.Plan(under(salt, c.shared()), contexts.Target{Address: b.address, Zone: b.zone, Bringing: b.bringTime(), ReadRate: readRate})
+	t := c.gateway.stores.Plan(under(salt, c.shared()), contexts.Target{Address: b.address, Zone: b.zone, Bringing: b.bringTime(), Allowed: time.Duration(allowedShare * float64(c.route.Objective)), ReadRate: readRate})
 	for len(t.Fetch) < len(c.prompt.Parts) {
 		t.Fetch, t.Save = append(t.Fetch, ""), append(t.Save, "")
 	}
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -119,7 +119,8 @@
 		g.logger.Error("document not put in force", slog.Uint64("version", d.Version), slog.Any("error", err))
 		return held
 	}
-	g.logger.Info("document in force", slog.Uint64("version", d.Version), slog.Int("routes", len(decoded.Routes)))
+	g.logger.Info("document in force", slog.Uint64("version", d.Version), slog.Int("routes", len(decoded.Routes)),
+		slog.Int("services", len(decoded.Services)), slog.Int("accounts", len(decoded.Accounts)), slog.Int("isolated", decoded.Isolated()))
 	return site.Compile(decoded)
 }
 
