--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -5,7 +5,6 @@
 	"errors"
 	"log/slog"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -13,8 +12,6 @@
 	"github.com/galenaarch/galenaarch/upstream"
 )
 
-func itoa(n uint64) string { return strconv.FormatUint(n, 10) }
-
 // Bounds on one request's sendings.
 const (
 	// extraSends is how many servers beyond the route's bound a request may be
@@ -272,7 +269,8 @@
 	case a.status == http.StatusMisdirectedRequest:
 		c.misdirected(a)
 	case a.verdict == notRun && a.status != 0:
-		// Full servers say so; that is their load, not a failure.
+		// That is the server's load or an order, not a failure.
+		resting = b.shed(a.answer.Load, now)
 	case errors.Is(a.err, upstream.ErrLimit):
 	default:
 		hard := e != nil && (e.Step == upstream.StepDial || e.Step == upstream.StepAwait) && !errors.Is(a.err, errSlow)
--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -22,6 +22,10 @@
 	// restStreak is how many failures in a row rest a server that answers: one
 	// may be an accident of its connection.
 	restStreak = 3
+	// shedRest follows a refusal of a full server, orderRest one of a server
+	// that carries out an order: loads of weights take some 600 ms.
+	shedRest  = 60 * time.Millisecond
+	orderRest = 450 * time.Millisecond
 	// reportLife is how long a server's own word on its load is worth more than
 	// what this instance has sent there.
 	reportLife = time.Second
@@ -156,6 +160,23 @@
 	return resting
 }
 
+// shed counts a request that the server turned away unrun. A server with free
+// places does so while it carries out an order, which takes a while; a full one
+// has places again soon. Without the rest, every request would be offered there
+// first, at the cost of a repeat each.
+func (b *backend) shed(l *Load, now time.Time) (resting time.Duration) {
+	resting = shedRest
+	if l != nil && l.Running+l.Waiting < l.Slots {
+		resting = orderRest
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if until := now.Add(resting); until.After(b.restUntil) {
+		b.restUntil = until
+	}
+	return resting
+}
+
 // view is the server as a decision sees it.
 func (b *backend) view(zone string, now time.Time) placement.Server {
 	own := float64(b.inflight.Load())
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -197,14 +197,13 @@
 	return t
 }
 
-// salt separates contexts by weight version, and by account where an account is
-// isolated: engines find a context only under the same salt.
+// salt is the salt of the request's contexts on weights of a version.
 func (c *call) salt(version uint64) string {
-	s := "w" + itoa(version)
+	isolated := ""
 	if c.account != nil && c.account.Isolated {
-		s += "-" + c.account.Name
+		isolated = c.account.Name
 	}
-	return s
+	return contexts.Salt(version, isolated)
 }
 
 // priority is the rank at an engine. Requests without one have rank 5 there, so
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -9,6 +9,7 @@
 	"github.com/galenaarch/galenaarch/config/site"
 	"github.com/galenaarch/galenaarch/contexts"
 	"github.com/galenaarch/galenaarch/fleetview"
+	"github.com/galenaarch/galenaarch/placement"
 )
 
 // connectionShare is the part of a server's connections that the entry
@@ -23,6 +24,8 @@
 	services map[string][]*backend
 	// wanted is the newest weight version asked for, by model.
 	wanted map[string]uint64
+	// named is when this instance first heard of the versions wanted.
+	named map[string]time.Time
 	// entries is the number of entry instances, the lost ones among them.
 	entries int
 }
@@ -31,7 +34,7 @@
 // learned of them.
 func (g *Gateway) rebuild(ctx context.Context, s *fleetview.Snapshot) {
 	old := g.world.Load()
-	next := &world{backends: make(map[string]*backend), services: make(map[string][]*backend), wanted: make(map[string]uint64)}
+	next := &world{backends: make(map[string]*backend), services: make(map[string][]*backend), wanted: make(map[string]uint64), named: make(map[string]time.Time)}
 	next.table = g.document(s, old)
 	next.entries = max(len(s.Entries), 1)
 	if old != nil {
@@ -41,7 +44,7 @@
 	}
 	for name, d := range s.Documents {
 		if len(name) > len(site.WeightsPrefix) && name[:len(site.WeightsPrefix)] == site.WeightsPrefix {
-			next.wanted[name[len(site.WeightsPrefix):]] = d.Version
+			next.want(old, name[len(site.WeightsPrefix):], d.Version)
 		}
 	}
 	if next.table != nil {
@@ -101,6 +104,50 @@
 // spareWatchers are left for instances that were replaced but may still ask.
 const spareWatchers = 2
 
+// want notes the version of a model that operators ask for.
+func (w *world) want(old *world, model string, version uint64) {
+	w.wanted[model] = version
+	w.named[model] = time.Now()
+	if old != nil && old.wanted[model] == version {
+		w.named[model] = old.named[model]
+	}
+}
+
+const (
+	// outdatedAfter is when answers on older weights begin to lose their worth,
+	// refusedAfter when a server that is still on them gets no more prompts.
+	outdatedAfter = 1200 * time.Millisecond
+	refusedAfter  = 5500 * time.Millisecond
+	// outdatedPenalty is what a server on older weights costs more: servers swap
+	// in turn, and the first ones done must not get all prompts.
+	outdatedPenalty = 60 * time.Millisecond
+	// enoughCurrent is the share of servers that must have changed before the
+	// others are left out: fewer could not carry the load.
+	enoughCurrent = 0.5
+)
+
+// current prefers servers on the weights asked for, and leaves the others out
+// once they had the time to change.
+func (w *world) current(model string, candidates []*backend, servers []placement.Server, now time.Time) ([]*backend, []placement.Server) {
+	age := now.Sub(w.named[model])
+	if w.wanted[model] == 0 || age < outdatedAfter {
+		return candidates, servers
+	}
+	var kept []*backend
+	var views []placement.Server
+	for i, b := range candidates {
+		if b.weightVersion(model) >= w.wanted[model] {
+			kept, views = append(kept, b), append(views, servers[i])
+			continue
+		}
+		servers[i].Penalty = outdatedPenalty
+	}
+	if age < refusedAfter || float64(len(kept)) < enoughCurrent*float64(len(candidates)) {
+		return candidates, servers
+	}
+	return kept, views
+}
+
 // document compiles the newest document, or keeps the one in force.
 func (g *Gateway) document(s *fleetview.Snapshot, old *world) *site.Table {
 	var held *site.Table
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -138,6 +138,7 @@
 		servers[i] = b.view(g.zone, now)
 	}
 	if c.prompt != nil {
+		candidates, servers = w.current(c.prompt.Model, candidates, servers, now)
 		reading := g.peers.reading(now)
 		for i, b := range candidates {
 			servers[i].ReadingTokens += reading[b.id]
@@ -190,10 +191,11 @@
 	if c.route == nil {
 		return http.StatusNotFound, "no route"
 	}
-	if t.NeedsKey(c.route) {
-		if c.account = t.Account(c.request.Key); c.account == nil {
-			return http.StatusUnauthorized, "unknown key"
-		}
+	if c.request.Key != "" {
+		c.account = t.Account(c.request.Key)
+	}
+	if c.account == nil && t.NeedsKey(c.route) {
+		return http.StatusUnauthorized, "unknown key"
 	}
 	c.service = t.Service(c.route.Pick(rand.Float64()))
 	if c.service.Engine == nil || !c.route.Prompt {
--- a/placement/group.go
+++ b/placement/group.go
@@ -29,6 +29,10 @@
 	shortAmongLong = 60 * time.Millisecond
 )
 
+// GroupRank orders servers by their group: those with the highest ranks take
+// short prompts.
+func GroupRank(server string) uint64 { return Rank("short prompts", server) }
+
 // Split assigns the groups, alike at every entry instance. With fewer than three
 // servers there are none.
 func Split(servers []Server, id func(i int) string) {
@@ -38,7 +42,7 @@
 	order := make([]int, len(servers))
 	ranks := make([]uint64, len(servers))
 	for i := range servers {
-		order[i], ranks[i] = i, Rank("short prompts", id(i))
+		order[i], ranks[i] = i, GroupRank(id(i))
 	}
 	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(ranks[b], ranks[a]) })
 	short := max(1, int(shortShare*float64(len(servers))+0.5))
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -59,6 +59,8 @@
 	// brought from elsewhere in ImportTime.
 	CachedTokens, ImportTokens int
 	ImportTime                 time.Duration
+	// Penalty is the cost of what else speaks against the server.
+	Penalty time.Duration
 	// Group is the length of prompts that the server is meant for.
 	Group Group
 	// Home marks the server that this prompt's shared part is assigned to; new
@@ -80,7 +82,7 @@
 
 // Cost is the expected time to the answer, or to a stream's first event.
 func Cost(s Server, j Job) time.Duration {
-	cost := startOverhead
+	cost := startOverhead + s.Penalty
 	if !s.Near {
 		cost += farPenalty
 	}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -45,6 +45,9 @@
 	AnnounceInterval time.Duration
 	// OrderLease is how long the orders of a former leader may still stand.
 	OrderLease time.Duration
+	// WeightsWithin is the time in which all servers are to run the weights
+	// asked for.
+	WeightsWithin time.Duration
 }
 
 // RegisterFlags implements settings.Set.
@@ -54,6 +57,7 @@
 	fs.StringVar(&s.DirectoryListen, "directory-listen", "", "IP:port for callers that ask where to connect")
 	fs.DurationVar(&s.AnnounceInterval, "announce-interval", time.Second, "how often backend servers announce themselves")
 	fs.DurationVar(&s.OrderLease, "order-lease", 3*time.Second, "how long a new leader waits before it orders weights")
+	fs.DurationVar(&s.WeightsWithin, "weights-within", 8*time.Second, "time in which all servers are to run the weights asked for")
 }
 
 // Check implements settings.Set.
@@ -110,7 +114,7 @@
 	if err != nil {
 		return err
 	}
-	if err := r.orderWeights(ctx); err != nil {
+	if err := r.orderWeights(ctx, surface); err != nil {
 		return err
 	}
 	if err := r.serve(r.settings.Listen, surface.Control(r)); err != nil {
@@ -121,14 +125,18 @@
 
 // orderWeights begins to bring servers to the weights asked for, whenever this
 // replica leads.
-func (r *Registrar) orderWeights(ctx context.Context) error {
+func (r *Registrar) orderWeights(ctx context.Context, surface Surface) error {
 	engines, err := kernel.New[weights.Engines](kernel.ID("weights.engines." + r.settings.Surface))
 	if err != nil {
 		return err
 	}
+	stores, err := kernel.New[weights.Stores](kernel.ID("contexts.feed." + r.settings.Surface))
+	if err != nil {
+		return err
+	}
 	view := fleetview.New([]string{r.replica.URL()}, nil, r.client, r.logger)
 	view.Start(ctx)
-	runner := weights.NewRunner(r.replica.Instance(), r.settings.OrderLease, engines, r.replica.Log(), view, r.hub.Observe, r.logger)
+	runner := weights.NewRunner(r.replica.Instance(), r.settings.OrderLease, r.settings.WeightsWithin, engines, stores, r.replica.Log(), view, r.hub.Observe, surface.Document, r.logger)
 	go runner.Run(ctx)
 	return nil
 }
--- a/registrar/surface.go
+++ b/registrar/surface.go
@@ -11,6 +11,7 @@
 
 	"github.com/galenaarch/galenaarch/api/controlv1"
 	"github.com/galenaarch/galenaarch/api/fleetv1"
+	"github.com/galenaarch/galenaarch/config/site"
 )
 
 // ErrUnsure says that this instance cannot tell now: the outcome of a change is
@@ -36,6 +37,8 @@
 type Surface interface {
 	// Control serves operators and backend servers.
 	Control(d Desk) http.Handler
+	// Document decodes the content of a published site document.
+	Document(content []byte) (*site.Document, error)
 	// Directory serves callers that ask where to connect.
 	Directory(d Desk) http.Handler
 }
--- a/weights/plan.go
+++ b/weights/plan.go
@@ -5,8 +5,11 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
+
+	"github.com/galenaarch/galenaarch/placement"
 )
 
 // Times of a swap.
@@ -16,11 +19,15 @@
 	orderPatience = 1200 * time.Millisecond
 	// refusalPause follows an order that a server refused.
 	refusalPause = 300 * time.Millisecond
-	// reportEvery is the pause between two looks at a server that swaps.
-	reportEvery = 150 * time.Millisecond
-	// swapShare is the share of a service's servers that load weights at once:
-	// above it loads slow each other down. Two may always.
-	swapShare  = 0.2
+	// reportEvery is the pause between two looks at a server that swaps, and
+	// firstReport the time after an order in which no load is done.
+	reportEvery = 100 * time.Millisecond
+	firstReport = 500 * time.Millisecond
+	// swapTime is about what one server takes: half of it is waiting for runs to
+	// finish. swapMargin is kept of the time in which all must have changed, for
+	// orders that are lost and servers that are slow.
+	swapTime   = 1400 * time.Millisecond
+	swapMargin = 1500 * time.Millisecond
 	leastSwaps = 2
 )
 
@@ -30,8 +37,6 @@
 	Born                 int64
 	// Versions holds its weight version by model.
 	Versions map[string]uint64
-	// Load is the number of requests it has; servers with less swap first.
-	Load int
 }
 
 // Report is an engine's own word on its state.
@@ -41,7 +46,6 @@
 	Busy bool
 	// Sequence is the number of orders that it has accepted in this life.
 	Sequence uint64
-	Load     int
 }
 
 // Step is what is to be done with a server next.
@@ -77,11 +81,15 @@
 // Plan decides the next steps of all swaps. It has no clock and is not safe for
 // concurrent use.
 type Plan struct {
-	swaps map[string]*progress
+	within time.Duration
+	swaps  map[string]*progress
 }
 
-// NewPlan returns a plan without swaps.
-func NewPlan() *Plan { return &Plan{swaps: make(map[string]*progress)} }
+// NewPlan returns a plan without swaps that is to have all servers changed
+// within a time.
+func NewPlan(within time.Duration) *Plan {
+	return &Plan{within: within, swaps: make(map[string]*progress)}
+}
 
 // lacking returns a model for which a server is behind what is wanted.
 func lacking(versions, wanted map[string]uint64) (model string, version uint64) {
@@ -114,10 +122,7 @@
 		}
 		active[sw.server.Service]++
 	}
-	servers = slices.Clone(servers)
-	slices.SortFunc(servers, func(a, b Server) int {
-		return cmp.Or(cmp.Compare(a.Load, b.Load), cmp.Compare(a.ID, b.ID))
-	})
+	servers = inTurn(servers)
 	var tasks []Task
 	for _, s := range servers {
 		sw := p.swaps[s.ID]
@@ -125,7 +130,7 @@
 			sw = nil // another life: nothing that was ordered holds
 		}
 		if sw == nil {
-			if m, _ := lacking(s.Versions, wanted); m == "" || active[s.Service] >= limit(counts[s.Service]) {
+			if m, _ := lacking(s.Versions, wanted); m == "" || active[s.Service] >= p.limit(counts[s.Service]) {
 				continue
 			}
 			active[s.Service]++
@@ -140,7 +145,30 @@
 	return tasks
 }
 
-func limit(servers int) int { return max(leastSwaps, int(swapShare*float64(servers))) }
+// inTurn orders servers so that those of the two groups of placement change side
+// by side: neither group is to lose several at once.
+func inTurn(servers []Server) []Server {
+	sorted := slices.Clone(servers)
+	slices.SortFunc(sorted, func(a, b Server) int {
+		return cmp.Compare(placement.GroupRank(b.ID), placement.GroupRank(a.ID))
+	})
+	turns := make([]Server, 0, len(sorted))
+	for i, j := 0, len(sorted)-1; i <= j; i, j = i+1, j-1 {
+		turns = append(turns, sorted[i])
+		if i < j {
+			turns = append(turns, sorted[j])
+		}
+	}
+	return turns
+}
+
+// limit is how many of a service's servers change at once: as few as will do,
+// since the others carry the load meanwhile and have to read every context
+// again.
+func (p *Plan) limit(servers int) int {
+	rounds := max(1, float64(p.within-swapMargin)/float64(swapTime))
+	return max(leastSwaps, int(math.Ceil(float64(servers)/rounds)))
+}
 
 // next is the step that is due at one server.
 func (sw *progress) next(wanted map[string]uint64, now time.Time) Task {
@@ -148,6 +176,9 @@
 	if now.Before(sw.notUntil) {
 		return t
 	}
+	if !sw.ordered.IsZero() && now.Sub(sw.ordered) < firstReport {
+		return t
+	}
 	if sw.report == nil || now.Sub(sw.looked) >= reportEvery {
 		t.Step = StepLook
 		return t
@@ -177,6 +208,15 @@
 	return false
 }
 
+// Due is the step that is due at a server now.
+func (p *Plan) Due(id string, wanted map[string]uint64, now time.Time) Task {
+	sw := p.swaps[id]
+	if sw == nil {
+		return Task{}
+	}
+	return sw.next(wanted, now)
+}
+
 // Ordered notes that an order was sent; accepted is false if the server refused
 // it.
 func (p *Plan) Ordered(id string, accepted bool, now time.Time) {
--- a/weights/runner.go
+++ b/weights/runner.go
@@ -16,7 +16,7 @@
 
 // Times of the runner.
 const (
-	tickEvery = 100 * time.Millisecond
+	tickEvery = 50 * time.Millisecond
 	// confirmLife is how long the quorum's word that this instance leads is
 	// good for the sending of an order. Without it a former leader might still
 	// order after the next one has begun.
@@ -81,14 +81,17 @@
 type Runner struct {
 	name       string
 	lease      time.Duration
+	within     time.Duration
 	engines    Engines
 	leadership Leadership
 	view       *fleetview.View
 	observe    func(server string, born int64, versions map[string]uint64)
+	decode     func(content []byte) (*site.Document, error)
 	logger     *slog.Logger
 
 	mu       sync.Mutex
 	plan     *Plan
+	cleaner  cleaner
 	failures map[string]int
 	busy     map[string]bool
 	term     uint64
@@ -98,12 +101,14 @@
 }
 
 // NewRunner returns a runner for the instance of a name. lease is how long the
-// orders of a former holder may still stand; observe hears of the versions seen.
-func NewRunner(name string, lease time.Duration, e Engines, l Leadership, v *fleetview.View,
-	observe func(string, int64, map[string]uint64), logger *slog.Logger) *Runner {
+// orders of a former holder may still stand, within the
+// time in which all servers are to change; observe hears of the versions seen.
+func NewRunner(name string, lease, within time.Duration, e Engines, stores Stores, l Leadership, v *fleetview.View,
+	observe func(string, int64, map[string]uint64), decode func([]byte) (*site.Document, error), logger *slog.Logger) *Runner {
 	return &Runner{
-		name: name, lease: lease, engines: e, leadership: l, view: v, observe: observe, logger: logger,
-		plan: NewPlan(), failures: make(map[string]int), busy: make(map[string]bool),
+		name: name, lease: lease, engines: e, leadership: l, view: v, observe: observe, decode: decode, logger: logger,
+		cleaner: cleaner{stores: stores, logger: logger},
+		within:  within, plan: NewPlan(within), failures: make(map[string]int), busy: make(map[string]bool),
 	}
 }
 
@@ -171,6 +176,11 @@
 	if len(wanted) == 0 {
 		return
 	}
+	if r.cleaner.due(wanted, servers, time.Now()) {
+		for _, address := range r.storeAddresses() {
+			go r.cleaner.clean(ctx, address, oldest(wanted))
+		}
+	}
 	for _, t := range r.plan.Next(servers, wanted, time.Now()) {
 		if r.busy[t.Server.ID] {
 			continue
@@ -192,13 +202,33 @@
 	r.confirming = false
 }
 
+// storeAddresses lists the stores of the document in force.
+func (r *Runner) storeAddresses() []string {
+	d := r.view.Current().Documents[site.DocumentName]
+	if d == nil {
+		return nil
+	}
+	document, err := r.decode(d.Content)
+	if err != nil {
+		r.logger.Error("document not read", slog.Uint64("version", d.Version), slog.Any("error", err))
+		return nil
+	}
+	var list []string
+	for i := range document.Services {
+		if s := document.Services[i].Store; s != nil {
+			list = append(list, s.Address)
+		}
+	}
+	return list
+}
+
 // forget ends this instance's right to order.
 func (r *Runner) forget() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.term != 0 {
 		r.logger.Info("right to order ended", slog.Uint64("term", r.term))
-		r.term, r.plan, r.failures = 0, NewPlan(), make(map[string]int)
+		r.term, r.plan, r.failures = 0, NewPlan(r.within), make(map[string]int)
 	}
 }
 
@@ -223,12 +253,21 @@
 		return
 	}
 	r.observe(t.Server.ID, t.Server.Born, report.Versions)
+	if next := r.looked(t, report, wanted, began); next.Step == StepOrder {
+		r.order(ctx, next)
+	}
+}
+
+// looked notes a report and returns what is due at the server now.
+func (r *Runner) looked(t Task, report *Report, wanted map[string]uint64, began time.Time) Task {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.failures, t.Server.ID)
 	if r.plan.Looked(t.Server.ID, report, wanted, began) {
 		r.logger.Info("weights in place", slog.String("server", t.Server.ID), slog.Any("versions", report.Versions))
+		return Task{}
 	}
+	return r.plan.Due(t.Server.ID, wanted, time.Now())
 }
 
 func (r *Runner) failed(t Task, step string, err error) {
