--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -36,7 +36,7 @@
 // relay passes a server's answer on. It returns false if the request is to go
 // on at another server.
 func (c *call) relay(rw http.ResponseWriter, r *http.Request, s *stream, a *attempt) bool {
-	if c.route.Kind == site.KindStream && a.status == http.StatusOK {
+	if c.route.Kind == site.KindStream && a.status == http.StatusOK && isEvents(a.exchange.Answer.Header) {
 		return c.relayStream(r, s, a)
 	}
 	if s.begun {
@@ -45,6 +45,13 @@
 	return c.relayWhole(rw, r, a)
 }
 
+// isEvents reports whether an answer is a stream of events; one that does not
+// say what it is counts as one on a route of streams.
+func isEvents(h http.Header) bool {
+	kind := h.Get("Content-Type")
+	return kind == "" || strings.HasPrefix(kind, "text/event-stream")
+}
+
 // promises reports whether a status says that a request has not run.
 func promises(status int) bool {
 	switch status {
