--- a/control/replog/join.go
+++ b/control/replog/join.go
@@ -472,37 +472,39 @@
 	leastVoters = 3
 )
 
-// dropSilent removes one replica that has not been heard of for long, if every
-// other voter answers: dead voters would otherwise add up until a majority of
-// the list is dead. A replica that returns is taken in again.
+// dropSilent removes the replica that has been silent for longest, if that is
+// long: dead voters would otherwise add up, with each machine that is replaced
+// at another address, until the living are no majority of the list. A replica
+// that returns is taken in again.
 func (l *loop) dropSilent(m *consensusv1.Membership) bool {
 	if !l.settings.Open {
 		return false
 	}
-	s := l.node.Status()
+	silent := longestSilent(m, l.id, l.node.Status().SilentTicks)
+	if silent == "" {
+		return false
+	}
+	l.logger.Info("silent replica leaves", slog.String("replica", silent))
+	return remove(m, silent) == nil
+}
+
+// longestSilent names the replica to drop, or nothing.
+func longestSilent(m *consensusv1.Membership, self string, silence map[string]int) string {
 	voters, silent := 0, ""
 	for _, r := range m.Members {
-		quiet := r.Id != l.id && s.SilentTicks[r.Id] >= silentTicks
 		if !r.Learner {
 			voters++
 		}
-		switch {
-		case quiet && silent != "":
-			return false
-		case quiet:
-			silent = r.Id
-		}
-	}
-	if silent == "" {
-		return false
 	}
 	for _, r := range m.Members {
-		if r.Id == silent && !r.Learner && voters <= leastVoters {
-			return false
+		if r.Id == self || silence[r.Id] < silentTicks || (!r.Learner && voters <= leastVoters) {
+			continue
+		}
+		if silent == "" || silence[r.Id] > silence[silent] {
+			silent = r.Id
 		}
 	}
-	l.logger.Info("silent replica leaves", slog.String("replica", silent), slog.Int("voters", voters))
-	return remove(m, silent) == nil
+	return silent
 }
 
 // handOverTimeout bounds the transfer of the leadership when a leader stops.
