--- /dev/null
+++ b/config/site/site_test.go
@@ -0,0 +1,71 @@
+package site
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func valid() *Document {
+	return &Document{Version: 1,
+		Routes: []Route{
+			{Name: "r1", Host: "a.example", Prefix: "/x/", Kind: KindStream, Timeout: time.Second, Targets: []Target{{"s1", 90}, {"s2", 10}}},
+			{Name: "r2", Host: "a.example", Prefix: "/x/y/", Kind: KindIdempotent, Timeout: time.Second, Targets: []Target{{"s2", 1}}, Public: true},
+		},
+		Services: []Service{{Name: "s1"}, {Name: "s2"}},
+		Accounts: []Account{{Name: "a", Keys: []string{"k1", "k2"}}, {Name: "b", Keys: []string{"k3"}}},
+	}
+}
+
+func TestCheckNamesEachFault(t *testing.T) {
+	require.NoError(t, valid().Check())
+	tests := []struct {
+		edit func(d *Document)
+		want string
+	}{
+		{func(d *Document) { d.Version = 0 }, "version: must be above 0"},
+		{func(d *Document) { d.Routes[0].Targets[1].Service = "s9" }, `route "r1": unknown service "s9"`},
+		{func(d *Document) { d.Routes[1].Prefix = "/x/"; d.Routes[1].Host = "A.example" }, `route "r2": same host and prefix as route "r1"`},
+		{func(d *Document) { d.Routes[0].Targets = []Target{{"s1", 0}, {"s2", 0}} }, `route "r1": weights add up to 0`},
+		{func(d *Document) { d.Routes[0].Targets[0].Weight = -1 }, `weight of service "s1" is below 0`},
+		{func(d *Document) { d.Routes[0].Timeout = 0 }, `route "r1": timeout must be above 0`},
+		{func(d *Document) { d.Routes[0].Kind = 0 }, `route "r1": kind is unknown`},
+		{func(d *Document) { d.Routes[0].Prefix = "/x" }, "does not begin and end with a slash"},
+		{func(d *Document) { d.Services[1].Name = "s1" }, `service "s1": name is empty or repeated`},
+		{func(d *Document) { d.Accounts[1].Keys = []string{"k2"} }, `account "b": shares a key with account "a"`},
+	}
+	for _, tt := range tests {
+		d := valid()
+		tt.edit(d)
+		require.ErrorContains(t, d.Check(), tt.want)
+	}
+}
+
+func TestLongestPrefixOfTheHostIsTheRoute(t *testing.T) {
+	table := Compile(valid())
+	tests := []struct{ host, path, want string }{
+		{"a.example", "/x/1", "r1"}, {"a.example", "/x/y/1", "r2"}, {"a.example", "/x/y", "r1"}, {"A.Example:8080", "/x/", "r1"},
+		{"a.example", "/x", ""}, {"a.example", "/X/", ""}, {"b.example", "/x/", ""}, {"a.example", "/%78/", ""},
+	}
+	for _, tt := range tests {
+		name := ""
+		if r := table.Route(tt.host, tt.path); r != nil {
+			name = r.Name
+		}
+		require.Equal(t, tt.want, name, tt.host+tt.path)
+	}
+	require.Equal(t, "a", table.Account("k2").Name)
+	require.Nil(t, table.Account("k9"))
+	require.True(t, table.NeedsKey(&table.Routes[0]))
+	require.False(t, table.NeedsKey(&table.Routes[1]))
+}
+
+func TestTargetsShareByWeight(t *testing.T) {
+	r := valid().Routes[0]
+	require.Equal(t, "s1", r.Pick(0))
+	require.Equal(t, "s1", r.Pick(0.899))
+	require.Equal(t, "s2", r.Pick(0.901))
+	r.Targets = []Target{{"s1", 0}, {"s2", 5}}
+	require.Equal(t, "s2", r.Pick(0))
+}
--- /dev/null
+++ b/contexts/contexts_test.go
@@ -0,0 +1,184 @@
+package contexts
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+func store(address, zone string, capacity int) *Store {
+	s := NewStore(address, zone)
+	s.Capacity, s.Rate, s.FirstDelay = capacity, 250, time.Millisecond
+	s.Take(&Changes{Epoch: 1, Next: 1}, start)
+	return s
+}
+
+func holds(s *Store, part string, tokens int) {
+	s.Take(&Changes{Epoch: 1, Next: s.next + 1, Changes: []Change{{Key: Key{"w1", part}, Tokens: tokens}}}, start)
+}
+
+func parts(list ...Part) []Part { return list }
+
+func part(id string, tokens int) Part { return Part{Key: Key{"w1", id}, Tokens: tokens} }
+
+var target = Target{Address: "e:1", Zone: "a", Allowed: 300 * time.Millisecond, ReadRate: 50}
+
+func TestWhereAPartIsReadFromAndKept(t *testing.T) {
+	tests := []struct {
+		name        string
+		stores      func() []*Store
+		now         time.Time
+		to          Target
+		parts       []Part
+		fetch, save []string
+	}{
+		{"held by none: saved where most room is", func() []*Store {
+			return []*Store{store("s:1", "a", 10_000), store("s:2", "a", 20_000)}
+		}, start, target, parts(part("p", 1000)), []string{""}, []string{"s:2"}},
+		{"held: read, not saved again", func() []*Store {
+			s := store("s:1", "a", 10_000)
+			holds(s, "p", 1000)
+			return []*Store{s}
+		}, start, target, parts(part("p", 1000)), []string{"s:1"}, []string{""}},
+		{"not whole: neither read nor written over", func() []*Store {
+			s := store("s:1", "a", 10_000)
+			holds(s, "p", 500)
+			return []*Store{s}
+		}, start, target, parts(part("p", 1000)), []string{""}, []string{""}},
+		{"the nearer of two", func() []*Store {
+			far, near := store("s:1", "b", 10_000), store("s:2", "a", 10_000)
+			holds(far, "p", 1000)
+			holds(near, "p", 1000)
+			return []*Store{far, near}
+		}, start, target, parts(part("p", 1000)), []string{"s:2"}, []string{""}},
+		{"a store not heard of lately is not acted upon", func() []*Store {
+			s := store("s:1", "a", 10_000)
+			holds(s, "p", 1000)
+			return []*Store{s}
+		}, start.Add(FreshFor), target, parts(part("p", 1000)), []string{""}, []string{""}},
+		{"nothing behind a part that is not to be had", func() []*Store {
+			s := store("s:1", "a", 10_000)
+			holds(s, "q", 1000)
+			return []*Store{s}
+		}, start, target, parts(part("p", 1000), part("q", 1000)), []string{"", ""}, []string{"s:1", ""}},
+		{"from an engine, and saved since it may drop it", func() []*Store {
+			e, s := store("e:2", "a", 0), store("s:1", "a", 10_000)
+			e.Engine = true
+			holds(e, "p", 1000)
+			return []*Store{e, s}
+		}, start, target, parts(part("p", 1000)), []string{"e:2"}, []string{"s:1"}},
+		{"never from the server itself", func() []*Store {
+			e := store("e:1", "a", 0)
+			e.Engine = true
+			holds(e, "p", 1000)
+			return []*Store{e}
+		}, start, target, parts(part("p", 1000)), []string{""}, []string{""}},
+		{"no room", func() []*Store { return []*Store{store("s:1", "a", 900)} }, start, target, parts(part("p", 1000)), []string{""}, []string{""}},
+		{"read again where transfers wait longer than a prompt may", func() []*Store {
+			s := store("s:1", "a", 10_000)
+			holds(s, "p", 1000)
+			return []*Store{s}
+		}, start, Target{Address: "e:1", Zone: "a", Bringing: time.Second, Allowed: 300 * time.Millisecond, ReadRate: 50}, parts(part("p", 1000)), []string{""}, []string{""}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got := Plan(tt.stores(), tt.parts, tt.to, tt.now)
+			require.Equal(t, tt.fetch, got.Fetch)
+			require.Equal(t, tt.save, got.Save)
+		})
+	}
+}
+
+func TestSaveUnderWayIsNotRepeatedAndKeepsItsRoom(t *testing.T) {
+	s := store("s:1", "a", 2000)
+	require.Equal(t, "s:1", Plan([]*Store{s}, parts(part("p", 1200)), target, start).Save[0])
+	require.Empty(t, Plan([]*Store{s}, parts(part("p", 1200)), target, start).Save[0])
+	require.Empty(t, Plan([]*Store{s}, parts(part("q", 1200)), target, start).Save[0])
+	later := start.Add(saveFor + time.Second)
+	s.Take(&Changes{Epoch: 1, Next: 9}, later)
+	require.Equal(t, "s:1", Plan([]*Store{s}, parts(part("q", 1200)), target, later).Save[0], "a lost save is given up")
+}
+
+func TestRestartedStoreIsEmptyAndNotWrittenToAtOnce(t *testing.T) {
+	s := store("s:1", "a", 10_000)
+	holds(s, "p", 1000)
+	now := start.Add(time.Second)
+	require.True(t, s.Take(&Changes{Epoch: 2, Next: 1}, now))
+	require.Equal(t, uint64(0), s.Cursor(), "changes are asked for from the beginning of the new life")
+	s.Take(&Changes{Epoch: 2, Next: 1}, now)
+	require.False(t, s.Holds(Key{"w1", "p"}, 1000, now))
+	require.Empty(t, Plan([]*Store{s}, parts(part("p", 1000)), target, now).Save[0], "others may still believe that it holds the part")
+	now = now.Add(settleFor + time.Second)
+	s.Take(&Changes{Epoch: 2, Next: 1}, now)
+	require.Equal(t, "s:1", Plan([]*Store{s}, parts(part("p", 1000)), target, now).Save[0])
+}
+
+func TestGapIsRepairedByAListing(t *testing.T) {
+	s := store("s:1", "a", 10_000)
+	holds(s, "p", 1000)
+	require.False(t, s.Take(&Changes{Epoch: 1, Next: 9, Gap: true}, start))
+	require.False(t, s.Holds(Key{"w1", "p"}, 1000, start))
+	s.Replace(&Changes{Epoch: 1, Next: 9, Changes: []Change{{Key{"w1", "q"}, 500}}}, start)
+	require.True(t, s.Holds(Key{"w1", "q"}, 500, start))
+	require.Equal(t, 500, s.used)
+}
+
+func TestSlowStoreIsSparedAndTriedAgain(t *testing.T) {
+	s := store("s:1", "a", 10_000)
+	holds(s, "p", 5000)
+	for range 12 {
+		tr := Plan([]*Store{s}, parts(part("p", 5000)), target, start)
+		tr.end(900*time.Millisecond, start)
+	}
+	require.Empty(t, Plan([]*Store{s}, parts(part("p", 5000)), target, start).Fetch[0])
+	later := start.Add(10 * time.Second)
+	s.Take(&Changes{Epoch: 1, Next: 9}, later)
+	require.Equal(t, "s:1", Plan([]*Store{s}, parts(part("p", 5000)), target, later).Fetch[0])
+	require.Zero(t, s.bringing-5000, "ended transfers are not counted")
+}
+
+func TestSaltNamesVersionAndIsolatedAccount(t *testing.T) {
+	require.Equal(t, "w3", Salt(3, ""))
+	require.NotEqual(t, Salt(3, "a"), Salt(3, "b"))
+	for _, salt := range []string{Salt(3, ""), Salt(3, "a-b")} {
+		v, ok := SaltVersion(salt)
+		require.True(t, ok)
+		require.Equal(t, uint64(3), v)
+	}
+	_, ok := SaltVersion("of another system")
+	require.False(t, ok)
+}
+
+// TestNoOtherVersionsOrAccountsPartIsRead checks over random pictures that what
+// is read was whole under the very salt of the request, at a store heard lately.
+func TestNoOtherVersionsOrAccountsPartIsRead(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		salts := []string{Salt(1, ""), Salt(2, ""), Salt(2, "a"), Salt(2, "b")}
+		var stores []*Store
+		for i := range 3 {
+			s := store(string(rune('a'+i))+":1", "a", 100_000)
+			for range rapid.IntRange(0, 6).Draw(t, "parts") {
+				k := Key{rapid.SampledFrom(salts).Draw(t, "salt"), rapid.SampledFrom([]string{"p", "q"}).Draw(t, "part")}
+				s.Take(&Changes{Epoch: 1, Next: 2, Changes: []Change{{k, rapid.SampledFrom([]int{0, 400, 800}).Draw(t, "tokens")}}}, start)
+			}
+			if rapid.Bool().Draw(t, "lost") {
+				s.Lose()
+			}
+			stores = append(stores, s)
+		}
+		salt := rapid.SampledFrom(salts).Draw(t, "asked")
+		asked := []Part{{Key{salt, "p"}, 800}, {Key{salt, "q"}, 400}}
+		got := Plan(stores, asked, target, start)
+		for i, address := range got.Fetch {
+			for _, s := range stores {
+				if s.Address == address && (s.heard.IsZero() || s.held[asked[i].Key] < asked[i].Tokens) {
+					t.Fatalf("part %v is read from %s", asked[i], address)
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,129 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func none(int) bool { return false }
+
+func servers(n int, edit ...func(list []Server)) []Server {
+	list := make([]Server, n)
+	for i := range list {
+		list[i] = Server{Near: true, Slots: 8, Mean: 100 * time.Millisecond}
+	}
+	for _, e := range edit {
+		e(list)
+	}
+	return list
+}
+
+func TestPick(t *testing.T) {
+	plain, prompt := Job{Repeatable: true}, Job{PromptTokens: 10_000, ReadRate: 50, Long: true}
+	tests := []struct {
+		name    string
+		servers []Server
+		job     Job
+		skip    func(int) bool
+		want    int
+	}{
+		{"nobody", nil, plain, none, -1},
+		{"fewer requests", servers(3, func(l []Server) { l[0].Running, l[1].Running, l[2].Running = 8, 2, 8 }), plain, none, 1},
+		{"its own failure domain", servers(2, func(l []Server) { l[0].Near = false }), plain, none, 1},
+		{"not where the request was", servers(2), plain, func(i int) bool { return i == 0 }, 1},
+		{"not a resting server", servers(3, func(l []Server) { l[0].Resting = true; l[1].Running = 7; l[2].Running = 8 }), plain, none, 1},
+		{"a resting server before none", servers(2, func(l []Server) { l[0].Resting = true }), plain, func(i int) bool { return i == 1 }, 0},
+		{"most rest: the cause is common, they are used", servers(3, func(l []Server) { l[0].Resting, l[1].Resting = true, true; l[2].Running, l[2].Waiting = 8, 60 }), Job{}, func(i int) bool { return i == 1 }, 0},
+		{"a server that says nothing", servers(2, func(l []Server) { l[0].Silence = 800 * time.Millisecond; l[1].Running = 7 }), plain, none, 1},
+		{"a server that fails part of its requests", servers(2, func(l []Server) { l[0].Failing = 0.4; l[1].Running = 8; l[1].Waiting = 2 }), plain, none, 1},
+		{"where the context is", servers(3, func(l []Server) { l[2].CachedTokens = 8000 }), prompt, none, 2},
+		{"where the context comes soonest", servers(2, func(l []Server) { l[1].ImportTokens, l[1].ImportTime = 8000, 40*time.Millisecond }), prompt, none, 1},
+		{"away from a queue of prompts that outweighs the context", servers(2, func(l []Server) { l[0].CachedTokens, l[0].ReadingTokens = 8000, 20_000 }), prompt, none, 1},
+		{"a trial only of what may be repeated", servers(2, func(l []Server) { l[0].Trial = true; l[1].Running, l[1].Waiting = 8, 60 }), Job{}, none, 1},
+		{"one request at a time on trial", servers(2, func(l []Server) { l[0].Trial, l[0].Running = true, 1; l[1].Running, l[1].Waiting = 8, 60 }), plain, none, 1},
+		{"new weights before old ones", servers(2, func(l []Server) { l[0].Penalty = 60 * time.Millisecond }), plain, none, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			for _, at := range []float64{0, 0.4, 0.99} {
+				require.Equal(t, tt.want, Pick(tt.servers, tt.job, tt.skip, at))
+			}
+		})
+	}
+}
+
+func TestTiesSpread(t *testing.T) {
+	seen := make(map[int]bool)
+	for i := range 10 {
+		seen[Pick(servers(5), Job{}, none, float64(i)/10)] = true
+	}
+	require.Len(t, seen, 5)
+}
+
+func TestSplitSeparatesLengthsAndLetsThemOver(t *testing.T) {
+	list := servers(12)
+	id := func(i int) string { return fmt.Sprint("s", i) }
+	Split(list, id)
+	short := 0
+	for i := range list {
+		if list[i].Group == GroupShort {
+			short++
+		}
+	}
+	require.Equal(t, 4, short)
+	again := servers(12)
+	Split(again, id)
+	require.Equal(t, list, again, "alike at every instance")
+
+	question, long := Job{PromptTokens: 300, ReadRate: 50}, Job{PromptTokens: 15_000, ReadRate: 50, Long: true}
+	require.Equal(t, GroupShort, list[Pick(list, question, none, 0.3)].Group)
+	require.Equal(t, GroupLong, list[Pick(list, long, none, 0.3)].Group)
+	for i := range list {
+		if list[i].Group == GroupLong {
+			list[i].ReadingTokens = 40_000
+		}
+	}
+	require.Equal(t, GroupShort, list[Pick(list, long, none, 0.3)].Group, "800 ms of reading outweigh the delay of others")
+	two := servers(2)
+	Split(two, id)
+	require.Equal(t, GroupAny, two[0].Group)
+}
+
+func TestRankMovesOnlyTheKeysOfAServerThatLeaves(t *testing.T) {
+	home := func(key string, servers int) int {
+		best := 0
+		for i := range servers {
+			if Rank(key, fmt.Sprint("s", i)) > Rank(key, fmt.Sprint("s", best)) {
+				best = i
+			}
+		}
+		return best
+	}
+	counts := make(map[int]int)
+	for k := range 2000 {
+		key := fmt.Sprint("key", k)
+		was := home(key, 10)
+		counts[was]++
+		if was != 9 {
+			require.Equal(t, was, home(key, 9))
+		}
+	}
+	for i := range 10 {
+		require.InDelta(t, 200, counts[i], 80)
+	}
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{12, 89, 986} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			list := servers(n)
+			job := Job{PromptTokens: 10_000, ReadRate: 50, Long: true}
+			for range b.N {
+				Pick(list, job, none, 0.5)
+			}
+		})
+	}
+}
--- a/weights/plan.go
+++ b/weights/plan.go
@@ -150,7 +150,7 @@
 func inTurn(servers []Server) []Server {
 	sorted := slices.Clone(servers)
 	slices.SortFunc(sorted, func(a, b Server) int {
-		return cmp.Compare(placement.GroupRank(b.ID), placement.GroupRank(a.ID))
+		return cmp.Compare(groupRank(b.ID), groupRank(a.ID))
 	})
 	turns := make([]Server, 0, len(sorted))
 	for i, j := 0, len(sorted)-1; i <= j; i, j = i+1, j-1 {
@@ -241,3 +241,6 @@
 // Release gives up the place of a server that cannot be reached, so that others
 // may swap meanwhile.
 func (p *Plan) Release(id string) { delete(p.swaps, id) }
+
+// groupRank is the order of servers by their group of placement.
+func groupRank(server string) uint64 { return placement.GroupRank(server) }
