--- a/control/group_test.go
+++ b/control/group_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -299,3 +300,21 @@
 	g.running[behind].Log().Peek(func(st *state.State) { records = st.Status("").CallsRecorded })
 	require.EqualValues(t, 401, records)
 }
+
+func TestReplicaOutlivesABadSpellOfItsDisk(t *testing.T) {
+	g := newTrio(t, 3)
+	require.Equal(t, controlv1.BeginOutcome_BEGIN_OUTCOME_DISPATCH, g.begin("a", "1").Outcome)
+	name := g.leader()
+	r := g.running[name]
+	failed := r.Log()
+	failed.group.Fail(errors.New("no space left on device"))
+	require.Equal(t, controlv1.BeginOutcome_BEGIN_OUTCOME_DISPATCH, g.begin("a", "2").Outcome, "the others go on")
+	require.Eventually(t, func() bool {
+		var calls uint64
+		if r.Log() == failed {
+			return false
+		}
+		r.Log().Peek(func(st *state.State) { calls = st.Status("").CallsRecorded })
+		return r.Log().group.Err() == nil && calls == 2
+	}, testTimeout, 20*time.Millisecond, "the replica takes part again and catches up")
+}
--- a/control/groups_test.go
+++ b/control/groups_test.go
@@ -41,7 +41,7 @@
 			logs[name] = append(logs[name], l)
 			here = append(here, l)
 		}
-		handlers[i] = consensusv1.NewConsensusServer(newPeerServer(here...))
+		handlers[i] = consensusv1.NewConsensusServer(newPeerServer(func() []*GroupLog { return here }))
 	}
 	for _, name := range groups {
 		for _, l := range logs[name] {
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -4,30 +4,31 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/galenaarch/galenaarch/consensus"
+	"github.com/galenaarch/galenaarch/control/replog"
 )
 
 // registerMetrics exports what an operator watches of a replica.
-func registerMetrics(registry *prometheus.Registry, l *GroupLog) {
+func registerMetrics(registry *prometheus.Registry, log func() *GroupLog) {
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value)
 	}
 	counter := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, value)
 	}
-	g := l.group
+	g := func() *replog.Group { return log().group }
 	collectors := []prometheus.Collector{
-		gauge("galena_control_term", "Term of the replicated log.", func() float64 { return float64(g.Status().Term) }),
+		gauge("galena_control_term", "Term of the replicated log.", func() float64 { return float64(g().Status().Term) }),
 		gauge("galena_control_leader", "1 if this replica leads.", func() float64 {
-			if g.Status().Role == consensus.RoleLeader {
+			if g().Status().Role == consensus.RoleLeader {
 				return 1
 			}
 			return 0
 		}),
-		gauge("galena_control_commit_index", "Last committed entry.", func() float64 { return float64(g.Status().Commit) }),
-		gauge("galena_control_snapshot_index", "Last entry that the snapshot holds.", func() float64 { return float64(g.Status().SnapshotIndex) }),
-		counter("galena_control_commits_total", "Committed entries.", func() float64 { return float64(g.Counts().Commits) }),
-		counter("galena_control_syncs_total", "Writes of the log that were synced.", func() float64 { return float64(g.Counts().Syncs) }),
-		counter("galena_control_sync_seconds_total", "Time spent in synced writes.", func() float64 { return g.Counts().SyncTime.Seconds() }),
+		gauge("galena_control_commit_index", "Last committed entry.", func() float64 { return float64(g().Status().Commit) }),
+		gauge("galena_control_snapshot_index", "Last entry that the snapshot holds.", func() float64 { return float64(g().Status().SnapshotIndex) }),
+		counter("galena_control_commits_total", "Committed entries.", func() float64 { return float64(g().Counts().Commits) }),
+		counter("galena_control_syncs_total", "Writes of the log that were synced.", func() float64 { return float64(g().Counts().Syncs) }),
+		counter("galena_control_sync_seconds_total", "Time spent in synced writes.", func() float64 { return g().Counts().SyncTime.Seconds() }),
 	}
 	for _, c := range collectors {
 		// A process with several replicas, as in tests, exports the first.
--- a/control/peers.go
+++ b/control/peers.go
@@ -14,33 +14,30 @@
 // peerServer serves the other replicas and operators. It finds the group of a
 // message by its name.
 type peerServer struct {
-	groups map[string]*replog.Group
+	// logs lists the groups as they are open now: one that failed is opened
+	// again.
+	logs func() []*GroupLog
 }
 
-func newPeerServer(logs ...*GroupLog) *peerServer {
-	s := &peerServer{groups: make(map[string]*replog.Group)}
-	for _, l := range logs {
-		s.groups[l.group.Name()] = l.group
-	}
-	return s
-}
+func newPeerServer(logs func() []*GroupLog) *peerServer { return &peerServer{logs: logs} }
 
 // Interface guard.
 var _ consensusv1.Consensus = (*peerServer)(nil)
 
 func (s *peerServer) group(name string) (*replog.Group, error) {
-	g, ok := s.groups[name]
-	if !ok {
-		return nil, twirp.NotFoundError("no group " + name)
+	for _, l := range s.logs() {
+		if l.group.Name() == name {
+			return l.group, nil
+		}
 	}
-	return g, nil
+	return nil, twirp.NotFoundError("no group " + name)
 }
 
 // Send implements consensusv1.Consensus.
 func (s *peerServer) Send(_ context.Context, r *consensusv1.SendRequest) (*consensusv1.SendResponse, error) {
 	for _, m := range r.Messages {
-		if g, ok := s.groups[m.Group]; ok {
-			g.Deliver(m)
+		if g, err := s.group(m.Group); err == nil {
+			g.Deliver(m) // messages of other groups are dropped
 		}
 	}
 	return &consensusv1.SendResponse{}, nil
--- a/control/process.go
+++ b/control/process.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +18,7 @@
 	"github.com/galenaarch/galenaarch/api/consensusv1"
 	"github.com/galenaarch/galenaarch/api/controlv1"
 	"github.com/galenaarch/galenaarch/control/replog"
+	"github.com/galenaarch/galenaarch/control/state"
 	"github.com/galenaarch/galenaarch/httpserver"
 	"github.com/galenaarch/galenaarch/kernel"
 	"github.com/galenaarch/galenaarch/kernel/settings"
@@ -163,6 +165,10 @@
 	mounts   map[string]http.Handler
 	secured  *transport.Transport
 	server   *http.Server
+	// reopenEvery is the pause before a log that failed is opened again.
+	reopenEvery time.Duration
+	stopped     chan struct{}
+	tended      sync.WaitGroup
 }
 
 // NewReplica returns a replica with the given settings.
@@ -170,7 +176,7 @@
 	if s.CallRetention == 0 {
 		s.CallRetention = DefaultCallRetention
 	}
-	return &Replica{settings: s, mounts: make(map[string]http.Handler)}
+	return &Replica{settings: s, reopenEvery: reopenEvery, stopped: make(chan struct{}), mounts: make(map[string]http.Handler)}
 }
 
 // Name implements kernel.Component.
@@ -188,35 +194,108 @@
 // Start implements kernel.Starter. It does not wait for the other replicas.
 func (r *Replica) Start(ctx context.Context) error {
 	go r.secured.Run(ctx)
-	log, err := OpenGroupLog(MainGroup, r.settings, &http.Client{Transport: r.secured.HTTPTransport()}, r.logger)
-	if err != nil {
-		return eris.Wrapf(err, "open state in %s", r.settings.DataDir)
+	if err := r.open(); err != nil {
+		return err
 	}
-	r.log.Store(log)
 	listener, err := r.secured.Listen(r.settings.Listen)
 	if err != nil {
 		return err
 	}
-	r.server = httpserver.New(r.routes(log), httpserver.Internal)
+	r.server = httpserver.New(r.routes(), httpserver.Internal)
 	go func() {
 		if err := r.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			r.logger.Error("listener ended", slog.Any("error", err))
 		}
 	}()
-	registerMetrics(r.kernel.Registry, log)
-	return log.Start(ctx)
+	registerMetrics(r.kernel.Registry, r.Log)
+	if err := r.Log().Start(ctx); err != nil {
+		return err
+	}
+	r.tended.Add(1)
+	go r.tend(ctx)
+	return nil
+}
+
+// open opens this replica's part of the log.
+func (r *Replica) open() error {
+	log, err := OpenGroupLog(MainGroup, r.settings, &http.Client{Transport: r.secured.HTTPTransport()}, r.logger)
+	if err != nil {
+		return eris.Wrapf(err, "open state in %s", r.settings.DataDir)
+	}
+	r.log.Store(log)
+	return nil
+}
+
+// reopenEvery is the pause before a log that failed is opened again: a disk that
+// is full or refuses writes does so for seconds.
+const reopenEvery = time.Second
+
+// tend opens the log again when it has failed, so that a replica outlives a bad
+// spell of its disk. What it had not synced it never acknowledged.
+func (r *Replica) tend(ctx context.Context) {
+	defer r.tended.Done()
+	ticker := time.NewTicker(r.reopenEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.stopped:
+			return
+		case <-ticker.C:
+		}
+		failed := r.Log()
+		err := failed.group.Err()
+		if err == nil || errors.Is(err, replog.ErrOldDisk) {
+			continue // an older folder stays refused until an operator empties it
+		}
+		r.logger.Warn("log is opened again", slog.Any("error", err))
+		failed.stop()
+		failed.group.Kill()
+		if err := r.open(); err != nil {
+			r.logger.Error("log not opened again", slog.Any("error", err))
+			continue
+		}
+		if err := r.Log().Start(ctx); err != nil {
+			r.logger.Error("log not started again", slog.Any("error", err))
+		}
+	}
 }
 
-func (r *Replica) routes(log *GroupLog) http.Handler {
+func (r *Replica) routes() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(controlv1.ControlPathPrefix, telemetry.Handler("control", controlv1.NewControlServer(NewServer(log))))
-	mux.Handle(consensusv1.ConsensusPathPrefix, consensusv1.NewConsensusServer(newPeerServer(log)))
+	mux.Handle(controlv1.ControlPathPrefix, telemetry.Handler("control", controlv1.NewControlServer(NewServer(currentLog{r}))))
+	mux.Handle(consensusv1.ConsensusPathPrefix, consensusv1.NewConsensusServer(newPeerServer(func() []*GroupLog { return []*GroupLog{r.Log()} })))
 	for prefix, h := range r.mounts {
 		mux.Handle(prefix, h)
 	}
 	return mux
 }
 
+// currentLog is a replica's log as it is open now.
+type currentLog struct{ replica *Replica }
+
+var _ Log = currentLog{}
+
+// Propose implements Log.
+func (l currentLog) Propose(ctx context.Context, cmd *controlv1.Command) (*controlv1.Result, error) {
+	return l.replica.Log().Propose(ctx, cmd)
+}
+
+// Read implements Log.
+func (l currentLog) Read(ctx context.Context, view func(*state.State)) error {
+	return l.replica.Log().Read(ctx, view)
+}
+
+// Peek implements Log.
+func (l currentLog) Peek(view func(*state.State)) { l.replica.Log().Peek(view) }
+
+// ConfigChanged implements Log.
+func (l currentLog) ConfigChanged() <-chan struct{} { return l.replica.Log().ConfigChanged() }
+
+// Leader implements Log.
+func (l currentLog) Leader() string { return l.replica.Log().Leader() }
+
 // Mount adds a handler for the system's other processes. It must be called
 // before Start.
 func (r *Replica) Mount(prefix string, h http.Handler) { r.mounts[prefix] = h }
@@ -231,7 +310,13 @@
 func (r *Replica) Log() *GroupLog { return r.log.Load() }
 
 // Local is the service of this replica, without the network.
-func (r *Replica) Local() controlv1.Control { return NewServer(r.Log()) }
+func (r *Replica) Local() controlv1.Control { return NewServer(currentLog{r}) }
+
+// Leads reports whether this replica believes that it leads.
+func (r *Replica) Leads() bool { return r.Log().Leads() }
+
+// Confirm asks the quorum whether this replica leads and returns its term.
+func (r *Replica) Confirm(ctx context.Context) (uint64, error) { return r.Log().Confirm(ctx) }
 
 // Ready says why the replica cannot serve, or nil. A follower is ready: it
 // tells callers who leads.
@@ -245,6 +330,12 @@
 
 // Stop implements kernel.Stopper. A leader hands over first.
 func (r *Replica) Stop(context.Context) error {
+	select {
+	case <-r.stopped:
+	default:
+		close(r.stopped)
+	}
+	r.tended.Wait()
 	if log := r.Log(); log != nil {
 		_ = log.Close() // always nil
 	}
--- a/control/replog/apply.go
+++ b/control/replog/apply.go
@@ -46,7 +46,7 @@
 			return
 		case w := <-g.work:
 			if err := a.do(w); err != nil {
-				g.fail(err)
+				g.Fail(err)
 				return
 			}
 		}
--- a/control/replog/group.go
+++ b/control/replog/group.go
@@ -160,7 +160,7 @@
 	go func() {
 		defer g.wg.Done()
 		if err := g.join(ctx); err != nil {
-			g.fail(err)
+			g.Fail(err)
 			return
 		}
 		l := &loop{Group: g, ctx: ctx, seenTerm: make(map[string]uint64), pending: make(map[consensus.ReadID][]chan error), urls: make(map[string]string)}
@@ -178,7 +178,9 @@
 	g.Kill()
 }
 
-func (g *Group) fail(err error) {
+// Fail stops the replica for an error of its disk or its core. What was not
+// synced was not acknowledged.
+func (g *Group) Fail(err error) {
 	if g.failure.CompareAndSwap(nil, &err) {
 		g.logger.Error("replica stopped", slog.Any("error", err))
 	}
--- a/control/replog/loop.go
+++ b/control/replog/loop.go
@@ -41,7 +41,7 @@
 	l.node.CampaignAlone()
 	for {
 		if err := l.drive(); err != nil {
-			l.fail(err)
+			l.Fail(err)
 			return
 		}
 		select {
@@ -52,7 +52,7 @@
 			l.tick()
 		case m := <-l.inbox:
 			if err := l.step(m); err != nil {
-				l.fail(err)
+				l.Fail(err)
 				return
 			}
 		case p := <-l.proposals:
@@ -65,7 +65,7 @@
 			l.snapshot(c)
 		case f := <-l.written:
 			if err := l.compact(f); err != nil {
-				l.fail(err)
+				l.Fail(err)
 				return
 			}
 		}
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -49,7 +49,7 @@
 	}
 	if next.table != nil {
 		g.place(s, old, next)
-		g.stores.Set(ctx, append(places(next.table), next.engines()...))
+		g.stores.Set(ctx, append(places(next.table, s.Entries, g.peers.self.Name), next.engines()...))
 	}
 	g.world.Store(next)
 	g.retire(old, next)
@@ -61,8 +61,9 @@
 // bytesPerMsMbit turns Mbit/s into bytes a millisecond.
 const bytesPerMsMbit = 1e6 / 8 / 1000
 
-// places lists the stores of a document with their speed in tokens.
-func places(t *site.Table) []contexts.Place {
+// places lists the stores of a document that this instance watches, with their
+// speed in tokens.
+func places(t *site.Table, entries map[string]*fleetv1.EntryInstance, self string) []contexts.Place {
 	tokenBytes := 0
 	for i := range t.Services {
 		if e := t.Services[i].Engine; e != nil {
@@ -71,7 +72,7 @@
 	}
 	var list []contexts.Place
 	for i := range t.Services {
-		if s := t.Services[i].Store; s != nil && tokenBytes > 0 && s.LinkMbps > 0 {
+		if s := t.Services[i].Store; s != nil && tokenBytes > 0 && s.LinkMbps > 0 && mayWatch(entries, self, s.Address, s.Watchers) {
 			list = append(list, contexts.Place{
 				Address: s.Address, Zone: s.Zone, Capacity: s.MemoryTokens, FirstDelay: s.FirstDelay,
 				Rate: s.LinkMbps * bytesPerMsMbit / float64(tokenBytes),
@@ -101,6 +102,18 @@
 // engineDelay is the start of a transfer between engines, from the users' sheet.
 const engineDelay = 3300 * time.Microsecond
 
+// mayWatch shares the questions that a store takes at once among the entry
+// instances: those with the highest ranks for it ask.
+func mayWatch(entries map[string]*fleetv1.EntryInstance, self, address string, watchers int) bool {
+	own, before := placement.Rank(address, self), 0
+	for name := range entries {
+		if name != self && placement.Rank(address, name) > own {
+			before++
+		}
+	}
+	return watchers == 0 || before < watchers-spareWatchers
+}
+
 // spareWatchers are left for instances that were replaced but may still ask.
 const spareWatchers = 2
 
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -136,7 +136,7 @@
 	}
 	view := fleetview.New([]string{r.replica.URL()}, nil, r.client, r.logger)
 	view.Start(ctx)
-	runner := weights.NewRunner(r.replica.Instance(), r.settings.OrderLease, r.settings.WeightsWithin, engines, stores, r.replica.Log(), view, r.hub.Observe, surface.Document, r.logger)
+	runner := weights.NewRunner(r.replica.Instance(), r.settings.OrderLease, r.settings.WeightsWithin, engines, stores, r.replica, view, r.hub.Observe, surface.Document, r.logger)
 	go runner.Run(ctx)
 	return nil
 }
