--- a/contexts/watch.go
+++ b/contexts/watch.go
@@ -161,7 +161,7 @@
 	defer w.mu.Unlock()
 	if s := w.stores[address]; s != nil && s.Fresh(w.now()) {
 		for _, p := range parts {
-			s.apply(Change{Key: p.Key, Tokens: p.Tokens})
+			s.apply(Change(p))
 		}
 	}
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -262,7 +262,7 @@
 		b.succeed(now.Sub(a.began))
 		return
 	case a.verdict == answered:
-		resting = b.fail(false, now)
+		b.fail(false, now)
 		return
 	case a.verdict == callerGone:
 		return
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -149,7 +149,9 @@
 	if i < 0 {
 		return nil
 	}
-	c.unread = placement.Unread(servers[i], c.job())
+	if c.prompt != nil {
+		c.unread = placement.Unread(servers[i], c.job())
+	}
 	c.home, c.ahead = servers[i].Home, servers[i].ReadingTokens
 	return candidates[i]
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -129,11 +129,17 @@
 	return before + read
 }
 
+// stepTokens is the reading that takes as long as an engine's step: a prompt
+// takes a step at least, however short it is. From the users' sheet: 5.18 ms at
+// 49.6 tokens a millisecond. Without it, many short prompts look like no work
+// (many callers at once).
+const stepTokens = 256
+
 // Unread is what a server has to read of a prompt, with what it brings counted
-// as the reading that takes as long.
+// as the reading that takes as long, and its step.
 func Unread(s Server, j Job) int {
 	s.ReadingTokens = 0
-	return int(readTime(s, j).Seconds() * 1000 * j.ReadRate)
+	return int(readTime(s, j).Seconds()*1000*j.ReadRate) + stepTokens
 }
 
 // Pick returns the index of the best server, or -1 if there is none. skip names
