--- a/contexts/contexts_test.go
+++ b/contexts/contexts_test.go
@@ -1,6 +1,8 @@
 package contexts
 
 import (
+	"context"
+	"log/slog"
 	"testing"
 	"time"
 
@@ -127,6 +129,35 @@
 	require.Equal(t, 500, s.used)
 }
 
+// feed answers with a gap and counts listings.
+type feed struct{ lists map[string]int }
+
+func (f *feed) Changes(_ context.Context, _ string, after uint64, _ time.Duration) (*Changes, error) {
+	return &Changes{Epoch: 1, Next: 5, Gap: after == 0}, nil
+}
+
+func (f *feed) List(_ context.Context, address string) (*Changes, error) {
+	f.lists[address]++
+	return &Changes{Epoch: 1, Next: 5, Changes: []Change{{Key{"w1", "p"}, 500}}}, nil
+}
+
+func TestEnginesAreNeverListed(t *testing.T) {
+	f := &feed{lists: make(map[string]int)}
+	w := NewWatch(f, slog.New(slog.DiscardHandler))
+	engine, kept := NewStore("e:1", "a"), NewStore("s:1", "a")
+	engine.Engine = true
+	w.stores = map[string]*watched{"e:1": {Store: engine}, "s:1": {Store: kept}}
+	for _, s := range []*Store{engine, kept} {
+		require.NoError(t, w.ask(context.Background(), s))
+	}
+	require.Equal(t, map[string]int{"s:1": 1}, f.lists)
+	tokens, known := w.Cached("e:1", parts(part("p", 500)))
+	require.True(t, known)
+	require.Zero(t, tokens, "what was before the gap is not counted on")
+	require.True(t, kept.Holds(Key{"w1", "p"}, 500, w.now()))
+	require.Equal(t, uint64(5), engine.Cursor())
+}
+
 func TestSlowStoreIsSparedAndTriedAgain(t *testing.T) {
 	s := store("s:1", "a", 10_000)
 	holds(s, "p", 5000)
--- a/contexts/store.go
+++ b/contexts/store.go
@@ -133,10 +133,11 @@
 	}
 }
 
-// Lose forgets everything until the store is heard again.
-func (s *Store) Lose() {
+// Skip goes on behind a gap without knowing what was before it: what an engine
+// caches changes all the time, so that the picture soon fills again.
+func (s *Store) Skip(c *Changes, now time.Time) {
 	s.clear()
-	s.next, s.heard = 0, time.Time{}
+	s.epoch, s.next, s.heard = c.Epoch, c.Next, now
 }
 
 func (s *Store) clear() {
--- a/contexts/watch.go
+++ b/contexts/watch.go
@@ -211,6 +211,11 @@
 	}
 	w.mu.Lock()
 	whole := s.Take(changes, w.now())
+	if !whole && s.Engine {
+		// A listing would hold up the engine's requests.
+		s.Skip(changes, w.now())
+		whole = true
+	}
 	w.mu.Unlock()
 	if whole {
 		return nil
--- a/placement/group.go
+++ b/placement/group.go
@@ -26,7 +26,7 @@
 	// longAmongShort and shortAmongLong are the costs of the other's servers: a
 	// long prompt there delays many, a short one risks meeting a long one.
 	longAmongShort = 250 * time.Millisecond
-	shortAmongLong = 60 * time.Millisecond
+	shortAmongLong = 85 * time.Millisecond
 )
 
 // GroupRank orders servers by their group: those with the highest ranks take
