--- a/contexts/store.go
+++ b/contexts/store.go
@@ -140,6 +140,12 @@
 	s.epoch, s.next, s.heard = c.Epoch, c.Next, now
 }
 
+// Lose forgets everything until the store is heard again.
+func (s *Store) Lose() {
+	s.clear()
+	s.next, s.heard = 0, time.Time{}
+}
+
 func (s *Store) clear() {
 	clear(s.held)
 	clear(s.saving)
