--- a/consensus/node.go
+++ b/consensus/node.go
@@ -130,9 +130,21 @@
 	n := &Node{cfg: cfg, log: log, term: d.HardState.GetTerm(), vote: d.HardState.GetVote()}
 	n.saved = n.hardState()
 	n.becomeFollower(n.term, "")
+	n.timeout = firstTimeout(cfg)
 	return n, nil
 }
 
+// firstTimeout lets a replica that has just started ask for votes early: after
+// a loss of all replicas nobody leads. A pre-vote disturbs no leader, and one
+// that lives is heard of within two heartbeats.
+func firstTimeout(cfg Config) int {
+	least := 2*cfg.HeartbeatTicks + 1
+	if least >= cfg.ElectionTicks {
+		return cfg.ElectionTicks + cfg.Rand(cfg.ElectionTicks)
+	}
+	return least + cfg.Rand(cfg.ElectionTicks-least)
+}
+
 func (n *Node) hardState() *consensusv1.HardState {
 	return &consensusv1.HardState{Term: n.term, Vote: n.vote, Commit: n.log.commit}
 }
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -36,6 +36,9 @@
 	// graceMargin is kept of the grace period for the end of the process.
 	graceMargin   = 500 * time.Millisecond
 	callerUnacked = 5 * time.Second
+	// peerDialTimeout is below the second after which a lost first packet is sent
+	// again: an instance that has just come back is reached by the next try.
+	peerDialTimeout = 300 * time.Millisecond
 	// callerProbe finds callers that went silent.
 	callerProbe = 3 * time.Second
 )
@@ -129,7 +132,7 @@
 		PeerUrl: "http://" + p.settings.PeerListen,
 	}
 	client := &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		DialContext:         (&net.Dialer{Timeout: peerDialTimeout}).DialContext,
 		MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second,
 	}}
 	p.view = fleetview.New(seeds, self, client, p.logger)
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -33,6 +33,9 @@
 	// leaderTimeout bounds one attempt at the leader.
 	leaderTimeout = 600 * time.Millisecond
 	leaderPause   = 40 * time.Millisecond
+	// dialTimeout is below the second after which a lost first packet is sent
+	// again.
+	dialTimeout = 300 * time.Millisecond
 )
 
 // Settings of a registrar.
@@ -86,7 +89,10 @@
 // New returns the registrar of a replica. It must be started after it.
 func New(s Settings, r *control.Replica) *Registrar {
 	return &Registrar{settings: s, replica: r, leaders: make(map[string]controlv1.Control), client: &http.Client{
-		Transport: &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: 10 * time.Second},
+		Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			MaxIdleConnsPerHost: 8, IdleConnTimeout: 10 * time.Second,
+		},
 	}}
 }
 
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -19,7 +19,10 @@
 
 // Times and bounds of connections between processes.
 const (
-	dialTimeout    = time.Second
+	// dialTimeout is above a round trip between regions and below the second
+	// after which a lost first packet is sent again: a peer that has just come
+	// back is reached by the next try, not after that second.
+	dialTimeout    = 300 * time.Millisecond
 	reloadInterval = 5 * time.Second
 	idlePerPeer    = 64
 )
