--- /dev/null
+++ b/control/replog/open_test.go
@@ -0,0 +1,227 @@
+package replog
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenaarch/galenaarch/api/consensusv1"
+	"github.com/galenaarch/galenaarch/consensus"
+)
+
+func TestWhichSilentReplicaIsDropped(t *testing.T) {
+	const dead, alive = silentTicks, silentTicks - 1
+	members := func(voters, learners int) *consensusv1.Membership {
+		m := &consensusv1.Membership{}
+		for i := range voters + learners {
+			m.Members = append(m.Members, &consensusv1.Member{Id: fmt.Sprint("r", i), Learner: i >= voters})
+		}
+		return m
+	}
+	tests := []struct {
+		name    string
+		members *consensusv1.Membership
+		silence map[string]int
+		want    string
+	}{
+		{"none", members(5, 0), map[string]int{"r1": alive}, ""},
+		{"one", members(5, 0), map[string]int{"r1": dead}, "r1"},
+		{"several replaced machines, the longest gone first", members(8, 0), map[string]int{"r1": dead, "r2": dead + 50, "r3": dead + 5}, "r2"},
+		{"three voters stay", members(3, 0), map[string]int{"r1": dead}, ""},
+		{"a learner that never came", members(3, 1), map[string]int{"r3": dead}, "r3"},
+		{"not itself", members(5, 0), map[string]int{"r0": dead}, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			require.Equal(t, tt.want, longestSilent(tt.members, "r0", tt.silence))
+		})
+	}
+}
+
+// sum is a machine that adds numbers.
+type sum struct{ total uint64 }
+
+func (s *sum) Apply(command []byte) any {
+	s.total += binary.BigEndian.Uint64(command)
+	return s.total
+}
+func (s *sum) Encode() ([]byte, error) { return binary.BigEndian.AppendUint64(nil, s.total), nil }
+func (s *sum) Restore(state []byte) error {
+	s.total = 0
+	if len(state) > 0 {
+		s.total = binary.BigEndian.Uint64(state)
+	}
+	return nil
+}
+func (s *sum) NowMS() int64 { return 1 }
+
+// member is one replica of an open group, with its own HTTP server.
+type member struct {
+	*Group
+	server *httptest.Server
+	dir    string
+}
+
+type openGroup struct {
+	t     *testing.T
+	seeds []Peer
+}
+
+// peers serves the consensus service of a group that may not be open yet.
+type peers struct{ group *Group }
+
+func (p *peers) Send(_ context.Context, r *consensusv1.SendRequest) (*consensusv1.SendResponse, error) {
+	for _, m := range r.Messages {
+		p.group.Deliver(m)
+	}
+	return &consensusv1.SendResponse{}, nil
+}
+
+func (p *peers) Identify(ctx context.Context, r *consensusv1.IdentifyRequest) (*consensusv1.IdentifyResponse, error) {
+	return p.group.Identify(ctx, r), nil
+}
+
+func (p *peers) AddReplica(context.Context, *consensusv1.AddReplicaRequest) (*consensusv1.AddReplicaResponse, error) {
+	return nil, nil
+}
+
+func (p *peers) RemoveReplica(context.Context, *consensusv1.RemoveReplicaRequest) (*consensusv1.RemoveReplicaResponse, error) {
+	return nil, nil
+}
+
+func (p *peers) GetReplicas(context.Context, *consensusv1.GetReplicasRequest) (*consensusv1.GetReplicasResponse, error) {
+	return nil, nil
+}
+
+// listen reserves the address of a replica.
+func (g *openGroup) listen() (*httptest.Server, *peers) {
+	p := &peers{}
+	server := httptest.NewUnstartedServer(consensusv1.NewConsensusServer(p))
+	return server, p
+}
+
+func (g *openGroup) start(name, dir string, server *httptest.Server, p *peers, found bool) *member {
+	g.t.Helper()
+	group, err := Open(Settings{
+		Group: "main", Name: name, Dir: dir, URL: "http://" + server.Listener.Addr().String(), Replicas: g.seeds, Open: true, MayFound: found,
+		LeaderWait: -1, Logger: slog.New(slog.DiscardHandler), Client: &http.Client{Timeout: 2 * time.Second},
+	}, &sum{})
+	require.NoError(g.t, err)
+	p.group = group
+	server.Start()
+	require.NoError(g.t, group.Start(context.Background()))
+	return &member{Group: group, server: server, dir: dir}
+}
+
+func (m *member) stop() {
+	m.server.CloseClientConnections()
+	m.server.Close()
+	m.Kill()
+}
+
+func (g *openGroup) voters(m *member) int {
+	n := 0
+	for _, r := range m.Status().Membership.GetMembers() {
+		if !r.Learner {
+			n++
+		}
+	}
+	return n
+}
+
+// add proposes a number at whoever leads and returns the sum.
+func (g *openGroup) add(members []*member, n uint64) uint64 {
+	g.t.Helper()
+	var total uint64
+	require.Eventually(g.t, func() bool {
+		for _, m := range members {
+			if m.Status().Role != consensus.RoleLeader {
+				continue
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			result, err := m.Propose(ctx, func(int64) ([]byte, error) { return binary.BigEndian.AppendUint64(nil, n), nil })
+			cancel()
+			if err == nil {
+				total = result.(uint64)
+				return true
+			}
+		}
+		return false
+	}, 20*time.Second, 10*time.Millisecond)
+	return total
+}
+
+func TestGroupIsFoundedOnceFromSeedsAndOutlivesThem(t *testing.T) {
+	g := &openGroup{t: t}
+	servers := make([]*httptest.Server, 5)
+	handlers := make([]*peers, 5)
+	for i := range servers {
+		servers[i], handlers[i] = g.listen()
+	}
+	for i := range 3 {
+		g.seeds = append(g.seeds, Peer{URL: "http://" + servers[i].Listener.Addr().String()})
+	}
+	// The two that are no seeds start first: they must not found anything.
+	members := make([]*member, 5)
+	for _, i := range []int{4, 3, 2, 1, 0} {
+		members[i] = g.start(fmt.Sprint("c", i), t.TempDir(), servers[i], handlers[i], true)
+	}
+	t.Cleanup(func() {
+		for _, m := range members {
+			m.stop()
+		}
+	})
+	require.Equal(t, uint64(7), g.add(members, 7))
+	require.Eventually(t, func() bool { return g.voters(members[4]) == 5 }, 20*time.Second, 20*time.Millisecond)
+
+	// The founder comes back with an empty folder: it joins and founds nothing.
+	members[0].stop()
+	server, p := g.listen()
+	members[0] = g.start("c0", t.TempDir(), server, p, false)
+	require.Eventually(t, func() bool {
+		known := 0
+		for _, r := range members[1].Status().Membership.GetMembers() {
+			if r.Id == members[0].ID() && !r.Learner {
+				known++
+			}
+		}
+		return known == 1 && g.voters(members[1]) == 5
+	}, 30*time.Second, 20*time.Millisecond, "the new replica votes in the place of the old one")
+	require.Equal(t, uint64(8), g.add(members, 1))
+
+	// All are killed and come back, at their addresses' successors: the folders
+	// hold what was acknowledged.
+	g.seeds = nil
+	for i, m := range members[1:] {
+		m.stop()
+		server, p := g.listen()
+		_ = i
+		members[i+1] = g.restart(m, server, p)
+	}
+	require.Equal(t, uint64(8), g.add(members, 0))
+}
+
+// restart opens a member's folder again, at the same address.
+func (g *openGroup) restart(m *member, server *httptest.Server, p *peers) *member {
+	g.t.Helper()
+	address := m.server.Listener.Addr().String()
+	server.Listener.Close()
+	require.Eventually(g.t, func() bool {
+		l, err := listenAt(address)
+		if err == nil {
+			server.Listener = l
+		}
+		return err == nil
+	}, 5*time.Second, 10*time.Millisecond)
+	return g.start(nameOf(m.ID()), m.dir, server, p, false)
+}
+
+func listenAt(address string) (net.Listener, error) { return net.Listen("tcp4", address) }
