--- a/config/site/site.go
+++ b/config/site/site.go
@@ -18,6 +18,11 @@
 // which weight version of a model is asked for.
 const WeightsPrefix = "weights/"
 
+// WeightsModel is the model that a document of that kind is about.
+func WeightsModel(document string) (model string, ok bool) {
+	return strings.CutPrefix(document, WeightsPrefix)
+}
+
 // Kind says what may be repeated of a request.
 type Kind int
 
--- a/contexts/watch.go
+++ b/contexts/watch.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/galenaarch/galenaarch/kernel"
 )
 
 // Times of a watch.
@@ -59,21 +59,12 @@
 
 // NewWatch returns a watch without stores.
 func NewWatch(f Feed, logger *slog.Logger) *Watch {
-	return &Watch{feed: f, logger: logger, stores: make(map[string]*watched), started: time.Now(), boot: bootTime()}
-}
-
-// bootTime counts also while the machine is suspended.
-func bootTime() time.Duration {
-	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
-		return time.Duration(time.Now().UnixNano()) // the wall clock counts it too
-	}
-	return time.Duration(t.Nano())
+	return &Watch{feed: f, logger: logger, stores: make(map[string]*watched), started: time.Now(), boot: kernel.BootTime()}
 }
 
 // now is the time on a clock that counts suspensions, so that a machine that
 // stood still does not trust what it knew before.
-func (w *Watch) now() time.Time { return w.started.Add(bootTime() - w.boot) }
+func (w *Watch) now() time.Time { return w.started.Add(kernel.BootTime() - w.boot) }
 
 // Set makes the watch follow exactly the given stores until the context ends.
 func (w *Watch) Set(ctx context.Context, places []Place) {
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -43,8 +43,8 @@
 		next.entries = max(next.entries, old.entries)
 	}
 	for name, d := range s.Documents {
-		if len(name) > len(site.WeightsPrefix) && name[:len(site.WeightsPrefix)] == site.WeightsPrefix {
-			next.want(old, name[len(site.WeightsPrefix):], d.Version)
+		if model, ok := site.WeightsModel(name); ok {
+			next.want(old, model, d.Version)
 		}
 	}
 	if next.table != nil {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -81,7 +81,7 @@
 }
 
 // Cost is the expected time to the answer, or to a stream's first event.
-func Cost(s Server, j Job) time.Duration {
+func Cost(s *Server, j *Job) time.Duration {
 	cost := startOverhead + s.Penalty
 	if !s.Near {
 		cost += farPenalty
@@ -106,7 +106,7 @@
 			cost += time.Duration(over / float64(s.Slots) * float64(s.Mean))
 		}
 		// A full batch slows every request in it a little.
-		cost += time.Duration(s.Running / float64(s.Slots) * float64(s.Mean) / 4)
+		cost += time.Duration(s.Running * float64(s.Mean) / float64(4*s.Slots))
 	}
 	if s.Cold {
 		cost += s.Mean
@@ -118,7 +118,7 @@
 
 // readTime is the time until a prompt is read: what is before it, then what is
 // not cached, part of it brought over the link.
-func readTime(s Server, j Job) time.Duration {
+func readTime(s *Server, j *Job) time.Duration {
 	unread := j.PromptTokens - s.CachedTokens
 	before := time.Duration(float64(s.ReadingTokens) / j.ReadRate * float64(time.Millisecond))
 	read := time.Duration(float64(unread) / j.ReadRate * float64(time.Millisecond))
@@ -139,7 +139,7 @@
 // as the reading that takes as long, and its step.
 func Unread(s Server, j Job) int {
 	s.ReadingTokens = 0
-	return int(readTime(s, j).Seconds()*1000*j.ReadRate) + stepTokens
+	return int(readTime(&s, &j).Seconds()*1000*j.ReadRate) + stepTokens
 }
 
 // Pick returns the index of the best server, or -1 if there is none. skip names
@@ -157,7 +157,10 @@
 	offset := int(at * float64(n))
 	for pass := 0; pass < 2 && best < 0; pass++ {
 		for k := range servers {
-			i := (k + offset) % n
+			i := k + offset
+			if i >= n {
+				i -= n
+			}
 			s := &servers[i]
 			if skip(i) {
 				continue
@@ -167,7 +170,7 @@
 			if pass == 0 && !ignoreRest && (s.Resting || (s.Trial && (!j.Repeatable || s.Running > 0))) {
 				continue
 			}
-			if c := Cost(*s, j); c < bestCost {
+			if c := Cost(s, &j); c < bestCost {
 				best, bestCost = i, c
 			}
 		}
--- a/weights/runner.go
+++ b/weights/runner.go
@@ -7,11 +7,10 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/galenaarch/galenaarch/api/fleetv1"
 	"github.com/galenaarch/galenaarch/config/site"
 	"github.com/galenaarch/galenaarch/fleetview"
+	"github.com/galenaarch/galenaarch/kernel"
 )
 
 // Times of the runner.
@@ -112,16 +111,6 @@
 	}
 }
 
-// bootTime counts also while the machine is suspended, which the monotonic
-// clock does not.
-func bootTime() time.Duration {
-	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
-		return time.Duration(time.Now().UnixNano()) // the wall clock counts it too
-	}
-	return time.Duration(t.Nano())
-}
-
 // Run works until the context ends.
 func (r *Runner) Run(ctx context.Context) {
 	ticker := time.NewTicker(tickEvery)
@@ -141,8 +130,8 @@
 	s := r.view.Current()
 	wanted := make(map[string]uint64)
 	for name, d := range s.Documents {
-		if len(name) > len(site.WeightsPrefix) && name[:len(site.WeightsPrefix)] == site.WeightsPrefix {
-			wanted[name[len(site.WeightsPrefix):]] = d.Version
+		if model, ok := site.WeightsModel(name); ok {
+			wanted[model] = d.Version
 		}
 	}
 	var servers []Server
@@ -288,7 +277,7 @@
 // entitled confirms the right to order and returns the fence, and the boot time
 // until which an order may be sent.
 func (r *Runner) entitled(ctx context.Context) (fence uint64, until time.Duration, err error) {
-	began := bootTime()
+	began := kernel.BootTime()
 	term, err := r.leadership.Confirm(ctx)
 	if err != nil {
 		return 0, 0, err
@@ -296,10 +285,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if term != r.term {
-		r.term, r.since = term, bootTime()
+		r.term, r.since = term, kernel.BootTime()
 		r.logger.Info("right to order confirmed", slog.Uint64("term", term), slog.Duration("wait", r.lease+takeOverMargin))
 	}
-	if bootTime()-r.since < r.lease+takeOverMargin {
+	if kernel.BootTime()-r.since < r.lease+takeOverMargin {
 		return 0, 0, errNotYet
 	}
 	return term, began + confirmLife, nil
@@ -314,7 +303,7 @@
 		return
 	}
 	// The machine may have stood still since the quorum answered.
-	if bootTime() > until {
+	if kernel.BootTime() > until {
 		return
 	}
 	o := Order{Model: t.Model, Version: t.Version, Holder: r.name, Fence: fence, Expected: t.Expected}
