--- a/entry/members_test.go
+++ b/entry/members_test.go
@@ -270,6 +270,8 @@
 	require.NoError(t, err)
 	response.Body.Close()
 	require.Equal(t, http.StatusUnauthorized, response.StatusCode)
+	// An entry that control has not confirmed yet names nobody, not even itself.
+	require.Eventually(t, func() bool { return r.entries[0].mayDispatch(time.Now()) == nil }, testWait, testPoll)
 	require.Len(t, directoryOf(t, r.entries[0]), 1)
 }
 
