--- a/cmd/galena-control/main.go
+++ b/cmd/galena-control/main.go
@@ -42,6 +42,7 @@
 		return err
 	}
 	defer tel.Close(ctx)
+	w.Register(tel.Context.Registry)
 	replica := control.NewReplica(o.control)
 	return kernel.NewApp(tel.Context,
 		telemetry.NewServer(o.control.MetricsListen, replica.Ready), replica, registrar.New(o.registrar, replica)).Run(0)
--- a/cmd/galena-gateway/main.go
+++ b/cmd/galena-gateway/main.go
@@ -35,6 +35,7 @@
 		return err
 	}
 	defer tel.Close(ctx)
+	w.Register(tel.Context.Registry)
 	p := gateway.NewProcess(s)
 	return kernel.NewApp(tel.Context, telemetry.NewServer(t.MetricsListen, p.Ready), p).Run(0)
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -35,7 +35,6 @@
 	// account is nil on public routes.
 	account  *site.Account
 	prompt   *Prompt
-	path     string
 	target   string
 	body     []byte
 	began    time.Time
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -156,6 +156,9 @@
 	return candidates[i]
 }
 
+// Interface guard.
+var _ http.Handler = (*Gateway)(nil)
+
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	g.inflight.Add(1)
@@ -171,7 +174,7 @@
 		g.refuse(rw, &call{began: now, request: &Request{}}, http.StatusBadRequest, "malformed", 0, err)
 		return
 	}
-	c := &call{gateway: g, world: w, request: req, began: now, prompt: req.Prompt, tried: make(map[string]bool), path: r.URL.EscapedPath()}
+	c := &call{gateway: g, world: w, request: req, began: now, prompt: req.Prompt, tried: make(map[string]bool)}
 	if w.table == nil {
 		g.refuse(rw, c, http.StatusServiceUnavailable, "no document yet", comeBack(), nil)
 		return
@@ -235,5 +238,3 @@
 	firstReturn  = 150 * time.Millisecond
 	returnSpread = 400 * time.Millisecond
 )
-
-var _ http.Handler = (*Gateway)(nil)
--- a/telemetry/writer.go
+++ b/telemetry/writer.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"sync/atomic"
+
+	"github.com/prometheus/client_golang/prometheus"
 )
 
 // queuedLines bounds the log lines that wait for a slow or blocked output.
@@ -67,6 +69,13 @@
 // Dropped is the number of lines that were not written.
 func (q *Writer) Dropped() uint64 { return q.dropped.Load() }
 
+// Register exports the number of dropped lines.
+func (q *Writer) Register(r prometheus.Registerer) {
+	r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "galena_log_lines_dropped_total", Help: "Log lines that found no room because the output was slow or blocked.",
+	}, func() float64 { return float64(q.Dropped()) }))
+}
+
 // Close writes what is queued.
 func (q *Writer) Close() {
 	close(q.closing)
