Gateway: what a sending holds is released also when the caller's connection is broken off

Cause: the relay ends a broken stream, or one whose caller left, by a panic that closes the caller's connection; the connection to the server was closed by the context but stayed counted, and so did the request. After as many of them as a server may have connections it got nothing more from that instance. Found by reading; the test fails at the 41st caller without the change. Ruled out: answers held whole (they end before the relay returns).

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -26,15 +26,20 @@
 			c.giveUp(rw, r, s, final)
 			return
 		}
-		done := c.relay(rw, r, s, a)
-		a.end()
-		a.backend.end()
-		if done {
+		if c.relayAndEnd(rw, r, s, a) {
 			return
 		}
 	}
 }
 
+// relayAndEnd relays an answer and releases what the attempt holds, also when
+// the caller's connection is broken off by a panic.
+func (c *call) relayAndEnd(rw http.ResponseWriter, r *http.Request, s *stream, a *attempt) bool {
+	defer a.backend.end()
+	defer a.end()
+	return c.relay(rw, r, s, a)
+}
+
 // reason says why a request gets no answer of a server.
 type reason string
 
