--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -40,6 +40,9 @@
 	Prompt *Prompt
 	// LastEvent is the last event that the caller has of a stream it resumes.
 	LastEvent string
+	// Ignored names the headers that could not be read; the request is served as
+	// if they were not there.
+	Ignored []string
 }
 
 // Dispatch is one sending of a request to a server.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -175,6 +175,9 @@
 		return
 	}
 	c := &call{gateway: g, world: w, request: req, began: now, prompt: req.Prompt, tried: make(map[string]bool)}
+	if len(req.Ignored) > 0 {
+		g.logger.Info("headers not understood", slog.String("request", req.ID), slog.Any("headers", req.Ignored))
+	}
 	if w.table == nil {
 		g.refuse(rw, c, http.StatusServiceUnavailable, "no document yet", comeBack(), nil)
 		return
--- a/registry/hub.go
+++ b/registry/hub.go
@@ -89,6 +89,10 @@
 func (h *Hub) Hear(a *fleetv1.Announcement) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.table.Full(a.Server) {
+		h.logger.Warn("server not taken in: the table is full", slog.String("server", a.Server), slog.Int("servers", maxServers))
+		return
+	}
 	if !h.table.Hear(a, time.Now()) {
 		return
 	}
--- a/registry/table.go
+++ b/registry/table.go
@@ -65,11 +65,16 @@
 	return a.Sequence > held.Sequence
 }
 
+// Full reports whether there is no room for a server that is not known.
+func (t *Table) Full(server string) bool {
+	return t.servers[server] == nil && len(t.servers) >= maxServers
+}
+
 // Hear takes an announcement and reports whether it changed what is known. An
 // older one changes nothing, also not when the server was last heard.
 func (t *Table) Hear(a *fleetv1.Announcement, now time.Time) bool {
 	held := t.servers[a.Server]
-	if held == nil && len(t.servers) >= maxServers {
+	if t.Full(a.Server) {
 		return false
 	}
 	if held != nil && !Newer(a, held.Announcement) {
