Entry: a slow start is no pause; its callers are not refused for it

Cause: the admitter's last look at the others was set when the entry was made. Where the first look came 2 s later or more, as on a busy machine, the process was held to have been paused and its shares of all limits were 0 for 2 s more: callers got 429 "the account's limit of requests at once is reached".

Ruled out: the dial limit and the first election (seen with those of before too); the process really paused (the test fails with a late first look alone).

Before: TestSlowStartIsNoPause fails with the very message. After: passes, and a gap between two looks still refuses.

--- a/entry/admission.go
+++ b/entry/admission.go
@@ -59,7 +59,9 @@
 	// together is true if there are other entries to share with.
 	together bool
 	accounts map[string]*usage
-	looked   time.Time
+	// looked is the last look at the use and at the others; zero before the
+	// first one, since a start may take any time.
+	looked time.Time
 	// fewSince is since when this entry has seen few others, pausedUntil the
 	// end of the distrust after a pause of this process.
 	fewSince    time.Time
@@ -106,7 +108,6 @@
 	return &admitter{
 		metrics:  newAdmissionMetrics(registry),
 		started:  now,
-		looked:   now,
 		shares:   admission.NewShares(),
 		accounts: make(map[string]*usage),
 		queues:   make(map[string]*admission.Queue),
--- a/entry/demand.go
+++ b/entry/demand.go
@@ -57,7 +57,7 @@
 // locked.
 func (e *Entry) apart(now time.Time) bool {
 	a := e.admitter
-	if now.Sub(a.looked) >= maxLookGap {
+	if !a.looked.IsZero() && now.Sub(a.looked) >= maxLookGap {
 		a.pausedUntil = now.Add(maxLookGap)
 	}
 	if e.node.SeesMost() {
@@ -91,7 +91,11 @@
 	a := e.admitter
 	a.shares.SetEntries(e.node.Sharing(), !e.apart(now) && !e.joining(now))
 	a.together = e.node.Sharing() > 1
-	seconds := max(now.Sub(a.looked).Seconds(), 1e-3)
+	since := a.looked
+	if since.IsZero() {
+		since = a.started
+	}
+	seconds := max(now.Sub(since).Seconds(), 1e-3)
 	a.looked = now
 	view := e.config.View()
 	for name, u := range a.accounts {
