Tests and demonstration: addresses that no outgoing connection can take

Cause: addresses were taken from the kernel's range for outgoing connections and given back before the process that they were meant for listened.

internal/loopback hands out ports below that range, each process from a block of its own that it holds by the block's first port. One copy instead of four.

--- a/control/group_test.go
+++ b/control/group_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -23,6 +22,7 @@
 	"github.com/galenaarch/galenaarch/control/client"
 	"github.com/galenaarch/galenaarch/control/replog"
 	"github.com/galenaarch/galenaarch/control/state"
+	"github.com/galenaarch/galenaarch/internal/loopback"
 	"github.com/galenaarch/galenaarch/kernel"
 )
 
@@ -41,10 +41,9 @@
 }
 
 func freeAddress(t testing.TB) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.Address()
 	require.NoError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
+	return address
 }
 
 func newTrio(t testing.TB, count int) *trio { return newTrioWith(t, count, 0) }
--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -19,6 +18,7 @@
 	"github.com/galenaarch/galenaarch/control/client"
 	"github.com/galenaarch/galenaarch/entry"
 	"github.com/galenaarch/galenaarch/examples"
+	"github.com/galenaarch/galenaarch/internal/loopback"
 	"github.com/galenaarch/galenaarch/kernel"
 	"github.com/galenaarch/galenaarch/standin/process"
 	"github.com/galenaarch/galenaarch/steward"
@@ -56,13 +56,11 @@
 type addresses struct{ err error }
 
 func (a *addresses) next() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.Address()
 	if err != nil {
 		a.err = err
-		return ""
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	return address
 }
 
 // Start starts all roles and applies the example document.
--- a/entry/members_test.go
+++ b/entry/members_test.go
@@ -32,6 +32,7 @@
 	"github.com/galenaarch/galenaarch/control"
 	"github.com/galenaarch/galenaarch/directory"
 	"github.com/galenaarch/galenaarch/examples"
+	"github.com/galenaarch/galenaarch/internal/loopback"
 	"github.com/galenaarch/galenaarch/kernel"
 	"github.com/galenaarch/galenaarch/membership"
 	"github.com/galenaarch/galenaarch/transport"
@@ -50,10 +51,9 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.Address()
 	require.NoError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
+	return address
 }
 
 func startRegion(t *testing.T, count int) *region {
--- a/faults/process_test.go
+++ b/faults/process_test.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -15,6 +14,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/galenaarch/galenaarch/internal/loopback"
 )
 
 // Waits of the harness.
@@ -140,10 +141,9 @@
 // address returns a free loopback address.
 func address(t testing.TB) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	free, err := loopback.Address()
 	require.NoError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
+	return free
 }
 
 func dataDir(t testing.TB, root, name string) string {
