Catalogue: a lost owner is logged; a caller that left does not make one lost

Cause: a lookup at another entry ended with the caller's own context and was counted as the owner's silence, so that its contexts were not found for 250 ms. No line said so, nor that an owner took longer than 250 ms, which is how TestKeptContextIsFoundByEveryEntry can find nothing on a busy machine.

Traced: with entries that take twice the limit to answer, a lookup finds 0 of 4 parts at the same line.

--- a/catalogue/catalogue.go
+++ b/catalogue/catalogue.go
@@ -153,15 +153,32 @@
 		var none R
 		return none, errUnreachable
 	}
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	bounded, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	response, err := method(c.peer(owner), ctx, request)
-	if err != nil {
-		c.unreachable.Store(owner, time.Now().Add(unreachableFor))
+	response, err := method(c.peer(owner), bounded, request)
+	switch {
+	case err == nil:
+		c.reached(owner)
+	case ctx.Err() == nil:
+		// A caller that left says nothing of the owner.
+		c.leaveAlone(owner, err)
 	}
 	return response, err
 }
 
+// leaveAlone spares an entry that did not answer; the first time is logged.
+func (c *Catalogue) leaveAlone(owner string, err error) {
+	if _, known := c.unreachable.Swap(owner, time.Now().Add(unreachableFor)); !known {
+		c.Logger.Warn("catalogue: owner lost, its contexts are not found", slog.String("peer", owner), slog.Any("error", err))
+	}
+}
+
+func (c *Catalogue) reached(owner string) {
+	if _, known := c.unreachable.LoadAndDelete(owner); known {
+		c.Logger.Info("catalogue: owner reached", slog.String("peer", owner))
+	}
+}
+
 // Find looks up the kept copies of a context. An owner that does not answer
 // leaves nothing found. It also returns the worth of keeping the context.
 func (c *Catalogue) Find(ctx context.Context, v *kvcache.Visit) ([][]kvcache.Location, float64) {
--- /dev/null
+++ b/internal/logtest/buffer.go
@@ -0,0 +1,27 @@
+// Package logtest collects what loggers write, for tests.
+package logtest
+
+import (
+	"bytes"
+	"sync"
+)
+
+// Buffer is an io.Writer that may be read while loggers write to it.
+type Buffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *Buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+// String is what was written so far.
+func (b *Buffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
