Contexts: where entry instances are many, control asks the holders and tells them

Cause: a store or an engine answers 12 questions at once.

Two control instances ask each holder, by rank, and tell the entry instances in a long poll. The age of the word travels with it, held time and way counted, so that a picture older than 1.5 s is not used, also after a pause of either side.

Ruled out: the length of the stores' memory (10.4 million tokens in them, 9.4 million in all long shared parts); engines' queues (p50 of long prompts 0.5 s).

--- a/contexts/contexts_test.go
+++ b/contexts/contexts_test.go
@@ -154,7 +154,7 @@
 	tokens, known := w.Cached("e:1", parts(part("p", 500)))
 	require.True(t, known)
 	require.Zero(t, tokens, "what was before the gap is not counted on")
-	require.True(t, kept.Holds(Key{"w1", "p"}, 500, w.now()))
+	require.True(t, kept.Holds(Key{"w1", "p"}, 500, w.Now()))
 	require.Equal(t, uint64(5), engine.Cursor())
 }
 
--- a/contexts/plan.go
+++ b/contexts/plan.go
@@ -140,7 +140,7 @@
 		if v, ok := s.saving[p.Key]; ok && now.Sub(v.began) < saveFor {
 			return nil
 		}
-		if s.Engine || !s.writable(now) || s.held[p.Key] > 0 {
+		if s.Engine || !s.writable(now) || s.held[p.Key] > 0 || (s.told && p.Tokens < LeastTold) {
 			continue
 		}
 		room := s.room(now) - p.Tokens
--- a/contexts/store.go
+++ b/contexts/store.go
@@ -78,6 +78,11 @@
 	slowAt time.Time
 	// bringing is the tokens of this instance's transfers under way.
 	bringing int
+	// told is set if the picture is another instance's, which tells only of
+	// parts of LeastTold tokens or more.
+	told bool
+	// journal notes what others are to be told; nil if nobody is.
+	journal *journal
 }
 
 type save struct {
@@ -147,12 +152,18 @@
 }
 
 func (s *Store) clear() {
+	if s.journal != nil {
+		s.journal.add(record{address: s.Address, anew: true})
+	}
 	clear(s.held)
 	clear(s.saving)
 	s.used = 0
 }
 
 func (s *Store) apply(c Change) {
+	if s.journal != nil && max(c.Tokens, s.held[c.Key]) >= LeastTold {
+		s.journal.add(record{address: s.Address, change: c})
+	}
 	s.used += c.Tokens - s.held[c.Key]
 	delete(s.saving, c.Key)
 	if c.Tokens == 0 {
@@ -170,6 +181,17 @@
 	return s.Fresh(now) && tokens > 0 && s.held[k] >= tokens
 }
 
+// everything lists all that is held, of LeastTold tokens or more.
+func (s *Store) everything() News {
+	n := News{Address: s.Address, Epoch: s.epoch, Anew: true}
+	for k, tokens := range s.held {
+		if tokens >= LeastTold {
+			n.Changes = append(n.Changes, Change{Key: k, Tokens: tokens})
+		}
+	}
+	return n
+}
+
 // slowness is what is believed now; 1 is as fast as the figures say.
 func (s *Store) slowness(now time.Time) float64 {
 	if s.slow <= 1 {
--- a/contexts/watch.go
+++ b/contexts/watch.go
@@ -17,6 +17,8 @@
 	pollTimeout = pollWait + 500*time.Millisecond
 	retryPause  = 200 * time.Millisecond
 	maxPause    = time.Second
+	// tellPause lies between two questions of an instance that tells others.
+	tellPause = 60 * time.Millisecond
 )
 
 // Feed asks stores what they hold.
@@ -40,16 +42,23 @@
 	Engine bool
 }
 
-// Watch keeps the pictures of all stores.
+// Watch keeps the pictures of all stores and engines. Some it asks itself, of
+// the others it is told.
 type Watch struct {
-	feed   Feed
-	logger *slog.Logger
-
-	mu      sync.Mutex
-	stores  map[string]*watched
-	order   []*Store
+	feed    Feed
+	logger  *slog.Logger
 	started time.Time
 	boot    time.Duration
+
+	mu     sync.Mutex
+	stores map[string]*watched
+	// told are the places of which other instances tell, pictures what each of
+	// them said, by instance and address.
+	told     map[string]*toldPlace
+	pictures map[string]map[string]*Store
+	order    []*Store
+	// journal notes the changes of the stores; nil if nobody is told of them.
+	journal *journal
 }
 
 type watched struct {
@@ -59,39 +68,81 @@
 
 // NewWatch returns a watch without stores.
 func NewWatch(f Feed, logger *slog.Logger) *Watch {
-	return &Watch{feed: f, logger: logger, stores: make(map[string]*watched), started: time.Now(), boot: kernel.BootTime()}
+	return &Watch{
+		feed: f, logger: logger, stores: make(map[string]*watched), told: make(map[string]*toldPlace),
+		pictures: make(map[string]map[string]*Store), started: time.Now(), boot: kernel.BootTime(),
+	}
+}
+
+// NewTeller returns a watch whose pictures others are told of.
+func NewTeller(f Feed, logger *slog.Logger) *Watch {
+	w := NewWatch(f, logger)
+	w.journal = newJournal()
+	return w
 }
 
-// now is the time on a clock that counts suspensions, so that a machine that
+// Now is the time on a clock that counts suspensions, so that a machine that
 // stood still does not trust what it knew before.
-func (w *Watch) now() time.Time { return w.started.Add(kernel.BootTime() - w.boot) }
+func (w *Watch) Now() time.Time { return w.started.Add(kernel.BootTime() - w.boot) }
 
-// Set makes the watch follow exactly the given stores until the context ends.
-func (w *Watch) Set(ctx context.Context, places []Place) {
+// Set makes the watch ask exactly the places in asked until the context ends,
+// and use what it is told of those in told.
+func (w *Watch) Set(ctx context.Context, asked, told []Place) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	wanted := make(map[string]bool, len(places))
-	for _, p := range places {
+	wanted := make(map[string]bool, len(asked))
+	for _, p := range asked {
 		wanted[p.Address] = true
 		s := w.stores[p.Address]
 		if s == nil {
 			follow, cancel := context.WithCancel(ctx)
 			s = &watched{Store: NewStore(p.Address, p.Zone), cancel: cancel}
-			s.Engine = p.Engine
+			s.journal = w.journal
 			w.stores[p.Address] = s
 			go w.follow(follow, s.Store)
 		}
-		s.Capacity, s.Rate, s.FirstDelay = p.Capacity, p.Rate, p.FirstDelay
+		s.describe(p)
 	}
-	w.order = w.order[:0]
 	for address, s := range w.stores {
 		if !wanted[address] {
 			s.cancel()
 			delete(w.stores, address)
-			continue
+			if w.journal != nil {
+				w.journal.add(record{address: address, dropped: true})
+			}
 		}
+	}
+	w.setTold(told)
+	w.arrange(w.Now())
+}
+
+// describe takes the figures of a place.
+func (s *Store) describe(p Place) {
+	s.Engine, s.Capacity, s.Rate, s.FirstDelay = p.Engine, p.Capacity, p.Rate, p.FirstDelay
+}
+
+// arrange lists the pictures that decisions use; the caller holds the lock.
+func (w *Watch) arrange(now time.Time) {
+	w.order = w.order[:0]
+	for _, s := range w.stores {
 		w.order = append(w.order, s.Store)
 	}
+	for _, t := range w.told {
+		if t.choose(now); t.current != nil {
+			w.order = append(w.order, t.current)
+		}
+	}
+}
+
+// picture is what is known of a place, or nil; the caller holds the lock.
+func (w *Watch) picture(address string) *Store {
+	if s := w.stores[address]; s != nil {
+		return s.Store
+	}
+	if t := w.told[address]; t != nil {
+		return t.current
+	}
+	return nil
 }
 
 // Plan decides the transfers of a prompt's shared parts. End must be called when
@@ -99,7 +150,7 @@
 func (w *Watch) Plan(parts []Part, to Target) Transfers {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return Plan(w.order, parts, to, w.now())
+	return Plan(w.order, parts, to, w.Now())
 }
 
 // End notes that the transfers of a prompt are over; took is 0 if it is not
@@ -107,7 +158,7 @@
 func (w *Watch) End(t *Transfers, took time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	t.end(took, w.now())
+	t.end(took, w.Now())
 }
 
 // Held is how many tokens of the shared parts, from the first on, some store
@@ -115,7 +166,7 @@
 func (w *Watch) Held(parts []Part) (tokens int, took time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	now := w.now()
+	now := w.Now()
 	for _, p := range parts {
 		s := holderOf(w.order, p, Target{}, now)
 		if s == nil {
@@ -128,21 +179,34 @@
 }
 
 // Cached is how many tokens of the shared parts, from the first on, an engine
-// holds; known is false if the engine is not watched or was not heard lately.
+// holds; known is false if the engine is not watched, was not heard lately, or
+// is one of which others tell only of longer parts.
 func (w *Watch) Cached(address string, parts []Part) (tokens int, known bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	s := w.stores[address]
-	if s == nil || !s.Fresh(w.now()) {
+	s := w.picture(address)
+	if s == nil || !s.Fresh(w.Now()) {
 		return 0, false
 	}
+	known = !s.told
 	for _, p := range parts {
+		if s.told && p.Tokens < LeastTold {
+			tokens += p.Tokens // it went the way of the longer ones
+			continue
+		}
+		known = true
 		held := min(s.held[p.Key], p.Tokens)
+		if held == 0 && s.told {
+			return 0, true
+		}
 		tokens += held
 		if held < p.Tokens-blockTokens {
 			break
 		}
 	}
+	if !known {
+		return 0, false
+	}
 	return tokens, true
 }
 
@@ -150,7 +214,7 @@
 func (w *Watch) Read(address string, parts []Part) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if s := w.stores[address]; s != nil && s.Fresh(w.now()) {
+	if s := w.picture(address); s != nil && s.Fresh(w.Now()) {
 		for _, p := range parts {
 			s.apply(Change(p))
 		}
@@ -173,6 +237,10 @@
 				w.logger.Info("store reached", slog.String("address", s.Address))
 			}
 			pause, lost = retryPause, false
+			if w.journal != nil {
+				// Listeners are told several changes at once.
+				rest(ctx, tellPause)
+			}
 			continue
 		case !lost:
 			lost = true
@@ -181,14 +249,18 @@
 		w.mu.Lock()
 		s.Lose()
 		w.mu.Unlock()
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
+		rest(ctx, pause)
 		pause = min(2*pause, maxPause)
 	}
 }
 
+func rest(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 // ask asks once. The picture is as old as the question.
 func (w *Watch) ask(ctx context.Context, s *Store) error {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
@@ -201,10 +273,10 @@
 		return err
 	}
 	w.mu.Lock()
-	whole := s.Take(changes, w.now())
+	whole := s.Take(changes, w.Now())
 	if !whole && s.Engine {
 		// A listing would hold up the engine's requests.
-		s.Skip(changes, w.now())
+		s.Skip(changes, w.Now())
 		whole = true
 	}
 	w.mu.Unlock()
@@ -218,6 +290,6 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	s.Replace(listing, w.now())
+	s.Replace(listing, w.Now())
 	return nil
 }
--- a/fleetview/view.go
+++ b/fleetview/view.go
@@ -50,6 +50,24 @@
 	Hosts []string
 }
 
+// Youngest lists the servers that have not ended; of two lives at one address
+// only the younger one is there.
+func (s *Snapshot) Youngest() []*fleetv1.Announcement {
+	born := make(map[string]int64)
+	for _, a := range s.Servers {
+		if a.State != fleetv1.ServerState_SERVER_STATE_GONE {
+			born[a.Address] = max(born[a.Address], a.BornUnixMs)
+		}
+	}
+	var list []*fleetv1.Announcement
+	for _, a := range s.Servers {
+		if a.State != fleetv1.ServerState_SERVER_STATE_GONE && a.BornUnixMs >= born[a.Address] {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
 // source is one control instance's word.
 type source struct {
 	url      string
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -7,7 +7,7 @@
 
 	"github.com/galenaarch/galenaarch/api/fleetv1"
 	"github.com/galenaarch/galenaarch/config/site"
-	"github.com/galenaarch/galenaarch/contexts"
+	"github.com/galenaarch/galenaarch/contextrelay"
 	"github.com/galenaarch/galenaarch/fleetview"
 	"github.com/galenaarch/galenaarch/placement"
 )
@@ -49,7 +49,7 @@
 	}
 	if next.table != nil {
 		g.place(s, old, next)
-		g.stores.Set(ctx, append(places(next.table, s.Entries, g.peers.self.Name), next.engines()...))
+		g.followContexts(ctx, s, next)
 	}
 	g.world.Store(next)
 	g.retire(old, next)
@@ -58,65 +58,18 @@
 	}
 }
 
-// bytesPerMsMbit turns Mbit/s into bytes a millisecond.
-const bytesPerMsMbit = 1e6 / 8 / 1000
-
-// places lists the stores of a document that this instance watches, with their
-// speed in tokens.
-func places(t *site.Table, entries map[string]*fleetv1.EntryInstance, self string) []contexts.Place {
-	tokenBytes := 0
-	for i := range t.Services {
-		if e := t.Services[i].Engine; e != nil {
-			tokenBytes = max(tokenBytes, e.TokenBytes)
-		}
-	}
-	var list []contexts.Place
-	for i := range t.Services {
-		if s := t.Services[i].Store; s != nil && tokenBytes > 0 && s.LinkMbps > 0 && mayWatch(entries, self, s.Address, s.Watchers) {
-			list = append(list, contexts.Place{
-				Address: s.Address, Zone: s.Zone, Capacity: s.MemoryTokens, FirstDelay: s.FirstDelay,
-				Rate: s.LinkMbps * bytesPerMsMbit / float64(tokenBytes),
-			})
-		}
-	}
-	return list
-}
-
-// engines lists the servers whose caches are watched. Each takes so many
-// questions at once; where there are more instances than that, what engines
-// hold is guessed from the home of each part.
-func (w *world) engines() []contexts.Place {
-	var list []contexts.Place
-	for _, b := range w.backends {
-		s := w.table.Service(b.service.Name)
-		if s != nil && s.Engine != nil && !b.silent.Load() && !b.retired.Load() && w.entries <= s.Engine.Watchers-spareWatchers {
-			list = append(list, contexts.Place{
-				Address: b.address, Zone: b.zone, Engine: true, FirstDelay: engineDelay,
-				Rate: s.Engine.LinkMbps * bytesPerMsMbit / float64(max(1, s.Engine.TokenBytes)),
-			})
-		}
+// followContexts asks stores and engines what they hold, or listens to the
+// control instances that do.
+func (g *Gateway) followContexts(ctx context.Context, s *fleetview.Snapshot, next *world) {
+	asked, told := contextrelay.Split(contextrelay.Holders(next.table, s), next.entries)
+	g.stores.Set(ctx, asked, told)
+	if len(told) > 0 {
+		g.follower.Set(ctx, s.Hosts)
+	} else {
+		g.follower.Set(ctx, nil)
 	}
-	return list
 }
 
-// engineDelay is the start of a transfer between engines, from the users' sheet.
-const engineDelay = 3300 * time.Microsecond
-
-// mayWatch shares the questions that a store takes at once among the entry
-// instances: those with the highest ranks for it ask.
-func mayWatch(entries map[string]*fleetv1.EntryInstance, self, address string, watchers int) bool {
-	own, before := placement.Rank(address, self), 0
-	for name := range entries {
-		if name != self && placement.Rank(address, name) > own {
-			before++
-		}
-	}
-	return watchers == 0 || before < watchers-spareWatchers
-}
-
-// spareWatchers are left for instances that were replaced but may still ask.
-const spareWatchers = 2
-
 // want notes the version of a model that operators ask for.
 func (w *world) want(old *world, model string, version uint64) {
 	w.wanted[model] = version
@@ -187,15 +140,9 @@
 // place lists the servers of each service. Of two lives at one address only the
 // younger one is there.
 func (g *Gateway) place(s *fleetview.Snapshot, old, next *world) {
-	youngest := make(map[string]int64)
-	for _, a := range s.Servers {
-		if a.State != fleetv1.ServerState_SERVER_STATE_GONE {
-			youngest[a.Address] = max(youngest[a.Address], a.BornUnixMs)
-		}
-	}
-	for id, a := range s.Servers {
-		service := next.table.Service(a.Service)
-		if service == nil || a.State != fleetv1.ServerState_SERVER_STATE_READY || a.BornUnixMs < youngest[a.Address] {
+	for _, a := range s.Youngest() {
+		id, service := a.Server, next.table.Service(a.Service)
+		if service == nil || a.State != fleetv1.ServerState_SERVER_STATE_READY {
 			continue
 		}
 		connections := connectionsOf(service, next.entries)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/galenaarch/galenaarch/contextrelay"
 	"github.com/galenaarch/galenaarch/contexts"
 	"github.com/galenaarch/galenaarch/fleetview"
 	"github.com/galenaarch/galenaarch/placement"
@@ -40,12 +41,14 @@
 	dialect Dialect
 	view    *fleetview.View
 	stores  *contexts.Watch
-	peers   *peers
-	zone    string
-	bounds  Bounds
-	logger  *slog.Logger
-	metrics *metrics
-	started time.Time
+	// follower hears of stores and engines that are too busy for each instance.
+	follower *contextrelay.Follower
+	peers    *peers
+	zone     string
+	bounds   Bounds
+	logger   *slog.Logger
+	metrics  *metrics
+	started  time.Time
 
 	world    atomic.Pointer[world]
 	draining atomic.Bool
@@ -60,8 +63,8 @@
 }
 
 // New returns a gateway in a failure domain.
-func New(d Dialect, v *fleetview.View, stores *contexts.Watch, p *peers, zone string, b Bounds, logger *slog.Logger, m *metrics) *Gateway {
-	g := &Gateway{dialect: d, view: v, stores: stores, peers: p, zone: zone, bounds: b, logger: logger, metrics: m, started: time.Now(), budgets: make(map[string]*retry.Window)}
+func New(d Dialect, v *fleetview.View, stores *contexts.Watch, follower *contextrelay.Follower, p *peers, zone string, b Bounds, logger *slog.Logger, m *metrics) *Gateway {
+	g := &Gateway{dialect: d, view: v, stores: stores, follower: follower, peers: p, zone: zone, bounds: b, logger: logger, metrics: m, started: time.Now(), budgets: make(map[string]*retry.Window)}
 	g.world.Store(&world{entries: 1})
 	return g
 }
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/galenaarch/galenaarch/api/fleetv1"
+	"github.com/galenaarch/galenaarch/contextrelay"
 	"github.com/galenaarch/galenaarch/contexts"
 	"github.com/galenaarch/galenaarch/control"
 	"github.com/galenaarch/galenaarch/fleetview"
@@ -138,7 +139,8 @@
 		return err
 	}
 	p.peers = newPeers(self, client, p.logger)
-	p.gateway = New(dialect, p.view, contexts.NewWatch(feed, p.logger), p.peers, p.settings.FailureDomain, p.settings.Bounds, p.logger, newMetrics(ctx.Registry))
+	stores := contexts.NewWatch(feed, p.logger)
+	p.gateway = New(dialect, p.view, stores, contextrelay.NewFollower(stores, client, p.logger), p.peers, p.settings.FailureDomain, p.settings.Bounds, p.logger, newMetrics(ctx.Registry))
 	return nil
 }
 
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -15,6 +15,8 @@
 
 	"github.com/galenaarch/galenaarch/api/controlv1"
 	"github.com/galenaarch/galenaarch/api/fleetv1"
+	"github.com/galenaarch/galenaarch/contextrelay"
+	"github.com/galenaarch/galenaarch/contexts"
 	"github.com/galenaarch/galenaarch/control"
 	"github.com/galenaarch/galenaarch/control/state"
 	"github.com/galenaarch/galenaarch/fleetview"
@@ -83,8 +85,12 @@
 	replica  *control.Replica
 	logger   *slog.Logger
 	hub      *registry.Hub
-	servers  []*http.Server
-	client   *http.Client
+	// surface, view and teller are nil without a surface.
+	surface Surface
+	view    *fleetview.View
+	teller  *contextrelay.Server
+	servers []*http.Server
+	client  *http.Client
 
 	mu      sync.Mutex
 	leaders map[string]controlv1.Control
@@ -108,6 +114,26 @@
 	r.logger = ctx.Logger
 	r.hub = registry.NewHub(r.settings.AnnounceInterval, documents{r.replica}, r.logger)
 	r.replica.Mount(fleetv1.FleetPathPrefix, fleetv1.NewFleetServer(r.hub))
+	if r.settings.Surface == "" {
+		return nil
+	}
+	return r.provisionSurface()
+}
+
+// provisionSurface makes what speaks with the world and tells entry instances of
+// it.
+func (r *Registrar) provisionSurface() error {
+	var err error
+	if r.surface, err = kernel.New[Surface](kernel.ID("registrar.surface." + r.settings.Surface)); err != nil {
+		return err
+	}
+	feed, err := kernel.New[contexts.Feed](kernel.ID("contexts.feed." + r.settings.Surface))
+	if err != nil {
+		return err
+	}
+	r.view = fleetview.New([]string{r.replica.URL()}, nil, r.client, r.logger)
+	r.teller = contextrelay.NewServer(r.replica.URL(), feed, r.view, r.surface.Document, r.logger)
+	r.replica.Mount(fleetv1.ContextsPathPrefix, fleetv1.NewContextsServer(r.teller))
 	return nil
 }
 
@@ -117,25 +143,23 @@
 // Start implements kernel.Starter.
 func (r *Registrar) Start(ctx context.Context) error {
 	go r.hub.Run(ctx)
-	if r.settings.Surface == "" {
+	if r.surface == nil {
 		return nil
 	}
-	surface, err := kernel.New[Surface](kernel.ID("registrar.surface." + r.settings.Surface))
-	if err != nil {
-		return err
-	}
-	if err := r.orderWeights(ctx, surface); err != nil {
+	r.view.Start(ctx)
+	if err := r.orderWeights(ctx); err != nil {
 		return err
 	}
-	if err := r.serve(r.settings.Listen, surface.Control(r)); err != nil {
+	go r.teller.Run(ctx)
+	if err := r.serve(r.settings.Listen, r.surface.Control(r)); err != nil {
 		return err
 	}
-	return r.serve(r.settings.DirectoryListen, surface.Directory(r))
+	return r.serve(r.settings.DirectoryListen, r.surface.Directory(r))
 }
 
 // orderWeights begins to bring servers to the weights asked for, whenever this
 // replica leads.
-func (r *Registrar) orderWeights(ctx context.Context, surface Surface) error {
+func (r *Registrar) orderWeights(ctx context.Context) error {
 	engines, err := kernel.New[weights.Engines](kernel.ID("weights.engines." + r.settings.Surface))
 	if err != nil {
 		return err
@@ -144,9 +168,7 @@
 	if err != nil {
 		return err
 	}
-	view := fleetview.New([]string{r.replica.URL()}, nil, r.client, r.logger)
-	view.Start(ctx)
-	runner := weights.NewRunner(r.replica.Instance(), r.settings.OrderLease, r.settings.WeightsWithin, engines, stores, r.replica, view, r.hub.Observe, surface.Document, r.logger)
+	runner := weights.NewRunner(r.replica.Instance(), r.settings.OrderLease, r.settings.WeightsWithin, engines, stores, r.replica, r.view, r.hub.Observe, r.surface.Document, r.logger)
 	go runner.Run(ctx)
 	return nil
 }
