Placement: the scorer is a module; prefix affinity and least load are baselines

-placement selects what Pick takes the cheapest of: expected-time (as before), prefix-affinity (a prompt goes to the home of its shared part whatever the load) or least-load.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -44,6 +44,7 @@
 	// follower hears of stores and engines that are too busy for each instance.
 	follower *contextrelay.Follower
 	peers    *peers
+	scorer   placement.Scorer
 	zone     string
 	bounds   Bounds
 	logger   *slog.Logger
@@ -64,8 +65,8 @@
 }
 
 // New returns a gateway in a failure domain.
-func New(d Dialect, v *fleetview.View, stores *contexts.Watch, follower *contextrelay.Follower, p *peers, zone string, b Bounds, logger *slog.Logger, m *metrics) *Gateway {
-	g := &Gateway{dialect: d, view: v, stores: stores, follower: follower, peers: p, zone: zone, bounds: b, logger: logger, metrics: m, started: time.Now(), budgets: make(map[string]*retry.Window)}
+func New(d Dialect, v *fleetview.View, stores *contexts.Watch, follower *contextrelay.Follower, p *peers, by placement.Scorer, zone string, b Bounds, logger *slog.Logger, m *metrics) *Gateway {
+	g := &Gateway{dialect: d, view: v, stores: stores, follower: follower, peers: p, scorer: by, zone: zone, bounds: b, logger: logger, metrics: m, started: time.Now(), budgets: make(map[string]*retry.Window)}
 	g.world.Store(&world{entries: 1})
 	return g
 }
@@ -149,7 +150,7 @@
 		}
 		c.locate(candidates, servers)
 	}
-	i := placement.Pick(servers, c.job(), func(i int) bool { return c.tried[candidates[i].id] }, rand.Float64())
+	i := placement.Pick(g.scorer, servers, c.job(), func(i int) bool { return c.tried[candidates[i].id] }, rand.Float64())
 	if i < 0 {
 		return nil
 	}
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -20,6 +20,7 @@
 	"github.com/galenaarch/galenaarch/httpserver"
 	"github.com/galenaarch/galenaarch/kernel"
 	"github.com/galenaarch/galenaarch/kernel/settings"
+	"github.com/galenaarch/galenaarch/placement"
 )
 
 // Times of the listeners.
@@ -50,6 +51,8 @@
 type Settings struct {
 	Instance, FailureDomain string
 	Dialect                 string
+	// Placement names the module that scores servers for a request.
+	Placement string
 	// Listen is where callers connect, ReadyListen where the platform asks
 	// whether the instance is ready.
 	Listen, ReadyListen string
@@ -68,6 +71,7 @@
 	fs.StringVar(&s.Instance, "instance", "", "name of this instance")
 	fs.StringVar(&s.FailureDomain, "failure-domain", "", "failure domain of this instance")
 	fs.StringVar(&s.Dialect, "dialect", "", "module that decodes what callers and servers say")
+	fs.StringVar(&s.Placement, "placement", placement.DefaultScorer, "module that scores servers: expected-time; prefix-affinity and least-load are baselines")
 	fs.StringVar(&s.Listen, "listen", "", "IP:port for callers")
 	fs.StringVar(&s.ReadyListen, "ready-listen", "", "IP:port for questions whether this instance is ready")
 	fs.StringVar(&s.PeerListen, "peer-listen", "", "IP:port for other entry instances")
@@ -84,6 +88,7 @@
 	c.Required("instance", s.Instance)
 	c.Required("failure-domain", s.FailureDomain)
 	c.Required("dialect", s.Dialect)
+	c.Required("placement", s.Placement)
 	c.Address("listen", s.Listen)
 	c.Address("ready-listen", s.ReadyListen)
 	c.Address("peer-listen", s.PeerListen)
@@ -139,8 +144,12 @@
 		return err
 	}
 	p.peers = newPeers(self, client, p.logger)
+	scorer, err := placement.NewScorer(p.settings.Placement)
+	if err != nil {
+		return err
+	}
 	stores := contexts.NewWatch(feed, p.logger)
-	p.gateway = New(dialect, p.view, stores, contextrelay.NewFollower(stores, client, p.logger), p.peers, p.settings.FailureDomain, p.settings.Bounds, p.logger, newMetrics(ctx.Registry))
+	p.gateway = New(dialect, p.view, stores, contextrelay.NewFollower(stores, client, p.logger), p.peers, scorer, p.settings.FailureDomain, p.settings.Bounds, p.logger, newMetrics(ctx.Registry))
 	return nil
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -142,9 +142,9 @@
 	return int(readTime(&s, &j).Seconds()*1000*j.ReadRate) + stepTokens
 }
 
-// Pick returns the index of the best server, or -1 if there is none. skip names
+// Pick returns the index of the cheapest server, or -1 if there is none. skip names
 // servers that this request must not go to. at breaks ties and is in [0, 1).
-func Pick(servers []Server, j Job, skip func(i int) bool, at float64) int {
+func Pick(by Scorer, servers []Server, j Job, skip func(i int) bool, at float64) int {
 	best, bestCost := -1, time.Duration(math.MaxInt64)
 	rested := 0
 	for i := range servers {
@@ -170,7 +170,7 @@
 			if pass == 0 && !ignoreRest && (s.Resting || (s.Trial && (!j.Repeatable || s.Running > 0))) {
 				continue
 			}
-			if c := Cost(s, &j); c < bestCost {
+			if c := by.Cost(s, &j); c < bestCost {
 				best, bestCost = i, c
 			}
 		}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -49,7 +49,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			for _, at := range []float64{0, 0.4, 0.99} {
-				require.Equal(t, tt.want, Pick(tt.servers, tt.job, tt.skip, at))
+				require.Equal(t, tt.want, Pick(ExpectedTime{}, tt.servers, tt.job, tt.skip, at))
 			}
 		})
 	}
@@ -58,7 +58,7 @@
 func TestTiesSpread(t *testing.T) {
 	seen := make(map[int]bool)
 	for i := range 10 {
-		seen[Pick(servers(5), Job{}, none, float64(i)/10)] = true
+		seen[Pick(ExpectedTime{}, servers(5), Job{}, none, float64(i)/10)] = true
 	}
 	require.Len(t, seen, 5)
 }
@@ -79,14 +79,14 @@
 	require.Equal(t, list, again, "alike at every instance")
 
 	question, long := Job{PromptTokens: 300, ReadRate: 50}, Job{PromptTokens: 15_000, ReadRate: 50, Long: true}
-	require.Equal(t, GroupShort, list[Pick(list, question, none, 0.3)].Group)
-	require.Equal(t, GroupLong, list[Pick(list, long, none, 0.3)].Group)
+	require.Equal(t, GroupShort, list[Pick(ExpectedTime{}, list, question, none, 0.3)].Group)
+	require.Equal(t, GroupLong, list[Pick(ExpectedTime{}, list, long, none, 0.3)].Group)
 	for i := range list {
 		if list[i].Group == GroupLong {
 			list[i].ReadingTokens = 40_000
 		}
 	}
-	require.Equal(t, GroupShort, list[Pick(list, long, none, 0.3)].Group, "800 ms of reading outweigh the delay of others")
+	require.Equal(t, GroupShort, list[Pick(ExpectedTime{}, list, long, none, 0.3)].Group, "800 ms of reading outweigh the delay of others")
 	two := servers(2)
 	Split(two, id)
 	require.Equal(t, GroupAny, two[0].Group)
@@ -122,7 +122,7 @@
 			list := servers(n)
 			job := Job{PromptTokens: 10_000, ReadRate: 50, Long: true}
 			for range b.N {
-				Pick(list, job, none, 0.5)
+				Pick(ExpectedTime{}, list, job, none, 0.5)
 			}
 		})
 	}
