Contexts: a part is kept in the same store whoever reads it first

Cause: each instance kept a part where it saw most room.

Now stores are ranked for a part alike at every instance, by their capacity, and the first with room keeps it.

--- a/contexts/plan.go
+++ b/contexts/plan.go
@@ -1,6 +1,11 @@
 package contexts
 
-import "time"
+import (
+	"math"
+	"time"
+
+	"github.com/galenaarch/galenaarch/placement"
+)
 
 // Part is a part of a prompt that other prompts share.
 type Part struct {
@@ -78,7 +83,7 @@
 
 // keep has a part saved at a store, if one is to keep it.
 func (t *Transfers) keep(i int, stores []*Store, p Part, to Target, now time.Time) {
-	if home := keeperOf(stores, p, to.Zone, now); home != nil {
+	if home := keeperOf(stores, p, now); home != nil {
 		home.saving[p.Key] = save{tokens: p.Tokens, began: now}
 		t.Save[i] = home.Address
 		return
@@ -128,14 +133,16 @@
 	return best
 }
 
-// keeperOf is the store that is to keep a part: the one with the most room. It
-// is nil if the part is short, is being saved, or has no room anywhere.
-func keeperOf(stores []*Store, p Part, zone string, now time.Time) *Store {
+// keeperOf is the store that is to keep a part, alike at every instance: a part
+// that several read at the same time for the first time is then kept once (many
+// callers at once, before anything is kept). Stores get parts by their capacity.
+// It is nil if the part is short, is being saved, or has no room anywhere.
+func keeperOf(stores []*Store, p Part, now time.Time) *Store {
 	if p.Tokens < leastKept {
 		return nil
 	}
 	var best *Store
-	bestRoom := 0
+	bestRank := 0.0
 	for _, s := range stores {
 		if v, ok := s.saving[p.Key]; ok && now.Sub(v.began) < saveFor {
 			return nil
@@ -143,16 +150,19 @@
 		if s.Engine || !s.writable(now) || s.held[p.Key] > 0 || (s.told && p.Tokens < LeastTold) {
 			continue
 		}
-		room := s.room(now) - p.Tokens
-		if room <= 0 {
+		if s.room(now) <= p.Tokens {
 			continue
 		}
-		if s.Zone == zone {
-			room *= farFactor // a save within the domain is half as dear
-		}
-		if room > bestRoom {
-			best, bestRoom = s, room
+		if rank := keeperRank(p.Key, s); best == nil || rank > bestRank {
+			best, bestRank = s, rank
 		}
 	}
 	return best
 }
+
+// keeperRank orders stores for a part so that each is first for a share of the
+// parts that is its share of all capacity.
+func keeperRank(k Key, s *Store) float64 {
+	at := (float64(placement.Rank(k.Salt+"/"+k.Part, s.Address)>>11) + 0.5) / (1 << 53)
+	return -float64(s.Capacity) / math.Log(at)
+}
