Fleet view: a large document is fetched once, compressed, the newest version only

Cause: control instances sent every version of a document in the answer to each poll, so that an entry instance got nine copies of each. With 274 KB (many routes) and seven versions a second that is 17 MB/s on a link of 3 MB/s; the word of the leaving server came behind it.

Seen in its logs: versions 26 to 58 between 26.0 and 27.8 s; the servers' word at control instances at 27.7 s; 208 lines "control instance lost" at entry instances from 25 to 32 s, since polls ended at their limit of 1.1 s before the answer was over the link, and were asked again from the start.

Now a poll names versions only; the listener fetches the newest one from one instance that named it, compressed, and moves on to another one if that fails.

Two tests hold the rest: the instance that named a version is gone; a leaving server is heard of during a storm of documents.

--- a/fleetview/view.go
+++ b/fleetview/view.go
@@ -78,8 +78,10 @@
 	servers  map[string]*fleetv1.Announcement
 	entries  []*fleetv1.EntryInstance
 	answered time.Time
-	// named is when a member list last held the instance.
-	named time.Time
+	// listed is when a member list last held the instance.
+	listed time.Time
+	// named holds the newest versions of documents that it named.
+	named map[string]uint64
 	lost  bool
 }
 
@@ -95,6 +97,7 @@
 	ctx     context.Context
 	sources map[string]*source
 	docs    map[string]*controlv1.PublishedDocument
+	wanted  map[string]*wanted
 	self    *fleetv1.EntryInstance
 	wake    chan struct{}
 	changed chan struct{}
@@ -105,7 +108,7 @@
 func New(seeds []string, self *fleetv1.EntryInstance, client *http.Client, logger *slog.Logger) *View {
 	v := &View{
 		client: client, logger: logger, seeds: seeds, sources: make(map[string]*source), self: self,
-		docs: make(map[string]*controlv1.PublishedDocument), wake: make(chan struct{}), changed: make(chan struct{}),
+		docs: make(map[string]*controlv1.PublishedDocument), wanted: make(map[string]*wanted), wake: make(chan struct{}), changed: make(chan struct{}),
 	}
 	v.current.Store(&Snapshot{})
 	return v
@@ -150,13 +153,13 @@
 	now := time.Now()
 	for _, url := range urls {
 		if s := v.sources[url]; s != nil {
-			s.named = now
+			s.listed = now
 			continue
 		}
 		ctx, cancel := context.WithCancel(v.ctx)
 		s := &source{
 			url: url, client: fleetv1.NewFleetProtobufClient(url, v.client), cancel: cancel,
-			servers: make(map[string]*fleetv1.Announcement), named: now,
+			servers: make(map[string]*fleetv1.Announcement), named: make(map[string]uint64), listed: now,
 		}
 		v.sources[url] = s
 		go v.follow(ctx, s)
@@ -191,10 +194,7 @@
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	v.mu.Lock()
-	req := &fleetv1.SyncRequest{Self: v.self, Feed: s.feed, Cursor: s.cursor, Known: make(map[string]uint64, len(v.docs)), WaitMs: uint32(pollWait.Milliseconds())}
-	for name, d := range v.docs {
-		req.Known[name] = d.Version
-	}
+	req := &fleetv1.SyncRequest{Self: v.self, Feed: s.feed, Cursor: s.cursor, Known: v.known(), WaitMs: uint32(pollWait.Milliseconds())}
 	wake := v.wake
 	v.mu.Unlock()
 	woken := make(chan struct{})
@@ -233,7 +233,7 @@
 		s.servers, s.feed, s.cursor = make(map[string]*fleetv1.Announcement), 0, 0
 		v.publish()
 	}
-	if now.Sub(s.named) < dropAfter || slices.Contains(v.seeds, s.url) {
+	if now.Sub(s.listed) < dropAfter || slices.Contains(v.seeds, s.url) {
 		return false
 	}
 	delete(v.sources, s.url)
@@ -260,11 +260,7 @@
 		s.servers[a.Server] = a
 	}
 	for _, d := range r.Documents {
-		// Invariant: in one life of this process a document never goes back.
-		if held := v.docs[d.Name]; held == nil || d.Version > held.Version {
-			v.docs[d.Name] = d
-			news = true
-		}
+		v.want(s, d.Name, d.Version)
 	}
 	v.listen(r.ControlUrls)
 	if news {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -113,7 +113,7 @@
 func (r *Registrar) Provision(ctx *kernel.Context) error {
 	r.logger = ctx.Logger
 	r.hub = registry.NewHub(r.settings.AnnounceInterval, documents{r.replica}, r.logger)
-	r.replica.Mount(fleetv1.FleetPathPrefix, fleetv1.NewFleetServer(r.hub))
+	r.replica.Mount(fleetv1.FleetPathPrefix, httpserver.Compressed(fleetv1.NewFleetServer(r.hub)))
 	if r.settings.Surface == "" {
 		return nil
 	}
--- a/registry/hub.go
+++ b/registry/hub.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/twitchtv/twirp"
+
 	"github.com/galenaarch/galenaarch/api/controlv1"
 	"github.com/galenaarch/galenaarch/api/fleetv1"
 )
@@ -211,13 +213,23 @@
 	}
 }
 
+// Document implements fleetv1.Fleet.
+func (h *Hub) Document(_ context.Context, r *fleetv1.DocumentRequest) (*controlv1.PublishedDocument, error) {
+	for _, d := range h.documents.Published() {
+		if d.Name == r.Name {
+			return d, nil
+		}
+	}
+	return nil, twirp.NotFoundError("this instance holds no document " + r.Name)
+}
+
 // respond builds what the caller does not know, and the channel that says when
 // there is more.
 func (h *Hub) respond(req *fleetv1.SyncRequest, cursor uint64) (*fleetv1.SyncResponse, <-chan struct{}) {
 	response := &fleetv1.SyncResponse{Feed: h.feed, ControlUrls: h.documents.Members()}
 	for _, d := range h.documents.Published() {
 		if d.Version > req.Known[d.Name] {
-			response.Documents = append(response.Documents, d)
+			response.Documents = append(response.Documents, &fleetv1.DocumentVersion{Name: d.Name, Version: d.Version})
 		}
 	}
 	h.mu.Lock()
