Gateway: the document's limit on heads is kept; a refusal names servers and document

Heads above max_header_bytes were passed on up to 64 KiB: now 431, before any dispatch (two cases of TestWhatIsRefusedNeverReachesAServer failed with 200). "request refused" carries how many servers of the service were known and the document in force, so that "no server" tells a lost picture from a resting fleet.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -75,6 +75,21 @@
 	return target
 }
 
+// lineBytes is what a head line holds besides name and value: a colon, a space
+// and the end of the line.
+const lineBytes = 4
+
+// headBytes is the size of a request's head as the caller sent it.
+func headBytes(r *http.Request) int {
+	sum := len(r.Method) + len(r.RequestURI) + len(r.Proto) + lineBytes + len("Host") + len(r.Host) + lineBytes
+	for name, values := range r.Header {
+		for _, v := range values {
+			sum += len(name) + len(v) + lineBytes
+		}
+	}
+	return sum
+}
+
 // read takes the whole body, so that it can be sent again. It answers the
 // caller itself and returns false if that fails.
 func (c *call) read(rw http.ResponseWriter, r *http.Request) bool {
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -36,12 +36,7 @@
 	old := g.world.Load()
 	next := &world{backends: make(map[string]*backend), services: make(map[string][]*backend), wanted: make(map[string]uint64), named: make(map[string]time.Time)}
 	next.table = g.document(s, old)
-	next.entries = max(len(s.Entries), 1)
-	if old != nil {
-		// Invariant: shares only shrink in one life of this process, since an
-		// instance that was lost may still be at work.
-		next.entries = max(next.entries, old.entries)
-	}
+	next.entries = countEntries(len(s.Entries), old.entries)
 	for name, d := range s.Documents {
 		if model, ok := site.WeightsModel(name); ok {
 			next.want(old, model, d.Version)
@@ -166,6 +161,11 @@
 	}
 }
 
+// countEntries is among how many instances shared bounds are split. Invariant:
+// shares only shrink in one life of this process, since an instance that was
+// lost may still be at work.
+func countEntries(seen, before int) int { return max(1, seen, before) }
+
 func connectionsOf(s *site.Service, entries int) int {
 	if s.MaxConnections == 0 {
 		return 0
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -187,6 +187,10 @@
 		g.refuse(rw, c, http.StatusServiceUnavailable, "no document yet", comeBack(), nil)
 		return
 	}
+	if limit := w.table.Limits.HeaderBytes; limit > 0 && headBytes(r) > limit {
+		g.refuse(rw, c, http.StatusRequestHeaderFieldsTooLarge, "head too large", 0, nil)
+		return
+	}
 	if status, reason := c.admit(r); status != 0 {
 		g.refuse(rw, c, status, reason, 0, nil)
 		return
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -156,12 +156,17 @@
 // refuse writes an answer of the gateway's own.
 func (g *Gateway) refuse(rw http.ResponseWriter, c *call, status int, why string, after time.Duration, err error) {
 	g.metrics.outcome(c, why)
-	route := ""
+	route, servers, document := "", 0, uint64(0)
 	if c.route != nil {
 		route = c.route.Name
 	}
+	if c.service != nil {
+		w := g.world.Load()
+		servers, document = len(w.services[c.service.Name]), w.table.Version
+	}
 	g.logger.Info("request refused", slog.String("request", c.request.ID), slog.String("route", route), slog.Int("status", status),
-		slog.String("reason", why), slog.Int("sends", c.sends), slog.Bool("may_have_run", c.ran), slog.Duration("come_back", after),
+		slog.String("reason", why), slog.Int("sends", c.sends), slog.Bool("may_have_run", c.ran), slog.Int("servers_known", servers),
+		slog.Uint64("document", document), slog.Duration("come_back", after),
 		slog.Duration("took", time.Since(c.began)), slog.Any("error", err))
 	g.dialect.Refusal(rw.Header(), c.request.ID, after)
 	rw.Header().Set("Content-Type", "text/plain; charset=utf-8")
