--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -153,6 +153,15 @@
 	c.gateway.refuse(rw, c, status, string(why), after, nil)
 }
 
+// patienceGiven is the time that the caller and the route left; 0 if the request
+// was refused before that was known.
+func (c *call) patienceGiven() time.Duration {
+	if c.deadline.IsZero() {
+		return 0
+	}
+	return c.deadline.Sub(c.began)
+}
+
 // refuse writes an answer of the gateway's own.
 func (g *Gateway) refuse(rw http.ResponseWriter, c *call, status int, why string, after time.Duration, err error) {
 	g.metrics.outcome(c, why)
@@ -166,7 +175,7 @@
 	}
 	g.logger.Info("request refused", slog.String("request", c.request.ID), slog.String("route", route), slog.Int("status", status),
 		slog.String("reason", why), slog.Int("sends", c.sends), slog.Bool("may_have_run", c.ran), slog.Int("servers_known", servers),
-		slog.Uint64("document", document), slog.Duration("come_back", after),
+		slog.Uint64("document", document), slog.Duration("come_back", after), slog.Duration("patience", c.patienceGiven()),
 		slog.Duration("took", time.Since(c.began)), slog.Any("error", err))
 	g.dialect.Refusal(rw.Header(), c.request.ID, after)
 	rw.Header().Set("Content-Type", "text/plain; charset=utf-8")
