Placement: a long prompt is charged for the short ones behind it; an emulator replays load patterns

Now a long prompt at such a server also costs ten times the reading that is already before it there, beyond 100 ms.

emulator/ plays a load pattern (a small file) against a model of engines, plain services and entry instances in virtual time, with the product's own decisions; galena-load -pattern compares placements on it, with a plot.

--- a/cmd/galena-load/main.go
+++ b/cmd/galena-load/main.go
@@ -12,8 +12,10 @@
 	"path/filepath"
 	"time"
 
+	"github.com/galenaarch/galenaarch/emulator"
 	"github.com/galenaarch/galenaarch/kernel/settings"
 	"github.com/galenaarch/galenaarch/load"
+	"github.com/galenaarch/galenaarch/placement"
 )
 
 // applyTimeout bounds the wait for the control replicas.
@@ -29,6 +31,10 @@
 	stores  string
 	weights string
 
+	pattern string
+	scorers string
+	plotted string
+
 	trace       string
 	policy      string
 	keeping     string
@@ -54,6 +60,9 @@
 func (o *options) RegisterFlags(fs *flag.FlagSet) {
 	fs.BoolVar(&o.apply, "apply", false, "put the experiment's document in force and exit")
 	fs.BoolVar(&o.bound, "bound", false, "print the trace's bound and exit")
+	fs.StringVar(&o.pattern, "pattern", "", "file of a load pattern; it is played in the emulator under each of -scorers, and nothing else is done")
+	fs.StringVar(&o.scorers, "scorers", "expected-time,prefix-affinity,least-load", "placement modules compared on -pattern, comma-separated")
+	fs.StringVar(&o.plotted, "plot", "", "PNG file for the times to the first event on -pattern")
 	fs.StringVar(&o.table, "table", "", "folder whose reports are written as a table and plots; then exit")
 	fs.StringVar(&o.control, "control", "http://127.0.0.1:8090", "base URLs of the control replicas, comma-separated")
 	fs.StringVar(&o.entries, "entries", "http://127.0.0.1:8080", "base URLs of the entries' caller listeners, comma-separated")
@@ -107,6 +116,8 @@
 
 func run(ctx context.Context, o *options) error {
 	switch {
+	case o.pattern != "":
+		return o.emulate()
 	case o.table != "":
 		return table(o.table)
 	case o.apply:
@@ -128,6 +139,30 @@
 	return o.play(ctx, trace, bound)
 }
 
+// emulate compares placements on a load pattern, in virtual time.
+func (o *options) emulate() error {
+	raw, err := os.ReadFile(o.pattern)
+	if err != nil {
+		return err
+	}
+	p, err := emulator.Decode(raw)
+	if err != nil {
+		return err
+	}
+	var results []*emulator.Result
+	for _, name := range settings.List(o.scorers) {
+		scorer, err := placement.NewScorer(name)
+		if err != nil {
+			return err
+		}
+		results = append(results, emulator.Play(p, emulator.Policy{Name: name, Scorer: scorer}))
+	}
+	if err := emulator.WriteTable(os.Stdout, results); err != nil || o.plotted == "" {
+		return err
+	}
+	return load.PlotPattern(o.plotted, results)
+}
+
 func (o *options) play(ctx context.Context, trace *load.Trace, bound load.Bound) error {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}}
 	experiment := &load.Experiment{
--- /dev/null
+++ b/emulator/result.go
@@ -0,0 +1,117 @@
+package emulator
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"time"
+)
+
+// Result is what callers saw of one run.
+type Result struct {
+	Pattern, Policy string
+	Kinds           []KindResult
+}
+
+// KindResult is what callers of one kind saw.
+type KindResult struct {
+	Name string
+	// Asked, OnTime, Late and Failed count requests; a caller that was refused
+	// and came back counts once.
+	Asked, OnTime, Late, Failed int
+	// Refusals counts answers "not run", RefusalP95 is the time to one.
+	Refusals   int
+	RefusalP95 time.Duration
+	// Credit is what was earned of Owed.
+	Credit, Owed float64
+	// Times are how long answers took, in order.
+	Times    []time.Duration
+	kind     *Kind
+	refusals []time.Duration
+}
+
+func newResult(p *Pattern, policy string) *Result {
+	r := &Result{Pattern: p.Name, Policy: policy}
+	for i := range p.Kinds {
+		r.Kinds = append(r.Kinds, KindResult{Name: p.Kinds[i].Name, kind: &p.Kinds[i]})
+	}
+	return r
+}
+
+func (r *Result) ask(kind int) {
+	k := &r.Kinds[kind]
+	k.Asked++
+	k.Owed += k.kind.Worth
+}
+
+func (r *Result) serve(kind int, took time.Duration) {
+	k := &r.Kinds[kind]
+	k.Times = append(k.Times, took)
+	if took <= milliseconds(k.kind.ObjectiveMS) {
+		k.OnTime++
+		k.Credit += k.kind.Worth
+		return
+	}
+	k.Late++
+	k.Credit += k.kind.LateWorth
+}
+
+func (r *Result) fail(kind int) { r.Kinds[kind].Failed++ }
+
+func (r *Result) refuse(kind int, took time.Duration) {
+	k := &r.Kinds[kind]
+	k.Refusals++
+	k.refusals = append(k.refusals, took)
+}
+
+func (r *Result) finish() {
+	for i := range r.Kinds {
+		k := &r.Kinds[i]
+		slices.Sort(k.Times)
+		k.RefusalP95 = quantile(k.refusals, 0.95)
+	}
+}
+
+// Quantile is the time within which a share of the answers came.
+func (k *KindResult) Quantile(q float64) time.Duration { return quantile(k.Times, q) }
+
+func quantile(list []time.Duration, q float64) time.Duration {
+	if len(list) == 0 {
+		return 0
+	}
+	slices.Sort(list)
+	return list[int(q*float64(len(list)-1))]
+}
+
+// Share is the credit earned of that owed, over all kinds.
+func (r *Result) Share() float64 {
+	credit, owed := 0.0, 0.0
+	for i := range r.Kinds {
+		credit, owed = credit+r.Kinds[i].Credit, owed+r.Kinds[i].Owed
+	}
+	if owed == 0 {
+		return 0
+	}
+	return credit / owed
+}
+
+// WriteTable writes results side by side.
+func WriteTable(w io.Writer, results []*Result) error {
+	if _, err := fmt.Fprintf(w, "%-14s %-18s %-14s %7s %7s %6s %7s %8s %7s %7s %10s\n",
+		"pattern", "policy", "kind", "asked", "on time", "late", "failed", "refusals", "credit", "p50 ms", "p95 ms"); err != nil {
+		return err
+	}
+	for _, r := range results {
+		for i := range r.Kinds {
+			k := &r.Kinds[i]
+			if _, err := fmt.Fprintf(w, "%-14s %-18s %-14s %7d %7d %6d %7d %8d %7.3f %7d %10d\n", r.Pattern, r.Policy, k.Name, k.Asked, k.OnTime,
+				k.Late, k.Failed, k.Refusals, k.Credit/max(k.Owed, 1e-9), k.Quantile(0.5).Milliseconds(), k.Quantile(0.95).Milliseconds()); err != nil {
+				return err
+			}
+		}
+		if _, err := fmt.Fprintf(w, "%-14s %-18s all kinds: credit %.3f\n", r.Pattern, r.Policy, r.Share()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/load/table.go
+++ b/load/table.go
@@ -14,6 +14,8 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
+
+	"github.com/galenaarch/galenaarch/emulator"
 )
 
 // ReadReports reads every report of a folder.
@@ -91,13 +93,6 @@
 // Plot draws time to first token over percentiles of one class, a line for
 // each report.
 func Plot(path, class string, reports []*Report) error {
-	p := plot.New()
-	p.Title.Text = "time to first token, " + class
-	p.X.Label.Text = "percentile"
-	p.Y.Label.Text = "milliseconds"
-	p.Y.Scale = plot.LogScale{}
-	p.Y.Tick.Marker = plot.LogTicks{Prec: -1}
-	p.Legend.Top, p.Legend.Left = true, true
 	var lines []any
 	for _, r := range reports {
 		c, ok := r.Classes[class]
@@ -110,9 +105,40 @@
 		}
 		lines = append(lines, fmt.Sprintf("%s at %.2f, %s", r.Policy, r.Load, r.Fault), points)
 	}
+	return plotTimes(path, "time to first token, "+class, lines)
+}
+
+// PlotPattern draws the time to the first event over percentiles, a line for
+// each kind of request under each policy.
+func PlotPattern(path string, results []*emulator.Result) error {
+	var lines []any
+	title := ""
+	for _, r := range results {
+		title = "time to the first event, " + r.Pattern
+		for i := range r.Kinds {
+			k := &r.Kinds[i]
+			points := make(plotter.XYs, 0, len(quantiles))
+			for _, q := range quantiles {
+				points = append(points, plotter.XY{X: q, Y: max(float64(k.Quantile(q/100).Milliseconds()), 1)})
+			}
+			lines = append(lines, k.Name+", "+r.Policy, points)
+		}
+	}
+	return plotTimes(path, title, lines)
+}
+
+// plotTimes draws pairs of a name and its points.
+func plotTimes(path, title string, lines []any) error {
 	if len(lines) == 0 {
 		return nil
 	}
+	p := plot.New()
+	p.Title.Text = title
+	p.X.Label.Text = "percentile"
+	p.Y.Label.Text = "milliseconds"
+	p.Y.Scale = plot.LogScale{}
+	p.Y.Tick.Marker = plot.LogTicks{Prec: -1}
+	p.Legend.Top, p.Legend.Left = true, true
 	if err := plotutil.AddLinePoints(p, lines...); err != nil {
 		return eris.Wrap(err, "add lines")
 	}
--- a/placement/group.go
+++ b/placement/group.go
@@ -27,8 +27,22 @@
 	// long prompt there delays many, a short one risks meeting a long one.
 	longAmongShort = 250 * time.Millisecond
 	shortAmongLong = 85 * time.Millisecond
+	// shortSlack is the reading that a server for short prompts may have before
+	// it and still answer them on time; beyond it, each moment that a long prompt
+	// adds is lost by the short ones behind it, some crowdFactor at a time.
+	shortSlack  = 100 * time.Millisecond
+	crowdFactor = 10
 )
 
+// amongShort is what a long prompt costs besides its own wait at a server for
+// short ones that would be reading for a time with it. Without the part that
+// grows, long prompts follow each other to the short ones' servers when there is
+// more to read than can be read, and nothing is on time any more (many callers at
+// once; a quarter of the servers dark).
+func amongShort(reading time.Duration) time.Duration {
+	return longAmongShort + crowdFactor*max(0, reading-shortSlack)
+}
+
 // GroupRank orders servers by their group: those with the highest ranks take
 // short prompts.
 func GroupRank(server string) uint64 { return Rank("short prompts", server) }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -95,7 +95,7 @@
 			cost += awayPenalty
 		}
 		if s.Group == GroupShort && j.Long {
-			cost += longAmongShort
+			cost += amongShort(beforeTime(s, j))
 		}
 		if s.Group == GroupLong && !j.Long {
 			cost += shortAmongLong
@@ -111,8 +111,10 @@
 	if s.Cold {
 		cost += s.Mean
 	}
-	// A failure costs the caller another try, or its answer.
-	cost += time.Duration(s.Failing * float64(max(s.Mean, 100*time.Millisecond)) * 3)
+	if s.Failing > 0 {
+		// A failure costs the caller another try, or its answer.
+		cost += time.Duration(s.Failing * float64(max(s.Mean, 100*time.Millisecond)) * 3)
+	}
 	return cost
 }
 
@@ -120,7 +122,7 @@
 // not cached, part of it brought over the link.
 func readTime(s *Server, j *Job) time.Duration {
 	unread := j.PromptTokens - s.CachedTokens
-	before := time.Duration(float64(s.ReadingTokens) / j.ReadRate * float64(time.Millisecond))
+	before := beforeTime(s, j)
 	read := time.Duration(float64(unread) / j.ReadRate * float64(time.Millisecond))
 	if s.ImportTokens > 0 {
 		rest := time.Duration(float64(unread-min(s.ImportTokens, unread)) / j.ReadRate * float64(time.Millisecond))
@@ -129,6 +131,14 @@
 	return before + read
 }
 
+// beforeTime is the time until a server has read what it was sent before.
+func beforeTime(s *Server, j *Job) time.Duration {
+	if s.ReadingTokens == 0 {
+		return 0
+	}
+	return time.Duration(float64(s.ReadingTokens) / j.ReadRate * float64(time.Millisecond))
+}
+
 // stepTokens is the reading that takes as long as an engine's step: a prompt
 // takes a step at least, however short it is. From the users' sheet: 5.18 ms at
 // 49.6 tokens a millisecond. Without it, many short prompts look like no work
