Faults: a soak of the forwarding system as processes

Three control processes, two gateways and four stand-in servers; every 1.2 s one of them, or the whole control group, is killed or frozen for 1.5 s, while servers drop, cut, mix up and refuse.

A gateway that takes an unknown outcome for "not run" fails it.

--- a/faults/process_test.go
+++ b/faults/process_test.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		return "", err
 	}
-	out, err := exec.Command("go", "build", "-o", dir, "../cmd/galena-control", "../cmd/galena-entry", "../cmd/galena-steward", "../cmd/galena-standin").CombinedOutput()
+	out, err := exec.Command("go", "build", "-o", dir, "../cmd/galena-control", "../cmd/galena-entry", "../cmd/galena-steward", "../cmd/galena-standin", "../cmd/galena-gateway").CombinedOutput()
 	if err != nil {
 		return string(out), err
 	}
