--- a/admission/queue.go
+++ b/admission/queue.go
@@ -1,8 +1,9 @@
 package admission
 
 import (
-	"container/heap"
 	"time"
+
+	"github.com/galenaarch/galenaarch/internal/priority"
 )
 
 // Bounds of a queue.
@@ -46,8 +47,7 @@
 	start   time.Time
 	finish  float64
 	serial  uint64
-	index   int
-	waiting bool
+	waiting *priority.Item[*Request]
 	running bool
 }
 
@@ -64,35 +64,12 @@
 	Refused
 )
 
-// waiters is a heap by the virtual finish time of fair queueing.
-type waiters []*Request
-
-func (w waiters) Len() int { return len(w) }
-func (w waiters) Less(i, j int) bool {
-	if w[i].finish != w[j].finish {
-		return w[i].finish < w[j].finish
+// sooner orders waiting requests by the virtual finish time of fair queueing.
+func sooner(a, b *Request) bool {
+	if a.finish != b.finish {
+		return a.finish < b.finish
 	}
-	return w[i].serial < w[j].serial
-}
-func (w waiters) Swap(i, j int) {
-	w[i], w[j] = w[j], w[i]
-	w[i].index, w[j].index = i, j
-}
-
-// Push implements heap.Interface.
-func (w *waiters) Push(x any) {
-	r := x.(*Request)
-	r.index = len(*w)
-	*w = append(*w, r)
-}
-
-// Pop implements heap.Interface.
-func (w *waiters) Pop() any {
-	last := len(*w) - 1
-	r := (*w)[last]
-	(*w)[last] = nil
-	*w = (*w)[:last]
-	return r
+	return a.serial < b.serial
 }
 
 // Queue gives out places before the engines of a deployment: interactive
@@ -101,7 +78,7 @@
 type Queue struct {
 	places  int
 	running [classes]int
-	waiting [classes]waiters
+	waiting [classes]*priority.Queue[*Request]
 	// virtual is the virtual time of a class, last an account's latest virtual
 	// finish time; accounts whose requests have all ended are dropped.
 	virtual [classes]float64
@@ -117,6 +94,7 @@
 	q := &Queue{counts: make(map[string]int)}
 	for c := range q.last {
 		q.last[c] = make(map[string]float64)
+		q.waiting[c] = priority.New(sooner)
 	}
 	return q
 }
@@ -125,17 +103,17 @@
 func (q *Queue) Running(c Class) int { return q.running[c] }
 
 // Waiting counts the requests of a class that wait.
-func (q *Queue) Waiting(c Class) int { return len(q.waiting[c]) }
+func (q *Queue) Waiting(c Class) int { return q.waiting[c].Len() }
 
 // Offer takes a request on. A request that would not have its place by its
 // deadline is refused at once, with the time after which to come back.
 func (q *Queue) Offer(r *Request, now time.Time) (Outcome, time.Duration) {
-	if q.room(r.Class) && len(q.waiting[r.Class]) == 0 {
+	if q.room(r.Class) && q.waiting[r.Class].Len() == 0 {
 		q.begin(r, now)
 		return Run, 0
 	}
 	wait := q.Estimate(r.Class)
-	full := len(q.waiting[Interactive])+len(q.waiting[Batch]) >= maxWaiting || float64(q.counts[r.Account]) >= maxWaitingShare*maxWaiting
+	full := q.waiting[Interactive].Len()+q.waiting[Batch].Len() >= maxWaiting || float64(q.counts[r.Account]) >= maxWaitingShare*maxWaiting
 	if full || now.Add(wait).After(r.Deadline) {
 		return Refused, min(max(wait, minRetry), maxRetry)
 	}
@@ -149,9 +127,9 @@
 	r.finish = max(q.virtual[c], q.last[c][r.Account]) + max(r.Cost, 1e-3)/weight
 	q.last[c][r.Account] = r.finish
 	q.serial++
-	r.serial, r.waiting = q.serial, true
+	r.serial = q.serial
 	q.counts[r.Account]++
-	heap.Push(&q.waiting[c], r)
+	r.waiting = q.waiting[c].Push(r)
 }
 
 // room reports whether a request of a class may begin.
@@ -184,7 +162,7 @@
 	if q.places == 0 {
 		return maxRetry
 	}
-	ahead := len(q.waiting[c]) + 1
+	ahead := q.waiting[c].Len() + 1
 	perSecond := q.rate(Batch)
 	if c == Interactive {
 		perSecond += q.rate(Interactive)
@@ -223,19 +201,18 @@
 
 // Cancel takes a waiting request out.
 func (q *Queue) Cancel(r *Request) {
-	if r.waiting {
-		heap.Remove(&q.waiting[r.Class], r.index)
+	if q.waiting[r.Class].Remove(r.waiting) {
 		q.leave(r)
 	}
 }
 
 func (q *Queue) leave(r *Request) {
-	r.waiting = false
+	r.waiting = nil
 	q.counts[r.Account]--
 	if q.counts[r.Account] == 0 {
 		delete(q.counts, r.Account)
 	}
-	if len(q.waiting[r.Class]) == 0 {
+	if q.waiting[r.Class].Len() == 0 {
 		// Nobody waits: no account is owed anything.
 		clear(q.last[r.Class])
 		q.virtual[r.Class] = 0
@@ -246,8 +223,8 @@
 func (q *Queue) fill(now time.Time) []*Request {
 	var begun []*Request
 	for c := Interactive; c < classes; c++ {
-		for len(q.waiting[c]) > 0 && q.room(c) {
-			r := heap.Pop(&q.waiting[c]).(*Request)
+		for q.waiting[c].Len() > 0 && q.room(c) {
+			r := q.waiting[c].Pop()
 			q.virtual[c] = r.finish - max(r.Cost, 1e-3)/max(r.Weight, 1e-3)
 			q.leave(r)
 			q.begin(r, now)
--- a/emulator/run.go
+++ b/emulator/run.go
@@ -1,11 +1,11 @@
 package emulator
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
+	"github.com/galenaarch/galenaarch/internal/priority"
 	"github.com/galenaarch/galenaarch/placement"
 )
 
@@ -31,23 +31,8 @@
 	do     func()
 }
 
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || (e[i].at == e[j].at && e[i].serial < e[j].serial)
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-
-// Push implements heap.Interface.
-func (e *events) Push(x any) { *e = append(*e, x.(event)) }
-
-// Pop implements heap.Interface.
-func (e *events) Pop() any {
-	last := len(*e) - 1
-	x := (*e)[last]
-	*e = (*e)[:last]
-	return x
+func sooner(a, b event) bool {
+	return a.at < b.at || (a.at == b.at && a.serial < b.serial)
 }
 
 // play is one run of a pattern.
@@ -57,7 +42,7 @@
 	random  *rand.Rand
 	now     time.Duration
 	serial  int
-	queue   events
+	queue   *priority.Queue[event]
 	entries []*entry
 	engines []*server
 	plain   []*server
@@ -70,13 +55,13 @@
 	if policy.Pace == 0 {
 		policy.Pace = p.Engines.TokensPerMS
 	}
-	r := &play{pattern: p, policy: policy, random: newRandom(p.Seed), result: newResult(p, policy.Name)}
+	r := &play{pattern: p, policy: policy, random: newRandom(p.Seed), queue: priority.New(sooner), result: newResult(p, policy.Name)}
 	r.build()
 	for i := range p.Kinds {
 		r.arrivals(i)
 	}
-	for len(r.queue) > 0 {
-		e := heap.Pop(&r.queue).(event)
+	for r.queue.Len() > 0 {
+		e := r.queue.Pop()
 		r.now = e.at
 		e.do()
 	}
@@ -112,7 +97,7 @@
 
 func (r *play) at(when time.Duration, do func()) {
 	r.serial++
-	heap.Push(&r.queue, event{when, r.serial, do})
+	r.queue.Push(event{when, r.serial, do})
 }
 
 // arrivals brings the next request of a kind, and those after it.
--- a/standin/engine/gate.go
+++ b/standin/engine/gate.go
@@ -1,9 +1,10 @@
 package engine
 
 import (
-	"container/heap"
 	"context"
 	"sync"
+
+	"github.com/galenaarch/galenaarch/internal/priority"
 )
 
 // gate admits a number of holders at once, lower priority numbers first and
@@ -12,29 +13,29 @@
 	mu      sync.Mutex
 	free    int
 	arrival uint64
-	queue   waiters
+	queue   *priority.Queue[*waiter]
 }
 
 type waiter struct {
 	priority int
 	arrival  uint64
 	ready    chan struct{}
-	index    int
+	item     *priority.Item[*waiter]
 }
 
-func newGate(n int) *gate { return &gate{free: n} }
+func newGate(n int) *gate { return &gate{free: n, queue: priority.New(sooner)} }
 
 // enter waits for a place.
 func (g *gate) enter(ctx context.Context, priority int) error {
 	g.mu.Lock()
-	if g.free > 0 && len(g.queue) == 0 {
+	if g.free > 0 && g.queue.Len() == 0 {
 		g.free--
 		g.mu.Unlock()
 		return nil
 	}
 	g.arrival++
 	w := &waiter{priority: priority, arrival: g.arrival, ready: make(chan struct{})}
-	heap.Push(&g.queue, w)
+	w.item = g.queue.Push(w)
 	g.mu.Unlock()
 	select {
 	case <-w.ready:
@@ -49,8 +50,7 @@
 func (g *gate) abandon(w *waiter) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if w.index >= 0 {
-		heap.Remove(&g.queue, w.index)
+	if g.queue.Remove(w.item) {
 		return
 	}
 	g.release()
@@ -60,7 +60,7 @@
 // again. On an error the place is gone.
 func (g *gate) yield(ctx context.Context, priority int) error {
 	g.mu.Lock()
-	if len(g.queue) == 0 || g.queue[0].priority >= priority {
+	if g.queue.Len() == 0 || g.queue.First().priority >= priority {
 		g.mu.Unlock()
 		return nil
 	}
@@ -77,43 +77,18 @@
 }
 
 func (g *gate) release() {
-	if len(g.queue) == 0 {
+	if g.queue.Len() == 0 {
 		g.free++
 		return
 	}
-	w := heap.Pop(&g.queue).(*waiter)
+	w := g.queue.Pop()
 	close(w.ready)
 }
 
-// waiters is a heap by priority, then arrival.
-type waiters []*waiter
-
-func (w waiters) Len() int { return len(w) }
-
-func (w waiters) Less(i, j int) bool {
-	if w[i].priority != w[j].priority {
-		return w[i].priority < w[j].priority
+// sooner orders waiters by priority, then arrival.
+func sooner(a, b *waiter) bool {
+	if a.priority != b.priority {
+		return a.priority < b.priority
 	}
-	return w[i].arrival < w[j].arrival
-}
-
-func (w waiters) Swap(i, j int) {
-	w[i], w[j] = w[j], w[i]
-	w[i].index, w[j].index = i, j
-}
-
-// Push implements heap.Interface.
-func (w *waiters) Push(x any) {
-	it := x.(*waiter)
-	it.index = len(*w)
-	*w = append(*w, it)
-}
-
-// Pop implements heap.Interface.
-func (w *waiters) Pop() any {
-	old := *w
-	it := old[len(old)-1]
-	it.index = -1
-	*w = old[:len(old)-1]
-	return it
+	return a.arrival < b.arrival
 }
