--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -16,11 +16,10 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/galenaarch/galenaarch/api/controlv1"
-	"github.com/galenaarch/galenaarch/config"
 	"github.com/galenaarch/galenaarch/config/watch"
 	"github.com/galenaarch/galenaarch/control/client"
 	"github.com/galenaarch/galenaarch/control/state"
-	"github.com/galenaarch/galenaarch/examples"
+	"github.com/galenaarch/galenaarch/internal/configtest"
 )
 
 func percentile(list []time.Duration, share float64) time.Duration {
@@ -110,12 +109,7 @@
 		g := newTrio(b, 3)
 		g.begin("a", "first")
 		leader := g.leader()
-		var behind string
-		for _, name := range g.names {
-			if name != leader {
-				behind = name
-			}
-		}
+		behind := g.followers(leader)[0]
 		g.crash(behind)
 		var wg sync.WaitGroup
 		for w := range 128 {
@@ -199,7 +193,7 @@
 	}
 	b.Run("item", func(b *testing.B) {
 		for range b.N {
-			items := accountItems(b, 27000)
+			_, items := configtest.WithAccounts(b, 27000)
 			var before, after runtime.MemStats
 			s := state.New()
 			runtime.GC()
@@ -219,21 +213,6 @@
 	})
 }
 
-func accountItems(tb testing.TB, accounts int) []*controlv1.ConfigItem {
-	doc, err := config.Decode(examples.HaddonPryce)
-	require.NoError(tb, err)
-	model := doc.ClientAccounts[0]
-	for i := range accounts {
-		a := model
-		a.Name = fmt.Sprintf("account-%05d", i)
-		a.Keys = []config.Key{{SHA256: fmt.Sprintf("%064x", i+1)}}
-		doc.ClientAccounts = append(doc.ClientAccounts, a)
-	}
-	items, err := config.Items(doc)
-	require.NoError(tb, err)
-	return items
-}
-
 // BenchmarkWatchers runs many watchers against three replicas, all in this
 // process: the processor time is that of both sides. It reports the cost of
 // an idle watcher a second, and how long a change takes to be in force at all.
@@ -241,7 +220,7 @@
 	for _, watchers := range []int{100, 760} {
 		b.Run(fmt.Sprintf("watchers=%d", watchers), func(b *testing.B) {
 			g := newTrio(b, 3)
-			items := accountItems(b, 1000)
+			_, items := configtest.WithAccounts(b, 1000)
 			_, err := g.client.ApplyConfig(g.context(), &controlv1.ApplyConfigRequest{Environment: "haddon-trial", ChangeId: "0", Upserts: items})
 			require.NoError(b, err)
 			ctx, cancel := context.WithCancel(context.Background())
--- a/control/group_test.go
+++ b/control/group_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -123,6 +124,11 @@
 	return name
 }
 
+// followers lists the replicas besides a leader.
+func (g *trio) followers(leader string) []string {
+	return slices.DeleteFunc(slices.Clone(g.names), func(name string) bool { return name == leader })
+}
+
 func TestKilledLeaderIsReplaced(t *testing.T) {
 	g := newTrio(t, 3)
 	require.Equal(t, controlv1.BeginOutcome_BEGIN_OUTCOME_DISPATCH, g.begin("a", "1").Outcome)
@@ -148,10 +154,8 @@
 	g := newTrio(t, 3)
 	g.begin("a", "1")
 	leader := g.leader()
-	for _, name := range g.names {
-		if name != leader {
-			g.crash(name)
-		}
+	for _, name := range g.followers(leader) {
+		g.crash(name)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
@@ -170,14 +174,7 @@
 		g.begin("a", fmt.Sprint(i))
 	}
 	leader := g.leader()
-	var lost, other string
-	for _, name := range g.names {
-		if name != leader && lost == "" {
-			lost = name
-		} else if name != leader {
-			other = name
-		}
-	}
+	lost, other := g.followers(leader)[0], g.followers(leader)[1]
 	old := g.running[lost].Log().group.ID()
 	g.crash(lost)
 	require.NoError(t, os.RemoveAll(g.settings[lost].DataDir))
@@ -207,12 +204,7 @@
 	g := newTrio(t, 3)
 	g.begin("a", "1")
 	leader := g.leader()
-	var victim string
-	for _, name := range g.names {
-		if name != leader {
-			victim = name
-		}
-	}
+	victim := g.followers(leader)[0]
 	g.crash(victim)
 	backup := filepath.Join(g.dir, "backup")
 	require.NoError(t, os.CopyFS(backup, os.DirFS(g.settings[victim].DataDir)))
@@ -270,12 +262,7 @@
 	g := newTrioWith(t, 3, 50)
 	g.begin("a", "first")
 	leader := g.leader()
-	var behind string
-	for _, name := range g.names {
-		if name != leader {
-			behind = name
-		}
-	}
+	behind := g.followers(leader)[0]
 	g.crash(behind)
 	for i := range 400 {
 		g.begin("a", fmt.Sprint(i))
--- a/control/replog/apply.go
+++ b/control/replog/apply.go
@@ -91,10 +91,7 @@
 			a.setAnchor(e.Term)
 		}
 	}
-	a.mu.Lock()
-	waiting, ok := a.waiters[e.Index]
-	delete(a.waiters, e.Index)
-	a.mu.Unlock()
+	waiting, ok := a.proposers.take(e.Index)
 	switch {
 	case !ok:
 	case waiting.term == e.Term:
@@ -113,5 +110,5 @@
 		base = time.Now().UnixMilli()
 	}
 	a.anchor.Store(&anchor{term: term, base: base, from: time.Now()})
-	a.notify()
+	a.leadership.notify()
 }
--- a/control/replog/group.go
+++ b/control/replog/group.go
@@ -29,12 +29,6 @@
 	err    error
 }
 
-// waiter waits for the entry at an index.
-type waiter struct {
-	term uint64
-	done chan outcome
-}
-
 // anchor fixes the log's time in a leader's term: base at the moment from,
 // counted on with the monotonic clock. Invariant: base is taken once all
 // entries of earlier terms are applied, so time in the log never falls and
@@ -64,28 +58,20 @@
 	node     *consensus.Node
 	net      *transport
 
-	inbox     chan *consensusv1.Message
-	proposals chan proposal
-	reads     chan chan error
-	calls     chan func()
-	snapshots chan stateCopy
-	written   chan finishedSnapshot
-	work      chan applyWork
+	intake
+	totals
 
-	anchor         atomic.Pointer[anchor]
-	known          atomic.Pointer[knowledge]
-	failure        atomic.Pointer[error]
-	commits, syncs atomic.Uint64
-	syncNanos      atomic.Int64
+	anchor  atomic.Pointer[anchor]
+	known   atomic.Pointer[knowledge]
+	failure atomic.Pointer[error]
 
 	// addresses holds the base URL of each replica that identified itself, for
 	// a replica whose log does not yet hold a membership.
 	addresses sync.Map
 
-	mu      sync.Mutex
-	waiters map[uint64]waiter
-	// leaderChanged is closed when the leader or the anchor changes.
-	leaderChanged chan struct{}
+	proposers proposers
+	// leadership changes with the leader or the anchor.
+	leadership signal
 
 	stop context.CancelFunc
 	wg   sync.WaitGroup
@@ -103,10 +89,7 @@
 	}
 	g := &Group{
 		settings: s, machine: machine, logger: s.Logger.With(slog.String("group", s.Group)), store: store,
-		inbox: make(chan *consensusv1.Message, queueLength), proposals: make(chan proposal, queueLength),
-		reads: make(chan chan error, queueLength), calls: make(chan func()),
-		snapshots: make(chan stateCopy, 1), written: make(chan finishedSnapshot, 1),
-		work: make(chan applyWork, applyQueue), waiters: make(map[uint64]waiter), leaderChanged: make(chan struct{}),
+		intake: newIntake(),
 	}
 	g.durable = consensus.Durable{HardState: found.HardState, Snapshot: found.Snapshot, Entries: found.Entries}
 	if err := g.identify(); err != nil {
@@ -184,8 +167,8 @@
 	if g.failure.CompareAndSwap(nil, &err) {
 		g.logger.Error("replica stopped", slog.Any("error", err))
 	}
-	g.release(ErrStopped)
-	g.notify()
+	g.proposers.release(ErrStopped)
+	g.leadership.notify()
 }
 
 // Err says why the replica stopped, or nil.
@@ -196,29 +179,6 @@
 	return nil
 }
 
-// release ends all waiting proposals with an error.
-func (g *Group) release(err error) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for index, w := range g.waiters {
-		w.done <- outcome{err: err}
-		delete(g.waiters, index)
-	}
-}
-
-func (g *Group) notify() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	close(g.leaderChanged)
-	g.leaderChanged = make(chan struct{})
-}
-
-func (g *Group) changed() <-chan struct{} {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.leaderChanged
-}
-
 // publish copies what other goroutines may read.
 func (g *Group) publish(seenTerm map[string]uint64) {
 	k := &knowledge{status: g.node.Status(), seenTerm: make(map[string]uint64, len(seenTerm))}
@@ -246,7 +206,7 @@
 // just been elected is waited for.
 func (g *Group) leading(ctx context.Context) (*anchor, error) {
 	for {
-		changed := g.changed()
+		changed := g.leadership.wait()
 		if err := g.Err(); err != nil {
 			return nil, err
 		}
@@ -309,19 +269,6 @@
 	}
 }
 
-// Counts are totals since the replica started.
-type Counts struct {
-	// Commits is the number of committed entries, Syncs that of writes.
-	Commits, Syncs uint64
-	// SyncTime is the time spent in writes.
-	SyncTime time.Duration
-}
-
-// Counts returns totals since the replica started.
-func (g *Group) Counts() Counts {
-	return Counts{Commits: g.commits.Load(), Syncs: g.syncs.Load(), SyncTime: time.Duration(g.syncNanos.Load())}
-}
-
 // Deliver takes a message from another replica; a full inbox drops it.
 func (g *Group) Deliver(m *consensusv1.Message) {
 	select {
--- a/control/replog/loop.go
+++ b/control/replog/loop.go
@@ -46,7 +46,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			l.release(ErrStopped)
+			l.proposers.release(ErrStopped)
 			return
 		case <-ticker.C:
 			l.tick()
@@ -140,10 +140,8 @@
 		}
 		return
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	for i, p := range accepted {
-		l.waiters[index+uint64(i)] = waiter{term: term, done: p.done}
+		l.proposers.add(index+uint64(i), waiter{term: term, done: p.done})
 	}
 }
 
@@ -207,13 +205,13 @@
 	}
 	if l.wasLeader && !leads {
 		l.anchor.Store(nil)
-		l.release(ErrOutcomeUnknown)
+		l.proposers.release(ErrOutcomeUnknown)
 		l.endReads(&NotLeaderError{})
 	}
 	l.wasLeader, l.leader = leads, l.node.Leader()
 	l.logger.Info("leader", slog.String("replica", l.leader), slog.Uint64("term", l.node.Term()))
 	l.publish(l.seenTerm)
-	l.notify()
+	l.leadership.notify()
 }
 
 func (l *loop) sendAll(list []*consensusv1.Message) {
@@ -283,8 +281,7 @@
 	}
 	started := time.Now()
 	err := l.store.Append(rd.Entries, rd.HardState)
-	l.syncNanos.Add(int64(time.Since(started)))
-	l.syncs.Add(1)
+	l.wrote(time.Since(started))
 	return eris.Wrap(err, "write log")
 }
 
--- a/control/replog/membership.go
+++ b/control/replog/membership.go
@@ -69,9 +69,7 @@
 		if err != nil {
 			return err
 		}
-		g.mu.Lock()
-		g.waiters[index] = waiter{term: term, done: done}
-		g.mu.Unlock()
+		g.proposers.add(index, waiter{term: term, done: done})
 		return nil
 	})
 	if err != nil {
--- a/control/state/bench_test.go
+++ b/control/state/bench_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/galenaarch/galenaarch/api/controlv1"
 	"github.com/galenaarch/galenaarch/config"
-	"github.com/galenaarch/galenaarch/examples"
+	"github.com/galenaarch/galenaarch/internal/configtest"
 )
 
 // benchAccounts is the number of client accounts of the letter.
@@ -16,23 +16,13 @@
 
 // largeState is a state whose document has many client accounts.
 func largeState(tb testing.TB, accounts int) (*State, string) {
-	doc, err := config.Decode(examples.HaddonPryce)
-	require.NoError(tb, err)
-	model := doc.ClientAccounts[0]
-	for i := range accounts {
-		a := model
-		a.Name = fmt.Sprintf("account-%05d", i)
-		a.Keys = []config.Key{{SHA256: fmt.Sprintf("%064x", i+1)}}
-		doc.ClientAccounts = append(doc.ClientAccounts, a)
-	}
-	items, err := config.Items(doc)
-	require.NoError(tb, err)
+	environment, items := configtest.WithAccounts(tb, accounts)
 	s := New()
 	r := s.Apply(&controlv1.Command{Body: &controlv1.Command_ApplyConfig{ApplyConfig: &controlv1.ApplyConfigRequest{
-		Environment: doc.Environment, ChangeId: "first", Upserts: items,
+		Environment: environment, ChangeId: "first", Upserts: items,
 	}}}).GetApplyConfig()
 	require.True(tb, r.Accepted, r.Reason)
-	return s, doc.Environment
+	return s, environment
 }
 
 func BenchmarkApplyOneChange(b *testing.B) {
