--- a/entry/entry.go
+++ b/entry/entry.go
@@ -61,50 +61,70 @@
 	transport *transport.Transport
 	callers   *transport.Transport
 	config    *watch.Watcher
-	fleet     *fleet.Table
+	answers   *answers.Store
+	gate      *gate
+	admitter  *admitter
+	// open counts the requests at hand.
+	open atomic.Int64
+
+	dispatching
+	contextParts
+	companions
+	listeners
+}
+
+// dispatching is what a request is sent on with.
+type dispatching struct {
+	fleet *fleet.Table
 	// eligibleNow is what the last decision found eligible.
 	eligibleNow atomic.Pointer[eligibility]
-	members     membership.View
-	links       *link.Set
-	catalogue   *catalogue.Catalogue
-	seen        *kvcache.Seen
-	flights     *flights
-	exports     *exports
 	policies    *policySet
-	dispatcher  *services.Dispatcher
+	flights     *flights
 	engines     *http.Client
+	dispatcher  *services.Dispatcher
 	retries     *retry.Budget
-	answers     *answers.Store
-	node        *membership.Node
-	gate        *gate
-	admitter    *admitter
-	// needs are what the other entries would borrow; guarded by the admitter.
-	needs map[string][]admission.Need
+}
+
+// contextParts say where context is kept and how large it is.
+type contextParts struct {
+	links     *link.Set
+	catalogue *catalogue.Catalogue
+	seen      *kvcache.Seen
+	exports   *exports
+	// calibration corrects estimated token counts, blockBytes is the size of
+	// the block written last.
+	calibration kvcache.Calibration
+	blockBytes  atomic.Int64
+}
+
+// companions is what this entry knows of the other entries and tells them.
+type companions struct {
+	node    *membership.Node
+	members membership.View
 	// joined is when this entry began to join others; zero if it has none.
 	joined   time.Time
 	joinWait time.Duration
-
+	// needs are what the other entries would borrow; guarded by the admitter.
+	needs map[string][]admission.Need
 	// states is what other entries tell of themselves.
 	statesMu sync.Mutex
 	states   map[string]*memberv1.EntryState
 	// published is the last value of each published item.
 	publishedMu sync.Mutex
 	published   map[string][]byte
-	// open counts the requests at hand.
-	open atomic.Int64
-
-	// calibration corrects estimated token counts, blockBytes is the size of
-	// the block written last.
-	calibration kvcache.Calibration
-	blockBytes  atomic.Int64
+}
 
+// listeners serve callers, backend servers and other entries.
+type listeners struct {
 	public  *http.Server
 	backend *http.Server
 	peer    *http.Server
 }
 
 // New returns an entry with the given settings.
-func New(s Settings) *Entry { return &Entry{settings: s, joinWait: admission.JoinWait} }
+func New(s Settings) *Entry {
+	return &Entry{settings: s, companions: companions{joinWait: admission.JoinWait}}
+}
 
 // Interface guards.
 var (
