--- a/catalogue/catalogue_test.go
+++ b/catalogue/catalogue_test.go
@@ -196,10 +196,8 @@
 		keys := testContext(n)
 		require.Equal(t, OutcomeGranted, s.keep(t, s.catalogues[n%3], keys))
 		for _, c := range s.catalogues {
-			// An owner that takes over peerTimeout leaves nothing found, for a
-			// while: see TestSlowOwnerLeavesNothingFoundAndIsLogged.
-			var kept [][]kvcache.Location
-			require.Eventually(t, func() bool { kept, _ = c.Find(t.Context(), visit(keys)); return len(kept) == len(keys) }, testWait, testPoll)
+			kept, _ := c.Find(t.Context(), visit(keys))
+			require.Len(t, kept, len(keys))
 			for _, copies := range kept {
 				require.NotEmpty(t, copies)
 				require.Equal(t, uint64(7), copies[0].Incarnation)
