galenactl: an unknown command is named, a missing file is no matter of usage

By hand, galenactl check FILE printed the help alone, and validate of a file that is not there said "usage:". Two cases of TestExitCodes failed first.

--- a/operator/change.go
+++ b/operator/change.go
@@ -46,7 +46,7 @@
 	}
 	text, err := t.readFile(path)
 	if err != nil {
-		return path, nil, usage("%v", err)
+		return path, nil, &exitError{code: ExitUsage, err: fmt.Errorf("read document: %w", err)}
 	}
 	doc, err := t.decode(path, text)
 	return path, doc, err
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -113,7 +113,12 @@
 			t.statusCommand(), t.historyCommand(), t.watchCommand(), t.entriesCommand(), t.drainCommand(), t.capacityCommand(),
 			t.hashKeyCommand(),
 		},
-		Exec: func(context.Context, []string) error { return flag.ErrHelp },
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) > 0 {
+				return usage("unknown command %q; galenactl alone lists the commands", args[0])
+			}
+			return flag.ErrHelp
+		},
 	}
 	root.FlagSet.SetOutput(t.ErrOut)
 	for _, c := range root.Subcommands {
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -132,10 +132,11 @@
 		down             bool
 	}{
 		{"no command", "", "", ExitUsage, false},
+		{"unknown command", "check FILE", `unknown command "check"`, ExitUsage, false},
 		{"unknown flag", "status -no-such-flag", "no-such-flag", ExitUsage, false},
 		{"environment missing", "status", "-environment is required", ExitUsage, false},
 		{"form of output", "status -environment x -output xml", "xml", ExitUsage, false},
-		{"file missing", "validate /no/such/file", "no such file", ExitUsage, false},
+		{"file missing", "validate /no/such/file", "galenactl: read document: open /no/such/file: no such file", ExitUsage, false},
 		{"control down", "diff FILE", "control is down", ExitUnavailable, true},
 		{"faulty document", "validate BAD", "$.deployments[0].stores[0]", ExitRefused, false},
 		{"empty document", "validate EMPTY", "the document is empty", ExitRefused, false},
