Gateway: a stopping instance takes only what it will finish, and finishes it

Cause: Drain took callers until half a second before the end of the grace whatever their requests needed, and Stop closed what was open. Ruled out: ending the listener sooner, since callers keep the directory's answer for up to three times its time to live. A request is taken while the time that its route's requests need ends before the process does; others are told at once that they have not run and may go elsewhere. Answers that are being written at the very end are let out.

--- a/faults/soak_test.go
+++ b/faults/soak_test.go
@@ -65,7 +65,8 @@
 	acknowledged int
 }
 
-func startSoak(t *testing.T, seed uint64) *soak {
+// startSoak starts the processes; the gateways get some flags more.
+func startSoak(t *testing.T, seed uint64, flags ...string) *soak {
 	t.Helper()
 	dir, err := build()
 	require.NoError(t, err, dir)
@@ -91,7 +92,7 @@
 		s.callers = append(s.callers, address(t))
 		s.gateways = append(s.gateways, &process{t: t, name: name, path: filepath.Join(dir, "galena-gateway"), log: filepath.Join(data, name+".log"), ready: "http://" + ready + "/ready", args: append([]string{
 			"-instance", name, "-dialect", "platform", "-listen", s.callers[i], "-ready-listen", ready, "-peer-listen", address(t),
-		}, common()...)})
+		}, append(common(), flags...)...)})
 	}
 	for i := range soakServers {
 		server := platformtest.New(t, fmt.Sprint("i-", i))
--- /dev/null
+++ b/faults/stop_test.go
@@ -0,0 +1,111 @@
+package faults
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenaarch/galenaarch/platform/platformtest"
+)
+
+const (
+	// stopGrace is the gateway's grace in this test, stopWork the time that a
+	// server takes for a request: long enough that a request taken at the end of
+	// the grace would be cut off.
+	stopGrace   = 3 * time.Second
+	stopWork    = 700 * time.Millisecond
+	stopCallers = 24
+)
+
+// TestPlannedStopCutsNothingOff stops a gateway process under load. Callers keep
+// their connections until they are told to close them, and some come anew until
+// the process is gone. Whatever the process has read gets a whole answer: the
+// server's, or that the request has not run, at once.
+func TestPlannedStopCutsNothingOff(t *testing.T) {
+	s := startSoak(t, 1, "-grace", stopGrace.String())
+	for _, server := range s.servers {
+		server.Reply(func(r *platformtest.Request) platformtest.Reply {
+			return platformtest.Reply{Status: http.StatusOK, Body: "answer to " + r.ID, Delay: stopWork}
+		})
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	var operator, callers sync.WaitGroup
+	operator.Go(func() { s.operate(ctx) })
+	for _, g := range s.gateways {
+		g.await()
+	}
+	var served, turnedAway, after atomic.Int64
+	var stopped atomic.Bool
+	for n := range stopCallers {
+		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: n%2 == 0}}
+		callers.Go(func() {
+			for i := 0; ; i++ {
+				id := fmt.Sprintf("c-%d-%d", n, i)
+				late := stopped.Load()
+				began := time.Now()
+				status, body, err := askOn(client, s.callers[0], id)
+				switch {
+				case errors.Is(err, syscall.ECONNREFUSED):
+					return // the process is gone
+				case err != nil:
+					t.Errorf("%s was cut off after %v: %v", id, time.Since(began), err)
+					return
+				case status == http.StatusOK:
+					if body != "answer to "+id {
+						t.Errorf("%s got %q", id, body)
+					}
+					served.Add(1)
+					if late {
+						after.Add(1)
+					}
+				case status == http.StatusServiceUnavailable:
+					turnedAway.Add(1)
+					if took := time.Since(began); took > stopWork/2 {
+						t.Errorf("%s was turned away only after %v", id, took)
+					}
+					time.Sleep(20 * time.Millisecond)
+				default:
+					t.Errorf("%s got status %d", id, status)
+				}
+			}
+		})
+	}
+	// The routes' times are learned from what is served before.
+	time.Sleep(3 * stopWork)
+	stopped.Store(true)
+	s.gateways[0].signal(syscall.SIGTERM)
+	callers.Wait()
+	stop()
+	operator.Wait()
+	require.Positive(t, after.Load(), "callers that do not yet know are served")
+	require.Positive(t, turnedAway.Load(), "what would not end in time is turned away")
+	t.Logf("%d served, %d of them after the order to stop, %d turned away", served.Load(), after.Load(), turnedAway.Load())
+}
+
+func askOn(client *http.Client, entry, id string) (status int, body string, err error) {
+	r, err := http.NewRequest(http.MethodPost, "http://"+entry+platformtest.Once+"x", strings.NewReader(id))
+	if err != nil {
+		return 0, "", err
+	}
+	r.Host, r.GetBody = platformtest.Host, nil
+	r.Header.Set("X-Request-Id", id)
+	r.Header.Set("X-Deadline-Ms", "1500")
+	response, err := client.Do(r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer response.Body.Close()
+	read, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(read), err
+}
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -49,7 +49,7 @@
 	g.world.Store(next)
 	g.retire(old, next)
 	if old == nil || (old.table == nil && next.table != nil) {
-		g.view.Announce(next.table != nil && !g.draining.Load())
+		g.view.Announce(next.table != nil && !g.stopping.begun())
 	}
 }
 
@@ -127,9 +127,11 @@
 		g.logger.Error("document not put in force", slog.Uint64("version", d.Version), slog.Any("error", err))
 		return held
 	}
+	compiled := site.Compile(decoded)
+	g.needs.keep(decoded.Routes)
 	g.logger.Info("document in force", slog.Uint64("version", d.Version), slog.Int("routes", len(decoded.Routes)),
 		slog.Int("services", len(decoded.Services)), slog.Int("accounts", len(decoded.Accounts)), slog.Int("isolated", decoded.Isolated()))
-	return site.Compile(decoded)
+	return compiled
 }
 
 // place lists the servers of each service. Of two lives at one address only the
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -52,7 +52,8 @@
 	started  time.Time
 
 	world    atomic.Pointer[world]
-	draining atomic.Bool
+	stopping stopping
+	needs    needs
 	inflight atomic.Int64
 	// arrived is when the last request came; nanoseconds of Unix time.
 	arrived atomic.Int64
@@ -90,7 +91,7 @@
 }
 
 // Ready reports whether callers may be sent here.
-func (g *Gateway) Ready() bool { return g.world.Load().table != nil && !g.draining.Load() }
+func (g *Gateway) Ready() bool { return g.world.Load().table != nil && !g.stopping.begun() }
 
 // budget is the bound on repeats to a service.
 func (g *Gateway) budget(service string) *retry.Window {
@@ -170,7 +171,7 @@
 	defer g.inflight.Add(-1)
 	now := time.Now()
 	g.arrived.Store(now.UnixNano())
-	if g.draining.Load() {
+	if g.stopping.begun() {
 		rw.Header().Set("Connection", "close")
 	}
 	w := g.world.Load()
@@ -195,6 +196,10 @@
 		g.refuse(rw, c, status, reason, 0, nil)
 		return
 	}
+	if needed := g.needs.of(c.route.Name, c.deadline.Sub(c.began)); !g.stopping.takes(now, needed) {
+		g.refuse(rw, c, http.StatusServiceUnavailable, "stopping", goElsewhere, nil)
+		return
+	}
 	if !c.read(rw, r) {
 		return
 	}
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -33,10 +33,11 @@
 	// lingerFor is how long a stopping instance takes new connections: callers
 	// keep the directory's answer for up to three times its time to live.
 	lingerFor = 3500 * time.Millisecond
+	// stopWait is how long answers that are being written have at the very end;
+	// below graceMargin.
+	stopWait = 200 * time.Millisecond
 	// quietFor without a request ends a drain early.
-	quietFor = 600 * time.Millisecond
-	// graceMargin is kept of the grace period for the end of the process.
-	graceMargin   = 500 * time.Millisecond
+	quietFor      = 600 * time.Millisecond
 	callerUnacked = 5 * time.Second
 	// peerDialTimeout is below the second after which a lost first packet is sent
 	// again: an instance that has just come back is reached by the next try.
@@ -237,11 +238,12 @@
 	return c, nil
 }
 
-// Drain implements kernel.Drainer: callers are sent elsewhere at once, but new
-// connections are served until they must have heard of it.
+// Drain implements kernel.Drainer: callers are sent elsewhere at once, but those
+// that still come are served until they must have heard of it, as far as their
+// requests end in time: see stopping.
 func (p *Process) Drain(ctx context.Context) error {
 	began := time.Now()
-	p.gateway.draining.Store(true)
+	p.gateway.stopping.order(began, p.settings.Grace)
 	p.view.Announce(false)
 	ticker := time.NewTicker(50 * time.Millisecond)
 	defer ticker.Stop()
@@ -251,8 +253,7 @@
 			return ctx.Err()
 		case now := <-ticker.C:
 			quiet := now.Sub(time.Unix(0, p.gateway.arrived.Load())) > quietFor
-			over := now.Sub(began) > p.settings.Grace-graceMargin
-			if over || (now.Sub(began) > lingerFor && quiet && p.gateway.inflight.Load() == 0) {
+			if p.gateway.stopping.over(now) || (now.Sub(began) > lingerFor && quiet && p.gateway.inflight.Load() == 0) {
 				p.logger.Info("drained", slog.Duration("took", now.Sub(began)), slog.Int64("open", p.gateway.inflight.Load()))
 				return nil
 			}
@@ -260,13 +261,19 @@
 	}
 }
 
-// Stop implements kernel.Stopper.
-func (p *Process) Stop(context.Context) error {
+// Stop implements kernel.Stopper. Answers that are being written are let out.
+func (p *Process) Stop(ctx context.Context) error {
 	if p.cancel != nil {
 		p.cancel()
 	}
+	ctx, cancel := context.WithTimeout(ctx, stopWait)
+	defer cancel()
 	for _, s := range []*http.Server{p.callers, p.ready, p.inner} {
-		if s != nil {
+		if s == nil {
+			continue
+		}
+		if err := s.Shutdown(ctx); err != nil {
+			p.logger.Info("connections closed", slog.String("reason", "the grace is over"), slog.Int64("open", p.gateway.inflight.Load()), slog.Any("error", err))
 			_ = s.Close() // what is open now has run out of grace
 		}
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -113,6 +113,7 @@
 }
 
 func (c *call) done(a *attempt) {
+	c.gateway.needs.note(c.route.Name, time.Since(c.began))
 	c.gateway.metrics.served(c, a)
 	if !c.gateway.sampled(c) {
 		return
