Placement counts engines' memory and shares them by length; admission judges prompts by their time

Cause 1: engines for short prompts were a fixed third, and long began at 2,048 tokens: prompts of middle length left a third of the engines idle. Change: the share follows the reading of each length lately (placement.Mix). Cause 2: runs held over the memory of the engines for long prompts in 0.29 to 0.71 of the time, 0.25 of that of the others; prompts were preempted and read again. Change: memory held and needed is part of the expected time. Cause 3: above what engines can do, every answer was late by the length of the queue. Change: admission.Judge puts a prompt that is late anyway behind those that are not (its rank at the engine), and turns away at once what its caller would not wait for, with a time to come back that follows the queue. The emulator reads prompts in a queue by rank, holds runs' memory, and lets callers leave.

--- a/cmd/galena-load/main.go
+++ b/cmd/galena-load/main.go
@@ -155,7 +155,7 @@
 		if err != nil {
 			return err
 		}
-		results = append(results, emulator.Play(p, emulator.Policy{Name: name, Scorer: scorer}))
+		results = append(results, emulator.Play(p, emulator.Policy{Name: name, Scorer: scorer, Judged: name == placement.DefaultScorer}))
 	}
 	if err := emulator.WriteTable(os.Stdout, results); err != nil || o.plotted == "" {
 		return err
--- a/config/site/site.go
+++ b/config/site/site.go
@@ -62,6 +62,9 @@
 	// Objective is the time in which an answer, or a stream's first event, is
 	// on time; Gap the longest pause between two events.
 	Objective, Gap time.Duration
+	// Bears is how long callers wait for the first event of a stream, or for the
+	// next one, before they leave; 0 if that is not known.
+	Bears time.Duration
 	// Priority is the rank of the route's requests; 0 is the most urgent.
 	Priority int
 	Targets  []Target
--- a/emulator/entry.go
+++ b/emulator/entry.go
@@ -18,7 +18,6 @@
 	rest       = 400 * time.Millisecond
 	restStreak = 3
 	learnRate  = 0.1
-	longPrompt = 2048
 	// budgetSpan, budgetRatio and budgetSlack bound repeats of all instances.
 	budgetSpan  = 10 * time.Second
 	budgetRatio = 0.16
@@ -31,20 +30,26 @@
 // belief is what an entry instance knows of a server.
 type belief struct {
 	inflight, awaiting int
-	reading            int
-	heard              time.Duration
-	others             float64
-	reported           time.Duration
-	mean               time.Duration
-	failing            float64
-	streak             int
-	restUntil          time.Duration
+	reading, later     int
+	// holding is the memory that this entry's prompts take there, size what one
+	// usually takes, ran how long it usually does; tokens.
+	holding   int
+	size      float64
+	ran       time.Duration
+	heard     time.Duration
+	others    float64
+	reported  time.Duration
+	mean      time.Duration
+	failing   float64
+	streak    int
+	restUntil time.Duration
 }
 
 // entry is the model of one entry instance.
 type entry struct {
 	beliefs map[*server]*belief
 	budget  *retry.Window
+	mix     placement.Mix
 }
 
 func newEntry(servers []*server, entries int) *entry {
@@ -68,23 +73,45 @@
 	total := float64(b.inflight) + others
 	v.Running = min(total, float64(s.slots))
 	v.Waiting = total - v.Running
+	if s.engines != nil {
+		v.MemoryTokens, v.RunTime = s.engines.MemoryTokens, b.ran
+		v.HeldTokens = b.holding + int(others*b.size)
+	}
 	return v
 }
 
-func (b *belief) begin(unread int, at time.Duration) {
+// sending is one request at a server.
+type sending struct {
+	unread, memory int
+	later          bool
+}
+
+func (b *belief) queue(j sending) *int {
+	if j.later {
+		return &b.later
+	}
+	return &b.reading
+}
+
+func (b *belief) begin(j sending, at time.Duration) {
 	if b.awaiting == 0 {
 		b.heard = at
 	}
 	b.inflight++
 	b.awaiting++
-	b.reading += unread
+	*b.queue(j) += j.unread
+	b.holding += j.memory
+	if j.memory > 0 {
+		if b.size == 0 {
+			b.size = float64(j.memory)
+		}
+		b.size += learnRate * (float64(j.memory) - b.size)
+	}
 }
 
 // answered notes an answer that took a time; load is the server's word.
-func (b *belief) answered(unread, load int, took, at time.Duration, failed bool) {
-	b.awaiting--
-	b.inflight--
-	b.reading -= unread
+func (b *belief) answered(j sending, load int, took, at time.Duration, failed bool) {
+	b.left(j)
 	b.heard = at
 	b.others, b.reported = max(0, float64(load-b.inflight)), at
 	if b.mean == 0 {
@@ -103,8 +130,20 @@
 }
 
 // left notes that an answer is no longer waited for.
-func (b *belief) left(unread int) {
+func (b *belief) left(j sending) {
 	b.awaiting--
 	b.inflight--
-	b.reading -= unread
+	*b.queue(j) -= j.unread
+}
+
+// free notes that a run has ended after a time, 0 if it did not run.
+func (b *belief) free(j sending, ran time.Duration) {
+	b.holding -= j.memory
+	if j.memory == 0 || ran == 0 {
+		return
+	}
+	if b.ran == 0 {
+		b.ran = ran
+	}
+	b.ran += time.Duration(learnRate * min(1, float64(j.memory)/b.size) * float64(ran-b.ran))
 }
--- a/emulator/pattern.go
+++ b/emulator/pattern.go
@@ -59,6 +59,9 @@
 	PerSecond   float64 `json:"per_second"`
 	ObjectiveMS float64 `json:"objective_ms"`
 	DeadlineMS  float64 `json:"deadline_ms"`
+	// BearsMS is how long a caller waits for the begin of an answer; 0 up to the
+	// deadline.
+	BearsMS float64 `json:"bears_ms"`
 	// Worth is the credit of an answer on time, LateWorth that of a later one.
 	Worth     float64 `json:"worth"`
 	LateWorth float64 `json:"late_worth"`
@@ -126,6 +129,14 @@
 	return nil
 }
 
+// bears is how long a caller waits for the begin of an answer.
+func (k *Kind) bears() time.Duration {
+	if k.BearsMS > 0 {
+		return milliseconds(min(k.BearsMS, k.DeadlineMS))
+	}
+	return milliseconds(k.DeadlineMS)
+}
+
 func (k *Kind) prompt() bool { return k.OwnTokens > 0 }
 
 func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/emulator/run.go
+++ b/emulator/run.go
@@ -5,16 +5,11 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/galenaarch/galenaarch/admission"
 	"github.com/galenaarch/galenaarch/internal/priority"
 	"github.com/galenaarch/galenaarch/placement"
 )
 
-// Times that a refused caller is told: spread, as a gateway does.
-const (
-	firstReturn  = 150 * time.Millisecond
-	returnSpread = 400 * time.Millisecond
-)
-
 // Policy is what is compared.
 type Policy struct {
 	Name   string
@@ -22,6 +17,9 @@
 	// Pace is the reading speed that entry instances believe in; tokens a
 	// millisecond, 0 for the engines' own.
 	Pace float64
+	// Judged says that prompts that are late anyway go behind the others, or are
+	// turned away.
+	Judged bool
 }
 
 // event is something that happens at a time.
@@ -74,7 +72,7 @@
 func (r *play) build() {
 	p := r.pattern
 	for i := range p.Engines.Count {
-		r.engines = append(r.engines, &server{id: fmt.Sprint("engine-", i), slots: p.Engines.Slots, engines: &p.Engines, troubles: troublesOf(p, i, p.Engines.Count)})
+		r.engines = append(r.engines, &server{id: fmt.Sprint("engine-", i), slots: p.Engines.Slots, engines: &p.Engines, waiting: priority.New(urgent), troubles: troublesOf(p, i, p.Engines.Count)})
 	}
 	for i := range p.Plain.Count {
 		r.plain = append(r.plain, &server{id: fmt.Sprint("plain-", i), slots: p.Plain.Slots, queue: p.Plain.Queue, free: make([]time.Duration, p.Plain.Slots), troubles: troublesOf(p, i, p.Plain.Count)})
@@ -134,12 +132,20 @@
 	entry   *entry
 	tried   map[*server]bool
 	returns int
+	// leaves is when the caller leaves unless the answer has begun.
+	leaves  time.Duration
+	verdict admission.Verdict
+	outlook admission.Outlook
 }
 
 // come has a caller ask an entry instance.
 func (r *play) come(c *call) {
 	c.came, c.entry, c.tried = r.now, r.entries[r.random.IntN(len(r.entries))], make(map[*server]bool)
 	c.entry.budget.Request(epoch.Add(r.now))
+	c.leaves = min(c.deadline, r.now+r.pattern.Kinds[c.kind].bears())
+	if k := &r.pattern.Kinds[c.kind]; k.prompt() {
+		c.entry.mix.Note(k.SharedTokens+k.OwnTokens, epoch.Add(r.now))
+	}
 	r.send(c)
 }
 
@@ -152,22 +158,19 @@
 	}
 	c.tried[s] = true
 	k, b, sent := &r.pattern.Kinds[c.kind], c.entry.beliefs[s], r.now
-	b.begin(unread, sent)
-	if dark, _, _ := s.trouble(sent); dark > sent+patience && k.Repeatable && len(c.tried) < 2 {
-		r.at(sent+patience, func() {
-			b.left(unread)
-			r.again(c)
-		})
-		return
+	job := sending{unread: unread, later: c.verdict != admission.InTurn}
+	if k.prompt() {
+		job.memory = k.size()
 	}
-	got := s.serve(k, c.part, sent, c.deadline, r.random)
-	r.at(min(got.first, c.deadline), func() {
-		if got.first >= c.deadline {
-			b.left(unread)
+	b.begin(job, sent)
+	answer := func(got run) {
+		r.at(max(got.end, r.now), func() { b.free(job, r.now-sent) })
+		if r.now >= c.leaves {
+			b.left(job)
 			r.result.fail(c.kind)
 			return
 		}
-		b.answered(unread, s.load(r.now), r.now-sent, r.now, got.failed)
+		b.answered(job, s.load(r.now)+s.queued(), r.now-sent, r.now, got.failed)
 		switch {
 		case got.refused, got.failed && k.Repeatable:
 			r.again(c)
@@ -176,7 +179,24 @@
 		default:
 			r.result.serve(c.kind, r.now-c.asked)
 		}
-	})
+	}
+	dark, _, _ := s.trouble(sent)
+	if dark > sent+patience && k.Repeatable && len(c.tried) < 2 {
+		r.at(sent+patience, func() {
+			b.left(job)
+			b.free(job, 0)
+			r.again(c)
+		})
+		return
+	}
+	if !k.prompt() {
+		got := s.serve(k, sent, r.random)
+		r.at(min(got.first, c.leaves), func() { answer(got) })
+		return
+	}
+	r.prompt(s, &reading{kind: k, part: c.part, deadline: c.leaves, later: job.later, done: func(got run) {
+		r.at(min(got.first, c.leaves), func() { answer(got) })
+	}})
 }
 
 // again sends a request to a second server, if that is allowed.
@@ -191,7 +211,7 @@
 // refuse answers a caller at once; some come back.
 func (r *play) refuse(c *call) {
 	r.result.refuse(c.kind, r.now-c.came)
-	back := r.now + firstReturn + time.Duration(r.random.Int64N(int64(returnSpread)))
+	back := r.now + admission.ComeBack(c.outlook, r.random.Float64())
 	if c.returns == 0 || back >= c.deadline {
 		r.result.fail(c.kind)
 		return
@@ -208,8 +228,8 @@
 	job := placement.Job{Repeatable: k.Repeatable, ReadRate: r.policy.Pace}
 	if k.prompt() {
 		candidates = r.engines
-		job.PromptTokens = k.SharedTokens + k.OwnTokens
-		job.Long = job.PromptTokens >= longPrompt
+		job.PromptTokens, job.MemoryTokens = k.SharedTokens+k.OwnTokens, k.size()
+		job.Long = job.PromptTokens >= placement.LongPrompt
 	}
 	views := make([]placement.Server, len(candidates))
 	for i, s := range candidates {
@@ -218,27 +238,41 @@
 	if k.prompt() {
 		r.describe(c, k, candidates, views, job.Long)
 	}
-	i := placement.Pick(r.policy.Scorer, views, job, func(i int) bool { return c.tried[candidates[i]] }, r.random.Float64())
+	skip, at := func(i int) bool { return c.tried[candidates[i]] }, r.random.Float64()
+	i := placement.Pick(r.policy.Scorer, views, job, skip, at)
 	if i < 0 {
 		return nil, 0
 	}
 	if !k.prompt() {
 		return candidates[i], 0
 	}
+	if r.policy.Judged {
+		o := admission.Outlook{Waited: r.now - c.came, Objective: milliseconds(k.ObjectiveMS), Bears: k.bears()}
+		o.InTurn = r.policy.Scorer.Cost(&views[i], &job)
+		o.Behind = o.InTurn
+		if c.verdict = admission.Judge(o); c.verdict != admission.InTurn {
+			job.Later = true
+			i = placement.Pick(r.policy.Scorer, views, job, skip, at)
+			o.Behind = r.policy.Scorer.Cost(&views[i], &job)
+			c.verdict = admission.Judge(o)
+		}
+		if c.outlook = o; c.verdict == admission.TurnAway && len(c.tried) == 0 {
+			return nil, 0
+		}
+	}
 	return candidates[i], placement.Unread(views[i], job)
 }
 
 // describe adds what is known of prompts: what engines hold, what all entry
 // instances have sent there, groups and homes.
 func (r *play) describe(c *call, k *Kind, candidates []*server, views []placement.Server, long bool) {
-	if r.mixed() {
-		placement.Split(views, func(i int) string { return candidates[i].id })
-	}
+	placement.Split(views, c.entry.mix.ShortShare(), func(i int) string { return candidates[i].id })
 	home, best := -1, uint64(0)
 	for i, s := range candidates {
 		views[i].CachedTokens = min(k.SharedTokens, s.held(c.part))
 		for _, e := range r.entries {
 			views[i].ReadingTokens += e.beliefs[s].reading
+			views[i].LaterTokens += e.beliefs[s].later
 		}
 		if views[i].Group != placement.GroupAny && (views[i].Group == placement.GroupLong) != long {
 			continue
@@ -251,16 +285,3 @@
 		views[home].Home = true
 	}
 }
-
-// mixed reports whether the pattern has both long and short prompts.
-func (r *play) mixed() bool {
-	var long, short bool
-	for i := range r.pattern.Kinds {
-		k := &r.pattern.Kinds[i]
-		if k.prompt() {
-			isLong := k.SharedTokens+k.OwnTokens >= longPrompt
-			long, short = long || isLong, short || !isLong
-		}
-	}
-	return long && short
-}
--- a/emulator/server.go
+++ b/emulator/server.go
@@ -1,9 +1,12 @@
 package emulator
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/galenaarch/galenaarch/internal/priority"
 )
 
 // server is the model of one backend server.
@@ -11,13 +14,17 @@
 	id    string
 	slots int
 	// free is when each place of a plain server is free again.
-	free  []time.Duration
-	queue int
-	// read is when an engine has read all that it has.
-	read    time.Duration
+	free    []time.Duration
+	queue   int
 	engines *Engines
-	// ends are when the runs under way end.
-	ends []time.Duration
+	// waiting are the prompts that an engine has not begun to read; busy is set
+	// while it reads, or waits for room.
+	waiting *priority.Queue[*reading]
+	busy    bool
+	// ends are when the runs under way end, sizes the memory that each of them
+	// takes at an engine; tokens.
+	ends  []time.Duration
+	sizes []int
 	// parts are the cached parts, the least recently used first.
 	parts    []cached
 	troubles []Trouble
@@ -30,8 +37,8 @@
 	refused, failed bool
 	// first is when its answer, or its first event, comes.
 	first time.Duration
-	// unread is the part of the prompt that had to be read.
-	unread int
+	// end is when a prompt's run ends.
+	end time.Duration
 }
 
 // trouble returns when darkness ends, how many times as long work takes, and
@@ -57,8 +64,47 @@
 
 // load counts runs under way at a time.
 func (s *server) load(at time.Duration) int {
-	s.ends = slices.DeleteFunc(s.ends, func(end time.Duration) bool { return end <= at })
-	return len(s.ends)
+	running := 0
+	for i, end := range s.ends {
+		if end > at {
+			s.ends[running], s.sizes[running] = end, s.sizes[i]
+			running++
+		}
+	}
+	s.ends, s.sizes = s.ends[:running], s.sizes[:running]
+	return running
+}
+
+// roomAt is when, from a time on, an engine has memory for a request: engines
+// admit in the order of coming, and wait until runs have ended.
+func (s *server) roomAt(at time.Duration, tokens int) time.Duration {
+	s.load(at)
+	room := s.engines.MemoryTokens - tokens
+	for _, size := range s.sizes {
+		room -= size
+	}
+	if room >= 0 {
+		return at
+	}
+	order := make([]int, len(s.ends))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(s.ends[a], s.ends[b]) })
+	for _, i := range order {
+		if room += s.sizes[i]; room >= 0 {
+			return s.ends[i]
+		}
+	}
+	return at // larger than the memory: it would be refused
+}
+
+// queued is how many prompts an engine has not begun to read.
+func (s *server) queued() int {
+	if s.waiting == nil {
+		return 0
+	}
+	return s.waiting.Len()
 }
 
 // held is how much of a part an engine has.
@@ -71,16 +117,11 @@
 	return 0
 }
 
-// serve takes a request that comes at a time and is worth nothing after its
-// deadline.
-func (s *server) serve(k *Kind, part int, at, deadline time.Duration, random *rand.Rand) run {
+// serve takes a plain request that comes at a time.
+func (s *server) serve(k *Kind, at time.Duration, random *rand.Rand) run {
 	dark, slow, fail := s.trouble(at)
 	at = max(at, dark)
 	r := run{failed: random.Float64() < fail}
-	if s.engines != nil {
-		s.prompt(&r, k, part, at, deadline, slow)
-		return r
-	}
 	waiting := 0
 	for _, f := range s.free {
 		if f > at {
@@ -94,29 +135,10 @@
 	slices.Sort(s.free)
 	s.free[0] = max(s.free[0], at) + time.Duration(slow*float64(milliseconds(k.WorkMS)))
 	r.first = s.free[0]
-	s.ends = append(s.ends, r.first)
+	s.ends, s.sizes = append(s.ends, r.first), append(s.sizes, 0)
 	return r
 }
 
-func (s *server) prompt(r *run, k *Kind, part int, at, deadline time.Duration, slow float64) {
-	begin := max(at, s.read)
-	if begin >= deadline {
-		r.first = deadline // given up before it was read
-		return
-	}
-	r.unread = k.OwnTokens + k.SharedTokens - min(k.SharedTokens, s.held(part))
-	reading := float64(r.unread) / s.engines.TokensPerMS
-	if begin == at {
-		// Prompts that wait are read in the steps of those before them.
-		reading += s.engines.StepMS
-	}
-	r.first = begin + milliseconds(slow*reading)
-	s.read = r.first
-	steps := float64(k.OutTokens) * s.engines.StepMS
-	s.ends = append(s.ends, r.first+milliseconds(slow*steps))
-	s.keep(cached{part, k.SharedTokens}, s.load(at)*k.OwnTokens)
-}
-
 // keep caches a part, as recently used; others yield to it and to the runs.
 func (s *server) keep(c cached, running int) {
 	s.parts = slices.DeleteFunc(s.parts, func(x cached) bool { return x.part == c.part })
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -61,6 +61,8 @@
 	head    time.Time
 	cancel  context.CancelCauseFunc
 	version uint64
+	// memory is what the request takes of the server's memory; tokens.
+	memory int
 	// fetched tokens are brought by transfers expected to take fetchTime; saved
 	// parts are kept at stores.
 	fetched, saved, dismissed, unkept int
@@ -77,6 +79,16 @@
 	}
 }
 
+// release ends the attempt and frees what it takes of its server.
+func (a *attempt) release() {
+	a.end()
+	ran := time.Duration(0)
+	if a.verdict == answered {
+		ran = time.Since(a.began)
+	}
+	a.backend.end(a.memory, ran)
+}
+
 // send sends the request to one server and waits for the head of the answer.
 func (c *call) send(ctx context.Context, r *http.Request, b *backend, lastEvent string, patience time.Duration) *attempt {
 	now := time.Now()
@@ -106,8 +118,9 @@
 			}
 		}()
 	}
-	b.begin(c.unread, now)
-	if c.unread > 0 {
+	a.memory = c.job().MemoryTokens
+	b.begin(c.unread, a.memory, c.behind(), now)
+	if c.unread > 0 && !c.behind() {
 		c.gateway.peers.add(b.id, c.unread)
 		defer c.gateway.peers.add(b.id, -c.unread)
 	}
@@ -121,9 +134,9 @@
 	a.exchange = x
 	if err != nil {
 		b.awaiting.Add(-1)
-		b.reading.Add(int64(-c.unread))
+		b.queue(c.behind()).Add(int64(-c.unread))
 	} else {
-		b.firstByte(c.unread, now)
+		b.firstByte(c.unread, c.behind(), now)
 		if !inTime {
 			err = &upstream.Error{Step: upstream.StepAwait, Peer: b.address, Err: errSlow}
 		}
--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -47,6 +47,10 @@
 	// awaiting counts requests without a first byte, reading their tokens.
 	awaiting atomic.Int64
 	reading  atomic.Int64
+	// later is what of reading belongs to prompts that are late anyway.
+	later atomic.Int64
+	// holding is the memory that this instance's requests take there; tokens.
+	holding atomic.Int64
 	// bringing is the expected time of this instance's transfers of kept context
 	// to the server that are under way; nanoseconds.
 	bringing atomic.Int64
@@ -58,8 +62,12 @@
 	// retired is set when the server must get no more requests.
 	retired atomic.Bool
 
-	mu        sync.Mutex
-	mean      time.Duration
+	mu   sync.Mutex
+	mean time.Duration
+	// size is the memory that a prompt usually takes there, ran how long it
+	// usually holds it; tokens.
+	size      float64
+	ran       time.Duration
 	failing   float64
 	streak    int
 	restUntil time.Time
@@ -102,24 +110,60 @@
 // bringTime is how long the transfers under way to the server still take.
 func (b *backend) bringTime() time.Duration { return time.Duration(b.bringing.Load()) }
 
-// begin counts a request that is about to be sent.
-func (b *backend) begin(tokens int, now time.Time) {
+// begin counts a request that is about to be sent, with the tokens that are to be
+// read and the memory that it takes.
+func (b *backend) begin(tokens, memory int, later bool, now time.Time) {
 	b.inflight.Add(1)
-	b.reading.Add(int64(tokens))
+	b.queue(later).Add(int64(tokens))
+	b.holding.Add(int64(memory))
+	if memory > 0 {
+		b.mu.Lock()
+		if b.size == 0 {
+			b.size = float64(memory)
+		}
+		b.size += learnRate * (float64(memory) - b.size)
+		b.mu.Unlock()
+	}
 	if b.awaiting.Add(1) == 1 {
 		b.heard.Store(now.UnixNano())
 	}
 }
 
+// queue is the count of tokens that are to be read, in time or later.
+func (b *backend) queue(later bool) *atomic.Int64 {
+	if later {
+		return &b.later
+	}
+	return &b.reading
+}
+
 // firstByte counts a request whose answer has begun.
-func (b *backend) firstByte(tokens int, now time.Time) {
+func (b *backend) firstByte(tokens int, later bool, now time.Time) {
 	b.awaiting.Add(-1)
-	b.reading.Add(int64(-tokens))
+	b.queue(later).Add(int64(-tokens))
 	b.heard.Store(now.UnixNano())
 }
 
-// end counts a request that is over.
-func (b *backend) end() { b.inflight.Add(-1) }
+// end counts a request that is over and frees its memory; ran is how long it
+// held it, 0 if it did not run.
+func (b *backend) end(memory int, ran time.Duration) {
+	b.inflight.Add(-1)
+	if memory == 0 {
+		return
+	}
+	b.holding.Add(int64(-memory))
+	if ran == 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ran == 0 {
+		b.ran = ran
+	}
+	// What is free again when is decided by the large ones.
+	weight := min(1, float64(memory)/max(1, b.size))
+	b.ran += time.Duration(learnRate * weight * float64(ran-b.ran))
+}
 
 // report takes a server's word on its load.
 func (b *backend) report(l *Load, now time.Time) {
@@ -180,7 +224,7 @@
 // view is the server as a decision sees it.
 func (b *backend) view(zone string, now time.Time) placement.Server {
 	own := float64(b.inflight.Load())
-	s := placement.Server{Near: b.zone == zone, Slots: b.slots, ReadingTokens: int(b.reading.Load()), Cold: now.Before(b.coldUntil)}
+	s := placement.Server{Near: b.zone == zone, Slots: b.slots, ReadingTokens: int(b.reading.Load()), LaterTokens: int(b.later.Load()), Cold: now.Before(b.coldUntil)}
 	if b.awaiting.Load() > 0 {
 		s.Silence = now.Sub(time.Unix(0, b.heard.Load()))
 	}
@@ -194,6 +238,11 @@
 	s.Running = min(total, float64(b.slots))
 	s.Waiting = total - s.Running
 	s.Mean, s.Failing = b.mean, b.failing
+	if e := b.service.Engine; e != nil {
+		// Others' requests there are known by their number only.
+		s.MemoryTokens, s.RunTime = e.MemoryTokens, b.ran
+		s.HeldTokens = int(b.holding.Load()) + int(others*b.size)
+	}
 	s.Resting, s.Trial = now.Before(b.restUntil), b.trial
 	return s
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/galenaarch/galenaarch/admission"
 	"github.com/galenaarch/galenaarch/config/site"
 	"github.com/galenaarch/galenaarch/contexts"
 	"github.com/galenaarch/galenaarch/placement"
@@ -53,6 +54,9 @@
 	pace float64
 	// unread is the part of the prompt that the chosen server must read.
 	unread int
+	// verdict is what was decided of the request by outlook.
+	verdict admission.Verdict
+	outlook admission.Outlook
 }
 
 // rawPath is the path as the caller sent it.
@@ -127,7 +131,8 @@
 	j := placement.Job{Repeatable: c.repeatable(), ReadRate: c.pace}
 	if c.prompt != nil {
 		j.PromptTokens = c.prompt.Tokens
-		j.Long = c.prompt.Tokens >= longPrompt
+		j.MemoryTokens = c.prompt.Tokens + c.prompt.MaxOutput
+		j.Long = c.prompt.Tokens >= placement.LongPrompt
 	}
 	return j
 }
@@ -152,9 +157,7 @@
 // part has one home, so that the memory of all servers holds as many different
 // parts as it can; the others bring it from a store that has it.
 func (c *call) locate(candidates []*backend, servers []placement.Server) {
-	if c.gateway.sizes.mixed(c.began) {
-		placement.Split(servers, func(i int) string { return candidates[i].id })
-	}
+	placement.Split(servers, c.gateway.mix.ShortShare(), func(i int) string { return candidates[i].id })
 	shared := c.shared()
 	if len(shared) == 0 {
 		return
@@ -164,7 +167,7 @@
 		tokens += p.Tokens
 	}
 	key := shared[len(shared)-1].ID
-	long := c.prompt.Tokens >= longPrompt
+	long := c.prompt.Tokens >= placement.LongPrompt
 	home, best := -1, uint64(0)
 	type brings struct {
 		tokens int
@@ -230,8 +233,18 @@
 	if c.account != nil && c.account.HasPriority {
 		p = c.account.Priority
 	}
+	if c.behind() {
+		p += laterRanks
+	}
 	return max(0, min(9, firstRank+p))
 }
 
+// behind reports whether others go before the request at its server.
+func (c *call) behind() bool { return c.verdict != admission.InTurn }
+
 // firstRank is the engine's rank of the most urgent requests.
 const firstRank = 2
+
+// laterRanks is how much less urgent a prompt is that is late anyway: behind all
+// that may still be on time.
+const laterRanks = 4
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/galenaarch/galenaarch/admission"
 	"github.com/galenaarch/galenaarch/contextrelay"
 	"github.com/galenaarch/galenaarch/contexts"
 	"github.com/galenaarch/galenaarch/fleetview"
@@ -57,7 +58,7 @@
 	inflight atomic.Int64
 	// arrived is when the last request came; nanoseconds of Unix time.
 	arrived atomic.Int64
-	sizes   sizes
+	mix     placement.Mix
 	paces   paces
 	served  atomic.Uint64
 
@@ -151,10 +152,23 @@
 		}
 		c.locate(candidates, servers)
 	}
-	i := placement.Pick(g.scorer, servers, c.job(), func(i int) bool { return c.tried[candidates[i].id] }, rand.Float64())
+	job, skip, at := c.job(), func(i int) bool { return c.tried[candidates[i].id] }, rand.Float64()
+	i := placement.Pick(g.scorer, servers, job, skip, at)
 	if i < 0 {
 		return nil
 	}
+	c.verdict = admission.InTurn
+	if c.prompt != nil {
+		c.outlook = admission.Outlook{Waited: now.Sub(c.began), Objective: c.route.Objective, Bears: c.bears()}
+		c.outlook.InTurn = g.scorer.Cost(&servers[i], &job)
+		c.outlook.Behind = c.outlook.InTurn
+		if c.verdict = admission.Judge(c.outlook); c.verdict != admission.InTurn {
+			job.Later = true
+			i = placement.Pick(g.scorer, servers, job, skip, at)
+			c.outlook.Behind = g.scorer.Cost(&servers[i], &job)
+			c.verdict = admission.Judge(c.outlook)
+		}
+	}
 	if c.prompt != nil {
 		c.unread = placement.Unread(servers[i], c.job())
 	}
@@ -185,7 +199,7 @@
 		g.logger.Info("headers not understood", slog.String("request", req.ID), slog.Any("headers", req.Ignored))
 	}
 	if w.table == nil {
-		g.refuse(rw, c, http.StatusServiceUnavailable, "no document yet", comeBack(), nil)
+		g.refuse(rw, c, http.StatusServiceUnavailable, "no document yet", c.comeBack(), nil)
 		return
 	}
 	if limit := w.table.Limits.HeaderBytes; limit > 0 && headBytes(r) > limit {
@@ -225,7 +239,7 @@
 		c.prompt = nil
 	}
 	if c.prompt != nil {
-		c.gateway.sizes.note(c.prompt.Tokens, c.began)
+		c.gateway.mix.Note(c.prompt.Tokens, c.began)
 	}
 	patience := c.route.Timeout
 	if c.request.Patience > 0 {
@@ -240,19 +254,20 @@
 const sampleEvery = 16
 
 func (g *Gateway) sampled(c *call) bool {
-	return c.sends > 1 || (c.prompt != nil && c.prompt.Tokens >= longPrompt) || g.served.Add(1)%sampleEvery == 0
+	return c.sends > 1 || (c.prompt != nil && c.prompt.Tokens >= placement.LongPrompt) || g.served.Add(1)%sampleEvery == 0
+}
+
+// bears is how long the caller waits for the begin of an answer.
+func (c *call) bears() time.Duration {
+	patience := c.deadline.Sub(c.began)
+	if c.route.Bears > 0 {
+		return min(patience, c.route.Bears)
+	}
+	return patience
 }
 
 // repeatable reports whether the request may run on a second server.
 func (c *call) repeatable() bool { return c.route.Repeatable() }
 
-func comeBack() time.Duration {
-	return firstReturn + time.Duration(rand.Int64N(int64(returnSpread)))
-}
-
-// Times for refused callers to come back: spread, so that they do not all
-// return at once.
-const (
-	firstReturn  = 150 * time.Millisecond
-	returnSpread = 400 * time.Millisecond
-)
+// comeBack is when a caller whose request has not run may come back.
+func (c *call) comeBack() time.Duration { return admission.ComeBack(c.outlook, rand.Float64()) }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -125,7 +125,7 @@
 	if c.prompt != nil {
 		attributes = append(attributes, slog.Int("prompt_tokens", c.prompt.Tokens), slog.Int("expected_reading", c.unread), slog.Uint64("weights", a.version),
 			slog.Int("fetched_tokens", a.fetched), slog.Duration("expected_fetch", a.fetchTime), slog.Int("saved_parts", a.saved), slog.Int("dismissed_tokens", a.dismissed), slog.Int("unkept_parts", a.unkept),
-			slog.Int("ahead_tokens", c.ahead),
+			slog.Int("ahead_tokens", c.ahead), slog.String("verdict", c.verdict.String()), slog.Duration("in_turn", c.outlook.InTurn),
 			slog.Bool("home", c.home))
 	}
 	c.gateway.logger.LogAttrs(context.Background(), slog.LevelInfo, "request served", attributes...)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/galenaarch/galenaarch/admission"
 	"github.com/galenaarch/galenaarch/config/site"
 )
 
@@ -35,8 +36,7 @@
 // relayAndEnd relays an answer and releases what the attempt holds, also when
 // the caller's connection is broken off by a panic.
 func (c *call) relayAndEnd(rw http.ResponseWriter, r *http.Request, s *stream, a *attempt) bool {
-	defer a.backend.end()
-	defer a.end()
+	defer a.release()
 	return c.relay(rw, r, s, a)
 }
 
@@ -49,6 +49,7 @@
 	noRepeats reason = "may not be sent again"
 	timeUp    reason = "time is over"
 	leftEarly reason = "caller left"
+	noRoom    reason = "no answer in time"
 )
 
 // next sends the request to servers until one answers. It returns nil and the
@@ -74,6 +75,9 @@
 		if b == nil {
 			return nil, noServer
 		}
+		if c.verdict == admission.TurnAway && c.sends == 0 && !s.begun && c.request.LastEvent == "" {
+			return nil, noRoom
+		}
 		a := c.send(ctx, r, b, s.lastEvent, c.patience(left))
 		switch a.verdict {
 		case answered:
@@ -81,12 +85,10 @@
 				return a, ""
 			}
 		case callerGone:
-			a.end()
-			b.end()
+			a.release()
 			return nil, leftEarly
 		}
-		a.end()
-		b.end()
+		a.release()
 	}
 }
 
@@ -143,7 +145,7 @@
 			slog.String("reason", string(why)), slog.String("last_event", s.lastEvent), slog.Int("sends", c.sends))
 		panic(http.ErrAbortHandler)
 	}
-	status, after := http.StatusServiceUnavailable, comeBack()
+	status, after := http.StatusServiceUnavailable, c.comeBack()
 	switch {
 	case c.ran && why == timeUp:
 		status, after = http.StatusGatewayTimeout, 0
@@ -175,7 +177,7 @@
 	}
 	g.logger.Info("request refused", slog.String("request", c.request.ID), slog.String("route", route), slog.Int("status", status),
 		slog.String("reason", why), slog.Int("sends", c.sends), slog.Bool("may_have_run", c.ran), slog.Int("servers_known", servers),
-		slog.Uint64("document", document), slog.Duration("come_back", after), slog.Duration("patience", c.patienceGiven()),
+		slog.Uint64("document", document), slog.Duration("come_back", after), slog.Duration("in_turn", c.outlook.InTurn), slog.Duration("behind", c.outlook.Behind), slog.Duration("patience", c.patienceGiven()),
 		slog.Duration("took", time.Since(c.began)), slog.Any("error", err))
 	g.dialect.Refusal(rw.Header(), c.request.ID, after)
 	rw.Header().Set("Content-Type", "text/plain; charset=utf-8")
--- a/placement/group.go
+++ b/placement/group.go
@@ -21,8 +21,6 @@
 )
 
 const (
-	// shortShare is the part of the servers for short prompts.
-	shortShare = 0.34
 	// longAmongShort and shortAmongLong are the costs of the other's servers: a
 	// long prompt there delays many, a short one risks meeting a long one.
 	longAmongShort = 250 * time.Millisecond
@@ -47,10 +45,10 @@
 // short prompts.
 func GroupRank(server string) uint64 { return Rank("short prompts", server) }
 
-// Split assigns the groups, alike at every entry instance. With fewer than three
-// servers there are none.
-func Split(servers []Server, id func(i int) string) {
-	if len(servers) < 3 {
+// Split assigns the groups, alike at every entry instance that sees the same
+// share of short prompts: see Mix. With fewer than three servers there are none.
+func Split(servers []Server, shortShare float64, id func(i int) string) {
+	if len(servers) < 3 || shortShare <= 0 {
 		return
 	}
 	order := make([]int, len(servers))
@@ -59,7 +57,7 @@
 		order[i], ranks[i] = i, GroupRank(id(i))
 	}
 	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(ranks[b], ranks[a]) })
-	short := max(1, int(shortShare*float64(len(servers))+0.5))
+	short := min(max(1, int(shortShare*float64(len(servers))+0.5)), len(servers)-1)
 	for n, i := range order {
 		servers[i].Group = GroupLong
 		if n < short {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -44,8 +44,14 @@
 	Running, Waiting float64
 	// Mean is the usual time of one request there; 0 if not known.
 	Mean time.Duration
-	// ReadingTokens are prompt tokens sent there and not yet read.
-	ReadingTokens int
+	// ReadingTokens are prompt tokens sent there and not yet read, LaterTokens those
+	// besides that the server reads only where nothing else is to be read.
+	ReadingTokens, LaterTokens int
+	// MemoryTokens is what the server's memory holds, HeldTokens what the requests
+	// there take of it, as believed now, and RunTime how long one of them holds
+	// its part; 0 where they are not known.
+	MemoryTokens, HeldTokens int
+	RunTime                  time.Duration
 	// Silence is how long the server has said nothing while this instance
 	// awaits an answer from it.
 	Silence time.Duration
@@ -74,8 +80,13 @@
 	PromptTokens int
 	// ReadRate is the tokens a server reads in a millisecond.
 	ReadRate float64
+	// MemoryTokens is what the request takes of a server's memory: its prompt, and
+	// what is generated.
+	MemoryTokens int
 	// Long prompts hold short ones up.
 	Long bool
+	// Later jobs are late anyway: others go before them.
+	Later bool
 	// Repeatable jobs may be used to try a server that failed.
 	Repeatable bool
 
@@ -101,7 +112,7 @@
 		cost += silenceFactor * (s.Silence - silenceAllowed)
 	}
 	if j.PromptTokens > 0 {
-		cost += readTime(s, j)
+		cost += readTime(s, j) + roomTime(s, j)
 		if !s.Home {
 			cost += awayPenalty
 		}
@@ -142,12 +153,32 @@
 	return before + read
 }
 
+// roomTime is the time until a server's memory has room for a request: runs end
+// evenly, so that what is missing is free after its part of a run's time. Without
+// it, long runs meet where little is to be read, and push each other out, so that
+// their prompts are read twice (long answers to long prompts).
+func roomTime(s *Server, j *Job) time.Duration {
+	missing := s.HeldTokens + j.MemoryTokens - int(memoryShare*float64(s.MemoryTokens))
+	if s.MemoryTokens == 0 || missing <= 0 {
+		return 0
+	}
+	return time.Duration(float64(s.RunTime) * float64(missing) / float64(s.MemoryTokens))
+}
+
+// memoryShare is the part of a server's memory that runs may take: what they
+// will generate is known only as a bound, and others' requests only in part.
+const memoryShare = 0.9
+
 // beforeTime is the time until a server has read what it was sent before.
 func beforeTime(s *Server, j *Job) time.Duration {
-	if s.ReadingTokens == 0 {
+	before := s.ReadingTokens
+	if j.Later {
+		before += s.LaterTokens
+	}
+	if before == 0 {
 		return 0
 	}
-	return j.reading(s.ReadingTokens)
+	return j.reading(before)
 }
 
 // stepTokens is the reading that takes as long as an engine's step: a prompt
@@ -159,7 +190,7 @@
 // Unread is what a server has to read of a prompt, with what it brings counted
 // as the reading that takes as long, and its step.
 func Unread(s Server, j Job) int {
-	s.ReadingTokens = 0
+	s.ReadingTokens, s.LaterTokens = 0, 0
 	return int(readTime(&s, &j).Seconds()*1000*j.ReadRate) + stepTokens
 }
 
