Upstream: an answer without end costs a bounded amount of memory and time

Cause: the head of a server's answer was read by http.ReadResponse without a bound; interim answers were passed over for ever; an answer or a stream was relayed until the caller's deadline, however much came.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -18,8 +18,14 @@
 // Sizes of the relay; bytes.
 const (
 	chunkBytes = 8 << 10
-	// maxEvent bounds one event of a stream.
-	maxEvent = 1 << 20
+	// maxEvent bounds one event of a stream: hundreds of times what the users' events
+	// take. A server in trouble may send bytes without end that are no event.
+	maxEvent = 256 << 10
+	// maxAnswer bounds a whole answer, and a stream whose caller did not say how
+	// much it asks for; streamTokenBytes is the most that one token of output takes
+	// there, with what frames it. What is longer is taken for bytes without end.
+	maxAnswer        = 64 << 20
+	streamTokenBytes = 4 << 10
 )
 
 var chunks = sync.Pool{New: func() any { b := make([]byte, chunkBytes); return &b }}
@@ -101,7 +107,10 @@
 	rw.WriteHeader(a.status)
 	_, err := rw.Write(head)
 	if err == nil {
-		_, err = io.Copy(rw, a.exchange)
+		var n int64
+		if n, err = io.Copy(rw, io.LimitReader(a.exchange, maxAnswer)); n == maxAnswer {
+			err = errEndless
+		}
 	}
 	if err != nil {
 		c.logBroken(a, err)
@@ -155,10 +164,14 @@
 // if the stream broke and is to go on at another server.
 func (c *call) relayStream(r *http.Request, s *stream, a *attempt) bool {
 	s.pending = s.pending[:0]
+	left := c.streamBytes()
 	buffer := chunks.Get().(*[]byte)
 	defer chunks.Put(buffer)
 	for {
 		n, err := a.exchange.Read(*buffer)
+		if left -= n; left < 0 {
+			return s.interrupted(r, a, errEndless)
+		}
 		if n > 0 {
 			a.backend.heard.Store(time.Now().UnixNano())
 			s.pending = append(s.pending, (*buffer)[:n]...)
@@ -170,12 +183,26 @@
 			c.done(a)
 			return true
 		}
-		if err != nil || len(s.pending) > maxEvent {
+		if err == nil && len(s.pending) > maxEvent {
+			err = errEndless
+		}
+		if err != nil {
 			return s.interrupted(r, a, err)
 		}
 	}
 }
 
+// errEndless says that an answer goes on beyond all bounds.
+var errEndless = errors.New("the answer does not end")
+
+// streamBytes is the most that the stream of a request may take.
+func (c *call) streamBytes() int {
+	if c.prompt == nil || c.prompt.MaxOutput == 0 {
+		return maxAnswer
+	}
+	return maxEvent + streamTokenBytes*c.prompt.MaxOutput
+}
+
 // begin sends the head: that of the first server stays.
 func (s *stream) begin(a *attempt) {
 	if s.begun {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -42,8 +42,17 @@
 const (
 	readBuffer  = 4 << 10
 	writeBuffer = 4 << 10
+	// maxHead bounds the heads of one answer, the interim ones among them: four
+	// times what the users' documents let a caller send. A server in trouble may
+	// send a head without end.
+	maxHead = 64 << 10
+	// maxInterim bounds the interim answers before a final one.
+	maxInterim = 8
 )
 
+// ErrHead says that an answer's head goes on beyond all bounds.
+var ErrHead = errors.New("the head of the answer is too long")
+
 // Step is how far a request came.
 type Step int
 
@@ -87,9 +96,34 @@
 	Body                 []byte
 }
 
+// metered is a connection that gives out at most so many bytes while a head is
+// read.
+type metered struct {
+	net.Conn
+	left    int
+	bounded bool
+}
+
+// Read implements net.Conn.
+func (m *metered) Read(b []byte) (int, error) {
+	if !m.bounded {
+		return m.Conn.Read(b)
+	}
+	if m.left <= 0 {
+		return 0, ErrHead
+	}
+	n, err := m.Conn.Read(b[:min(len(b), m.left)])
+	m.left -= n
+	return n, err
+}
+
+// bound begins the reading of a head, free ends it.
+func (m *metered) bound() { m.left, m.bounded = maxHead, true }
+func (m *metered) free()  { m.bounded = false }
+
 // conn is one connection; it carries one exchange at a time.
 type conn struct {
-	net.Conn
+	*metered
 	reader *bufio.Reader
 	writer *bufio.Writer
 	idle   time.Time
@@ -195,7 +229,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.Conn.(syscall.Conn)
+	sc, ok := c.metered.Conn.(syscall.Conn)
 	if !ok {
 		return false
 	}
@@ -248,7 +282,8 @@
 		p.mu.Unlock()
 		return nil, &Error{Step: StepDial, Peer: p.address, Err: err}
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer), writer: bufio.NewWriterSize(raw, writeBuffer), limit: idleLimit}, nil
+	m := &metered{Conn: raw}
+	return &conn{metered: m, reader: bufio.NewReaderSize(m, readBuffer), writer: bufio.NewWriterSize(raw, writeBuffer), limit: idleLimit}, nil
 }
 
 // Send writes a request and waits for the head of its answer. The context
@@ -312,7 +347,9 @@
 
 // read returns the head of the final answer; interim ones are passed over.
 func (c *conn) read(r *Request) (*http.Response, error) {
-	for {
+	c.bound()
+	defer c.free()
+	for range maxInterim + 1 {
 		answer, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return nil, err
@@ -321,6 +358,7 @@
 			return answer, nil
 		}
 	}
+	return nil, ErrHead
 }
 
 // Exchange is a request whose answer has begun. It must be ended by Finish or
