Gateway: cells of entry instances and engines, so that loads are known where there are many

Ruled out: longer words between instances (their number squared), reading speed, room at stores alone. Change: placement.Cell gives each instance the engines of its failure domain that it shares with about five others; the rest is taken where a prompt would be late in the cell, with the cell's mean load assumed of them. Instances tell only those of their failure domain.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -19,8 +19,9 @@
 	// allowedShare is the part of a route's objective that transfers may take.
 	allowedShare = 0.4
 	// maxUnary bounds an answer that is held whole before it is passed on, so
-	// that a broken one can be told from a whole one; longer ones stream.
-	maxUnary = 1 << 20
+	// that a broken one can be told from a whole one; longer ones stream. It is some
+	// fifty times the users' longest; many may come at once without an end.
+	maxUnary = 256 << 10
 )
 
 // call is one request of a caller on its way.
@@ -45,15 +46,18 @@
 	ran   bool
 	// granted says that the budget has already allowed the next repeat.
 	granted bool
-	// home says that the chosen server is the home of the prompt's shared part,
-	// ahead is what it had to read before.
-	home  bool
-	ahead int
+	choice
 	// pace is the speed at which the service's engines read; tokens a
 	// millisecond.
 	pace float64
-	// unread is the part of the prompt that the chosen server must read.
-	unread int
+}
+
+// choice is what is expected at the chosen server.
+type choice struct {
+	// home says that it is the home of the prompt's shared part, ahead is what it
+	// has to read before, unread what it must read of the prompt; tokens.
+	home          bool
+	ahead, unread int
 	// verdict is what was decided of the request by outlook.
 	verdict admission.Verdict
 	outlook admission.Outlook
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -22,6 +22,9 @@
 	table    *site.Table
 	backends map[string]*backend
 	services map[string][]*backend
+	// cells are the servers of each service of engines that this instance prefers;
+	// nil for all: see placement.Cell.
+	cells map[string]map[string]bool
 	// wanted is the newest weight version asked for, by model.
 	wanted map[string]uint64
 	// named is when this instance first heard of the versions wanted.
@@ -44,6 +47,7 @@
 	}
 	if next.table != nil {
 		g.place(s, old, next)
+		g.cell(s, next)
 		g.followContexts(ctx, s, next)
 	}
 	g.world.Store(next)
@@ -163,6 +167,27 @@
 	}
 }
 
+// cell chooses the engines that this instance prefers of each service.
+func (g *Gateway) cell(s *fleetview.Snapshot, next *world) {
+	entries := make([]placement.Member, 0, len(s.Entries))
+	for name, e := range s.Entries {
+		entries = append(entries, placement.Member{ID: name, Zone: e.Zone})
+	}
+	next.cells = make(map[string]map[string]bool)
+	for name, list := range next.services {
+		if service := next.table.Service(name); service == nil || service.Engine == nil {
+			continue
+		}
+		servers := make([]placement.Member, len(list))
+		for i, b := range list {
+			servers[i] = placement.Member{ID: b.id, Zone: b.zone}
+		}
+		if own := placement.Cell(g.instance, entries, servers); own != nil {
+			next.cells[name] = own
+		}
+	}
+}
+
 // countEntries is among how many instances shared bounds are split. Invariant:
 // shares only shrink in one life of this process, since an instance that was
 // lost may still be at work.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,11 +46,12 @@
 	follower *contextrelay.Follower
 	peers    *peers
 	scorer   placement.Scorer
-	zone     string
-	bounds   Bounds
-	logger   *slog.Logger
-	metrics  *metrics
-	started  time.Time
+	// instance and zone name this instance and its failure domain.
+	instance, zone string
+	bounds         Bounds
+	logger         *slog.Logger
+	metrics        *metrics
+	started        time.Time
 
 	world    atomic.Pointer[world]
 	stopping stopping
@@ -67,8 +68,8 @@
 }
 
 // New returns a gateway in a failure domain.
-func New(d Dialect, v *fleetview.View, stores *contexts.Watch, follower *contextrelay.Follower, p *peers, by placement.Scorer, zone string, b Bounds, logger *slog.Logger, m *metrics) *Gateway {
-	g := &Gateway{dialect: d, view: v, stores: stores, follower: follower, peers: p, scorer: by, zone: zone, bounds: b, logger: logger, metrics: m, started: time.Now(), budgets: make(map[string]*retry.Window)}
+func New(d Dialect, v *fleetview.View, stores *contexts.Watch, follower *contextrelay.Follower, p *peers, by placement.Scorer, instance, zone string, b Bounds, logger *slog.Logger, m *metrics) *Gateway {
+	g := &Gateway{dialect: d, view: v, stores: stores, follower: follower, peers: p, scorer: by, instance: instance, zone: zone, bounds: b, logger: logger, metrics: m, started: time.Now(), budgets: make(map[string]*retry.Window)}
 	g.world.Store(&world{entries: 1})
 	return g
 }
@@ -121,25 +122,61 @@
 	}
 }
 
-// choose picks a backend for a request, or nil.
+// choose picks a backend for a request, or nil: one of the instance's own cell,
+// and of all others where the request would be late there.
 func (g *Gateway) choose(w *world, c *call, now time.Time) *backend {
-	all := w.services[c.service.Name]
-	candidates := make([]*backend, 0, len(all))
+	all := usable(w.services[c.service.Name], now)
+	own := w.cells[c.service.Name]
+	if c.prompt == nil || own == nil {
+		return g.pick(w, c, all, nil, now)
+	}
+	near := make([]*backend, 0, len(own))
 	for _, b := range all {
-		if !b.lost(now) && !b.retired.Load() {
-			candidates = append(candidates, b)
+		if own[b.id] && !c.tried[b.id] {
+			near = append(near, b)
 		}
 	}
-	if len(candidates) == 0 {
-		for _, b := range all {
-			if !b.retired.Load() {
-				candidates = append(candidates, b)
-			}
+	var chosen *backend
+	if len(near) > 0 {
+		if chosen = g.pick(w, c, near, nil, now); chosen != nil && c.verdict == admission.InTurn {
+			return chosen
 		}
 	}
-	if len(candidates) == 0 {
-		return nil
+	before := c.choice
+	if far := g.pick(w, c, all, own, now); chosen == nil || (far != nil && c.verdict == admission.InTurn) {
+		return far
+	}
+	c.choice = before
+	return chosen
+}
+
+// usable are the servers that may be asked: those that are heard of, or all if
+// none is.
+func usable(all []*backend, now time.Time) []*backend {
+	heard, there := make([]*backend, 0, len(all)), 0
+	for _, b := range all {
+		if b.retired.Load() {
+			continue
+		}
+		there++
+		if !b.lost(now) {
+			heard = append(heard, b)
+		}
+	}
+	if len(heard) > 0 || there == 0 {
+		return heard
 	}
+	for _, b := range all {
+		if !b.retired.Load() {
+			heard = append(heard, b)
+		}
+	}
+	return heard
+}
+
+// pick chooses among candidates, and judges the request by what it expects there.
+// own names the servers of the cell if the candidates are more than these.
+func (g *Gateway) pick(w *world, c *call, candidates []*backend, own map[string]bool, now time.Time) *backend {
 	servers := make([]placement.Server, len(candidates))
 	for i, b := range candidates {
 		servers[i] = b.view(g.zone, now)
@@ -150,6 +187,9 @@
 		for i, b := range candidates {
 			servers[i].ReadingTokens += reading[b.id]
 		}
+		if own != nil {
+			placement.Assume(servers, func(i int) bool { return own[candidates[i].id] })
+		}
 		c.locate(candidates, servers)
 	}
 	job, skip, at := c.job(), func(i int) bool { return c.tried[candidates[i].id] }, rand.Float64()
@@ -168,9 +208,7 @@
 			c.outlook.Behind = g.scorer.Cost(&servers[i], &job)
 			c.verdict = admission.Judge(c.outlook)
 		}
-	}
-	if c.prompt != nil {
-		c.unread = placement.Unread(servers[i], c.job())
+		c.unread = placement.Unread(servers[i], job)
 	}
 	c.home, c.ahead = servers[i].Home, servers[i].ReadingTokens
 	return candidates[i]
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -10,6 +10,7 @@
 
 	"github.com/galenaarch/galenaarch/api/fleetv1"
 	"github.com/galenaarch/galenaarch/fleetview"
+	"github.com/galenaarch/galenaarch/placement"
 )
 
 // Times and bounds of what entry instances tell each other.
@@ -24,7 +25,8 @@
 	// silentPause spares a peer that did not answer.
 	silentPause = 2 * time.Second
 	// maxPeers bounds whom an instance tells: the cost grows with the square of
-	// their number.
+	// their number. Where there are cells, only those of its failure domain send to
+	// the same servers.
 	maxPeers = 8
 )
 
@@ -145,7 +147,7 @@
 	p.mu.Unlock()
 	told := 0
 	for name, e := range entries {
-		if name == p.self.Name || e.PeerUrl == "" || told >= maxPeers {
+		if name == p.self.Name || e.PeerUrl == "" || told >= maxPeers || (placement.Celled(len(entries)) && e.Zone != p.self.Zone) {
 			continue
 		}
 		if c := p.reachable(e.PeerUrl, time.Now()); c != nil {
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -150,7 +150,7 @@
 		return err
 	}
 	stores := contexts.NewWatch(feed, p.logger)
-	p.gateway = New(dialect, p.view, stores, contextrelay.NewFollower(stores, client, p.logger), p.peers, scorer, p.settings.FailureDomain, p.settings.Bounds, p.logger, newMetrics(ctx.Registry))
+	p.gateway = New(dialect, p.view, stores, contextrelay.NewFollower(stores, client, p.logger), p.peers, scorer, p.settings.Instance, p.settings.FailureDomain, p.settings.Bounds, p.logger, newMetrics(ctx.Registry))
 	return nil
 }
 
--- /dev/null
+++ b/placement/cells_test.go
@@ -0,0 +1,83 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func members(prefix string, zones ...int) []Member {
+	var list []Member
+	for z, n := range zones {
+		for i := range n {
+			list = append(list, Member{ID: fmt.Sprintf("%s-%d-%d", prefix, z, i), Zone: fmt.Sprint("zone-", z)})
+		}
+	}
+	return list
+}
+
+// TestCellsCoverEveryServer: each server is in the cell of some instance of its
+// failure domain, cells are alike for all in them, and none is too small.
+func TestCellsCoverEveryServer(t *testing.T) {
+	tests := []struct {
+		name             string
+		entries, servers []Member
+		wantCells        int
+	}{
+		{"30 before 90", members("e", 8, 8, 8, 6), members("s", 23, 23, 22, 22), 7},
+		{"76 before 62", members("e", 13, 13, 13, 13, 12, 12), members("s", 11, 11, 10, 10, 10, 10), 6},
+		{"760 before 6900", members("e", 380, 380), members("s", 3450, 3450), 152},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			cells := make(map[string]bool)
+			covered := make(map[string]bool)
+			for _, e := range tt.entries {
+				own := Cell(e.ID, tt.entries, tt.servers)
+				require.GreaterOrEqual(t, len(own), cellServers)
+				cells[fmt.Sprint(own)] = true
+				for id := range own {
+					covered[id] = true
+				}
+			}
+			require.Len(t, cells, tt.wantCells)
+			require.Len(t, covered, len(tt.servers))
+		})
+	}
+}
+
+func TestSmallFleetsHaveNoCells(t *testing.T) {
+	require.Nil(t, Cell("e-0-0", members("e", 2, 1, 1, 1), members("s", 3, 3, 3, 3)))
+	require.Nil(t, Cell("e-0-0", members("e", 8, 8), members("s", 3, 30)), "too few servers in its failure domain")
+	require.Nil(t, Cell("stranger", members("e", 8, 8), members("s", 30, 30)))
+}
+
+// TestLossMovesFewServersBetweenCells: a server that leaves changes a cell by one
+// over each border at the most.
+func TestLossMovesFewServersBetweenCells(t *testing.T) {
+	entries, servers := members("e", 40), members("s", 120)
+	before := Cell("e-0-20", entries, servers)
+	for gone := range servers {
+		without := append(append([]Member{}, servers[:gone]...), servers[gone+1:]...)
+		moved := 0
+		for id := range Cell("e-0-20", entries, without) {
+			if !before[id] {
+				moved++
+			}
+		}
+		require.LessOrEqual(t, moved, 2)
+	}
+}
+
+func TestServersOutsideTheCellDoNotLookIdle(t *testing.T) {
+	list := servers(4, func(l []Server) {
+		l[0].ReadingTokens, l[1].ReadingTokens = 10_000, 30_000
+		l[0].HeldTokens = 40_000
+		l[3].ReadingTokens = 50_000
+	})
+	Assume(list, func(i int) bool { return i < 2 })
+	require.Equal(t, []int{10_000, 30_000, 14_000, 50_000}, []int{list[0].ReadingTokens, list[1].ReadingTokens, list[2].ReadingTokens, list[3].ReadingTokens})
+	require.Equal(t, 14_000, list[2].HeldTokens)
+	Assume(list, func(int) bool { return false })
+}
