Fleet view: a starting process shows no document that others have replaced

Cause: it put in force the first document that it heard of. A control instance may be far behind, and be the only one in reach, so that a key or a server's service that was withdrawn was in use again after a restart. Ruled out: a time after which it is shown anyhow, which only moves the fault. Change: documents are shown once more than half of the control instances listed have answered, and then the newest version that they name is held. Test: one instance behind, two cut off; fails before, passes after.

--- a/fleetview/documents.go
+++ b/fleetview/documents.go
@@ -26,6 +26,48 @@
 	fetching bool
 }
 
+// settle notes whether more than half of the control instances have answered in
+// the life of this process, and reports whether that is new. Invariant: before
+// that, no document is shown. What was acknowledged is held by more than half of
+// them, but a single one may be far behind: a process that starts and hears it
+// first would put an older document in force, with accounts' keys and servers
+// that were withdrawn. The caller holds the lock.
+func (v *View) settle() bool {
+	if v.settled {
+		return false
+	}
+	answered := 0
+	for url := range v.members {
+		if s := v.sources[url]; s != nil && !s.answered.IsZero() {
+			answered++
+		}
+	}
+	// A group without a list has one instance, which has answered.
+	v.settled = 2*answered > len(v.members) || len(v.members) == 0
+	if v.settled {
+		v.logger.Info("documents may be put in force", slog.Int("answered", answered), slog.Int("members", len(v.members)))
+	}
+	return v.settled
+}
+
+// shown are the documents that may be put in force: each once its newest named
+// version is held, and from then on whatever is held. The caller holds the lock.
+func (v *View) shown() map[string]*controlv1.PublishedDocument {
+	list := make(map[string]*controlv1.PublishedDocument)
+	if !v.settled {
+		return list
+	}
+	for name, d := range v.docs {
+		if w := v.wanted[name]; w == nil || d.Version >= w.version {
+			v.released[name] = true
+		}
+		if v.released[name] {
+			list[name] = d
+		}
+	}
+	return list
+}
+
 // want notes that a version exists and begins to fetch it; the caller holds the
 // lock.
 func (v *View) want(s *source, name string, version uint64) {
--- a/fleetview/view.go
+++ b/fleetview/view.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"log/slog"
-	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -98,9 +97,14 @@
 	sources map[string]*source
 	docs    map[string]*controlv1.PublishedDocument
 	wanted  map[string]*wanted
-	self    *fleetv1.EntryInstance
-	wake    chan struct{}
-	changed chan struct{}
+	// members are all control instances that any answer listed, released the
+	// documents that are shown: see settle.
+	members  map[string]bool
+	settled  bool
+	released map[string]bool
+	self     *fleetv1.EntryInstance
+	wake     chan struct{}
+	changed  chan struct{}
 }
 
 // New returns a view that begins with the control instances at seeds, base
@@ -108,6 +112,7 @@
 func New(seeds []string, self *fleetv1.EntryInstance, client *http.Client, logger *slog.Logger) *View {
 	v := &View{
 		client: client, logger: logger, seeds: seeds, sources: make(map[string]*source), self: self,
+		members: make(map[string]bool), released: make(map[string]bool),
 		docs: make(map[string]*controlv1.PublishedDocument), wanted: make(map[string]*wanted), wake: make(chan struct{}), changed: make(chan struct{}),
 	}
 	v.current.Store(&Snapshot{})
@@ -262,7 +267,13 @@
 	for _, d := range r.Documents {
 		v.want(s, d.Name, d.Version)
 	}
+	for _, url := range r.ControlUrls {
+		v.members[url] = true
+	}
 	v.listen(r.ControlUrls)
+	if v.settle() {
+		news = true
+	}
 	if news {
 		v.publish()
 	}
@@ -275,7 +286,7 @@
 // publish replaces the picture; the caller holds the lock.
 func (v *View) publish() {
 	next := &Snapshot{
-		Servers: make(map[string]*fleetv1.Announcement), Documents: maps.Clone(v.docs),
+		Servers: make(map[string]*fleetv1.Announcement), Documents: v.shown(),
 		Entries: make(map[string]*fleetv1.EntryInstance), Known: len(v.sources),
 	}
 	for _, s := range v.sources {
--- a/fleetview/view_test.go
+++ b/fleetview/view_test.go
@@ -159,3 +159,42 @@
 	hubs[1].Leave("s", 1)
 	require.Eventually(t, func() bool { return v.Current().Servers["s"].State == fleetv1.ServerState_SERVER_STATE_GONE }, time.Second, testPoll)
 }
+
+// TestStartingProcessShowsNoWithdrawnDocument: an entry instance starts, and the
+// first control instance that it hears is far behind the others: in the document
+// that it holds, a key is still there that was withdrawn. Nothing is in force
+// until more than half of the instances have answered.
+func TestStartingProcessShowsNoWithdrawnDocument(t *testing.T) {
+	quiet := slog.New(slog.DiscardHandler)
+	behind := &shared{changed: make(chan struct{})}
+	ahead := &shared{changed: make(chan struct{})}
+	var up atomic.Bool
+	var urls []string
+	for i, docs := range []*shared{behind, ahead, ahead} {
+		feed := httpserver.Compressed(fleetv1.NewFleetServer(registry.NewHub(time.Second, docs, quiet)))
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if i > 0 && !up.Load() {
+				http.Error(w, "cut off", http.StatusBadGateway)
+				return
+			}
+			feed.ServeHTTP(w, r)
+		}))
+		t.Cleanup(server.Close)
+		urls = append(urls, server.URL)
+	}
+	behind.members, ahead.members = urls, urls
+	behind.publish(1, []byte("with the key"))
+	ahead.publish(2, []byte("without the key"))
+	v := New(urls[:1], nil, &http.Client{}, quiet)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	v.Start(ctx)
+	require.Eventually(t, func() bool { return v.Current().Reached == 1 }, testWait, testPoll)
+	require.Never(t, func() bool { return version(v) != 0 }, time.Second, testPoll)
+	up.Store(true)
+	deadline := time.Now().Add(testWait)
+	for version(v) == 0 && time.Now().Before(deadline) {
+		time.Sleep(time.Millisecond)
+	}
+	require.Equal(t, uint64(2), version(v), "the older one is never shown")
+}
