Gateway: stalled streams go on elsewhere or end; slow ones are never cut

Cause: nothing watched the pauses of a stream. One whose server kept the connection, or sent a byte now and then, lasted until the route's end. Ruled out: a bound on the whole stream, and one on bytes. A stream with events is not ended.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -124,7 +124,7 @@
 func (c *call) done(a *attempt) {
 	c.gateway.needs.note(c.route.Name, time.Since(c.began))
 	c.gateway.metrics.served(c, a)
-	if !c.gateway.sampled(c) {
+	if !c.gateway.logged(c) {
 		return
 	}
 	attributes := []slog.Attr{
@@ -165,6 +165,8 @@
 func (c *call) relayStream(r *http.Request, s *stream, a *attempt) bool {
 	s.pending = s.pending[:0]
 	left := c.streamBytes()
+	watch := c.watchStall(a)
+	defer watch.stop()
 	buffer := chunks.Get().(*[]byte)
 	defer chunks.Put(buffer)
 	for {
@@ -175,7 +177,9 @@
 		if n > 0 {
 			a.backend.heard.Store(time.Now().UnixNano())
 			s.pending = append(s.pending, (*buffer)[:n]...)
-			s.forward(a)
+			if s.forward(a) {
+				watch.progress()
+			}
 		}
 		if errors.Is(err, io.EOF) && len(s.pending) == 0 {
 			s.begin(a)
@@ -187,7 +191,7 @@
 			err = errEndless
 		}
 		if err != nil {
-			return s.interrupted(r, a, err)
+			return s.interrupted(r, a, watch.reason(err))
 		}
 	}
 }
@@ -213,11 +217,12 @@
 	s.rw.WriteHeader(a.status)
 }
 
-// forward passes on the whole events that are pending.
-func (s *stream) forward(a *attempt) {
+// forward passes on the whole events that are pending, and reports whether there
+// were any.
+func (s *stream) forward(a *attempt) bool {
 	end := lastEnd(s.pending)
 	if end == 0 {
-		return
+		return false
 	}
 	s.begin(a)
 	events := s.pending[:end]
@@ -229,6 +234,7 @@
 		f.Flush()
 	}
 	s.pending = append(s.pending[:0], s.pending[end:]...)
+	return true
 }
 
 // interrupted decides what becomes of a stream that broke.
