--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,10 +5,13 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/galenaarch/galenaarch/admission"
 	"github.com/galenaarch/galenaarch/contextrelay"
 	"github.com/galenaarch/galenaarch/contexts"
@@ -61,7 +64,7 @@
 	arrived atomic.Int64
 	mix     placement.Mix
 	paces   paces
-	served  atomic.Uint64
+	lines   *rate.Limiter
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Window
@@ -69,7 +72,7 @@
 
 // New returns a gateway in a failure domain.
 func New(d Dialect, v *fleetview.View, stores *contexts.Watch, follower *contextrelay.Follower, p *peers, by placement.Scorer, instance, zone string, b Bounds, logger *slog.Logger, m *metrics) *Gateway {
-	g := &Gateway{dialect: d, view: v, stores: stores, follower: follower, peers: p, scorer: by, instance: instance, zone: zone, bounds: b, logger: logger, metrics: m, started: time.Now(), budgets: make(map[string]*retry.Window)}
+	g := &Gateway{dialect: d, view: v, stores: stores, follower: follower, peers: p, scorer: by, instance: instance, zone: zone, bounds: b, logger: logger, metrics: m, started: time.Now(), lines: rate.NewLimiter(servedLines, servedBurst), budgets: make(map[string]*retry.Window)}
 	g.world.Store(&world{entries: 1})
 	return g
 }
@@ -221,6 +224,7 @@
 func (g *Gateway) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	g.inflight.Add(1)
 	defer g.inflight.Add(-1)
+	defer g.caught(r)
 	now := time.Now()
 	g.arrived.Store(now.UnixNano())
 	if g.stopping.begun() {
@@ -258,6 +262,20 @@
 	c.serve(rw, r)
 }
 
+// caught logs a fault in the handling of one request, whose connection then ends;
+// the process goes on.
+func (g *Gateway) caught(r *http.Request) {
+	fault := recover()
+	if fault == nil {
+		return
+	}
+	if fault != http.ErrAbortHandler {
+		g.metrics.faults.Inc()
+		g.logger.Error("fault in a request", slog.String("path", rawPath(r)), slog.Any("fault", fault), slog.String("stack", string(debug.Stack())))
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // admit finds route, service and account.
 func (c *call) admit(r *http.Request) (status int, reason string) {
 	t := c.world.table
@@ -287,12 +305,21 @@
 	return 0, ""
 }
 
-// sampleEvery is the share of ordinary served requests that are logged: one in
-// so many. Long prompts are few and dear, and all logged.
-const sampleEvery = 16
+// servedLines bounds the lines on ordinary served requests, in a second and at
+// once: each request has one at the load of a quiet day, and a burst does not fill
+// the log. Long prompts, and what was sent more than once, have theirs always.
+const (
+	servedLines = 100
+	servedBurst = 200
+)
 
-func (g *Gateway) sampled(c *call) bool {
-	return c.sends > 1 || (c.prompt != nil && c.prompt.Tokens >= placement.LongPrompt) || g.served.Add(1)%sampleEvery == 0
+// logged reports whether a served request has a line of its own.
+func (g *Gateway) logged(c *call) bool {
+	if c.sends > 1 || (c.prompt != nil && c.prompt.Tokens >= placement.LongPrompt) || g.lines.Allow() {
+		return true
+	}
+	g.metrics.unlogged.Inc()
+	return false
 }
 
 // bears is how long the caller waits for the begin of an answer.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -9,16 +9,20 @@
 	outcomes *prometheus.CounterVec
 	sendings *prometheus.CounterVec
 	first    *prometheus.HistogramVec
+	unlogged prometheus.Counter
+	faults   prometheus.Counter
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
 	m := &metrics{
+		unlogged: prometheus.NewCounter(prometheus.CounterOpts{Name: "galena_gateway_unlogged_requests_total", Help: "Served requests without a log line, beyond the bound on lines."}),
+		faults:   prometheus.NewCounter(prometheus.CounterOpts{Name: "galena_gateway_faults_total", Help: "Requests that ended by an unexpected error in this process."}),
 		outcomes: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_requests_total", Help: "Requests by kind of route and outcome."}, []string{"kind", "outcome"}),
 		sendings: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_failed_sendings_total", Help: "Sendings to backend servers that brought no answer to relay, by kind of route."}, []string{"kind", "not_run"}),
 		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "galena_gateway_first_byte_seconds", Help: "Time from a request's arrival to the server's first byte.",
 			Buckets: []float64{.005, .01, .025, .05, .1, .2, .3, .5, .8, 1.5, 3, 10}}, []string{"kind"}),
 	}
-	r.MustRegister(m.outcomes, m.sendings, m.first)
+	r.MustRegister(m.outcomes, m.sendings, m.first, m.unlogged, m.faults)
 	return m
 }
 
