Contexts: a store is as slow as the fastest of its last transfers says

Cause: the mean of transfers' times took the waits of busy engines for slow stores. Change: of the last three transfers of a store the fastest counts; a prompt that is late anyway waits for its transfers as long as its caller bears. Test: TestBusyEnginesDoNotMakeAStoreSlow.

--- a/contexts/contexts_test.go
+++ b/contexts/contexts_test.go
@@ -236,3 +236,21 @@
 		}
 	})
 }
+
+// TestBusyEnginesDoNotMakeAStoreSlow: load pattern, many callers at once. An answer
+// that waited at its engine says nothing of the store that its context came from;
+// a store that is slow is slow for all.
+func TestBusyEnginesDoNotMakeAStoreSlow(t *testing.T) {
+	const expected = 20 * time.Millisecond
+	s := NewStore("s:1", "a")
+	now := time.Unix(1000, 0)
+	for _, took := range []time.Duration{expected, 50 * expected, 40 * expected, expected, 30 * expected, 50 * expected} {
+		s.learn(took, expected, now)
+		require.InDelta(t, 1, s.slowness(now), 0.01)
+	}
+	for range slowSamples {
+		s.learn(4*expected, expected, now)
+	}
+	require.InDelta(t, 4, s.slowness(now), 0.01)
+	require.InDelta(t, 2.5, s.slowness(now.Add(forgetAfter)), 0.01, "half forgotten")
+}
--- a/contexts/store.go
+++ b/contexts/store.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -25,10 +26,11 @@
 	saveFor = 4 * time.Second
 	// leastKept is the shortest part that is kept; tokens, an engine's block.
 	leastKept = 16
-	// learnRate is the weight of the newest transfer in a store's slowness, and
-	// forgetAfter the time in which a slowness is half forgotten: a store that
+	// slowSamples is of how many transfers the fastest one says how slow a store
+	// is: what else delayed an answer, at a busy engine, is in the others.
+	slowSamples = 3
+	// forgetAfter is the time in which a slowness is half forgotten: a store that
 	// is spared for it would otherwise never be tried again.
-	learnRate   = 0.25
 	forgetAfter = 2 * time.Second
 	// maxSlow bounds the slowness that is believed.
 	maxSlow = 50
@@ -72,10 +74,12 @@
 	held   map[Key]int
 	used   int
 	saving map[Key]save
-	// slow is how many times as long as by its figures transfers took lately,
-	// as of slowAt.
-	slow   float64
-	slowAt time.Time
+	// ratios are how many times as long as by its figures the last transfers took,
+	// sampled how many there were, slow the least of them, as of slowAt.
+	ratios  [slowSamples]float64
+	sampled int
+	slow    float64
+	slowAt  time.Time
 	// bringing is the tokens of this instance's transfers under way.
 	bringing int
 	// told is set if the picture is another instance's, which does not tell of
@@ -211,11 +215,16 @@
 	return 1 + (s.slow-1)*math.Exp2(-float64(now.Sub(s.slowAt))/float64(forgetAfter))
 }
 
-// learn takes the time of a transfer that would have taken expected.
+// learn takes the time of a transfer that would have taken expected. A mean would
+// take the waits of busy engines for slow stores, and dismiss transfers when
+// reading is scarcest (many callers at once).
 func (s *Store) learn(took, expected time.Duration, now time.Time) {
-	ratio := min(maxSlow, max(1, float64(took)/float64(expected)))
-	s.slow = s.slowness(now) + learnRate*(ratio-s.slowness(now))
-	s.slowAt = now
+	s.ratios[s.sampled%slowSamples] = min(maxSlow, max(1, float64(took)/float64(expected)))
+	s.sampled++
+	if s.sampled < slowSamples {
+		return
+	}
+	s.slow, s.slowAt = slices.Min(s.ratios[:]), now
 }
 
 // room is what may still be kept, with the saves under way taken off.
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -211,13 +211,22 @@
 
 // transfers decides what a server reads from stores and keeps there.
 func (c *call) transfers(b *backend, salt string) contexts.Transfers {
-	t := c.gateway.stores.Plan(under(salt, c.shared()), contexts.Target{Address: b.address, Zone: b.zone, Bringing: b.bringTime(), Allowed: time.Duration(allowedShare * float64(c.route.Objective)), ReadRate: c.pace})
+	t := c.gateway.stores.Plan(under(salt, c.shared()), contexts.Target{Address: b.address, Zone: b.zone, Bringing: b.bringTime(), Allowed: time.Duration(allowedShare * float64(c.aim())), ReadRate: c.pace})
 	for len(t.Fetch) < len(c.prompt.Parts) {
 		t.Fetch, t.Save = append(t.Fetch, ""), append(t.Save, "")
 	}
 	return t
 }
 
+// aim is the time in which the answer is to begin: the objective, or where that
+// is missed anyway, what the caller bears.
+func (c *call) aim() time.Duration {
+	if c.behind() {
+		return c.bears()
+	}
+	return c.route.Objective
+}
+
 // salt is the salt of the request's contexts on weights of a version.
 func (c *call) salt(version uint64) string {
 	isolated := ""
