Gateway: a server that says nothing to anybody rests at once, whoever gave up first

Cause: each new request to a dark server set the time back at which it was last heard; callers that left, and prompts that may not be sent again, showed nothing of it; three failures in a row were needed. Change: when a server was heard and when it was asked are told apart; one that has shown no life since a request began, for half a second, has failed.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -216,7 +216,7 @@
 	if !c.repeatable() || c.sends+1 >= c.route.MaxServers || c.deadline.Sub(now) < 2*leastLeft {
 		return false
 	}
-	if now.Sub(time.Unix(0, a.backend.heard.Load())) < silentFor {
+	if a.backend.silence(now) < silentFor {
 		return false
 	}
 	if !c.gateway.budget(c.service.Name).Take(now) {
@@ -281,7 +281,7 @@
 	case a.verdict == answered:
 		b.fail(false, now)
 		return
-	case a.verdict == callerGone:
+	case a.verdict == callerGone && !b.mute(a.began, now):
 		return
 	case a.status == http.StatusMisdirectedRequest:
 		c.misdirected(a)
@@ -290,7 +290,9 @@
 		resting = b.shed(a.answer.Load, now)
 	case errors.Is(a.err, upstream.ErrLimit):
 	default:
-		hard := e != nil && (e.Step == upstream.StepDial || e.Step == upstream.StepAwait) && !errors.Is(a.err, errSlow)
+		// A server that says nothing to anybody is not there, whoever gave up first:
+		// those that may not be sent again cannot show it in another way.
+		hard := b.mute(a.began, now) || (e != nil && (e.Step == upstream.StepDial || e.Step == upstream.StepAwait) && !errors.Is(a.err, errSlow))
 		resting = b.fail(hard, now)
 	}
 	c.gateway.metrics.attempt(c, a)
--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -54,9 +54,9 @@
 	// bringing is the expected time of this instance's transfers of kept context
 	// to the server that are under way; nanoseconds.
 	bringing atomic.Int64
-	// heard is when the server last showed life, or when awaiting rose from 0;
-	// nanoseconds of Unix time.
-	heard atomic.Int64
+	// heard is when the server last showed life to this instance, asked when
+	// awaiting rose from 0; nanoseconds of Unix time.
+	heard, asked atomic.Int64
 	// silent is set while no control instance hears of the server.
 	silent atomic.Bool
 	// retired is set when the server must get no more requests.
@@ -107,6 +107,17 @@
 	return b.silent.Load() && now.Sub(time.Unix(0, b.heard.Load())) > silentLife
 }
 
+// silence is how long the server has said nothing although it was asked.
+func (b *backend) silence(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, max(b.heard.Load(), b.asked.Load())))
+}
+
+// mute reports whether the server has shown no life since a time, for long enough
+// that it cannot only be slow.
+func (b *backend) mute(since, now time.Time) bool {
+	return now.Sub(since) >= silentFor && b.heard.Load() < since.UnixNano()
+}
+
 // bringTime is how long the transfers under way to the server still take.
 func (b *backend) bringTime() time.Duration { return time.Duration(b.bringing.Load()) }
 
@@ -125,7 +136,7 @@
 		b.mu.Unlock()
 	}
 	if b.awaiting.Add(1) == 1 {
-		b.heard.Store(now.UnixNano())
+		b.asked.Store(now.UnixNano())
 	}
 }
 
@@ -226,7 +237,7 @@
 	own := float64(b.inflight.Load())
 	s := placement.Server{Near: b.zone == zone, Slots: b.slots, ReadingTokens: int(b.reading.Load()), LaterTokens: int(b.later.Load()), Cold: now.Before(b.coldUntil)}
 	if b.awaiting.Load() > 0 {
-		s.Silence = now.Sub(time.Unix(0, b.heard.Load()))
+		s.Silence = b.silence(now)
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
