--- a/contexts/contexts_test.go
+++ b/contexts/contexts_test.go
@@ -271,3 +271,11 @@
 	require.Equal(t, 300, plan(300, 8).Dismissed)
 	require.Equal(t, 4000, plan(4000, 3).FetchTokens, "a long one is worth a wait")
 }
+
+// TestShortPromptsAreReadWhereTheyAre: load pattern, many short questions beside
+// few long prompts, whose parts are before theirs on every link.
+func TestShortPromptsAreReadWhereTheyAre(t *testing.T) {
+	require.False(t, WorthBringing(parts(part("first", 55), part("question", 246))))
+	require.True(t, WorthBringing(parts(part("first", 341), part("quote", 1520))))
+	require.False(t, WorthBringing(nil))
+}
--- a/contexts/plan.go
+++ b/contexts/plan.go
@@ -47,6 +47,21 @@
 // one on a slow link costs its prompt more than a moment of reading costs others.
 const worthTimes = 4
 
+// leastBrought is the shortest shared prompt that is kept and brought; tokens. A
+// server's transfers run one after another: what takes 20 ms to read waits longer
+// behind others' long parts (many short questions beside few long prompts).
+const leastBrought = 1024
+
+// WorthBringing reports whether the shared parts of a prompt are kept at stores
+// and brought from them.
+func WorthBringing(parts []Part) bool {
+	sum := 0
+	for _, p := range parts {
+		sum += p.Tokens
+	}
+	return sum >= leastBrought
+}
+
 // farFactor is how much longer a transfer between failure domains takes.
 const farFactor = 2
 
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -184,7 +184,9 @@
 		parts := under(salt, shared)
 		held, known := brought[salt]
 		if !known {
-			held.tokens, held.took = c.gateway.stores.Held(parts)
+			if contexts.WorthBringing(parts) {
+				held.tokens, held.took = c.gateway.stores.Held(parts)
+			}
 			brought[salt] = held
 		}
 		cached, sure := c.gateway.stores.Cached(b.address, parts)
@@ -211,7 +213,10 @@
 
 // transfers decides what a server reads from stores and keeps there.
 func (c *call) transfers(b *backend, salt string) contexts.Transfers {
-	t := c.gateway.stores.Plan(under(salt, c.shared()), contexts.Target{Address: b.address, Zone: b.zone, Bringing: b.bringTime(), Allowed: time.Duration(allowedShare * float64(c.aim())), ReadRate: c.pace})
+	var t contexts.Transfers
+	if shared := under(salt, c.shared()); contexts.WorthBringing(shared) {
+		t = c.gateway.stores.Plan(shared, contexts.Target{Address: b.address, Zone: b.zone, Bringing: b.bringTime(), Allowed: time.Duration(allowedShare * float64(c.aim())), ReadRate: c.pace})
+	}
 	for len(t.Fetch) < len(c.prompt.Parts) {
 		t.Fetch, t.Save = append(t.Fetch, ""), append(t.Save, "")
 	}
