Directory: where every entry instance is stopping, callers are told of those that stop

Ruled out: control instances that were cut off (their look-ups move on). Change: with none that accepts, those that are heard of are told. A stopping instance takes what it will finish and says of all else at once that it has not run.

--- a/registry/hub.go
+++ b/registry/hub.go
@@ -129,12 +129,19 @@
 func (h *Hub) Accepting(domain string, most int) []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	var list []*fleetv1.EntryInstance
-	for _, e := range h.live() {
+	live := h.live()
+	list := make([]*fleetv1.EntryInstance, 0, len(live))
+	for _, e := range live {
 		if e.Accepting {
 			list = append(list, e)
 		}
 	}
+	if len(list) == 0 {
+		// All are stopping or starting at once. Those that stop still take what they
+		// will finish, and the others say at once that nothing ran: that is more for
+		// a caller than no address.
+		list = live
+	}
 	return offer(list, domain, most)
 }
 
