--- a/gateway/choose_test.go
+++ b/gateway/choose_test.go
@@ -17,8 +17,10 @@
 )
 
 // TestOtherCellsTakeWhatTheOwnCannot: load pattern, a cell has more to read than
-// its callers bear, others less. Nobody is turned away, or late, whom another cell
-// can serve better; what the own cell can do stays there.
+// TestOtherCellsTakeWhatTheOwnCannot: load pattern, one cell has more to read than
+// others. Nobody is turned away, or late, whom another cell can serve better; what
+// the own cell can do stays there. Of the others at least a part of the own load is
+// assumed.
 func TestOtherCellsTakeWhatTheOwnCannot(t *testing.T) {
 	const objective, bears, pace = 400 * time.Millisecond, 2 * time.Second, placement.FirstPace
 	tests := []struct {
