--- a/emulator/pattern.go
+++ b/emulator/pattern.go
@@ -4,9 +4,9 @@
 // another one on the pattern that it answers.
 //
 // The model is coarser than the systems. An engine reads prompts one after
-// another and shares its memory between runs and cached parts; preemption,
-// transfers and the slowing of a full batch are left out, and entry instances
-// know at once what engines hold. What it shows is the order of two decisions and
+// another, the more urgent ones first, begins one when its memory has room for the
+// run, and keeps parts in the rest; preemption, transfers and the slowing of a full
+// batch are left out, and entry instances know at once what engines hold. What it shows is the order of two decisions and
 // the shape of a wait, not the figures of a deployment: docs/MEASUREMENTS.md
 // names both side by side.
 package emulator
