Weights: swaps that take longer than expected are made up for; the late get no prompts

Entry instances looked at the changed ones of their own cell only, and sent prompts to old weights as long as fewer than half had changed. Change: the plan learns what swaps take and crowds those that are left, half of the servers at the most; from 6 s on no prompt goes to a server that has not changed while any has, and all servers of the service count.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -80,37 +80,52 @@
 
 const (
 	// outdatedAfter is when answers on older weights begin to lose their worth,
-	// refusedAfter when a server that is still on them gets no more prompts.
+	// refusedAfter when a server that is still on them gets no more prompts if
+	// enough others have changed, overdueAfter when it gets none in any case: prompts
+	// wait for up to two seconds at a server, and users allow eight.
 	outdatedAfter = 1200 * time.Millisecond
 	refusedAfter  = 5500 * time.Millisecond
+	overdueAfter  = 6 * time.Second
 	// outdatedPenalty is what a server on older weights costs more: servers swap
 	// in turn, and the first ones done must not get all prompts.
 	outdatedPenalty = 60 * time.Millisecond
 	// enoughCurrent is the share of servers that must have changed before the
-	// others are left out: fewer could not carry the load.
+	// others are left out early: fewer could not carry the load.
 	enoughCurrent = 0.5
 )
 
-// current prefers servers on the weights asked for, and leaves the others out
-// once they had the time to change.
-func (w *world) current(model string, candidates []*backend, servers []placement.Server, now time.Time) ([]*backend, []placement.Server) {
+// withoutOutdated leaves out the servers of a service that are still on older
+// weights, once they had the time to change: it looks at all of them, since those of
+// one cell may change last. Invariant: while any server has changed, none that has
+// not is sent a prompt later than overdueAfter.
+func (w *world) withoutOutdated(model string, all []*backend, now time.Time) []*backend {
 	age := now.Sub(w.named[model])
-	if w.wanted[model] == 0 || age < outdatedAfter {
-		return candidates, servers
+	if w.wanted[model] == 0 || age < refusedAfter {
+		return all
 	}
-	var kept []*backend
-	var views []placement.Server
-	for i, b := range candidates {
+	changed := make([]*backend, 0, len(all))
+	for _, b := range all {
 		if b.weightVersion(model) >= w.wanted[model] {
-			kept, views = append(kept, b), append(views, servers[i])
-			continue
+			changed = append(changed, b)
 		}
-		servers[i].Penalty = outdatedPenalty
 	}
-	if age < refusedAfter || float64(len(kept)) < enoughCurrent*float64(len(candidates)) {
-		return candidates, servers
+	if len(changed) == 0 || (age < overdueAfter && float64(len(changed)) < enoughCurrent*float64(len(all))) {
+		return all
+	}
+	return changed
+}
+
+// preferCurrent makes servers on older weights cost more, once their answers begin
+// to lose their worth.
+func (w *world) preferCurrent(model string, candidates []*backend, servers []placement.Server, now time.Time) {
+	if w.wanted[model] == 0 || now.Sub(w.named[model]) < outdatedAfter {
+		return
+	}
+	for i, b := range candidates {
+		if b.weightVersion(model) < w.wanted[model] {
+			servers[i].Penalty = outdatedPenalty
+		}
 	}
-	return kept, views
 }
 
 // document compiles the newest document, or keeps the one in force.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -129,6 +129,9 @@
 // or of all where the request would be late there and is judged better elsewhere.
 func (g *Gateway) choose(w *world, c *call, now time.Time) *backend {
 	all := usable(w.services[c.service.Name], now)
+	if c.prompt != nil {
+		all = w.withoutOutdated(c.prompt.Model, all, now)
+	}
 	own := w.cells[c.service.Name]
 	if c.prompt == nil || own == nil {
 		return g.pick(w, c, all, nil, now)
@@ -185,7 +188,7 @@
 		servers[i] = b.view(g.zone, now)
 	}
 	if c.prompt != nil {
-		candidates, servers = w.current(c.prompt.Model, candidates, servers, now)
+		w.preferCurrent(c.prompt.Model, candidates, servers, now)
 		reading := g.peers.reading(now)
 		for i, b := range candidates {
 			servers[i].ReadingTokens += reading[b.id]
--- a/weights/plan.go
+++ b/weights/plan.go
@@ -23,12 +23,19 @@
 	// firstReport the time after an order in which no load is done.
 	reportEvery = 100 * time.Millisecond
 	firstReport = 500 * time.Millisecond
-	// swapTime is about what one server takes: half of it is waiting for runs to
-	// finish. swapMargin is kept of the time in which all must have changed, for
-	// orders that are lost and servers that are slow.
+	// swapTime is about what one server takes before any has shown it: half of it is
+	// waiting for runs to finish. swapMargin is kept of the time in which all must
+	// have changed, for orders that are lost and servers that are slow.
 	swapTime   = 1400 * time.Millisecond
 	swapMargin = 1500 * time.Millisecond
 	leastSwaps = 2
+	// swapLearn is the weight of the newest swap in what one takes.
+	swapLearn = 0.5
+	// slowSwap is how many times as long as expected swaps must take for the ones
+	// that are left to be crowded together.
+	slowSwap = 1.25
+	// mostSwaps is the largest part of a service's servers that change at once.
+	mostSwaps = 0.5
 )
 
 // Server is what is known of an engine.
@@ -76,6 +83,8 @@
 	looked   time.Time
 	ordered  time.Time
 	notUntil time.Time
+	// first is when the first order was accepted.
+	first time.Time
 }
 
 // Plan decides the next steps of all swaps. It has no clock and is not safe for
@@ -83,12 +92,16 @@
 type Plan struct {
 	within time.Duration
 	swaps  map[string]*progress
+	// took is what a swap takes lately, since when servers of each service have
+	// been behind.
+	took  time.Duration
+	since map[string]time.Time
 }
 
 // NewPlan returns a plan without swaps that is to have all servers changed
 // within a time.
 func NewPlan(within time.Duration) *Plan {
-	return &Plan{within: within, swaps: make(map[string]*progress)}
+	return &Plan{within: within, swaps: make(map[string]*progress), took: swapTime, since: make(map[string]time.Time)}
 }
 
 // lacking returns a model for which a server is behind what is wanted.
@@ -109,11 +122,15 @@
 // Next lists the steps that are due. Servers that left are forgotten.
 func (p *Plan) Next(servers []Server, wanted map[string]uint64, now time.Time) []Task {
 	present := make(map[string]bool, len(servers))
-	counts := make(map[string]int)
+	counts, behind := make(map[string]int), make(map[string]int)
 	for _, s := range servers {
 		present[s.ID] = true
 		counts[s.Service]++
+		if m, _ := lacking(s.Versions, wanted); m != "" {
+			behind[s.Service]++
+		}
 	}
+	p.note(behind, now)
 	active := make(map[string]int)
 	for id, sw := range p.swaps {
 		if !present[id] {
@@ -130,7 +147,7 @@
 			sw = nil // another life: nothing that was ordered holds
 		}
 		if sw == nil {
-			if m, _ := lacking(s.Versions, wanted); m == "" || active[s.Service] >= p.limit(counts[s.Service]) {
+			if m, _ := lacking(s.Versions, wanted); m == "" || active[s.Service] >= p.limit(s.Service, counts[s.Service], behind[s.Service], now) {
 				continue
 			}
 			active[s.Service]++
@@ -162,12 +179,50 @@
 	return turns
 }
 
-// limit is how many of a service's servers change at once: as few as will do,
-// since the others carry the load meanwhile and have to read every context
-// again.
-func (p *Plan) limit(servers int) int {
-	rounds := max(1, float64(p.within-swapMargin)/float64(swapTime))
-	return max(leastSwaps, int(math.Ceil(float64(servers)/rounds)))
+// note keeps since when servers of each service are behind.
+func (p *Plan) note(behind map[string]int, now time.Time) {
+	for service := range p.since {
+		if behind[service] == 0 {
+			delete(p.since, service)
+		}
+	}
+	for service := range behind {
+		if _, ok := p.since[service]; !ok {
+			p.since[service] = now
+		}
+	}
+}
+
+// limit is how many of a service's servers change at once: as few as will do in
+// the time that is left, since the others carry the load meanwhile and have to read
+// every context again. It answers a load under which swaps take longer, since each
+// waits for the server's runs to finish.
+func (p *Plan) limit(service string, servers, behind int, now time.Time) int {
+	took := float64(max(p.took, p.underWay(service, now)))
+	planned := max(leastSwaps, int(math.Ceil(float64(servers)/max(1, float64(p.within-swapMargin)/took))))
+	if took > slowSwap*float64(swapTime) {
+		// Those behind now, in the rounds that still begin and end in time.
+		left := float64(p.since[service].Add(p.within).Sub(now))
+		rounds := 1 + math.Floor(max(0, left-took)/took)
+		planned = max(planned, int(math.Ceil(float64(behind)/rounds)))
+	}
+	return min(max(leastSwaps, int(mostSwaps*float64(servers))), planned)
+}
+
+// underWay is how long the swaps of a service that are under way have taken so far,
+// in the middle: one server that is stuck says nothing of the others.
+func (p *Plan) underWay(service string, now time.Time) time.Duration {
+	var ages []time.Duration
+	for _, sw := range p.swaps {
+		if sw.server.Service == service && !sw.first.IsZero() {
+			ages = append(ages, now.Sub(sw.first))
+		}
+	}
+	if len(ages) == 0 {
+		return 0
+	}
+	slices.Sort(ages)
+	return ages[len(ages)/2]
 }
 
 // next is the step that is due at one server.
@@ -202,6 +257,9 @@
 	}
 	sw.report, sw.looked = r, began
 	if m, _ := lacking(r.Versions, wanted); m == "" && !r.Busy {
+		if !sw.first.IsZero() {
+			p.took += time.Duration(swapLearn * float64(began.Sub(sw.first)-p.took))
+		}
 		delete(p.swaps, id)
 		return true
 	}
@@ -226,6 +284,9 @@
 	}
 	if accepted {
 		sw.ordered = now
+		if sw.first.IsZero() {
+			sw.first = now
+		}
 		return
 	}
 	sw.report, sw.notUntil = nil, now.Add(refusalPause)
--- a/weights/plan_test.go
+++ b/weights/plan_test.go
@@ -17,6 +17,8 @@
 	sequence uint64
 	until    time.Time
 	target   uint64
+	// takes is the time of a swap, runs that are finished among it.
+	takes time.Duration
 }
 
 func (e *engine) settle(now time.Time) {
@@ -31,7 +33,7 @@
 		return false
 	}
 	e.sequence++
-	e.target, e.until = t.Version, now.Add(swapTime)
+	e.target, e.until = t.Version, now.Add(e.takes)
 	return true
 }
 
@@ -51,7 +53,7 @@
 func newWorld(n int, within time.Duration) *world {
 	w := &world{plan: NewPlan(within), wanted: map[string]uint64{"m": 2}, now: time.Unix(1000, 0), lose: func() bool { return false }, late: func() bool { return false }}
 	for i := range n {
-		w.engines = append(w.engines, &engine{version: 1, Server: Server{ID: fmt.Sprint("s", i), Service: "x", Born: 1}})
+		w.engines = append(w.engines, &engine{version: 1, takes: swapTime, Server: Server{ID: fmt.Sprint("s", i), Service: "x", Born: 1}})
 	}
 	return w
 }
@@ -111,6 +113,25 @@
 	}
 }
 
+// TestSlowSwapsAreMadeUpForByMoreAtOnce: load pattern, long runs. Each server takes
+// over twice as long to change as expected, since its runs finish first.
+func TestSlowSwapsAreMadeUpForByMoreAtOnce(t *testing.T) {
+	const within, takes = 10 * time.Second, 3200 * time.Millisecond
+	for _, n := range []int{12, 72, 90} {
+		w := newWorld(n, within)
+		for _, e := range w.engines {
+			e.takes = takes
+		}
+		began := w.now
+		for !w.done() && w.now.Sub(began) < time.Minute {
+			w.step()
+		}
+		require.True(t, w.done())
+		require.Less(t, w.now.Sub(began), within, "%d servers", n)
+		require.LessOrEqual(t, w.most, n/2, "half of them carry the load")
+	}
+}
+
 func TestVersionNamedMeanwhileIsTheOneThatCounts(t *testing.T) {
 	w := newWorld(6, 8*time.Second)
 	for range 30 {
