--- a/placement/mix.go
+++ b/placement/mix.go
@@ -13,9 +13,6 @@
 	LongPrompt = 4096
 	// mixHalf is the time in which what came is half forgotten.
 	mixHalf = 5 * time.Second
-	// shortRoom is how much more room the servers for short prompts have for
-	// their reading than those for long ones: short prompts have less time.
-	shortRoom = 1.3
 	// leastShare and mostShare bound the part of the servers for either length.
 	leastShare, mostShare = 0.1, 0.9
 )
@@ -51,11 +48,11 @@
 func (m *Mix) ShortShare() float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	sum := shortRoom*m.short + m.long
+	sum := m.short + m.long
 	if sum == 0 {
 		return 0
 	}
-	share := shortRoom * m.short / sum
+	share := m.short / sum
 	if share < hardly || share > 1-hardly {
 		return 0
 	}
