--- a/cmd/galena-load/main.go
+++ b/cmd/galena-load/main.go
@@ -10,8 +10,10 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
+	"github.com/galenaarch/galenaarch/dispatch"
 	"github.com/galenaarch/galenaarch/emulator"
 	"github.com/galenaarch/galenaarch/kernel/settings"
 	"github.com/galenaarch/galenaarch/load"
@@ -33,6 +35,7 @@
 
 	pattern string
 	scorers string
+	without string
 	plotted string
 
 	trace       string
@@ -62,6 +65,7 @@
 	fs.BoolVar(&o.bound, "bound", false, "print the trace's bound and exit")
 	fs.StringVar(&o.pattern, "pattern", "", "file of a load pattern; it is played in the emulator under each of -scorers, and nothing else is done")
 	fs.StringVar(&o.scorers, "scorers", "expected-time,prefix-affinity,least-load", "placement modules compared on -pattern, comma-separated")
+	fs.StringVar(&o.without, "without", "", "mechanisms that -scorers' "+placement.DefaultScorer+" works without on -pattern, comma-separated: "+strings.Join(dispatch.Names(), ", "))
 	fs.StringVar(&o.plotted, "plot", "", "PNG file for the times to the first event on -pattern")
 	fs.StringVar(&o.table, "table", "", "folder whose reports are written as a table and plots; then exit")
 	fs.StringVar(&o.control, "control", "http://127.0.0.1:8090", "base URLs of the control replicas, comma-separated")
@@ -149,13 +153,21 @@
 	if err != nil {
 		return err
 	}
+	decisions, err := dispatch.Without(o.without)
+	if err != nil {
+		return err
+	}
 	var results []*emulator.Result
 	for _, name := range settings.List(o.scorers) {
 		scorer, err := placement.NewScorer(name)
 		if err != nil {
 			return err
 		}
-		results = append(results, emulator.Play(p, emulator.Policy{Name: name, Scorer: scorer, Judged: name == placement.DefaultScorer}))
+		policy := emulator.Baseline(name, scorer)
+		if name == placement.DefaultScorer {
+			policy.Decisions = decisions
+		}
+		results = append(results, emulator.Play(p, policy))
 	}
 	if err := emulator.WriteTable(os.Stdout, results); err != nil || o.plotted == "" {
 		return err
--- a/contexts/contexts_test.go
+++ b/contexts/contexts_test.go
@@ -192,7 +192,7 @@
 	later := start.Add(10 * time.Second)
 	s.Take(&Changes{Epoch: 1, Next: 9}, later)
 	require.Equal(t, "s:1", Plan([]*Store{s}, parts(part("p", 5000)), target, later).Fetch[0])
-	require.Zero(t, s.bringing-5000, "ended transfers are not counted")
+	require.Equal(t, s.nominal(5000, target.Zone), s.linkFree.Sub(later), "ended transfers are not counted")
 }
 
 func TestSaltNamesVersionAndIsolatedAccount(t *testing.T) {
--- a/contexts/plan.go
+++ b/contexts/plan.go
@@ -96,7 +96,7 @@
 		t.Fetch, t.FetchTokens, t.FetchTime, t.from = make([]string, len(parts)), 0, 0, nil
 	}
 	if t.from != nil {
-		t.from.bringing += t.FetchTokens
+		t.from.take(t.nominal, now)
 	}
 	return t
 }
@@ -122,8 +122,17 @@
 
 // transfer is the expected time of a transfer, behind those under way.
 func (s *Store) transfer(tokens int, zone string, now time.Time) time.Duration {
-	ahead := time.Duration(float64(s.bringing) / s.Rate * float64(time.Millisecond))
-	return time.Duration(s.slowness(now) * float64(ahead+s.nominal(tokens, zone)))
+	return time.Duration(s.slowness(now) * float64(max(0, s.linkFree.Sub(now))+s.nominal(tokens, zone)))
+}
+
+// take counts a transfer that the store's link is busy with for a time. What is
+// under way ends by the clock, not when its prompt is read: prompts wait at busy
+// engines long after they were brought (many callers at once).
+func (s *Store) take(d time.Duration, now time.Time) {
+	if now.After(s.linkFree) {
+		s.linkFree = now
+	}
+	s.linkFree = s.linkFree.Add(d)
 }
 
 // end notes that the transfers of a prompt are over; took is what they took, or
@@ -132,7 +141,6 @@
 	if t.from == nil {
 		return
 	}
-	t.from.bringing -= t.FetchTokens
 	if took > 0 {
 		t.from.learn(took, t.nominal, now)
 	}
--- a/contexts/store.go
+++ b/contexts/store.go
@@ -80,8 +80,11 @@
 	sampled int
 	slow    float64
 	slowAt  time.Time
-	// bringing is the tokens of this instance's transfers under way.
-	bringing int
+	// steady says that no slowness is believed.
+	steady bool
+	// linkFree is when this instance's transfers under way are over, by the store's
+	// figures: they run one after another.
+	linkFree time.Time
 	// told is set if the picture is another instance's, which does not tell of
 	// all that an engine holds: see tells.
 	told bool
@@ -209,7 +212,7 @@
 
 // slowness is what is believed now; 1 is as fast as the figures say.
 func (s *Store) slowness(now time.Time) float64 {
-	if s.slow <= 1 {
+	if s.slow <= 1 || s.steady {
 		return 1
 	}
 	return 1 + (s.slow-1)*math.Exp2(-float64(now.Sub(s.slowAt))/float64(forgetAfter))
--- a/contexts/watch.go
+++ b/contexts/watch.go
@@ -49,6 +49,7 @@
 	logger  *slog.Logger
 	started time.Time
 	boot    time.Duration
+	beliefs Beliefs
 
 	mu     sync.Mutex
 	stores map[string]*watched
@@ -74,6 +75,17 @@
 	}
 }
 
+// Beliefs are the parts of the decisions on transfers that can be switched off, for
+// experiments.
+type Beliefs struct {
+	// NoEngines says that nothing is read from engines, NoSlowness that all links
+	// are taken to be as fast as their figures say.
+	NoEngines, NoSlowness bool
+}
+
+// Believe sets what is switched off; it must be called before anything is watched.
+func (w *Watch) Believe(b Beliefs) { w.beliefs = b }
+
 // NewTeller returns a watch whose pictures others are told of.
 func NewTeller(f Feed, logger *slog.Logger) *Watch {
 	w := NewWatch(f, logger)
@@ -124,12 +136,18 @@
 // arrange lists the pictures that decisions use; the caller holds the lock.
 func (w *Watch) arrange(now time.Time) {
 	w.order = w.order[:0]
+	add := func(s *Store) {
+		if !s.Engine || !w.beliefs.NoEngines {
+			s.steady = w.beliefs.NoSlowness
+			w.order = append(w.order, s)
+		}
+	}
 	for _, s := range w.stores {
-		w.order = append(w.order, s.Store)
+		add(s.Store)
 	}
 	for _, t := range w.told {
 		if t.choose(now); t.current != nil {
-			w.order = append(w.order, t.current)
+			add(t.current)
 		}
 	}
 }
--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/galenaarch/galenaarch/dispatch"
 	"github.com/galenaarch/galenaarch/placement"
 )
 
@@ -39,11 +40,19 @@
 }
 
 var (
-	expected = Policy{Name: "expected-time", Scorer: placement.ExpectedTime{}, Judged: true}
-	affinity = Policy{Name: "prefix-affinity", Scorer: placement.PrefixAffinity{}}
-	least    = Policy{Name: "least-load", Scorer: placement.LeastLoad{}}
+	expected = Policy{Name: "expected-time", Scorer: placement.ExpectedTime{}}
+	affinity = Baseline("prefix-affinity", placement.PrefixAffinity{})
+	least    = Baseline("least-load", placement.LeastLoad{})
 )
 
+// without is the expected time without some mechanisms.
+func without(t testing.TB, names string) Policy {
+	t.Helper()
+	p, err := dispatch.Without(names)
+	require.NoError(t, err)
+	return Policy{Name: "without " + names, Scorer: placement.ExpectedTime{}, Decisions: p}
+}
+
 func (k *KindResult) share() float64 { return k.Credit / k.Owed }
 
 func TestCalmDayIsServed(t *testing.T) {
@@ -110,29 +119,19 @@
 	require.Greater(t, r.Share(), Play(pattern(t, "burst"), affinity).Share())
 }
 
-// blindToMemory is the expected time without what runs hold of a server's memory.
-type blindToMemory struct{}
-
-// Cost implements placement.Scorer.
-func (blindToMemory) Cost(s *placement.Server, j *placement.Job) time.Duration {
-	without := *s
-	without.MemoryTokens = 0
-	return placement.Cost(&without, j)
-}
-
 // TestRunsAreSpreadByTheirMemory replays long answers to long prompts. Where
 // nobody counts what runs hold, they meet at few servers and wait for room.
 func TestRunsAreSpreadByTheirMemory(t *testing.T) {
 	p := pattern(t, "memory")
 	got := Play(p, expected)
-	blind := Play(p, Policy{Name: "blind", Scorer: blindToMemory{}, Judged: true})
+	blind := Play(p, without(t, "run-memory"))
 	require.Greater(t, got.Share(), blind.Share()+learnedShare)
 }
 
 // TestLateOnesGoBehind replays loads above what servers can do for seconds. In
 // the order of coming, every answer is late by the length of the queue.
 func TestLateOnesGoBehind(t *testing.T) {
-	inOrder := Policy{Name: "in order", Scorer: placement.ExpectedTime{}}
+	inOrder := without(t, "behind,turn-away")
 	for _, name := range []string{"burst", "flood"} {
 		p := pattern(t, name)
 		ours, theirs := Play(p, expected), Play(p, inOrder)
@@ -197,12 +196,12 @@
 // recently used one first.
 func TestEngineKeepsWhatWasUsedLast(t *testing.T) {
 	s := &server{engines: &Engines{MemoryTokens: 1000}}
-	s.keep(cached{1, 400}, 0)
-	s.keep(cached{2, 400}, 0)
-	s.keep(cached{1, 400}, 0)
-	s.keep(cached{3, 400}, 0)
+	s.keep(cachedPart{1, 400}, 0)
+	s.keep(cachedPart{2, 400}, 0)
+	s.keep(cachedPart{1, 400}, 0)
+	s.keep(cachedPart{3, 400}, 0)
 	require.Equal(t, []int{400, 0, 400}, []int{s.held(1), s.held(2), s.held(3)})
-	s.keep(cached{3, 400}, 300)
+	s.keep(cachedPart{3, 400}, 300)
 	require.Equal(t, []int{0, 0, 400}, []int{s.held(1), s.held(2), s.held(3)})
 }
 
--- a/emulator/entry.go
+++ b/emulator/entry.go
@@ -3,147 +3,91 @@
 import (
 	"time"
 
+	"github.com/galenaarch/galenaarch/dispatch"
 	"github.com/galenaarch/galenaarch/placement"
 	"github.com/galenaarch/galenaarch/retry"
 )
 
-// Rules of an entry instance in the model.
+// Rules of all entry instances in the model.
 const (
-	// reportLife is how long a server's word on its load counts in full.
-	reportLife = time.Second
 	// patience is how long a repeatable request waits for a server that says
 	// nothing.
 	patience = 700 * time.Millisecond
-	// rest is how long a server rests after restStreak failures in a row.
-	rest       = 400 * time.Millisecond
-	restStreak = 3
-	learnRate  = 0.1
 	// budgetSpan, budgetRatio and budgetSlack bound repeats of all instances.
 	budgetSpan  = 10 * time.Second
 	budgetRatio = 0.16
 	budgetSlack = 40
+	// holdStep is after how long a prompt that waits is judged anew.
+	holdStep = 40 * time.Millisecond
 )
 
 // epoch is the zero of virtual time where decisions take a time.Time.
 var epoch = time.Unix(1_000_000, 0)
 
-// belief is what an entry instance knows of a server.
-type belief struct {
-	inflight, awaiting int
-	reading, later     int
-	// holding is the memory that this entry's prompts take there, size what one
-	// usually takes, ran how long it usually does; tokens.
-	holding   int
-	size      float64
-	ran       time.Duration
-	heard     time.Duration
-	others    float64
-	reported  time.Duration
-	mean      time.Duration
-	failing   float64
-	streak    int
-	restUntil time.Duration
+// clock is a virtual time as decisions take it.
+func clock(at time.Duration) time.Time { return epoch.Add(at) }
+
+// known is what an entry instance knows of one server.
+type known struct {
+	dispatch.Belief
+	// since is from when it has heard of the server; told is when the server told
+	// it that it leaves, paused until when it wants nothing, 0 for neither.
+	since        time.Duration
+	told, paused time.Duration
 }
 
-// entry is the model of one entry instance.
+// entry drives the decisions of one entry instance, as the gateway does with
+// sockets: see dispatch.
 type entry struct {
-	beliefs map[*server]*belief
+	beliefs map[*server]*known
 	budget  *retry.Window
 	mix     placement.Mix
+	line    dispatch.Line
+	reader  dispatch.Reader
+	errors  []dispatch.Errors
+	looked  bool
+	// began is when it last began to know nothing.
+	began time.Duration
 }
 
-func newEntry(servers []*server, entries int) *entry {
-	e := &entry{beliefs: make(map[*server]*belief), budget: retry.NewWindow(budgetSpan, budgetRatio, budgetSlack/float64(entries))}
+func newEntry(p *Pattern, servers []*server) *entry {
+	e := &entry{beliefs: make(map[*server]*known), budget: retry.NewWindow(budgetSpan, budgetRatio, budgetSlack/float64(p.Entries)), errors: make([]dispatch.Errors, len(p.Kinds)), began: -time.Hour}
 	for _, s := range servers {
-		e.beliefs[s] = &belief{}
+		e.beliefs[s] = newKnown(s, 0)
 	}
 	return e
 }
 
-// view is a server as the entry's decision sees it.
-func (b *belief) view(s *server, at time.Duration) placement.Server {
-	v := placement.Server{Near: true, Slots: s.slots, Mean: b.mean, Failing: b.failing, Resting: at < b.restUntil}
-	if b.awaiting > 0 {
-		v.Silence = at - b.heard
-	}
-	others := b.others
-	if age := at - b.reported; age > reportLife {
-		others *= float64(reportLife) / float64(age)
-	}
-	total := float64(b.inflight) + others
-	v.Running = min(total, float64(s.slots))
-	v.Waiting = total - v.Running
+func newKnown(s *server, since time.Duration) *known {
+	announced := dispatch.Server{Slots: s.slots}
 	if s.engines != nil {
-		v.MemoryTokens, v.RunTime = s.engines.MemoryTokens, b.ran
-		v.HeldTokens = b.holding + int(others*b.size)
-	}
-	return v
-}
-
-// sending is one request at a server.
-type sending struct {
-	unread, memory int
-	later          bool
-}
-
-func (b *belief) queue(j sending) *int {
-	if j.later {
-		return &b.later
+		announced.MemoryTokens = s.engines.MemoryTokens
 	}
-	return &b.reading
+	return &known{Belief: dispatch.NewBelief(announced, clock(since)), since: since}
 }
 
-func (b *belief) begin(j sending, at time.Duration) {
-	if b.awaiting == 0 {
-		b.heard = at
-	}
-	b.inflight++
-	b.awaiting++
-	*b.queue(j) += j.unread
-	b.holding += j.memory
-	if j.memory > 0 {
-		if b.size == 0 {
-			b.size = float64(j.memory)
+// servers are those of a list that may be asked.
+func (e *entry) servers(list []*server, at time.Duration) []*server {
+	usable := make([]*server, 0, len(list))
+	for _, s := range list {
+		b := e.beliefs[s]
+		if b.since <= at && !b.Leaving() && !clock(at).Before(b.PausedUntil()) {
+			usable = append(usable, s)
 		}
-		b.size += learnRate * (float64(j.memory) - b.size)
-	}
-}
-
-// answered notes an answer that took a time; load is the server's word.
-func (b *belief) answered(j sending, load int, took, at time.Duration, failed bool) {
-	b.left(j)
-	b.heard = at
-	b.others, b.reported = max(0, float64(load-b.inflight)), at
-	if b.mean == 0 {
-		b.mean = took
 	}
-	b.mean += time.Duration(learnRate * float64(took-b.mean))
-	if !failed {
-		b.streak, b.failing = 0, b.failing*(1-learnRate)
-		return
-	}
-	b.streak++
-	b.failing += learnRate * (1 - b.failing)
-	if b.streak >= restStreak {
-		b.restUntil = at + rest
-	}
-}
-
-// left notes that an answer is no longer waited for.
-func (b *belief) left(j sending) {
-	b.awaiting--
-	b.inflight--
-	*b.queue(j) -= j.unread
+	return usable
 }
 
-// free notes that a run has ended after a time, 0 if it did not run.
-func (b *belief) free(j sending, ran time.Duration) {
-	b.holding -= j.memory
-	if j.memory == 0 || ran == 0 {
-		return
+// hear takes what a server says with an answer.
+func (e *entry) hear(s *server, refused bool, at time.Duration, spread float64) {
+	b := e.beliefs[s]
+	leaves, pause := s.says(at)
+	if leaves && !b.Leaving() {
+		b.Leave()
+		b.told = at
 	}
-	if b.ran == 0 {
-		b.ran = ran
+	if refused && pause > 0 {
+		b.Pause(pause, clock(at), spread)
+		b.paused = at + pause
 	}
-	b.ran += time.Duration(learnRate * min(1, float64(j.memory)/b.size) * float64(ran-b.ran))
 }
--- a/emulator/pattern.go
+++ b/emulator/pattern.go
@@ -3,12 +3,13 @@
 // milliseconds and repeats exactly, so that a decision can be compared with
 // another one on the pattern that it answers.
 //
-// The model is coarser than the systems. An engine reads prompts one after
-// another, the more urgent ones first, begins one when its memory has room for the
-// run, and keeps parts in the rest; preemption, transfers and the slowing of a full
-// batch are left out, and entry instances know at once what engines hold. What it shows is the order of two decisions and
-// the shape of a wait, not the figures of a deployment: docs/MEASUREMENTS.md
-// names both side by side.
+// The model is coarser than the systems. An engine reads prompts in pieces, the more
+// urgent ones first, between the steps in which its runs generate; runs take its
+// memory and parts the rest, and what has no room is put out and read again. Parts
+// come from one store at the speed of the engine's link. Entry instances know at
+// once what engines hold and what the others have sent. What it shows is the order
+// of two decisions and the shape of a wait, not the figures of a deployment:
+// docs/MEASUREMENTS.md names both side by side.
 package emulator
 
 import (
@@ -40,9 +41,16 @@
 	Count        int `json:"count"`
 	Slots        int `json:"slots"`
 	MemoryTokens int `json:"memory_tokens"`
-	// TokensPerMS is the reading speed, StepMS the time of a step.
-	TokensPerMS float64 `json:"tokens_per_ms"`
-	StepMS      float64 `json:"step_ms"`
+	// TokensPerMS is the reading speed, StepMS the time of a step, longer by
+	// StepMSPerRun for each run; Chunk is the most that is read in one, tokens.
+	TokensPerMS  float64 `json:"tokens_per_ms"`
+	StepMS       float64 `json:"step_ms"`
+	StepMSPerRun float64 `json:"step_ms_per_run"`
+	Chunk        int     `json:"chunk"`
+	// BringPerMS is how many tokens of a part an engine's link brings in a
+	// millisecond from the store, 0 for no store; StoreTokens is the store's room.
+	BringPerMS  float64 `json:"bring_per_ms"`
+	StoreTokens int     `json:"store_tokens"`
 }
 
 // Plain describes the servers of a service without prompts.
@@ -73,13 +81,18 @@
 	WorkMS       float64 `json:"work_ms"`
 	// Repeatable requests may be sent to a second server.
 	Repeatable bool `json:"repeatable"`
+	// Rank is how urgent the kind is; 0 is first.
+	Rank int `json:"rank"`
 	// Returns is how often a refused caller comes back.
 	Returns int `json:"returns"`
 }
 
 // Trouble is a span in which something differs. Kinds: burst (X times the
 // callers), dark (a share of the servers says nothing), slow (they take X times
-// as long), fail (they fail a request with probability X).
+// as long), fail (they fail a request with probability X), leaving (from then on
+// they say that they leave), busy (they turn all away and name the end as the time
+// to come back), lost (entry instances forget all that they believed, and hear of
+// the servers again within ForSeconds).
 type Trouble struct {
 	Kind       string  `json:"kind"`
 	AtSeconds  float64 `json:"at_seconds"`
@@ -121,9 +134,9 @@
 	}
 	for _, t := range p.Troubles {
 		switch t.Kind {
-		case "burst", "dark", "slow", "fail":
+		case "burst", "dark", "slow", "fail", "leaving", "busy", "lost":
 		default:
-			return eris.Errorf("pattern %s: trouble %q is none of burst, dark, slow, fail", p.Name, t.Kind)
+			return eris.Errorf("pattern %s: trouble %q is none of burst, dark, slow, fail, leaving, busy, lost", p.Name, t.Kind)
 		}
 	}
 	return nil
--- a/emulator/result.go
+++ b/emulator/result.go
@@ -11,6 +11,11 @@
 type Result struct {
 	Pattern, Policy string
 	Kinds           []KindResult
+	// ToLeaving and ToPaused count requests that were sent to servers after they
+	// had told the instance that they leave, or want nothing.
+	ToLeaving, ToPaused int
+	// Preempted counts runs that engines put out.
+	Preempted int
 }
 
 // KindResult is what callers of one kind saw.
@@ -25,11 +30,22 @@
 	// Credit is what was earned of Owed.
 	Credit, Owed float64
 	// Times are how long answers took, in order.
-	Times    []time.Duration
+	Times []time.Duration
+	// Seconds are what callers of each second were owed and earned.
+	Seconds  []Second
 	kind     *Kind
 	refusals []time.Duration
 }
 
+// Second is one second of callers. Expected and Came are the times to the first
+// event that were expected and came, summed over Judged prompts.
+type Second struct {
+	Owed, Credit   float64
+	Refusals       int
+	Judged         int
+	Expected, Came time.Duration
+}
+
 func newResult(p *Pattern, policy string) *Result {
 	r := &Result{Pattern: p.Name, Policy: policy}
 	for i := range p.Kinds {
@@ -38,30 +54,74 @@
 	return r
 }
 
-func (r *Result) ask(kind int) {
+func (k *KindResult) second(at time.Duration) *Second {
+	n := int(at / time.Second)
+	for len(k.Seconds) <= n {
+		k.Seconds = append(k.Seconds, Second{})
+	}
+	return &k.Seconds[n]
+}
+
+func (r *Result) ask(kind int, at time.Duration) {
 	k := &r.Kinds[kind]
 	k.Asked++
 	k.Owed += k.kind.Worth
+	k.second(at).Owed += k.kind.Worth
 }
 
-func (r *Result) serve(kind int, took time.Duration) {
+func (r *Result) serve(kind int, asked, took time.Duration) {
 	k := &r.Kinds[kind]
 	k.Times = append(k.Times, took)
+	credit := k.kind.LateWorth
 	if took <= milliseconds(k.kind.ObjectiveMS) {
 		k.OnTime++
-		k.Credit += k.kind.Worth
-		return
+		credit = k.kind.Worth
+	} else {
+		k.Late++
 	}
-	k.Late++
-	k.Credit += k.kind.LateWorth
+	k.Credit += credit
+	k.second(asked).Credit += credit
 }
 
 func (r *Result) fail(kind int) { r.Kinds[kind].Failed++ }
 
-func (r *Result) refuse(kind int, took time.Duration) {
+func (r *Result) refuse(kind int, asked, took time.Duration) {
 	k := &r.Kinds[kind]
 	k.Refusals++
 	k.refusals = append(k.refusals, took)
+	k.second(asked).Refusals++
+}
+
+func (r *Result) estimated(kind int, asked, expected, came time.Duration) {
+	s := r.Kinds[kind].second(asked)
+	s.Judged, s.Expected, s.Came = s.Judged+1, s.Expected+expected, s.Came+came
+}
+
+// ShareIn is the credit earned of that owed by callers of a span; 1 if nobody came.
+func (r *Result) ShareIn(from, to time.Duration) float64 {
+	credit, owed := 0.0, 0.0
+	for i := range r.Kinds {
+		for n, s := range r.Kinds[i].Seconds {
+			if at := time.Duration(n) * time.Second; at >= from && at < to {
+				credit, owed = credit+s.Credit, owed+s.Owed
+			}
+		}
+	}
+	if owed == 0 {
+		return 1
+	}
+	return credit / owed
+}
+
+// Back is how long after a moment callers of two seconds in a row earn a share of
+// their credit again, in whole seconds; -1 if they do not.
+func (r *Result) Back(after time.Duration, share float64, until time.Duration) time.Duration {
+	for at := after; at+2*time.Second <= until; at += time.Second {
+		if r.ShareIn(at, at+2*time.Second) >= share {
+			return at - after
+		}
+	}
+	return -1
 }
 
 func (r *Result) finish() {
--- a/emulator/run.go
+++ b/emulator/run.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/galenaarch/galenaarch/admission"
+	"github.com/galenaarch/galenaarch/dispatch"
 	"github.com/galenaarch/galenaarch/internal/priority"
 	"github.com/galenaarch/galenaarch/placement"
 )
@@ -14,12 +15,18 @@
 type Policy struct {
 	Name   string
 	Scorer placement.Scorer
-	// Pace is the reading speed that entry instances believe in; tokens a
-	// millisecond, 0 for the engines' own.
-	Pace float64
-	// Judged says that prompts that are late anyway go behind the others, or are
-	// turned away.
-	Judged bool
+	// Decisions says which mechanisms are at work; nil for all.
+	Decisions *dispatch.Policy
+}
+
+// Baseline is a scorer with what takes part in every comparison: servers that are
+// dark or fail are left, and nothing is judged.
+func Baseline(name string, by placement.Scorer) Policy {
+	p, err := dispatch.Without("behind,turn-away,late-binding,backlog,doubt")
+	if err != nil {
+		panic(err) // the names are of this module
+	}
+	return Policy{Name: name, Scorer: by, Decisions: p}
 }
 
 // event is something that happens at a time.
@@ -44,16 +51,19 @@
 	entries []*entry
 	engines []*server
 	plain   []*server
-	result  *Result
+	// stored are the parts that the store keeps, room is what it has left.
+	stored map[int]bool
+	room   int
+	result *Result
 }
 
 // Play runs a pattern under a policy. The same pattern and policy always give
 // the same result.
 func Play(p *Pattern, policy Policy) *Result {
-	if policy.Pace == 0 {
-		policy.Pace = p.Engines.TokensPerMS
+	if policy.Decisions == nil {
+		policy.Decisions = &dispatch.Policy{}
 	}
-	r := &play{pattern: p, policy: policy, random: newRandom(p.Seed), queue: priority.New(sooner), result: newResult(p, policy.Name)}
+	r := &play{pattern: p, policy: policy, random: newRandom(p.Seed), queue: priority.New(sooner), stored: make(map[int]bool), room: p.Engines.StoreTokens, result: newResult(p, policy.Name)}
 	r.build()
 	for i := range p.Kinds {
 		r.arrivals(i)
@@ -63,6 +73,9 @@
 		r.now = e.at
 		e.do()
 	}
+	for _, s := range r.engines {
+		r.result.Preempted += s.engine.preempts
+	}
 	r.result.finish()
 	return r.result
 }
@@ -72,13 +85,31 @@
 func (r *play) build() {
 	p := r.pattern
 	for i := range p.Engines.Count {
-		r.engines = append(r.engines, &server{id: fmt.Sprint("engine-", i), slots: p.Engines.Slots, engines: &p.Engines, waiting: priority.New(urgent), troubles: troublesOf(p, i, p.Engines.Count)})
+		r.engines = append(r.engines, &server{id: fmt.Sprint("engine-", i), slots: p.Engines.Slots, engines: &p.Engines, engine: engine{waiting: priority.New(urgent)}, troubles: troublesOf(p, i, p.Engines.Count)})
 	}
 	for i := range p.Plain.Count {
 		r.plain = append(r.plain, &server{id: fmt.Sprint("plain-", i), slots: p.Plain.Slots, queue: p.Plain.Queue, free: make([]time.Duration, p.Plain.Slots), troubles: troublesOf(p, i, p.Plain.Count)})
 	}
+	all := append(append([]*server{}, r.engines...), r.plain...)
 	for range p.Entries {
-		r.entries = append(r.entries, newEntry(append(append([]*server{}, r.engines...), r.plain...), p.Entries))
+		r.entries = append(r.entries, newEntry(p, all))
+	}
+	for i := range p.Troubles {
+		if t := &p.Troubles[i]; t.Kind == "lost" {
+			r.at(seconds(t.AtSeconds), func() { r.forget(all, seconds(t.ForSeconds)) })
+		}
+	}
+}
+
+// forget has all entry instances begin anew; they hear of the servers again one
+// after another within a time. Answers under way still reach
+// their callers.
+func (r *play) forget(all []*server, within time.Duration) {
+	for _, e := range r.entries {
+		e.reader, e.mix, e.began = dispatch.Reader{}, placement.Mix{}, r.now
+		for i, s := range all {
+			e.beliefs[s] = newKnown(s, r.now+within*time.Duration(i)/time.Duration(len(all)))
+		}
 	}
 }
 
@@ -86,7 +117,7 @@
 func troublesOf(p *Pattern, i, count int) []Trouble {
 	var list []Trouble
 	for _, t := range p.Troubles {
-		if t.Kind != "burst" && float64(i) < t.Share*float64(count) {
+		if t.Kind != "burst" && t.Kind != "lost" && float64(i) < t.Share*float64(count) {
 			list = append(list, t)
 		}
 	}
@@ -95,7 +126,7 @@
 
 func (r *play) at(when time.Duration, do func()) {
 	r.serial++
-	r.queue.Push(event{when, r.serial, do})
+	r.queue.Push(event{max(when, r.now), r.serial, do})
 }
 
 // arrivals brings the next request of a kind, and those after it.
@@ -116,7 +147,7 @@
 		if k.Things > 0 {
 			c.part = kind<<20 | r.random.IntN(k.Things)
 		}
-		r.result.ask(kind)
+		r.result.ask(kind, r.now)
 		r.come(c)
 		r.arrivals(kind)
 	})
@@ -133,146 +164,156 @@
 	tried   map[*server]bool
 	returns int
 	// leaves is when the caller leaves unless the answer has begun.
-	leaves  time.Duration
-	verdict admission.Verdict
-	outlook admission.Outlook
+	leaves   time.Duration
+	decision dispatch.Decision
+	waiter   *dispatch.Waiter
+	waitsFor string
 }
 
+func (c *call) behind() bool { return c.decision.Verdict != admission.InTurn }
+
 // come has a caller ask an entry instance.
 func (r *play) come(c *call) {
-	c.came, c.entry, c.tried = r.now, r.entries[r.random.IntN(len(r.entries))], make(map[*server]bool)
-	c.entry.budget.Request(epoch.Add(r.now))
-	c.leaves = min(c.deadline, r.now+r.pattern.Kinds[c.kind].bears())
-	if k := &r.pattern.Kinds[c.kind]; k.prompt() {
-		c.entry.mix.Note(k.SharedTokens+k.OwnTokens, epoch.Add(r.now))
+	c.came, c.entry, c.tried, c.decision = r.now, r.entries[r.random.IntN(len(r.entries))], make(map[*server]bool), dispatch.Decision{}
+	c.entry.budget.Request(clock(r.now))
+	k := &r.pattern.Kinds[c.kind]
+	c.leaves = min(c.deadline, r.now+k.bears())
+	if k.prompt() {
+		c.entry.mix.Note(k.SharedTokens+k.OwnTokens, c.entry.reader.StepTokens(), clock(r.now))
 	}
-	r.send(c)
+	r.place(c)
 }
 
-// send sends a request to the server that the policy picks.
-func (r *play) send(c *call) {
-	s, unread := r.choose(c)
-	if s == nil {
-		r.refuse(c)
-		return
+// place sends a request to the server that the policy picks, lets it wait, or
+// refuses it.
+func (r *play) place(c *call) {
+	var claimed map[string]bool
+	if r.pattern.Kinds[c.kind].prompt() {
+		claimed = c.entry.line.Claimed(r.spot(c))
 	}
-	c.tried[s] = true
-	k, b, sent := &r.pattern.Kinds[c.kind], c.entry.beliefs[s], r.now
-	job := sending{unread: unread, later: c.verdict != admission.InTurn}
-	if k.prompt() {
-		job.memory = k.size()
+	if r.try(c, claimed) {
+		return
 	}
-	b.begin(job, sent)
-	answer := func(got run) {
-		r.at(max(got.end, r.now), func() { b.free(job, r.now-sent) })
-		if r.now >= c.leaves {
-			b.left(job)
-			r.result.fail(c.kind)
-			return
+	w := &dispatch.Waiter{Place: r.spot(c), Memory: r.pattern.Kinds[c.kind].size()}
+	w.Try = func(claimed map[string]bool) (bool, string) {
+		if c.waiter == nil || r.try(c, claimed) {
+			c.waiter = nil
+			return true, ""
 		}
-		b.answered(job, s.load(r.now)+s.queued(), r.now-sent, r.now, got.failed)
-		switch {
-		case got.refused, got.failed && k.Repeatable:
-			r.again(c)
-		case got.failed:
+		w.Place = r.spot(c)
+		return false, c.waitsFor
+	}
+	c.waiter = w
+	c.entry.line.Join(w)
+	r.at(c.leaves, func() {
+		if c.waiter != nil {
+			c.entry.line.Leave(w)
+			c.waiter = nil
 			r.result.fail(c.kind)
-		default:
-			r.result.serve(c.kind, r.now-c.asked)
 		}
-	}
-	dark, _, _ := s.trouble(sent)
-	if dark > sent+patience && k.Repeatable && len(c.tried) < 2 {
-		r.at(sent+patience, func() {
-			b.left(job)
-			b.free(job, 0)
-			r.again(c)
-		})
-		return
-	}
-	if !k.prompt() {
-		got := s.serve(k, sent, r.random)
-		r.at(min(got.first, c.leaves), func() { answer(got) })
-		return
-	}
-	r.prompt(s, &reading{kind: k, part: c.part, deadline: c.leaves, later: job.later, done: func(got run) {
-		r.at(min(got.first, c.leaves), func() { answer(got) })
-	}})
+	})
+	r.look(c.entry)
 }
 
-// again sends a request to a second server, if that is allowed.
-func (r *play) again(c *call) {
-	if len(c.tried) >= 2 || !c.entry.budget.Take(epoch.Add(r.now)) {
-		r.refuse(c)
+// look has those that wait at an entry instance tried again as long as any wait.
+func (r *play) look(e *entry) {
+	if e.looked {
 		return
 	}
-	r.send(c)
+	e.looked = true
+	r.at(r.now+holdStep, func() {
+		e.looked = false
+		e.line.Look()
+		if e.line.Len() > 0 {
+			r.look(e)
+		}
+	})
 }
 
-// refuse answers a caller at once; some come back.
-func (r *play) refuse(c *call) {
-	r.result.refuse(c.kind, r.now-c.came)
-	back := r.now + admission.ComeBack(c.outlook, r.random.Float64())
-	if c.returns == 0 || back >= c.deadline {
-		r.result.fail(c.kind)
-		return
+// try decides what becomes of a request now and carries it out; it returns false if
+// the request waits.
+func (r *play) try(c *call, claimed map[string]bool) bool {
+	s := r.decide(c, claimed)
+	switch c.decision.Action {
+	case dispatch.Nowhere, dispatch.Refuse:
+		r.refuse(c)
+	case dispatch.Hold:
+		c.waitsFor = s.id
+		return false
+	case dispatch.Send:
+		r.send(c, s)
 	}
-	c.returns--
-	r.at(back, func() { r.come(c) })
+	return true
 }
 
-// choose has the policy pick a server, and says how much of the prompt it has to
-// read.
-func (r *play) choose(c *call) (*server, int) {
+// spot is where a request waits.
+func (r *play) spot(c *call) dispatch.Place {
 	k := &r.pattern.Kinds[c.kind]
-	candidates := r.plain
-	job := placement.Job{Repeatable: k.Repeatable, ReadRate: r.policy.Pace}
+	read := c.entry.reader.Overhead() + time.Duration(float64(k.SharedTokens+k.OwnTokens)/c.entry.reader.Pace()*float64(time.Millisecond))
+	return dispatch.Place{Later: c.behind(), Rank: k.Rank, StartBy: clock(c.came + milliseconds(k.ObjectiveMS) - read)}
+}
+
+// decide has the policy say what becomes of a request.
+func (r *play) decide(c *call, claimed map[string]bool) *server {
+	k, e := &r.pattern.Kinds[c.kind], c.entry
+	list := r.plain
+	ask := &dispatch.Ask{Waited: r.now - c.came, Resumed: len(c.tried) > 0, Young: r.now < e.began+time.Second}
+	ask.Job.Repeatable = k.Repeatable
 	if k.prompt() {
-		candidates = r.engines
-		job.PromptTokens, job.MemoryTokens = k.SharedTokens+k.OwnTokens, k.size()
-		job.Long = job.PromptTokens >= placement.LongPrompt
+		list = r.engines
+		ask.Objective, ask.Bears, ask.Errors = milliseconds(k.ObjectiveMS), k.bears(), &e.errors[c.kind]
+		ask.Job = placement.Job{
+			Repeatable: k.Repeatable, ReadRate: e.reader.Pace(), Overhead: e.reader.Overhead(), StepTokens: e.reader.StepTokens(),
+			PromptTokens: k.SharedTokens + k.OwnTokens, MemoryTokens: k.size(), Long: k.SharedTokens+k.OwnTokens >= placement.LongPrompt,
+		}
 	}
-	views := make([]placement.Server, len(candidates))
-	for i, s := range candidates {
-		views[i] = c.entry.beliefs[s].view(s, r.now)
+	list = e.servers(list, r.now)
+	views := make([]placement.Server, len(list))
+	for i, s := range list {
+		e.beliefs[s].View(&views[i], r.policy.Decisions, r.others(e, s), "", clock(r.now))
 	}
 	if k.prompt() {
-		r.describe(c, k, candidates, views, job.Long)
-	}
-	skip, at := func(i int) bool { return c.tried[candidates[i]] }, r.random.Float64()
-	i := placement.Pick(r.policy.Scorer, views, job, skip, at)
-	if i < 0 {
-		return nil, 0
-	}
-	if !k.prompt() {
-		return candidates[i], 0
-	}
-	if r.policy.Judged {
-		o := admission.Outlook{Waited: r.now - c.came, Objective: milliseconds(k.ObjectiveMS), Bears: k.bears()}
-		o.InTurn = r.policy.Scorer.Cost(&views[i], &job)
-		o.Behind = o.InTurn
-		if c.verdict = admission.Judge(o); c.verdict != admission.InTurn {
-			job.Later = true
-			i = placement.Pick(r.policy.Scorer, views, job, skip, at)
-			o.Behind = r.policy.Scorer.Cost(&views[i], &job)
-			c.verdict = admission.Judge(o)
+		r.describe(c, k, list, views, ask.Job.Long)
+		place := r.spot(c)
+		if c.waiter != nil {
+			place = c.waiter.Place
 		}
-		if c.outlook = o; c.verdict == admission.TurnAway && len(c.tried) == 0 {
-			return nil, 0
+		ask.Before = dispatch.RoomIn(views, e.line.Ahead(place))
+	}
+	all := func() *dispatch.Candidates {
+		return &dispatch.Candidates{Servers: views, Tried: func(i int) bool { return c.tried[list[i]] }, Claimed: func(i int) bool { return claimed[list[i].id] }}
+	}
+	c.decision, _ = r.policy.Decisions.Decide(r.policy.Scorer, nil, all, ask, r.random.Float64())
+	if c.decision.Server < 0 {
+		return nil
+	}
+	return list[c.decision.Server]
+}
+
+// others is what the other entry instances have at a server.
+func (r *play) others(e *entry, s *server) (sum dispatch.Load) {
+	for _, other := range r.entries {
+		if other == e {
+			continue
 		}
+		own := other.beliefs[s].Own()
+		sum.Requests, sum.Reading, sum.Later, sum.Held = sum.Requests+own.Requests, sum.Reading+own.Reading, sum.Later+own.Later, sum.Held+own.Held
 	}
-	return candidates[i], placement.Unread(views[i], job)
+	return sum
 }
 
-// describe adds what is known of prompts: what engines hold, what all entry
-// instances have sent there, groups and homes.
+// describe adds what is known of prompts: what engines hold and can bring, groups
+// and homes.
 func (r *play) describe(c *call, k *Kind, candidates []*server, views []placement.Server, long bool) {
-	placement.Split(views, c.entry.mix.ShortShare(), func(i int) string { return candidates[i].id })
+	policy := r.policy.Decisions
+	if policy.On(dispatch.LengthGroups) {
+		placement.Split(views, c.entry.mix.ShortShare(), func(i int) string { return candidates[i].id })
+	}
 	home, best := -1, uint64(0)
 	for i, s := range candidates {
 		views[i].CachedTokens = min(k.SharedTokens, s.held(c.part))
-		for _, e := range r.entries {
-			views[i].ReadingTokens += e.beliefs[s].reading
-			views[i].LaterTokens += e.beliefs[s].later
+		if r.stored[c.part] && views[i].CachedTokens < k.SharedTokens {
+			views[i].ImportTokens, views[i].ImportTime = k.SharedTokens, c.entry.beliefs[s].Bringing(clock(r.now))+r.bringTime(k)
 		}
 		if views[i].Group != placement.GroupAny && (views[i].Group == placement.GroupLong) != long {
 			continue
@@ -281,7 +322,196 @@
 			home, best = i, rank
 		}
 	}
-	if home >= 0 {
+	if home >= 0 && policy.On(dispatch.Homes) {
 		views[home].Home = true
 	}
+	if !policy.On(dispatch.AwayCost) {
+		for i := range views {
+			views[i].Home = true
+		}
+	}
+}
+
+// bringTime is how long a kind's shared part takes over an engine's link.
+func (r *play) bringTime(k *Kind) time.Duration {
+	return milliseconds(float64(k.SharedTokens) / r.pattern.Engines.BringPerMS)
+}
+
+// send sends a request to a server.
+func (r *play) send(c *call, s *server) {
+	c.tried[s] = true
+	k, b, sent := &r.pattern.Kinds[c.kind], c.entry.beliefs[s], r.now
+	r.count(b, sent)
+	work := dispatch.Work{Unread: c.decision.Unread, Later: c.behind()}
+	if k.prompt() {
+		work.Memory = k.size()
+	}
+	b.Sent(work, clock(sent))
+	if _, pause := s.says(r.now); pause > 0 {
+		r.shed(c, s, work)
+		return
+	}
+	if k.prompt() {
+		r.ask(c, s, work)
+		return
+	}
+	got := s.serve(k, sent, r.random)
+	dark, _, _ := s.trouble(sent)
+	if dark > sent+patience && k.Repeatable && len(c.tried) < 2 && r.policy.Decisions.On(dispatch.Patience) {
+		r.at(sent+patience, func() {
+			b.Left(work)
+			b.Ended(work, 0)
+			b.Failed(true, clock(r.now))
+			r.again(c)
+		})
+		return
+	}
+	r.at(min(got.first, c.leaves), func() { r.answered(c, s, work, sent, got) })
+}
+
+// count notes a sending that a server has asked not to get.
+func (r *play) count(b *known, at time.Duration) {
+	if b.told > 0 && at > b.told {
+		r.result.ToLeaving++
+	}
+	if at < b.paused {
+		r.result.ToPaused++
+	}
+}
+
+// shed is a server that turns a request away and names a time.
+func (r *play) shed(c *call, s *server, work dispatch.Work) {
+	b := c.entry.beliefs[s]
+	b.Begun(work, clock(r.now))
+	b.Ended(work, 0)
+	c.entry.hear(s, true, r.now, r.random.Float64())
+	r.again(c)
+}
+
+// answered is the answer of a plain server.
+func (r *play) answered(c *call, s *server, work dispatch.Work, sent time.Duration, got run) {
+	b, k := c.entry.beliefs[s], &r.pattern.Kinds[c.kind]
+	b.Ended(work, r.now-sent)
+	if r.now >= c.leaves && got.first > r.now {
+		b.Left(work)
+		r.result.fail(c.kind)
+		return
+	}
+	b.Begun(work, clock(r.now))
+	r.report(c, s)
+	switch {
+	case got.refused:
+		running, waiting := s.load(r.now)
+		b.Shed(&dispatch.Report{Running: running, Waiting: waiting, Slots: s.slots}, clock(r.now))
+		r.again(c)
+	case got.failed:
+		b.Failed(false, clock(r.now))
+		if k.Repeatable {
+			r.again(c)
+			return
+		}
+		r.result.fail(c.kind)
+	default:
+		b.Succeeded(r.now-sent, clock(r.now))
+		r.result.serve(c.kind, c.asked, r.now-c.asked)
+	}
+}
+
+// report takes what a server says with its answer.
+func (r *play) report(c *call, s *server) {
+	running, waiting := s.load(r.now)
+	c.entry.beliefs[s].Told(dispatch.Report{Running: running, Waiting: waiting, Slots: s.slots}, r.others(c.entry, s), clock(r.now))
+	c.entry.hear(s, false, r.now, 0)
+}
+
+// ask sends a prompt to an engine.
+func (r *play) ask(c *call, s *server, work dispatch.Work) {
+	k, b, e, sent := &r.pattern.Kinds[c.kind], c.entry.beliefs[s], c.entry, r.now
+	q := &reading{kind: k, part: c.part, deadline: c.leaves, rank: k.Rank}
+	if work.Later {
+		q.rank += laterRanks
+	}
+	fetched := r.stored[c.part] && s.held(c.part) < k.SharedTokens
+	if fetched {
+		b.Bring(r.bringTime(k), clock(r.now))
+		s.engine.linkFree = max(s.engine.linkFree, r.now) + r.bringTime(k)
+		q.brought = s.engine.linkFree
+		r.at(q.brought, func() { r.step(s) })
+	}
+	decision := c.decision
+	q.first = func(failed bool) {
+		b.Begun(work, clock(r.now))
+		r.report(c, s)
+		r.keep(c.part, k)
+		if decision.Verdict == admission.InTurn {
+			e.errors[c.kind].Learn(decision.Outlook.InTurn, r.now-sent)
+			r.result.estimated(c.kind, c.asked, decision.Outlook.InTurn, r.now-sent)
+		}
+		if decision.Ahead == 0 && !fetched {
+			e.reader.Learn(max(0, work.Unread-e.reader.StepTokens()), r.now-sent)
+		}
+		switch {
+		case !failed:
+			b.Succeeded(r.now-sent, clock(r.now))
+			r.result.serve(c.kind, c.asked, r.now-c.asked)
+		default:
+			b.Failed(false, clock(r.now))
+			q.over = true
+			q.ended()
+			if k.Repeatable {
+				r.again(c)
+				return
+			}
+			r.result.fail(c.kind)
+		}
+	}
+	q.ended = func() {
+		if !q.begun {
+			b.Left(work)
+			if b.Mute(clock(sent), clock(r.now)) {
+				b.Failed(true, clock(r.now))
+			}
+			r.result.fail(c.kind)
+		}
+		b.Ended(work, r.now-sent)
+		e.line.Look()
+	}
+	r.prompt(s, q)
+}
+
+// laterRanks is how much less urgent a prompt is that is late anyway.
+const laterRanks = 4
+
+// keep has the store keep a part that was read, if it has room.
+func (r *play) keep(part int, k *Kind) {
+	if r.pattern.Engines.BringPerMS == 0 || k.Things == 0 || r.stored[part] || r.room < k.SharedTokens {
+		return
+	}
+	r.stored[part] = true
+	r.room -= k.SharedTokens
+}
+
+// again sends a request to a second server, if that is allowed.
+func (r *play) again(c *call) {
+	if len(c.tried) >= 2 || !c.entry.budget.Take(clock(r.now)) {
+		r.refuse(c)
+		return
+	}
+	r.place(c)
+}
+
+// refuse answers a caller at once; some come back.
+func (r *play) refuse(c *call) {
+	r.result.refuse(c.kind, c.asked, r.now-c.came)
+	at := r.random.Float64()
+	if !r.policy.Decisions.On(dispatch.ReturnSpread) {
+		at = 0
+	}
+	back := r.now + admission.ComeBack(c.decision.Outlook, at)
+	if c.returns == 0 || back >= c.deadline {
+		r.result.fail(c.kind)
+		return
+	}
+	c.returns--
+	r.at(back, func() { r.come(c) })
 }
--- a/fleetview/view.go
+++ b/fleetview/view.go
@@ -103,6 +103,7 @@
 	settled  bool
 	released map[string]bool
 	self     *fleetv1.EntryInstance
+	leaving  leaving
 	wake     chan struct{}
 	changed  chan struct{}
 }
@@ -149,6 +150,12 @@
 	next.Accepting = accepting
 	next.Sequence++
 	v.self = next
+	v.tell()
+}
+
+// tell ends the polls that wait, so that the next ones carry what is new; the
+// caller holds the lock.
+func (v *View) tell() {
 	close(v.wake)
 	v.wake = make(chan struct{})
 }
@@ -199,7 +206,7 @@
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	v.mu.Lock()
-	req := &fleetv1.SyncRequest{Self: v.self, Feed: s.feed, Cursor: s.cursor, Known: v.known(), WaitMs: uint32(pollWait.Milliseconds())}
+	req := &fleetv1.SyncRequest{Self: v.self, Feed: s.feed, Cursor: s.cursor, Known: v.known(), Leaving: v.leaving.told(time.Now()), WaitMs: uint32(pollWait.Milliseconds())}
 	wake := v.wake
 	v.mu.Unlock()
 	woken := make(chan struct{})
@@ -325,6 +332,10 @@
 	if other.BornUnixMs == newest.BornUnixMs {
 		newest = raised(newest, other)
 	}
+	if other.Leaving && !newest.Leaving && other.BornUnixMs == newest.BornUnixMs {
+		newest = proto.CloneOf(newest)
+		newest.Leaving = true
+	}
 	if newest.Silent && !other.Silent && other.BornUnixMs == newest.BornUnixMs {
 		newest = proto.CloneOf(newest)
 		newest.Silent = false
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/galenaarch/galenaarch/contexts"
+	"github.com/galenaarch/galenaarch/dispatch"
 	"github.com/galenaarch/galenaarch/upstream"
 )
 
@@ -50,6 +52,7 @@
 
 // attempt is one sending and its outcome.
 type attempt struct {
+	gateway  *Gateway
 	backend  *backend
 	exchange *upstream.Exchange
 	answer   Answer
@@ -61,8 +64,8 @@
 	head    time.Time
 	cancel  context.CancelCauseFunc
 	version uint64
-	// memory is what the request takes of the server's memory; tokens.
-	memory int
+	// work is what the request takes of the server.
+	work dispatch.Work
 	// fetched tokens are brought by transfers expected to take fetchTime; saved
 	// parts are kept at stores.
 	fetched, saved, dismissed, unkept int
@@ -86,80 +89,101 @@
 	if a.verdict == answered {
 		ran = time.Since(a.began)
 	}
-	a.backend.end(a.memory, ran)
+	a.backend.room.mu.Lock()
+	defer a.backend.room.mu.Unlock()
+	a.backend.belief.Ended(a.work, ran)
+	a.gateway.freed(a.backend)
 }
 
-// send sends the request to one server and waits for the head of the answer.
+// send sends the request to the server that it was placed at and waits for the
+// head of the answer.
 func (c *call) send(ctx context.Context, r *http.Request, b *backend, lastEvent string, patience time.Duration) *attempt {
-	now := time.Now()
-	a := &attempt{backend: b, began: now}
+	a := &attempt{gateway: c.gateway, backend: b, began: time.Now(), work: c.work}
 	ctx, a.cancel = context.WithCancelCause(ctx)
-	d := &Dispatch{Server: b.id, Left: time.Until(c.deadline), Priority: c.priority(), LastEvent: lastEvent}
+	d := &Dispatch{Server: b.server, Left: time.Until(c.deadline), Priority: c.priority(), LastEvent: lastEvent}
 	if c.account != nil {
 		d.Account = c.account.Name
 	}
 	if c.prompt != nil {
-		a.version = b.weightVersion(c.prompt.Model)
-		d.Salt, d.WeightVersion = c.salt(a.version), a.version
-		t := c.transfers(b, d.Salt)
-		d.Fetch, d.Save = t.Fetch, t.Save
-		a.fetched, a.fetchTime, a.dismissed, a.unkept = t.FetchTokens, t.FetchTime, t.Dismissed, t.Unkept
-		for _, place := range t.Save {
-			if place != "" {
-				a.saved++
-			}
-		}
-		b.bringing.Add(int64(t.FetchTime))
-		defer func() {
-			b.bringing.Add(-int64(t.FetchTime))
-			c.gateway.stores.End(&t, a.bringTime(c, &t))
-			if a.verdict == answered {
-				c.gateway.stores.Read(b.address, under(d.Salt, c.shared()))
-			}
-		}()
-	}
-	a.memory = c.job().MemoryTokens
-	b.begin(c.unread, a.memory, c.behind(), now)
-	if c.unread > 0 && !c.behind() {
-		c.gateway.peers.add(b.id, c.unread)
-		defer c.gateway.peers.add(b.id, -c.unread)
+		defer c.bring(a, d)()
 	}
 	timer := c.afterPatience(a, patience)
 	x, err := b.pool.Send(ctx, &upstream.Request{
 		Method: r.Method, Target: c.target, Host: r.Host, Header: c.gateway.dialect.Dispatch(r.Header, d), Body: c.body,
 	})
 	inTime := timer.stop()
-	now = time.Now()
-	a.head = now
-	a.exchange = x
+	a.head, a.exchange = time.Now(), x
+	b.room.mu.Lock()
 	if err != nil {
-		b.awaiting.Add(-1)
-		b.queue(c.behind()).Add(int64(-c.unread))
+		b.belief.Left(a.work)
 	} else {
-		b.firstByte(c.unread, c.behind(), now)
-		if !inTime {
-			err = &upstream.Error{Step: upstream.StepAwait, Peer: b.address, Err: errSlow}
-		}
+		b.belief.Begun(a.work, a.head)
+	}
+	c.gateway.freed(b)
+	b.room.mu.Unlock()
+	if err == nil && !inTime {
+		err = &upstream.Error{Step: upstream.StepAwait, Peer: b.address, Err: errSlow}
 	}
-	a.judge(c, r, err, now)
-	c.gateway.paces.learn(c, a)
+	a.judge(c, r, err, a.head)
+	c.learn(a)
 	c.note(a)
 	return a
 }
 
-// engineOverhead is the time of an engine to a first event besides reading, from
-// the users' sheet of their engines.
-const engineOverhead = 25 * time.Millisecond
+// bring decides the transfers of a prompt and writes them into its dispatch; what
+// it returns ends them.
+func (c *call) bring(a *attempt, d *Dispatch) (end func()) {
+	b := a.backend
+	a.version = b.weightVersion(c.prompt.Model)
+	d.Salt, d.WeightVersion = c.salt(a.version), a.version
+	t := c.transfers(b, d.Salt)
+	d.Fetch, d.Save = t.Fetch, t.Save
+	a.fetched, a.fetchTime, a.dismissed, a.unkept = t.FetchTokens, t.FetchTime, t.Dismissed, t.Unkept
+	for _, place := range t.Save {
+		if place != "" {
+			a.saved++
+		}
+	}
+	b.news(func(belief *dispatch.Belief) { belief.Bring(t.FetchTime, a.began) })
+	return func() {
+		c.gateway.stores.End(&t, a.bringTime(c, &t))
+		if a.verdict == answered {
+			c.gateway.stores.Read(b.address, under(d.Salt, c.shared()))
+		}
+	}
+}
+
+// learn takes what an answered prompt shows of the engines' reading and of the
+// estimates.
+func (c *call) learn(a *attempt) {
+	if c.prompt == nil || a.verdict != answered || a.status != http.StatusOK {
+		return
+	}
+	took := a.head.Sub(a.began)
+	c.room.mu.Lock()
+	defer c.room.mu.Unlock()
+	if c.decision.Ahead == 0 && a.fetched == 0 {
+		c.room.reader.Learn(max(0, a.work.Unread-c.room.reader.StepTokens()), took)
+	}
+	if !c.behind() {
+		error := took - c.decision.Outlook.InTurn
+		c.room.errors[c.length()].Learn(c.decision.Outlook.InTurn, took)
+		c.gateway.metrics.estimate(c, error)
+	}
+}
 
 // bringTime is what the transfers of an answered prompt took; 0 if that is not
 // known.
 func (a *attempt) bringTime(c *call, t *contexts.Transfers) time.Duration {
-	if a.verdict != answered || t.FetchTokens == 0 || c.ahead > 0 {
+	if a.verdict != answered || t.FetchTokens == 0 || c.decision.Ahead > 0 {
 		return 0
 	}
+	c.room.mu.Lock()
+	pace, overhead := c.room.reader.Pace(), c.room.reader.Overhead()
+	c.room.mu.Unlock()
 	rest := max(0, c.prompt.Tokens-t.FetchTokens)
-	read := time.Duration(float64(rest) / c.pace * float64(time.Millisecond))
-	return max(1, a.head.Sub(a.began)-read-engineOverhead)
+	read := time.Duration(float64(rest) / pace * float64(time.Millisecond))
+	return max(1, a.head.Sub(a.began)-read-overhead)
 }
 
 // patience ends the wait for a server that says nothing.
@@ -202,13 +226,8 @@
 	return inTime
 }
 
-const (
-	// patienceStep lies between two looks at a server that is waited for.
-	patienceStep = 100 * time.Millisecond
-	// silentFor is how long a server with work must have said nothing at all to
-	// count as stuck; one that is only slow goes on.
-	silentFor = 500 * time.Millisecond
-)
+// patienceStep lies between two looks at a server that is waited for.
+const patienceStep = 100 * time.Millisecond
 
 // mayLeave reports whether to stop waiting for a server, and if so takes the
 // repeat that this needs from the budget.
@@ -216,7 +235,7 @@
 	if !c.repeatable() || c.sends+1 >= c.route.MaxServers || c.deadline.Sub(now) < 2*leastLeft {
 		return false
 	}
-	if a.backend.silence(now) < silentFor {
+	if !c.gateway.policy.On(dispatch.Patience) || a.backend.silence(now) < dispatch.MuteAfter {
 		return false
 	}
 	if !c.gateway.budget(c.service.Name).Take(now) {
@@ -243,16 +262,15 @@
 	}
 	a.status = a.exchange.Answer.StatusCode
 	a.answer = c.gateway.dialect.Answer(a.status, a.exchange.Answer.Header)
+	a.obey(c, now)
 	if len(a.answer.Ignored) > 0 {
-		c.gateway.logger.Info("headers not understood", slog.String("request", c.request.ID), slog.String("server", a.backend.id), slog.Any("headers", a.answer.Ignored))
+		c.gateway.logger.Info("headers not understood", slog.String("request", c.request.ID), slog.String("server", a.backend.server), slog.Any("headers", a.answer.Ignored))
 	}
 	if a.answer.RequestID != c.request.ID {
 		a.verdict, a.err = unknown, errStray
 		return
 	}
-	if a.answer.Load != nil {
-		a.backend.report(a.answer.Load, now)
-	}
+	a.hear(c, now)
 	if a.answer.WeightVersion > 0 && c.prompt != nil {
 		a.backend.learnWeights(c.prompt.Model, a.answer.WeightVersion)
 	}
@@ -261,10 +279,38 @@
 	}
 }
 
+// obey takes a server's word that it leaves, or wants nothing for a time. Any answer
+// that came from there counts, whomever it was for; one that names another server
+// is that server's.
+func (a *attempt) obey(c *call, now time.Time) {
+	b := a.backend
+	if a.answer.Server != "" && a.answer.Server != b.server {
+		return
+	}
+	if a.answer.Leaving {
+		c.gateway.left(c, b)
+	}
+	if a.answer.Pause == nil || a.status != http.StatusServiceUnavailable {
+		return
+	}
+	var until time.Time
+	b.news(func(belief *dispatch.Belief) { until = belief.Pause(*a.answer.Pause, now, rand.Float64()) })
+	c.gateway.logger.Info("server wants nothing", slog.String("server", b.server), slog.String("request", c.request.ID),
+		slog.Duration("said", *a.answer.Pause), slog.Duration("for", until.Sub(now)))
+}
+
+// hear takes a server's word on its load.
+func (a *attempt) hear(c *call, now time.Time) {
+	if l := a.answer.Load; l != nil {
+		others := c.gateway.peers.told()[a.backend.server]
+		a.backend.news(func(b *dispatch.Belief) { b.Told(dispatch.Report(*l), others, now) })
+	}
+}
+
 // note keeps the books after a sending and logs one that failed.
 func (c *call) note(a *attempt) {
 	b, now := a.backend, time.Now()
-	c.tried[b.id] = true
+	c.tried[b.server] = true
 	var e *upstream.Error
 	reached := !errors.As(a.err, &e) || e.Reached()
 	if reached {
@@ -276,7 +322,7 @@
 	resting := time.Duration(0)
 	switch {
 	case a.verdict == answered && a.status < http.StatusInternalServerError:
-		b.succeed(now.Sub(a.began))
+		b.news(func(belief *dispatch.Belief) { belief.Succeeded(now.Sub(a.began), now) })
 		return
 	case a.verdict == answered:
 		b.fail(false, now)
@@ -297,14 +343,14 @@
 	}
 	c.gateway.metrics.attempt(c, a)
 	c.gateway.logger.Info("sending failed", slog.String("request", c.request.ID), slog.String("route", c.route.Name),
-		slog.String("server", b.id), slog.String("address", b.address), slog.Int("status", a.status), slog.Bool("reached", reached),
+		slog.String("server", b.server), slog.String("address", b.address), slog.Int("status", a.status), slog.Bool("reached", reached),
 		slog.Bool("not_run", a.verdict == notRun), slog.Duration("took", now.Sub(a.began)), slog.Duration("resting", resting), slog.Any("error", a.err))
 }
 
 // misdirected learns from a server that is not the one, or not on the weights,
 // that was asked for.
 func (c *call) misdirected(a *attempt) {
-	if a.answer.Server != "" && a.answer.Server != a.backend.id || c.prompt == nil {
+	if a.answer.Server != "" && a.answer.Server != a.backend.server || c.prompt == nil {
 		a.backend.retired.Store(true)
 		return
 	}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -11,6 +11,7 @@
 	"github.com/galenaarch/galenaarch/admission"
 	"github.com/galenaarch/galenaarch/config/site"
 	"github.com/galenaarch/galenaarch/contexts"
+	"github.com/galenaarch/galenaarch/dispatch"
 	"github.com/galenaarch/galenaarch/placement"
 )
 
@@ -46,21 +47,18 @@
 	ran   bool
 	// granted says that the budget has already allowed the next repeat.
 	granted bool
-	choice
-	// pace is the speed at which the service's engines read; tokens a
-	// millisecond.
-	pace float64
-}
-
-// choice is what is expected at the chosen server.
-type choice struct {
-	// home says that it is the home of the prompt's shared part, ahead is what it
-	// has to read before, unread what it must read of the prompt; tokens.
-	home          bool
-	ahead, unread int
-	// verdict is what was decided of the request by outlook.
-	verdict admission.Verdict
-	outlook admission.Outlook
+	// room is where decisions on the service's requests are made; decision is the
+	// last one on this request, work what it takes of the server chosen.
+	room     *room
+	decision dispatch.Decision
+	work     dispatch.Work
+	// waiter is set while the request waits for a server, waitsFor names that;
+	// held is how long it has waited so.
+	waiter   *dispatch.Waiter
+	waitsFor string
+	held     time.Duration
+	// pausedUntil is when the first server wants requests again if none does now.
+	pausedUntil time.Time
 }
 
 // rawPath is the path as the caller sent it.
@@ -130,17 +128,35 @@
 // defaultBodyBytes bounds a body where the document does not.
 const defaultBodyBytes = 4 << 20
 
-// job is the request as a decision sees it.
+// job is the request as a server sees it. The caller holds the room's lock.
 func (c *call) job() placement.Job {
-	j := placement.Job{Repeatable: c.repeatable(), ReadRate: c.pace}
+	j := placement.Job{Repeatable: c.repeatable()}
 	if c.prompt != nil {
+		r := &c.room.reader
+		j.ReadRate, j.Overhead, j.StepTokens = r.Pace(), r.Overhead(), r.StepTokens()
 		j.PromptTokens = c.prompt.Tokens
 		j.MemoryTokens = c.prompt.Tokens + c.prompt.MaxOutput
-		j.Long = c.prompt.Tokens >= placement.LongPrompt
+		j.Long = c.length() == longPrompt
 	}
 	return j
 }
 
+// Lengths of prompts.
+const (
+	shortPrompt = iota
+	longPrompt
+)
+
+// lengthNames are the lengths in logs and metrics.
+var lengthNames = [...]string{"short", "long"}
+
+func (c *call) length() int {
+	if c.prompt.Tokens >= placement.LongPrompt {
+		return longPrompt
+	}
+	return shortPrompt
+}
+
 // shared returns the parts that other requests may have in common with this
 // one: all but the last, which is the request's or its session's own.
 func (c *call) shared() []Part {
@@ -159,63 +175,98 @@
 
 // locate fills in what each server is believed to hold of the prompt. A shared
 // part has one home, so that the memory of all servers holds as many different
-// parts as it can; the others bring it from a store that has it.
-func (c *call) locate(candidates []*backend, servers []placement.Server) {
-	placement.Split(servers, c.gateway.mix.ShortShare(), func(i int) string { return candidates[i].id })
+// parts as it can; the others bring it from a store that has it. The caller holds
+// the room's lock.
+func (c *call) locate(candidates []*backend, servers []placement.Server, now time.Time) {
+	g := c.gateway
+	if g.policy.On(dispatch.LengthGroups) {
+		placement.Split(servers, g.mix.ShortShare(), func(i int) string { return candidates[i].server })
+	}
 	shared := c.shared()
 	if len(shared) == 0 {
 		return
 	}
-	tokens := 0
-	for _, p := range shared {
-		tokens += p.Tokens
-	}
-	key := shared[len(shared)-1].ID
-	long := c.prompt.Tokens >= placement.LongPrompt
-	home, best := -1, uint64(0)
-	type brings struct {
-		tokens int
-		took   time.Duration
-	}
-	brought := make(map[string]brings)
+	brought := make(map[string]bringing)
 	guess := false
 	for i, b := range candidates {
-		salt := c.salt(b.weightVersion(c.prompt.Model))
+		salt := c.salt(b.weights[c.prompt.Model])
 		parts := under(salt, shared)
 		held, known := brought[salt]
 		if !known {
-			if contexts.WorthBringing(parts) {
-				held.tokens, held.took = c.gateway.stores.Held(parts)
-			}
+			held = c.bringable(parts)
 			brought[salt] = held
 		}
-		cached, sure := c.gateway.stores.Cached(b.address, parts)
+		cached, sure := g.stores.Cached(b.address, parts)
 		guess = guess || !sure
 		servers[i].CachedTokens = cached
 		if held.tokens > cached {
-			servers[i].ImportTokens, servers[i].ImportTime = held.tokens-cached, held.took+b.bringTime()
+			servers[i].ImportTokens, servers[i].ImportTime = held.tokens-cached, held.took+b.belief.Bringing(now)
 		}
+	}
+	c.home(candidates, servers, shared, guess)
+}
+
+// bringing is what could be brought of a prompt, and in what time.
+type bringing struct {
+	tokens int
+	took   time.Duration
+}
+
+func (c *call) bringable(parts []contexts.Part) (b bringing) {
+	if c.brings(parts) {
+		b.tokens, b.took = c.gateway.stores.Held(parts)
+	}
+	return b
+}
+
+// brings reports whether parts are kept at stores and brought from them.
+func (c *call) brings(parts []contexts.Part) bool {
+	return !c.gateway.policy.On(dispatch.ShortLocal) || contexts.WorthBringing(parts)
+}
+
+// home marks the home of the prompt's shared parts among the servers for its
+// length. Where it is not known what servers hold, the home is taken to have them.
+func (c *call) home(candidates []*backend, servers []placement.Server, shared []Part, guess bool) {
+	policy := c.gateway.policy
+	if !policy.On(dispatch.Homes) {
+		return
+	}
+	key, long := shared[len(shared)-1].ID, c.length() == longPrompt
+	home, best := -1, uint64(0)
+	for i, b := range candidates {
 		if servers[i].Group != placement.GroupAny && (servers[i].Group == placement.GroupLong) != long {
 			continue
 		}
-		if rank := placement.Rank(key, b.id); rank >= best {
+		if rank := placement.Rank(key, b.server); rank >= best {
 			home, best = i, rank
 		}
 	}
 	if home < 0 {
 		return
 	}
-	servers[home].Home = true
 	if guess {
+		tokens := 0
+		for _, p := range shared {
+			tokens += p.Tokens
+		}
 		servers[home].CachedTokens, servers[home].ImportTokens = tokens, 0
 	}
+	servers[home].Home = true
+	if !policy.On(dispatch.AwayCost) {
+		for i := range servers {
+			servers[i].Home = true
+		}
+	}
 }
 
 // transfers decides what a server reads from stores and keeps there.
 func (c *call) transfers(b *backend, salt string) contexts.Transfers {
 	var t contexts.Transfers
-	if shared := under(salt, c.shared()); contexts.WorthBringing(shared) {
-		t = c.gateway.stores.Plan(shared, contexts.Target{Address: b.address, Zone: b.zone, Bringing: b.bringTime(), Allowed: time.Duration(allowedShare * float64(c.aim())), ReadRate: c.pace})
+	c.room.mu.Lock()
+	bringing, pace := b.belief.Bringing(time.Now()), c.room.reader.Pace()
+	c.room.mu.Unlock()
+	if shared := under(salt, c.shared()); c.brings(shared) {
+		t = c.gateway.stores.Plan(shared, contexts.Target{Address: b.address, Zone: b.zone, Bringing: bringing, Allowed: time.Duration(allowedShare * float64(c.aim())), ReadRate: pace})
 	}
 	for len(t.Fetch) < len(c.prompt.Parts) {
 		t.Fetch, t.Save = append(t.Fetch, ""), append(t.Save, "")
@@ -241,16 +292,21 @@
 	return contexts.Salt(version, isolated)
 }
 
+// rank is how urgent the request is among those of its service; 0 is first.
+func (c *call) rank() int {
+	if c.account != nil && c.account.HasPriority {
+		return c.account.Priority
+	}
+	return c.route.Priority
+}
+
 // priority is the rank at an engine. Requests without one have rank 5 there, so
 // ranks are spread around it.
 func (c *call) priority() int {
-	if c.prompt == nil {
+	if c.prompt == nil || !c.gateway.policy.On(dispatch.Ranks) {
 		return -1
 	}
-	p := c.route.Priority
-	if c.account != nil && c.account.HasPriority {
-		p = c.account.Priority
-	}
+	p := c.rank()
 	if c.behind() {
 		p += laterRanks
 	}
@@ -258,7 +314,7 @@
 }
 
 // behind reports whether others go before the request at its server.
-func (c *call) behind() bool { return c.verdict != admission.InTurn }
+func (c *call) behind() bool { return c.decision.Verdict != admission.InTurn }
 
 // firstRank is the engine's rank of the most urgent requests.
 const firstRank = 2
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -80,6 +80,10 @@
 	Load *Load
 	// WeightVersion is 0 if the server does not tell it.
 	WeightVersion uint64
+	// Leaving says that the server gets no new requests any more. Pause is for how
+	// long it wants none; nil if it does not say, 0 if what it says cannot be read.
+	Leaving bool
+	Pause   *time.Duration
 	// Idle is how long the server keeps the connection; 0 if it does not tell.
 	Idle time.Duration
 	// Ignored names the headers that could not be read.
--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
+
+	"github.com/galenaarch/galenaarch/dispatch"
 )
 
 // faulty is a dialect with an error that nobody expected.
@@ -32,7 +34,7 @@
 	var log bytes.Buffer
 	registry := prometheus.NewRegistry()
 	m := newMetrics(registry)
-	g := New(faulty{}, nil, nil, nil, nil, nil, "entry-1", "zone-a", Bounds{}, slog.New(slog.NewJSONHandler(&log, nil)), m)
+	g := New(Parts{Dialect: faulty{}, Policy: &dispatch.Policy{}}, &Settings{Instance: "entry-1", FailureDomain: "zone-a"}, slog.New(slog.NewJSONHandler(&log, nil)), m)
 	server := httptest.NewServer(g)
 	defer server.Close()
 	_, err := http.Get(server.URL + "/fault")
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -8,6 +8,7 @@
 	"github.com/galenaarch/galenaarch/api/fleetv1"
 	"github.com/galenaarch/galenaarch/config/site"
 	"github.com/galenaarch/galenaarch/contextrelay"
+	"github.com/galenaarch/galenaarch/dispatch"
 	"github.com/galenaarch/galenaarch/fleetview"
 	"github.com/galenaarch/galenaarch/placement"
 )
@@ -29,6 +30,8 @@
 	wanted map[string]uint64
 	// named is when this instance first heard of the versions wanted.
 	named map[string]time.Time
+	// weightsWithin is the time in which all servers are to run what is wanted.
+	weightsWithin time.Duration
 	// entries is the number of entry instances, the lost ones among them.
 	entries int
 }
@@ -37,7 +40,7 @@
 // learned of them.
 func (g *Gateway) rebuild(ctx context.Context, s *fleetview.Snapshot) {
 	old := g.world.Load()
-	next := &world{backends: make(map[string]*backend), services: make(map[string][]*backend), wanted: make(map[string]uint64), named: make(map[string]time.Time)}
+	next := &world{weightsWithin: g.weightsWithin, backends: make(map[string]*backend), services: make(map[string][]*backend), wanted: make(map[string]uint64), named: make(map[string]time.Time)}
 	next.table = g.document(s, old)
 	next.entries = countEntries(len(s.Entries), old.entries)
 	for name, d := range s.Documents {
@@ -46,12 +49,13 @@
 		}
 	}
 	if next.table != nil {
-		g.place(s, old, next)
+		g.list(s, old, next)
 		g.cell(s, next)
 		g.followContexts(ctx, s, next)
 	}
 	g.world.Store(next)
 	g.retire(old, next)
+	g.rooms.look()
 	if old == nil || (old.table == nil && next.table != nil) {
 		g.view.Announce(next.table != nil && !g.stopping.begun())
 	}
@@ -79,13 +83,15 @@
 }
 
 const (
-	// outdatedAfter is when answers on older weights begin to lose their worth,
-	// refusedAfter when a server that is still on them gets no more prompts if
-	// enough others have changed, overdueAfter when it gets none in any case: prompts
-	// wait for up to two seconds at a server, and users allow eight.
+	// outdatedAfter is when answers on older weights begin to lose their worth, by
+	// the users' rules.
 	outdatedAfter = 1200 * time.Millisecond
-	refusedAfter  = 5500 * time.Millisecond
-	overdueAfter  = 6 * time.Second
+	// refusedShare is the part of the time in which all servers are to change after
+	// which one that is still on older weights gets no more prompts if enough
+	// others have changed, overdueShare that after which it gets none in any case:
+	// prompts wait at a server before they begin.
+	refusedShare = 0.69
+	overdueShare = 0.75
 	// outdatedPenalty is what a server on older weights costs more: servers swap
 	// in turn, and the first ones done must not get all prompts.
 	outdatedPenalty = 60 * time.Millisecond
@@ -97,19 +103,20 @@
 // withoutOutdated leaves out the servers of a service that are still on older
 // weights, once they had the time to change: it looks at all of them, since those of
 // one cell may change last. Invariant: while any server has changed, none that has
-// not is sent a prompt later than overdueAfter.
+// not is sent a prompt later than overdueShare of the time given. The caller holds
+// the lock of the servers' room.
 func (w *world) withoutOutdated(model string, all []*backend, now time.Time) []*backend {
 	age := now.Sub(w.named[model])
-	if w.wanted[model] == 0 || age < refusedAfter {
+	if w.wanted[model] == 0 || age < time.Duration(refusedShare*float64(w.weightsWithin)) {
 		return all
 	}
 	changed := make([]*backend, 0, len(all))
 	for _, b := range all {
-		if b.weightVersion(model) >= w.wanted[model] {
+		if b.weights[model] >= w.wanted[model] {
 			changed = append(changed, b)
 		}
 	}
-	if len(changed) == 0 || (age < overdueAfter && float64(len(changed)) < enoughCurrent*float64(len(all))) {
+	if len(changed) == 0 || (age < time.Duration(overdueShare*float64(w.weightsWithin)) && float64(len(changed)) < enoughCurrent*float64(len(all))) {
 		return all
 	}
 	return changed
@@ -122,7 +129,7 @@
 		return
 	}
 	for i, b := range candidates {
-		if b.weightVersion(model) < w.wanted[model] {
+		if b.weights[model] < w.wanted[model] {
 			servers[i].Penalty = outdatedPenalty
 		}
 	}
@@ -153,33 +160,54 @@
 	return compiled
 }
 
-// place lists the servers of each service. Of two lives at one address only the
+// list lists the servers of each service. Of two lives at one address only the
 // younger one is there.
-func (g *Gateway) place(s *fleetview.Snapshot, old, next *world) {
+func (g *Gateway) list(s *fleetview.Snapshot, old, next *world) {
+	now := time.Now()
+	var leaving []life
 	for _, a := range s.Youngest() {
-		id, service := a.Server, next.table.Service(a.Service)
+		service := next.table.Service(a.Service)
+		if a.Leaving {
+			leaving = append(leaving, life{a.Server, a.BornUnixMs})
+		}
 		if service == nil || a.State != fleetv1.ServerState_SERVER_STATE_READY {
 			continue
 		}
-		connections := connectionsOf(service, next.entries)
-		var b *backend
-		if old != nil {
-			b = old.backends[id]
-		}
-		if b == nil || b.born != a.BornUnixMs || b.address != a.Address {
-			b = newBackend(a, service, connections)
-		} else {
-			b.pool.SetMax(connections)
-		}
-		for _, w := range a.Weights {
-			b.learnWeights(w.Model, w.Version)
-		}
-		next.backends[id] = b
-		b.silent.Store(a.Silent)
+		b := g.keep(a, service, connectionsOf(service, next.entries), old, now)
+		next.backends[a.Server] = b
 		if !b.retired.Load() {
 			next.services[a.Service] = append(next.services[a.Service], b)
 		}
 	}
+	g.heardLeaving(leaving, "control")
+}
+
+// keep returns what is known of a life of a server; what it said of its leaving
+// holds wherever it is heard of.
+func (g *Gateway) keep(a *fleetv1.Announcement, service *site.Service, connections int, old *world, now time.Time) *backend {
+	var b *backend
+	if old != nil {
+		b = old.backends[a.Server]
+	}
+	if b == nil || b.born != a.BornUnixMs || b.address != a.Address || b.service.Name != service.Name {
+		b = newBackend(a, service, g.rooms.of(service.Name), connections, now)
+	} else {
+		b.pool.SetMax(connections)
+	}
+	for _, w := range a.Weights {
+		b.learnWeights(w.Model, w.Version)
+	}
+	leaves := a.Leaving || g.leavers.has(b.life)
+	b.news(func(belief *dispatch.Belief) {
+		belief.Silent(a.Silent)
+		if leaves {
+			belief.Leave()
+		}
+		if b.room.opened.IsZero() {
+			b.room.opened = now
+		}
+	})
+	return b
 }
 
 // cell chooses the engines that this instance prefers of each service.
@@ -195,7 +223,7 @@
 		}
 		servers := make([]placement.Member, len(list))
 		for i, b := range list {
-			servers[i] = placement.Member{ID: b.id, Zone: b.zone}
+			servers[i] = placement.Member{ID: b.server, Zone: b.zone}
 		}
 		if own := placement.Cell(g.instance, entries, servers); own != nil {
 			next.cells[name] = own
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/galenaarch/galenaarch/admission"
 	"github.com/galenaarch/galenaarch/contextrelay"
 	"github.com/galenaarch/galenaarch/contexts"
+	"github.com/galenaarch/galenaarch/dispatch"
 	"github.com/galenaarch/galenaarch/fleetview"
 	"github.com/galenaarch/galenaarch/placement"
 	"github.com/galenaarch/galenaarch/retry"
@@ -49,6 +50,14 @@
 	follower *contextrelay.Follower
 	peers    *peers
 	scorer   placement.Scorer
+	policy   *dispatch.Policy
+	rooms    rooms
+	leavers  leavers
+	// interval is how often backend servers announce themselves.
+	interval time.Duration
+	// weightsWithin is the time in which all servers are to run the weights asked
+	// for.
+	weightsWithin time.Duration
 	// instance and zone name this instance and its failure domain.
 	instance, zone string
 	bounds         Bounds
@@ -63,16 +72,30 @@
 	// arrived is when the last request came; nanoseconds of Unix time.
 	arrived atomic.Int64
 	mix     placement.Mix
-	paces   paces
 	lines   *rate.Limiter
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Window
 }
 
-// New returns a gateway in a failure domain.
-func New(d Dialect, v *fleetview.View, stores *contexts.Watch, follower *contextrelay.Follower, p *peers, by placement.Scorer, instance, zone string, b Bounds, logger *slog.Logger, m *metrics) *Gateway {
-	g := &Gateway{dialect: d, view: v, stores: stores, follower: follower, peers: p, scorer: by, instance: instance, zone: zone, bounds: b, logger: logger, metrics: m, started: time.Now(), lines: rate.NewLimiter(servedLines, servedBurst), budgets: make(map[string]*retry.Window)}
+// Parts are what a gateway is made of.
+type Parts struct {
+	Dialect  Dialect
+	View     *fleetview.View
+	Stores   *contexts.Watch
+	Follower *contextrelay.Follower
+	Scorer   placement.Scorer
+	Policy   *dispatch.Policy
+	peers    *peers
+}
+
+// New returns the gateway of an instance.
+func New(parts Parts, s *Settings, logger *slog.Logger, m *metrics) *Gateway {
+	g := &Gateway{
+		dialect: parts.Dialect, view: parts.View, stores: parts.Stores, follower: parts.Follower, peers: parts.peers, scorer: parts.Scorer, policy: parts.Policy,
+		instance: s.Instance, zone: s.FailureDomain, bounds: s.Bounds, interval: s.AnnounceInterval, weightsWithin: s.WeightsWithin,
+		logger: logger, metrics: m, started: time.Now(), lines: rate.NewLimiter(servedLines, servedBurst), budgets: make(map[string]*retry.Window),
+	}
 	g.world.Store(&world{entries: 1})
 	return g
 }
@@ -90,7 +113,7 @@
 		case <-changed:
 		case now := <-ticker.C:
 			g.trim(now)
-			g.share(now)
+			g.shareBudgets(now)
 		}
 	}
 }
@@ -117,7 +140,7 @@
 	return budgetShare * g.bounds.RepeatSlack * grown / float64(g.world.Load().entries)
 }
 
-func (g *Gateway) share(now time.Time) {
+func (g *Gateway) shareBudgets(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, w := range g.budgets {
@@ -125,101 +148,6 @@
 	}
 }
 
-// choose picks a backend for a request, or nil: one of the instance's own cell,
-// or of all where the request would be late there and is judged better elsewhere.
-func (g *Gateway) choose(w *world, c *call, now time.Time) *backend {
-	all := usable(w.services[c.service.Name], now)
-	if c.prompt != nil {
-		all = w.withoutOutdated(c.prompt.Model, all, now)
-	}
-	own := w.cells[c.service.Name]
-	if c.prompt == nil || own == nil {
-		return g.pick(w, c, all, nil, now)
-	}
-	near := make([]*backend, 0, len(own))
-	for _, b := range all {
-		if own[b.id] && !c.tried[b.id] {
-			near = append(near, b)
-		}
-	}
-	var chosen *backend
-	if len(near) > 0 {
-		if chosen = g.pick(w, c, near, nil, now); chosen != nil && c.verdict == admission.InTurn {
-			return chosen
-		}
-	}
-	before := c.choice
-	if far := g.pick(w, c, all, own, now); chosen == nil || (far != nil && c.verdict < before.verdict) {
-		return far
-	}
-	c.choice = before
-	return chosen
-}
-
-// usable are the servers that may be asked: those that are heard of, or all if
-// none is.
-func usable(all []*backend, now time.Time) []*backend {
-	heard, there := make([]*backend, 0, len(all)), 0
-	for _, b := range all {
-		if b.retired.Load() {
-			continue
-		}
-		there++
-		if !b.lost(now) {
-			heard = append(heard, b)
-		}
-	}
-	if len(heard) > 0 || there == 0 {
-		return heard
-	}
-	for _, b := range all {
-		if !b.retired.Load() {
-			heard = append(heard, b)
-		}
-	}
-	return heard
-}
-
-// pick chooses among candidates, and judges the request by what it expects there.
-// own names the servers of the cell if the candidates are more than these.
-func (g *Gateway) pick(w *world, c *call, candidates []*backend, own map[string]bool, now time.Time) *backend {
-	servers := make([]placement.Server, len(candidates))
-	for i, b := range candidates {
-		servers[i] = b.view(g.zone, now)
-	}
-	if c.prompt != nil {
-		w.preferCurrent(c.prompt.Model, candidates, servers, now)
-		reading := g.peers.reading(now)
-		for i, b := range candidates {
-			servers[i].ReadingTokens += reading[b.id]
-		}
-		if own != nil {
-			placement.Assume(servers, func(i int) bool { return own[candidates[i].id] })
-		}
-		c.locate(candidates, servers)
-	}
-	job, skip, at := c.job(), func(i int) bool { return c.tried[candidates[i].id] }, rand.Float64()
-	i := placement.Pick(g.scorer, servers, job, skip, at)
-	if i < 0 {
-		return nil
-	}
-	c.verdict = admission.InTurn
-	if c.prompt != nil {
-		c.outlook = admission.Outlook{Waited: now.Sub(c.began), Objective: c.route.Objective, Bears: c.bears()}
-		c.outlook.InTurn = g.scorer.Cost(&servers[i], &job)
-		c.outlook.Behind = c.outlook.InTurn
-		if c.verdict = admission.Judge(c.outlook); c.verdict != admission.InTurn {
-			job.Later = true
-			i = placement.Pick(g.scorer, servers, job, skip, at)
-			c.outlook.Behind = g.scorer.Cost(&servers[i], &job)
-			c.verdict = admission.Judge(c.outlook)
-		}
-		c.unread = placement.Unread(servers[i], job)
-	}
-	c.home, c.ahead = servers[i].Home, servers[i].ReadingTokens
-	return candidates[i]
-}
-
 // Interface guard.
 var _ http.Handler = (*Gateway)(nil)
 
@@ -293,12 +221,12 @@
 		return http.StatusUnauthorized, "unknown key"
 	}
 	c.service = t.Service(c.route.Pick(rand.Float64()))
-	c.pace = c.gateway.paces.of(c.service.Name)
+	c.room = c.gateway.rooms.of(c.service.Name)
 	if c.service.Engine == nil || !c.route.Prompt {
 		c.prompt = nil
 	}
 	if c.prompt != nil {
-		c.gateway.mix.Note(c.prompt.Tokens, c.began)
+		c.gateway.noteLength(c)
 	}
 	patience := c.route.Timeout
 	if c.request.Patience > 0 {
@@ -337,5 +265,23 @@
 // repeatable reports whether the request may run on a second server.
 func (c *call) repeatable() bool { return c.route.Repeatable() }
 
-// comeBack is when a caller whose request has not run may come back.
-func (c *call) comeBack() time.Duration { return admission.ComeBack(c.outlook, rand.Float64()) }
+// comeBack is when a caller whose request has not run may come back: when the
+// first server wants requests again, if none does now.
+func (c *call) comeBack() time.Duration {
+	if wait := time.Until(c.pausedUntil); wait > 0 {
+		return wait
+	}
+	at := rand.Float64()
+	if !c.gateway.policy.On(dispatch.ReturnSpread) {
+		at = 0
+	}
+	return admission.ComeBack(c.decision.Outlook, at)
+}
+
+// noteLength counts a prompt that came among those of its length.
+func (g *Gateway) noteLength(c *call) {
+	c.room.mu.Lock()
+	step := c.room.reader.StepTokens()
+	c.room.mu.Unlock()
+	g.mix.Note(c.prompt.Tokens, step, c.began)
+}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
 )
 
@@ -11,10 +13,15 @@
 	first    *prometheus.HistogramVec
 	unlogged prometheus.Counter
 	faults   prometheus.Counter
+	waiting  prometheus.Gauge
+	errors   *prometheus.HistogramVec
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
 	m := &metrics{
+		waiting: prometheus.NewGauge(prometheus.GaugeOpts{Name: "galena_gateway_waiting_requests", Help: "Requests that wait here for room at a server."}),
+		errors: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "galena_gateway_estimate_error_seconds", Help: "Time to the first byte from a server less the time expected, of prompts judged to be on time, by length.",
+			Buckets: []float64{-1, -.5, -.2, -.1, -.05, 0, .05, .1, .2, .5, 1, 2}}, []string{"length"}),
 		unlogged: prometheus.NewCounter(prometheus.CounterOpts{Name: "galena_gateway_unlogged_requests_total", Help: "Served requests without a log line, beyond the bound on lines."}),
 		faults:   prometheus.NewCounter(prometheus.CounterOpts{Name: "galena_gateway_faults_total", Help: "Requests that ended by an unexpected error in this process."}),
 		outcomes: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_requests_total", Help: "Requests by kind of route and outcome."}, []string{"kind", "outcome"}),
@@ -22,7 +29,7 @@
 		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "galena_gateway_first_byte_seconds", Help: "Time from a request's arrival to the server's first byte.",
 			Buckets: []float64{.005, .01, .025, .05, .1, .2, .3, .5, .8, 1.5, 3, 10}}, []string{"kind"}),
 	}
-	r.MustRegister(m.outcomes, m.sendings, m.first, m.unlogged, m.faults)
+	r.MustRegister(m.outcomes, m.sendings, m.first, m.unlogged, m.faults, m.waiting, m.errors)
 	return m
 }
 
@@ -49,3 +56,7 @@
 	m.outcomes.WithLabelValues(kindOf(c), "served").Inc()
 	m.first.WithLabelValues(kindOf(c)).Observe(a.head.Sub(c.began).Seconds())
 }
+
+func (m *metrics) estimate(c *call, late time.Duration) {
+	m.errors.WithLabelValues(lengthNames[c.length()]).Observe(late.Seconds())
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 	"log/slog"
-	"maps"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/galenaarch/galenaarch/api/fleetv1"
+	"github.com/galenaarch/galenaarch/dispatch"
 	"github.com/galenaarch/galenaarch/fleetview"
 	"github.com/galenaarch/galenaarch/placement"
 )
@@ -35,20 +36,27 @@
 	started  int64
 	sequence uint64
 	heard    time.Time
-	reading  map[string]int
+	load     map[string]dispatch.Load
 }
 
-// peers shares the prompts that are being read. A server's own word on its load
-// comes with an answer; long prompts of several instances would meet at one
-// server before that.
+// peers shares the work at engines, and which servers leave. A server's own word on
+// its load comes with an answer; long prompts of several instances would meet at
+// one server before that, and fill its memory.
 type peers struct {
 	self    *fleetv1.EntryInstance
 	client  *http.Client
 	logger  *slog.Logger
 	changed chan struct{}
 
+	// sum is what the others have at each server, by their last words.
+	sum atomic.Pointer[map[string]dispatch.Load]
+	// hears is called after a word of another instance, with the lives of servers
+	// that it says leave.
+	hears func(leaving []life, from string)
+
 	mu       sync.Mutex
-	own      map[string]int
+	own      map[string]dispatch.Load
+	leavers  []life
 	words    map[string]*word
 	sequence uint64
 	silent   map[string]time.Time
@@ -56,59 +64,97 @@
 }
 
 func newPeers(self *fleetv1.EntryInstance, client *http.Client, logger *slog.Logger) *peers {
-	return &peers{
-		self: self, client: client, logger: logger, changed: make(chan struct{}, 1), own: make(map[string]int),
+	p := &peers{
+		self: self, client: client, logger: logger, changed: make(chan struct{}, 1), own: make(map[string]dispatch.Load), hears: func([]life, string) {},
 		words: make(map[string]*word), silent: make(map[string]time.Time), clients: make(map[string]fleetv1.Entries),
 	}
+	p.sum.Store(&map[string]dispatch.Load{})
+	return p
 }
 
 var _ fleetv1.Entries = (*peers)(nil)
 
-// add counts tokens that a server has to read, or no longer has.
-func (p *peers) add(server string, tokens int) {
+// set notes what this instance has at a server.
+func (p *peers) set(server string, l dispatch.Load) {
 	p.mu.Lock()
-	p.own[server] += tokens
-	if p.own[server] == 0 {
+	if l == (dispatch.Load{}) {
 		delete(p.own, server)
+	} else {
+		p.own[server] = l
+	}
+	p.mu.Unlock()
+	p.wake()
+}
+
+// leaving has the others told that a server leaves.
+func (p *peers) leaving(who life) {
+	p.mu.Lock()
+	if p.leavers = append(p.leavers, who); len(p.leavers) > mostToldLeavers {
+		p.leavers = p.leavers[1:]
 	}
 	p.mu.Unlock()
+	p.wake()
+}
+
+// mostToldLeavers is of how many servers that leave the others are told in each
+// word; control tells them of all.
+const mostToldLeavers = 16
+
+func (p *peers) wake() {
 	select {
 	case p.changed <- struct{}{}:
 	default:
 	}
 }
 
-// reading is what the other instances have sent to each server.
-func (p *peers) reading(now time.Time) map[string]int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	sum := make(map[string]int)
+// told is what the other instances have at each server. It must not be modified.
+func (p *peers) told() map[string]dispatch.Load { return *p.sum.Load() }
+
+// addUp brings the sum up to date; the caller holds the lock.
+func (p *peers) addUp(now time.Time) {
+	sum := make(map[string]dispatch.Load)
 	for name, w := range p.words {
 		if now.Sub(w.heard) > wordLife {
 			delete(p.words, name)
 			continue
 		}
-		for server, tokens := range w.reading {
-			sum[server] += tokens
+		for server, l := range w.load {
+			s := sum[server]
+			s.Requests, s.Reading, s.Later, s.Held = s.Requests+l.Requests, s.Reading+l.Reading, s.Later+l.Later, s.Held+l.Held
+			sum[server] = s
 		}
 	}
-	return sum
+	p.sum.Store(&sum)
 }
 
 // Tell implements fleetv1.Entries.
 func (p *peers) Tell(_ context.Context, r *fleetv1.TellRequest) (*fleetv1.TellResponse, error) {
+	if p.take(r) {
+		leaving := make([]life, len(r.Leaving))
+		for i, l := range r.Leaving {
+			leaving[i] = life{l.Server, l.BornUnixMs}
+		}
+		p.hears(leaving, r.Entry)
+	}
+	return &fleetv1.TellResponse{}, nil
+}
+
+// take takes a word and reports whether it is the newest of its instance.
+func (p *peers) take(r *fleetv1.TellRequest) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	held := p.words[r.Entry]
 	if held != nil && (r.StartedUnixMs < held.started || (r.StartedUnixMs == held.started && r.Sequence <= held.sequence)) {
-		return &fleetv1.TellResponse{}, nil
+		return false
 	}
-	w := &word{started: r.StartedUnixMs, sequence: r.Sequence, heard: time.Now(), reading: make(map[string]int, len(r.Work))}
+	now := time.Now()
+	w := &word{started: r.StartedUnixMs, sequence: r.Sequence, heard: now, load: make(map[string]dispatch.Load, len(r.Work))}
 	for _, s := range r.Work {
-		w.reading[s.Server] = int(s.ReadingTokens)
+		w.load[s.Server] = dispatch.Load{Requests: int(s.Requests), Reading: int(s.ReadingTokens), Later: int(s.LaterTokens), Held: int(s.HeldTokens)}
 	}
 	p.words[r.Entry] = w
-	return &fleetv1.TellResponse{}, nil
+	p.addUp(now)
+	return true
 }
 
 // run tells the others until the context ends.
@@ -128,6 +174,7 @@
 		case <-renew.C:
 			p.mu.Lock()
 			idle := len(p.own) == 0
+			p.addUp(time.Now())
 			p.mu.Unlock()
 			if idle {
 				continue
@@ -141,8 +188,13 @@
 	p.mu.Lock()
 	p.sequence++
 	req := &fleetv1.TellRequest{Entry: p.self.Name, StartedUnixMs: p.self.StartedUnixMs, Sequence: p.sequence}
-	for server, tokens := range maps.All(p.own) {
-		req.Work = append(req.Work, &fleetv1.ServerWork{Server: server, ReadingTokens: uint32(max(0, tokens))})
+	for server, l := range p.own {
+		req.Work = append(req.Work, &fleetv1.ServerWork{
+			Server: server, ReadingTokens: uint32(max(0, l.Reading)), LaterTokens: uint32(max(0, l.Later)), HeldTokens: uint32(max(0, l.Held)), Requests: uint32(max(0, l.Requests)),
+		})
+	}
+	for _, who := range p.leavers {
+		req.Leaving = append(req.Leaving, &fleetv1.ServerLife{Server: who.server, BornUnixMs: who.born})
 	}
 	p.mu.Unlock()
 	told := 0
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -16,6 +17,7 @@
 	"github.com/galenaarch/galenaarch/contextrelay"
 	"github.com/galenaarch/galenaarch/contexts"
 	"github.com/galenaarch/galenaarch/control"
+	"github.com/galenaarch/galenaarch/dispatch"
 	"github.com/galenaarch/galenaarch/fleetview"
 	"github.com/galenaarch/galenaarch/httpserver"
 	"github.com/galenaarch/galenaarch/kernel"
@@ -62,6 +64,14 @@
 	// Seeds are control instances, PeerPort their port for other processes.
 	Seeds    string
 	PeerPort int
+	// Without names the mechanisms of decisions that are switched off, for
+	// experiments.
+	Without string
+	// AnnounceInterval is how often backend servers announce themselves.
+	AnnounceInterval time.Duration
+	// WeightsWithin is the time in which all servers are to run the weights asked
+	// for.
+	WeightsWithin time.Duration
 	// Grace is the time between the order to stop and the end.
 	Grace  time.Duration
 	Bounds Bounds
@@ -78,6 +88,9 @@
 	fs.StringVar(&s.PeerListen, "peer-listen", "", "IP:port for other entry instances")
 	fs.StringVar(&s.Seeds, "seeds", "", "IP:port of a few control instances, comma-separated")
 	fs.IntVar(&s.PeerPort, "peer-port", 0, "port that replaces the one in -seeds; 0 leaves it")
+	fs.StringVar(&s.Without, "without", "", "mechanisms of decisions that are switched off, for experiments, comma-separated: "+strings.Join(dispatch.Names(), ", "))
+	fs.DurationVar(&s.AnnounceInterval, "announce-interval", time.Second, "how often backend servers announce themselves")
+	fs.DurationVar(&s.WeightsWithin, "weights-within", 8*time.Second, "time in which all servers are to run the weights asked for")
 	fs.DurationVar(&s.Grace, "grace", 8*time.Second, "time between the order to stop and the end")
 	fs.Float64Var(&s.Bounds.RepeatRatio, "repeat-ratio", 0.2, "requests that all entry instances may send again, as a share of those of a service")
 	fs.Float64Var(&s.Bounds.RepeatSlack, "repeat-slack", 20, "requests that they may send again besides")
@@ -97,6 +110,11 @@
 	for _, a := range settings.List(s.Seeds) {
 		c.Address("seeds", a)
 	}
+	if _, err := dispatch.Without(s.Without); err != nil {
+		c.Add("without", "%v", err)
+	}
+	settings.Positive(c, "announce-interval", s.AnnounceInterval, "duration")
+	settings.Positive(c, "weights-within", s.WeightsWithin, "duration")
 	settings.Positive(c, "grace", s.Grace, "duration")
 	settings.Positive(c, "repeat-window", s.Bounds.RepeatWindow, "duration")
 	if s.Bounds.RepeatRatio < 0 || s.Bounds.RepeatSlack < 0 {
@@ -149,8 +167,20 @@
 	if err != nil {
 		return err
 	}
+	policy, err := dispatch.Without(p.settings.Without)
+	if err != nil {
+		return err
+	}
 	stores := contexts.NewWatch(feed, p.logger)
-	p.gateway = New(dialect, p.view, stores, contextrelay.NewFollower(stores, client, p.logger), p.peers, scorer, p.settings.Instance, p.settings.FailureDomain, p.settings.Bounds, p.logger, newMetrics(ctx.Registry))
+	stores.Believe(contexts.Beliefs{NoEngines: !policy.On(dispatch.EngineSources), NoSlowness: !policy.On(dispatch.StoreSlowness)})
+	p.gateway = New(Parts{
+		Dialect: dialect, View: p.view, Stores: stores, Follower: contextrelay.NewFollower(stores, client, p.logger), Scorer: scorer, Policy: policy, peers: p.peers,
+	}, &p.settings, p.logger, newMetrics(ctx.Registry))
+	p.peers.hears = func(leaving []life, from string) {
+		p.gateway.heardLeaving(leaving, from)
+		p.gateway.rooms.look()
+	}
+	p.logger.Info("decisions", slog.String("placement", p.settings.Placement), slog.Any("without", policy.Off()))
 	return nil
 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/galenaarch/galenaarch/config/site"
+	"github.com/galenaarch/galenaarch/dispatch"
 )
 
 // Sizes of the relay; bytes.
@@ -130,21 +131,21 @@
 		return
 	}
 	attributes := []slog.Attr{
-		slog.String("request", c.request.ID), slog.String("route", c.route.Name), slog.String("server", a.backend.id), slog.Int("status", a.status),
+		slog.String("request", c.request.ID), slog.String("route", c.route.Name), slog.String("server", a.backend.server), slog.Int("status", a.status),
 		slog.Int("sends", c.sends), slog.Duration("head", a.head.Sub(c.began)), slog.Duration("took", time.Since(c.began)), slog.Uint64("document", c.world.table.Version),
 	}
 	if c.prompt != nil {
-		attributes = append(attributes, slog.Int("prompt_tokens", c.prompt.Tokens), slog.Int("expected_reading", c.unread), slog.Uint64("weights", a.version),
+		attributes = append(attributes, slog.Int("prompt_tokens", c.prompt.Tokens), slog.Int("expected_reading", a.work.Unread), slog.Uint64("weights", a.version),
 			slog.Int("fetched_tokens", a.fetched), slog.Duration("expected_fetch", a.fetchTime), slog.Int("saved_parts", a.saved), slog.Int("dismissed_tokens", a.dismissed), slog.Int("unkept_parts", a.unkept),
-			slog.Int("ahead_tokens", c.ahead), slog.String("verdict", c.verdict.String()), slog.Duration("in_turn", c.outlook.InTurn),
-			slog.Bool("home", c.home))
+			slog.Int("ahead_tokens", c.decision.Ahead), slog.String("verdict", c.decision.Verdict.String()), slog.Duration("in_turn", c.decision.Outlook.InTurn),
+			slog.Duration("held", c.held), slog.Bool("home", c.decision.Home))
 	}
 	c.gateway.logger.LogAttrs(context.Background(), slog.LevelInfo, "request served", attributes...)
 }
 
 func (c *call) logBroken(a *attempt, err error) {
 	c.gateway.logger.Info("answer broke off", slog.String("request", c.request.ID), slog.String("route", c.route.Name),
-		slog.String("server", a.backend.id), slog.Int("status", a.status), slog.Duration("took", time.Since(a.began)), slog.Any("error", err))
+		slog.String("server", a.backend.server), slog.Int("status", a.status), slog.Duration("took", time.Since(a.began)), slog.Any("error", err))
 }
 
 // broken answers for a server whose answer cannot be used.
@@ -177,7 +178,7 @@
 			return s.interrupted(r, a, errEndless)
 		}
 		if n > 0 {
-			a.backend.heard.Store(time.Now().UnixNano())
+			a.backend.news(func(b *dispatch.Belief) { b.Heard(time.Now()) })
 			s.pending = append(s.pending, (*buffer)[:n]...)
 			if s.forward(a) {
 				watch.progress()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"time"
 
-	"github.com/galenaarch/galenaarch/admission"
 	"github.com/galenaarch/galenaarch/config/site"
 )
 
@@ -50,6 +49,7 @@
 	timeUp    reason = "time is over"
 	leftEarly reason = "caller left"
 	noRoom    reason = "no answer in time"
+	allPaused reason = "servers want nothing"
 )
 
 // next sends the request to servers until one answers. It returns nil and the
@@ -70,15 +70,14 @@
 		if why := c.mayRepeat(now); why != "" {
 			return nil, why
 		}
-		w := c.gateway.world.Load()
-		b := c.gateway.choose(w, c, now)
-		if b == nil {
-			return nil, noServer
-		}
-		if c.verdict == admission.TurnAway && c.sends == 0 && !s.begun && c.request.LastEvent == "" {
-			return nil, noRoom
+		got := c.gateway.place(ctx, c)
+		if got.backend == nil {
+			if r.Context().Err() != nil {
+				return nil, leftEarly
+			}
+			return nil, c.reason(got.why)
 		}
-		a := c.send(ctx, r, b, s.lastEvent, c.patience(left))
+		a := c.send(ctx, r, got.backend, s.lastEvent, c.patience(time.Until(c.deadline)))
 		switch a.verdict {
 		case answered:
 			if !c.worthRepeating(a) {
@@ -92,6 +91,14 @@
 	}
 }
 
+// reason is why there is no server for the request.
+func (c *call) reason(why reason) reason {
+	if why == noServer && !c.pausedUntil.IsZero() {
+		return allPaused
+	}
+	return why
+}
+
 // patience is how long one server may take to begin its answer.
 func (c *call) patience(left time.Duration) time.Duration {
 	if !c.repeatable() {
@@ -177,7 +184,7 @@
 	}
 	g.logger.Info("request refused", slog.String("request", c.request.ID), slog.String("route", route), slog.Int("status", status),
 		slog.String("reason", why), slog.Int("sends", c.sends), slog.Bool("may_have_run", c.ran), slog.Int("servers_known", servers),
-		slog.Uint64("document", document), slog.Duration("come_back", after), slog.Duration("in_turn", c.outlook.InTurn), slog.Duration("behind", c.outlook.Behind), slog.Duration("patience", c.patienceGiven()),
+		slog.Uint64("document", document), slog.Duration("come_back", after), slog.Duration("in_turn", c.decision.Outlook.InTurn), slog.Duration("behind", c.decision.Outlook.Behind), slog.Duration("held", c.held), slog.Duration("patience", c.patienceGiven()),
 		slog.Duration("took", time.Since(c.began)), slog.Any("error", err))
 	g.dialect.Refusal(rw.Header(), c.request.ID, after)
 	rw.Header().Set("Content-Type", "text/plain; charset=utf-8")
--- a/placement/mix.go
+++ b/placement/mix.go
@@ -27,15 +27,16 @@
 	at          time.Time
 }
 
-// Note counts a prompt that came.
-func (m *Mix) Note(tokens int, now time.Time) {
+// Note counts a prompt that came; step is the reading that takes as long as the
+// step that each prompt takes.
+func (m *Mix) Note(tokens, step int, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if d := now.Sub(m.at); d > 0 {
 		kept := math.Exp2(-float64(d) / float64(mixHalf))
 		m.short, m.long, m.at = m.short*kept, m.long*kept, now
 	}
-	work := float64(tokens + stepTokens)
+	work := float64(tokens + step)
 	if tokens >= LongPrompt {
 		m.long += work
 		return
--- a/placement/mix_test.go
+++ b/placement/mix_test.go
@@ -28,10 +28,10 @@
 		t.Run(tt.name, func(t *testing.T) {
 			var m Mix
 			for range tt.shorts {
-				m.Note(tt.shortTokens, now)
+				m.Note(tt.shortTokens, 256, now)
 			}
 			for range tt.longs {
-				m.Note(tt.longTokens, now)
+				m.Note(tt.longTokens, 256, now)
 			}
 			share := m.ShortShare()
 			require.GreaterOrEqual(t, share, tt.least)
@@ -45,10 +45,10 @@
 	require.Zero(t, m.ShortShare(), "nothing is known")
 	now := time.Unix(1000, 0)
 	for range 100 {
-		m.Note(20_000, now)
+		m.Note(20_000, 256, now)
 	}
 	for range 100 {
-		m.Note(2000, now.Add(20*mixHalf))
+		m.Note(2000, 256, now.Add(20*mixHalf))
 	}
 	require.Zero(t, m.ShortShare(), "only short ones come now")
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -78,8 +78,12 @@
 type Job struct {
 	// PromptTokens is 0 for requests of plain services.
 	PromptTokens int
-	// ReadRate is the tokens a server reads in a millisecond.
-	ReadRate float64
+	// ReadRate is the tokens a server reads in a millisecond, Overhead the time to
+	// a first event besides reading, StepTokens the reading that takes as long as
+	// the engine's step that a prompt takes at least.
+	ReadRate   float64
+	Overhead   time.Duration
+	StepTokens int
 	// MemoryTokens is what the request takes of a server's memory: its prompt, and
 	// what is generated.
 	MemoryTokens int
@@ -112,7 +116,7 @@
 		cost += silenceFactor * (s.Silence - silenceAllowed)
 	}
 	if j.PromptTokens > 0 {
-		cost += readTime(s, j) + roomTime(s, j)
+		cost += j.Overhead + readTime(s, j) + roomTime(s, j)
 		if !s.Home {
 			cost += awayPenalty
 		}
@@ -165,9 +169,31 @@
 	return time.Duration(float64(s.RunTime) * float64(missing) / float64(s.MemoryTokens))
 }
 
-// memoryShare is the part of a server's memory that runs may take: what they
-// will generate is known only as a bound, and others' requests only in part.
-const memoryShare = 0.9
+const (
+	// memoryShare is the part of a server's memory that runs may take: what they
+	// will generate is known only as a bound, and others' requests only in part.
+	memoryShare = 0.9
+	// laterShare is the part of it that runs of later jobs may fill: the rest is
+	// for those that come on time.
+	laterShare = 0.7
+	// fullBacklog is the reading before a prompt that keeps a server busy until
+	// the next one arrives; more of it only takes the choice from those that wait.
+	fullBacklog = 250 * time.Millisecond
+)
+
+// HasMemory reports whether a server has memory for the run of a job now. A job
+// that no server could hold beside others is taken by an empty one.
+func HasMemory(s *Server, j *Job) bool {
+	share := memoryShare
+	if j.Later {
+		share = laterShare
+	}
+	return s.MemoryTokens == 0 || s.HeldTokens == 0 || s.HeldTokens+j.MemoryTokens <= int(share*float64(s.MemoryTokens))
+}
+
+// Backlogged reports whether a server has more to read than keeps it busy until
+// the next prompt arrives.
+func Backlogged(s *Server, j *Job) bool { return beforeTime(s, j) > fullBacklog }
 
 // beforeTime is the time until a server has read what it was sent before.
 func beforeTime(s *Server, j *Job) time.Duration {
@@ -181,17 +207,11 @@
 	return j.reading(before)
 }
 
-// stepTokens is the reading that takes as long as an engine's step: a prompt
-// takes a step at least, however short it is. From the users' sheet: 5.18 ms at
-// 49.6 tokens a millisecond. Without it, many short prompts look like no work
-// (many callers at once).
-const stepTokens = 256
-
 // Unread is what a server has to read of a prompt, with what it brings counted
 // as the reading that takes as long, and its step.
 func Unread(s Server, j Job) int {
 	s.ReadingTokens, s.LaterTokens = 0, 0
-	return int(readTime(&s, &j).Seconds()*1000*j.ReadRate) + stepTokens
+	return int(readTime(&s, &j).Seconds()*1000*j.ReadRate) + j.StepTokens
 }
 
 // Pick returns the index of the cheapest server, or -1 if there is none. skip names
--- a/registry/hub.go
+++ b/registry/hub.go
@@ -124,6 +124,16 @@
 	}
 }
 
+// Leaves passes on that a life of a server has said in an answer that it leaves.
+func (h *Hub) Leaves(server string, born int64, from string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.table.Leaves(server, born, time.Now()) {
+		h.notify()
+		h.logger.Info("server says that it leaves", slog.String("server", server), slog.Int64("born_unix_ms", born), slog.String("told_by", from))
+	}
+}
+
 // Accepting lists the addresses of the entry instances that take callers, for
 // those of a failure domain who use so many of them at the most; 0 for all.
 func (h *Hub) Accepting(domain string, most int) []string {
@@ -198,6 +208,9 @@
 	e := h.enter(req.Self)
 	h.mu.Unlock()
 	defer h.leavePoll(e)
+	for _, l := range req.Leaving {
+		h.Leaves(l.Server, l.BornUnixMs, req.Self.GetName())
+	}
 	cursor := req.Cursor
 	if req.Feed != h.feed {
 		cursor = 0
--- a/registry/table.go
+++ b/registry/table.go
@@ -82,6 +82,7 @@
 	}
 	if held != nil && held.BornUnixMs == a.BornUnixMs {
 		raise(a.Weights, held.Weights)
+		a.Leaving = a.Leaving || held.Leaving
 	}
 	changed := held == nil || !sameButSequence(a, held.Announcement)
 	if held == nil {
@@ -144,6 +145,25 @@
 	return changed
 }
 
+// Leaves notes that a life of a server has said in an answer that it leaves. A
+// life that is not known here may yet be announced: it is noted as well.
+func (t *Table) Leaves(server string, born int64, now time.Time) bool {
+	held := t.servers[server]
+	switch {
+	case held == nil && !t.Full(server):
+		// Its first announcement has a higher sequence than none.
+		held = &record{Announcement: &fleetv1.Announcement{Server: server, BornUnixMs: born, State: fleetv1.ServerState_SERVER_STATE_DRAINING}, heard: now}
+		t.servers[server] = held
+	case held == nil || held.BornUnixMs != born || held.Leaving:
+		return false
+	}
+	next := proto.CloneOf(held.Announcement)
+	next.Leaving = true
+	held.Announcement = next
+	t.touch(held)
+	return true
+}
+
 // sameButSequence compares what listeners act upon.
 func sameButSequence(a, held *fleetv1.Announcement) bool {
 	b := proto.CloneOf(held)
