--- a/contextrelay/relay_test.go
+++ b/contextrelay/relay_test.go
@@ -141,7 +141,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	kept := &holder{}
-	server := NewServer("http://control-1", kept, nil, nil, quiet)
+	server := NewServer("http://control-1", kept, nil, nil, nil, quiet)
 	place := contexts.Place{Address: "s:1", Zone: "z", Capacity: 100_000, Rate: 250}
 	server.watch.Set(ctx, []contexts.Place{place}, nil)
 	control := httptest.NewServer(fleetv1.NewContextsServer(server))
--- a/contextrelay/server.go
+++ b/contextrelay/server.go
@@ -36,9 +36,18 @@
 
 var _ fleetv1.Contexts = (*Server)(nil)
 
-// NewServer returns the server of the control instance at a base URL.
-func NewServer(self string, f contexts.Feed, v *fleetview.View, decode func([]byte) (*site.Document, error), logger *slog.Logger) *Server {
-	return &Server{watch: contexts.NewTeller(f, logger), view: v, self: self, decode: decode, logger: logger, feed: uint64(time.Now().UnixNano())}
+// NewServer returns the server of the control instance at a base URL. leaves hears
+// of engines that say they leave.
+func NewServer(self string, f contexts.Feed, v *fleetview.View, decode func([]byte) (*site.Document, error), leaves func(server string, born int64), logger *slog.Logger) *Server {
+	s := &Server{watch: contexts.NewTeller(f, logger), view: v, self: self, decode: decode, logger: logger, feed: uint64(time.Now().UnixNano())}
+	s.watch.OnLeaving(func(address string) {
+		for _, a := range v.Current().Youngest() {
+			if a.Address == address {
+				leaves(a.Server, a.BornUnixMs)
+			}
+		}
+	})
+	return s
 }
 
 // Run follows the holders that the fleet's picture assigns to this instance
--- a/contexts/store.go
+++ b/contexts/store.go
@@ -53,6 +53,8 @@
 	// Gap says that changes before these are lost.
 	Gap     bool
 	Changes []Change
+	// Leaving says that an engine gets no new requests any more.
+	Leaving bool
 }
 
 // Store is the picture of one store. It is not safe for concurrent use.
--- a/contexts/watch.go
+++ b/contexts/watch.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"sync"
 	"time"
 
+	"github.com/galenaarch/galenaarch/dispatch"
 	"github.com/galenaarch/galenaarch/kernel"
 )
 
@@ -24,7 +26,8 @@
 // Feed asks stores what they hold.
 type Feed interface {
 	// Changes returns what changed after a cursor; it waits for news for some
-	// time.
+	// time. What was changed is never nil, and says with an error too whether the
+	// engine leaves; one that wants nothing for a time is a dispatch.PausedError.
 	Changes(ctx context.Context, address string, after uint64, wait time.Duration) (*Changes, error)
 	// List returns all that is held. It delays the store's other work.
 	List(ctx context.Context, address string) (*Changes, error)
@@ -50,6 +53,7 @@
 	started time.Time
 	boot    time.Duration
 	beliefs Beliefs
+	leaving func(address string)
 
 	mu     sync.Mutex
 	stores map[string]*watched
@@ -65,6 +69,8 @@
 type watched struct {
 	*Store
 	cancel context.CancelFunc
+	// pausedUntil is when it may be asked again; on the wall clock.
+	pausedUntil time.Time
 }
 
 // NewWatch returns a watch without stores.
@@ -75,6 +81,19 @@
 	}
 }
 
+// OnLeaving sets what is called when an engine says to a question of this watch
+// that it leaves; it must be called before anything is watched.
+func (w *Watch) OnLeaving(f func(address string)) { w.leaving = f }
+
+// Pause leaves an engine or a store alone until a time.
+func (w *Watch) Pause(address string, until time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if s := w.stores[address]; s != nil && until.After(s.pausedUntil) {
+		s.pausedUntil = until
+	}
+}
+
 // Beliefs are the parts of the decisions on transfers that can be switched off, for
 // experiments.
 type Beliefs struct {
@@ -246,7 +265,12 @@
 	pause := retryPause
 	lost := false
 	for ctx.Err() == nil {
+		rest(ctx, w.paused(s.Address))
 		err := w.ask(ctx, s)
+		var paused *dispatch.PausedError
+		if errors.As(err, &paused) {
+			w.Pause(s.Address, time.Now().Add(paused.Wait()))
+		}
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -272,7 +296,20 @@
 	}
 }
 
+// paused is how long an engine or a store is still to be left alone.
+func (w *Watch) paused(address string) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if s := w.stores[address]; s != nil {
+		return time.Until(s.pausedUntil)
+	}
+	return 0
+}
+
 func rest(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	select {
 	case <-ctx.Done():
 	case <-time.After(d):
@@ -287,6 +324,9 @@
 	after := s.Cursor()
 	w.mu.Unlock()
 	changes, err := w.feed.Changes(ctx, s.Address, after, pollWait)
+	if changes.Leaving && s.Engine && w.leaving != nil {
+		w.leaving(s.Address)
+	}
 	if err != nil {
 		return err
 	}
--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -17,7 +17,8 @@
 	// Resumed requests have begun at another server: they are never turned away.
 	Resumed bool
 	// Before is the time until those that wait here before it have room; Young
-	// says that servers are still becoming known.
+	// says that servers are still becoming known: a prompt that may yet be on time
+	// waits for them.
 	Before time.Duration
 	Young  bool
 	// Errors of the estimates for its kind; nil for none.
@@ -170,7 +171,7 @@
 
 // allowed is a verdict as far as the mechanisms that it needs are at work.
 func (p *Policy) allowed(a *Ask, v admission.Verdict) admission.Verdict {
-	if v == admission.TurnAway && (a.Resumed || a.Young || !p.On(TurnAway)) {
+	if v == admission.TurnAway && (a.Resumed || (a.Young && a.Waited <= a.Objective) || !p.On(TurnAway)) {
 		v = admission.Behind
 	}
 	if v == admission.Behind && !p.On(Behind) {
--- a/dispatch/line.go
+++ b/dispatch/line.go
@@ -142,18 +142,20 @@
 }
 
 // RoomIn is the time until servers have freed so much memory besides what is free
-// now: their runs end evenly.
+// now: their runs end evenly. A server of which it is not known how long runs last
+// is like the others.
 func RoomIn(servers []placement.Server, tokens int) time.Duration {
-	perMS := 0.0
+	held, known, runs := 0, 0, time.Duration(0)
 	for i := range servers {
-		s := &servers[i]
-		if s.MemoryTokens == 0 || s.RunTime == 0 {
-			continue
+		held += servers[i].HeldTokens
+		if servers[i].RunTime > 0 {
+			known++
+			runs += servers[i].RunTime
 		}
-		perMS += float64(s.HeldTokens) / milliseconds(s.RunTime)
 	}
-	if perMS == 0 || tokens <= 0 {
+	if known == 0 || held == 0 || tokens <= 0 {
 		return 0
 	}
-	return time.Duration(float64(tokens) / perMS * float64(time.Millisecond))
+	perToken := float64(runs) / float64(known) / float64(held)
+	return time.Duration(float64(tokens) * perToken)
 }
--- a/dispatch/line_test.go
+++ b/dispatch/line_test.go
@@ -94,7 +94,9 @@
 
 func TestRoomComesAsRunsEnd(t *testing.T) {
 	list := []placement.Server{{MemoryTokens: 1000, HeldTokens: 900, RunTime: time.Second}, {MemoryTokens: 1000, HeldTokens: 900, RunTime: time.Second}, {MemoryTokens: 1000}}
-	require.Equal(t, 500*time.Millisecond, RoomIn(list, 900))
+	require.InDelta(t, 500, milliseconds(RoomIn(list, 900)), 0.01)
+	list[1].RunTime = 0
+	require.InDelta(t, 500, milliseconds(RoomIn(list, 900)), 0.01, "not known: as long as elsewhere")
 	require.Zero(t, RoomIn(list, 0))
 	require.Zero(t, RoomIn(nil, 900))
 }
--- a/dispatch/reader.go
+++ b/dispatch/reader.go
@@ -6,14 +6,20 @@
 const (
 	// firstPace and firstOverhead are believed before prompts have shown better:
 	// tokens a millisecond, and the time to a first event besides reading. They
-	// weigh as much as priorSamples prompts.
+	// weigh as much as priorSamples prompts, half of them of priorLong tokens, and
+	// less with each prompt that was seen, half of it after priorFades: where all
+	// are of one length, what is left keeps apart what is of each token and what is
+	// not.
 	firstPace     = 33.0
 	firstOverhead = 25 * time.Millisecond
 	priorSamples  = 2.0
-	// priorLong is the length of a prompt by which the first pace is weighed.
-	priorLong = 8192.0
+	priorLong     = 8192.0
+	priorFades    = 4.0
 	// readerKeeps is what is kept of the weight of earlier prompts with each one.
-	readerKeeps = 0.98
+	readerKeeps = 0.97
+	// mostSurprise is how many times as long as expected a prompt may take to count
+	// in full: what took longer waited for something that nobody told of.
+	mostSurprise = 3.0
 	// slowestPace and fastestPace bound what is believed; tokens a millisecond.
 	slowestPace, fastestPace = 1.0, 2000.0
 	// longestOverhead bounds what is believed of the rest.
@@ -26,45 +32,45 @@
 // Reader learns how fast the engines of a service read: the time to the first
 // event of a prompt that nothing was before is a part for each token, and a rest.
 // The zero value believes the first figures.
-type Reader struct{ n, x, y, xx, xy float64 }
+type Reader struct{ seen sums }
 
-func (r *Reader) prior() {
-	for _, x := range []float64{0, priorLong} {
-		r.sum(x, x/firstPace+milliseconds(firstOverhead), priorSamples/2)
-	}
+// sums are those of a fit of times y to lengths x.
+type sums struct{ n, x, y, xx, xy float64 }
+
+func (s *sums) add(x, y, weight float64) {
+	s.n, s.x, s.y, s.xx, s.xy = s.n+weight, s.x+weight*x, s.y+weight*y, s.xx+weight*x*x, s.xy+weight*x*y
 }
 
-func (r *Reader) sum(x, y, weight float64) {
-	r.n, r.x, r.y, r.xx, r.xy = r.n+weight, r.x+weight*x, r.y+weight*y, r.xx+weight*x*x, r.xy+weight*x*y
+// fit is what was seen, with the first figures.
+func (r *Reader) fit() sums {
+	all := r.seen
+	for _, x := range []float64{0, priorLong} {
+		all.add(x, x/firstPace+milliseconds(firstOverhead), priorSamples/2/(1+r.seen.n/priorFades))
+	}
+	return all
 }
 
 // Learn takes a prompt of so many tokens to read, that nothing was before and
 // nothing was brought for, and the time to its first event.
 func (r *Reader) Learn(tokens int, took time.Duration) {
-	if r.n == 0 {
-		r.prior()
-	}
-	for _, v := range []*float64{&r.n, &r.x, &r.y, &r.xx, &r.xy} {
+	expected := milliseconds(r.Overhead()) + float64(tokens)/r.Pace()
+	for _, v := range []*float64{&r.seen.n, &r.seen.x, &r.seen.y, &r.seen.xx, &r.seen.xy} {
 		*v *= readerKeeps
 	}
-	r.sum(float64(tokens), milliseconds(took), 1)
+	r.seen.add(float64(tokens), min(milliseconds(took), mostSurprise*expected), 1)
 }
 
 // Pace is the reading speed; tokens a millisecond.
 func (r *Reader) Pace() float64 {
-	if r.n == 0 {
-		return firstPace
-	}
-	slope := (r.n*r.xy - r.x*r.y) / (r.n*r.xx - r.x*r.x)
+	f := r.fit()
+	slope := (f.n*f.xy - f.x*f.y) / (f.n*f.xx - f.x*f.x)
 	return min(fastestPace, max(slowestPace, 1/max(slope, 1/fastestPace)))
 }
 
 // Overhead is the time to a first event besides reading.
 func (r *Reader) Overhead() time.Duration {
-	if r.n == 0 {
-		return firstOverhead
-	}
-	rest := (r.y - r.x/r.Pace()) / r.n
+	f := r.fit()
+	rest := (f.y - f.x/r.Pace()) / f.n
 	return min(longestOverhead, max(0, time.Duration(rest*float64(time.Millisecond))))
 }
 
--- a/dispatch/reader_test.go
+++ b/dispatch/reader_test.go
@@ -28,8 +28,8 @@
 
 func TestReaderBelievesItsFirstFiguresAtFirst(t *testing.T) {
 	var r Reader
-	require.InDelta(t, firstPace, r.Pace(), 0)
-	require.Equal(t, firstOverhead, r.Overhead())
+	require.InDelta(t, firstPace, r.Pace(), 1e-6)
+	require.InDelta(t, milliseconds(firstOverhead), milliseconds(r.Overhead()), 1e-3)
 	r.Learn(500, 40*time.Millisecond)
 	require.InEpsilon(t, firstPace, r.Pace(), 0.2, "one short prompt says little of the pace")
 }
@@ -75,3 +75,21 @@
 	}
 	require.Equal(t, expected, e.Least(expected), "nothing is added: what is late anyway is only judged by what is sure")
 }
+
+// TestReaderBearsABadBegin: load pattern, all instances were lost and callers come
+// back at once. Prompts of all lengths wait behind others that nobody tells of; what
+// is believed of the engines stays within reason, and is right soon after.
+func TestReaderBearsABadBegin(t *testing.T) {
+	var r Reader
+	for n := range 20 {
+		r.Learn(2000, time.Duration(300+100*(n%7))*time.Millisecond)
+		r.Learn(300, time.Duration(900-100*(n%7))*time.Millisecond)
+	}
+	for n := range 100 {
+		tokens := []int{300, 2000, 9000}[n%3]
+		r.Learn(tokens, 20*time.Millisecond+time.Duration(float64(tokens)/50*float64(time.Millisecond)))
+	}
+	require.InEpsilon(t, 50, r.Pace(), 0.35)
+	require.Less(t, r.Overhead(), 100*time.Millisecond)
+	require.Less(t, r.StepTokens(), 1500)
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -162,7 +162,7 @@
 	took := a.head.Sub(a.began)
 	c.room.mu.Lock()
 	defer c.room.mu.Unlock()
-	if c.decision.Ahead == 0 && a.fetched == 0 {
+	if c.decision.Ahead == 0 && a.fetched == 0 && !c.young(a.began) {
 		c.room.reader.Learn(max(0, a.work.Unread-c.room.reader.StepTokens()), took)
 	}
 	if !c.behind() {
@@ -288,13 +288,14 @@
 		return
 	}
 	if a.answer.Leaving {
-		c.gateway.left(c, b)
+		c.gateway.left(b, c.request.ID)
 	}
 	if a.answer.Pause == nil || a.status != http.StatusServiceUnavailable {
 		return
 	}
 	var until time.Time
 	b.news(func(belief *dispatch.Belief) { until = belief.Pause(*a.answer.Pause, now, rand.Float64()) })
+	c.gateway.stores.Pause(b.address, until)
 	c.gateway.logger.Info("server wants nothing", slog.String("server", b.server), slog.String("request", c.request.ID),
 		slog.Duration("said", *a.answer.Pause), slog.Duration("for", until.Sub(now)))
 }
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -176,6 +176,7 @@
 	p.gateway = New(Parts{
 		Dialect: dialect, View: p.view, Stores: stores, Follower: contextrelay.NewFollower(stores, client, p.logger), Scorer: scorer, Policy: policy, peers: p.peers,
 	}, &p.settings, p.logger, newMetrics(ctx.Registry))
+	stores.OnLeaving(p.gateway.leftAt)
 	p.peers.hears = func(leaving []life, from string) {
 		p.gateway.heardLeaving(leaving, from)
 		p.gateway.rooms.look()
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -236,7 +236,7 @@
 	all := func() *dispatch.Candidates {
 		got := candidates(&r.all, usable)
 		if near != nil {
-			placement.Assume(got.Servers, func(i int) bool { return own[usable[i].server] })
+			placement.Assume(got.Servers, func(i int) bool { return own[usable[i].server] || g.peers.knows(usable[i].zone, now) })
 		}
 		return got
 	}
@@ -264,11 +264,17 @@
 	if c.prompt != nil {
 		a.Objective, a.Bears = c.route.Objective, c.bears()
 		a.Errors = &c.room.errors[c.length()]
-		a.Young = now.Sub(c.room.opened) < youngFor*g.interval/2
+		a.Young = c.young(now)
 	}
 	return a
 }
 
+// young reports whether servers of the service are still becoming known here, and
+// what the other instances have there. The caller holds the room's lock.
+func (c *call) young(now time.Time) bool {
+	return now.Sub(c.room.opened) < youngFor*c.gateway.interval/2
+}
+
 // youngFor is for how many half intervals between announcements the servers of a
 // service may still be becoming known to a process that has just started.
 const youngFor = 3
@@ -318,16 +324,27 @@
 	return heard, pausedUntil
 }
 
-// left notes that a server says it leaves, and has everybody told.
-func (g *Gateway) left(c *call, b *backend) {
+// left notes that a server says it leaves, and has everybody told. request is the ID
+// of the request to which it said so, empty if it was a question of our own.
+func (g *Gateway) left(b *backend, request string) {
 	b.news((*dispatch.Belief).Leave)
 	if g.leavers.add(b.life, time.Now()) {
-		g.logger.Info("server leaves", slog.String("server", b.server), slog.Int64("born_unix_ms", b.born), slog.String("request", c.request.ID))
+		g.logger.Info("server leaves", slog.String("server", b.server), slog.Int64("born_unix_ms", b.born), slog.String("request", request))
 		g.peers.leaving(b.life)
 		g.view.Leaving(b.server, b.born)
 	}
 }
 
+// leftAt notes that the server at an address says to a question of our own that it
+// leaves.
+func (g *Gateway) leftAt(address string) {
+	for _, b := range g.world.Load().backends {
+		if b.address == address {
+			g.left(b, "")
+		}
+	}
+}
+
 // heardLeaving takes another process's word that servers leave.
 func (g *Gateway) heardLeaving(lives []life, from string) {
 	w := g.world.Load()
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -173,9 +173,6 @@
 	// memoryShare is the part of a server's memory that runs may take: what they
 	// will generate is known only as a bound, and others' requests only in part.
 	memoryShare = 0.9
-	// laterShare is the part of it that runs of later jobs may fill: the rest is
-	// for those that come on time.
-	laterShare = 0.7
 	// fullBacklog is the reading before a prompt that keeps a server busy until
 	// the next one arrives; more of it only takes the choice from those that wait.
 	fullBacklog = 250 * time.Millisecond
@@ -184,11 +181,7 @@
 // HasMemory reports whether a server has memory for the run of a job now. A job
 // that no server could hold beside others is taken by an empty one.
 func HasMemory(s *Server, j *Job) bool {
-	share := memoryShare
-	if j.Later {
-		share = laterShare
-	}
-	return s.MemoryTokens == 0 || s.HeldTokens == 0 || s.HeldTokens+j.MemoryTokens <= int(share*float64(s.MemoryTokens))
+	return s.MemoryTokens == 0 || s.HeldTokens == 0 || s.HeldTokens+j.MemoryTokens <= int(memoryShare*float64(s.MemoryTokens))
 }
 
 // Backlogged reports whether a server has more to read than keeps it busy until
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -132,11 +132,16 @@
 		return err
 	}
 	r.view = fleetview.New([]string{r.replica.URL()}, nil, r.client, r.logger)
-	r.teller = contextrelay.NewServer(r.replica.URL(), feed, r.view, r.surface.Document, r.logger)
+	r.teller = contextrelay.NewServer(r.replica.URL(), feed, r.view, r.surface.Document, r.leaves, r.logger)
 	r.replica.Mount(fleetv1.ContextsPathPrefix, fleetv1.NewContextsServer(r.teller))
 	return nil
 }
 
+// leaves notes that a server has said to this instance that it leaves.
+func (r *Registrar) leaves(server string, born int64) {
+	r.hub.Leaves(server, born, r.replica.Instance())
+}
+
 // Hub is the feed of this instance.
 func (r *Registrar) Hub() *registry.Hub { return r.hub }
 
@@ -168,7 +173,7 @@
 	if err != nil {
 		return err
 	}
-	runner := weights.NewRunner(r.replica.Instance(), r.settings.OrderLease, r.settings.WeightsWithin, engines, stores, r.replica, r.view, r.hub.Observe, r.surface.Document, r.logger)
+	runner := weights.NewRunner(r.replica.Instance(), r.settings.OrderLease, r.settings.WeightsWithin, engines, stores, r.replica, r.view, r.hub.Observe, r.leaves, r.surface.Document, r.logger)
 	go runner.Run(ctx)
 	return nil
 }
--- a/weights/plan.go
+++ b/weights/plan.go
@@ -48,6 +48,8 @@
 
 // Report is an engine's own word on its state.
 type Report struct {
+	// Leaving says that the engine gets no new requests any more.
+	Leaving  bool
 	Versions map[string]uint64
 	// Busy says that it carries an order out.
 	Busy bool
--- a/weights/runner.go
+++ b/weights/runner.go
@@ -9,6 +9,7 @@
 
 	"github.com/galenaarch/galenaarch/api/fleetv1"
 	"github.com/galenaarch/galenaarch/config/site"
+	"github.com/galenaarch/galenaarch/dispatch"
 	"github.com/galenaarch/galenaarch/fleetview"
 	"github.com/galenaarch/galenaarch/kernel"
 )
@@ -76,10 +77,19 @@
 	Expected uint64
 }
 
-// Engines calls backend servers that run models.
+// OrderAnswer is what an engine answered to an order.
+type OrderAnswer struct {
+	Outcome Outcome
+	// Leaving says that the engine gets no new requests any more.
+	Leaving bool
+}
+
+// Engines calls backend servers that run models. One that wants nothing for a time
+// is a dispatch.PausedError; the report is never nil, and says with an error too
+// whether the engine leaves.
 type Engines interface {
 	Report(ctx context.Context, s Server) (*Report, error)
-	Order(ctx context.Context, s Server, o Order) (Outcome, error)
+	Order(ctx context.Context, s Server, o Order) (OrderAnswer, error)
 }
 
 // Leadership says whether this instance leads the control group.
@@ -99,6 +109,7 @@
 	leadership Leadership
 	view       *fleetview.View
 	observe    func(server string, born int64, versions map[string]uint64)
+	leaves     func(server string, born int64)
 	decode     func(content []byte) (*site.Document, error)
 	logger     *slog.Logger
 
@@ -107,7 +118,9 @@
 	cleaner  cleaner
 	failures map[string]int
 	busy     map[string]bool
-	term     uint64
+	// paused is when engines that wanted nothing may be asked again.
+	paused map[string]time.Time
+	term   uint64
 	// since is when this instance first confirmed the term; boot time.
 	since      time.Duration
 	confirming bool
@@ -115,11 +128,12 @@
 
 // NewRunner returns a runner for the instance of a name. lease is how long the
 // orders of a former holder may still stand, within the
-// time in which all servers are to change; observe hears of the versions seen.
+// time in which all servers are to change; observe hears of the versions seen,
+// leaves of engines that say they leave.
 func NewRunner(name string, lease, within time.Duration, e Engines, stores Stores, l Leadership, v *fleetview.View,
-	observe func(string, int64, map[string]uint64), decode func([]byte) (*site.Document, error), logger *slog.Logger) *Runner {
+	observe func(string, int64, map[string]uint64), leaves func(string, int64), decode func([]byte) (*site.Document, error), logger *slog.Logger) *Runner {
 	return &Runner{
-		name: name, lease: lease, engines: e, leadership: l, view: v, observe: observe, decode: decode, logger: logger,
+		name: name, lease: lease, engines: e, leadership: l, view: v, observe: observe, leaves: leaves, decode: decode, logger: logger, paused: make(map[string]time.Time),
 		cleaner: cleaner{stores: stores, logger: logger},
 		within:  within, plan: NewPlan(within), failures: make(map[string]int), busy: make(map[string]bool),
 	}
@@ -184,8 +198,9 @@
 			go r.cleaner.clean(ctx, address, oldest(wanted))
 		}
 	}
-	for _, t := range r.plan.Next(servers, wanted, time.Now()) {
-		if r.busy[t.Server.ID] {
+	now := time.Now()
+	for _, t := range r.plan.Next(servers, wanted, now) {
+		if r.busy[t.Server.ID] || now.Before(r.paused[t.Server.ID]) {
 			continue
 		}
 		r.busy[t.Server.ID] = true
@@ -251,6 +266,7 @@
 func (r *Runner) look(ctx context.Context, t Task, wanted map[string]uint64) {
 	began := time.Now()
 	report, err := r.engines.Report(ctx, t.Server)
+	r.hear(t, report.Leaving, err)
 	if err != nil {
 		r.failed(t, "look", err)
 		return
@@ -273,6 +289,26 @@
 	return r.plan.Due(t.Server.ID, wanted, time.Now())
 }
 
+// hear takes an engine's word that it leaves, or wants nothing for a time.
+func (r *Runner) hear(t Task, leaving bool, err error) {
+	if leaving {
+		r.leaves(t.Server.ID, t.Server.Born)
+	}
+	var paused *dispatch.PausedError
+	if !errors.As(err, &paused) {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for server, until := range r.paused {
+		if time.Now().After(until) {
+			delete(r.paused, server)
+		}
+	}
+	r.paused[t.Server.ID] = time.Now().Add(paused.Wait())
+	r.logger.Info("engine wants nothing", slog.String("server", t.Server.ID), slog.Duration("for", paused.Wait()))
+}
+
 func (r *Runner) failed(t Task, step string, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -321,7 +357,9 @@
 		return
 	}
 	o := Order{Model: t.Model, Version: t.Version, Mode: ModeFinish, Holder: r.name, Fence: fence, Expected: t.Expected}
-	outcome, err := r.engines.Order(ctx, t.Server, o)
+	answer, err := r.engines.Order(ctx, t.Server, o)
+	outcome := answer.Outcome
+	r.hear(t, answer.Leaving, err)
 	r.logger.Info("order given", slog.String("server", t.Server.ID), slog.String("model", t.Model), slog.Uint64("version", t.Version),
 		slog.Uint64("fence", fence), slog.Uint64("expected", t.Expected), slog.String("outcome", outcome.String()), slog.Any("error", err))
 	r.mu.Lock()
--- a/weights/runner_test.go
+++ b/weights/runner_test.go
@@ -25,15 +25,17 @@
 // recorder takes orders.
 type recorder struct{ orders []Order }
 
-func (r *recorder) Report(context.Context, Server) (*Report, error) { return nil, errors.New("down") }
-func (r *recorder) Order(_ context.Context, _ Server, o Order) (Outcome, error) {
+func (r *recorder) Report(context.Context, Server) (*Report, error) {
+	return &Report{}, errors.New("down")
+}
+func (r *recorder) Order(_ context.Context, _ Server, o Order) (OrderAnswer, error) {
 	r.orders = append(r.orders, o)
-	return OutcomeAccepted, nil
+	return OrderAnswer{Outcome: OutcomeAccepted}, nil
 }
 
 func newTestRunner(e Engines, l Leadership) *Runner {
 	logger := slog.New(slog.DiscardHandler)
-	return NewRunner("c1", 100*time.Millisecond, 8*time.Second, e, nil, l, fleetview.New(nil, nil, &http.Client{}, logger), nil, nil, logger)
+	return NewRunner("c1", 100*time.Millisecond, 8*time.Second, e, nil, l, fleetview.New(nil, nil, &http.Client{}, logger), nil, nil, nil, logger)
 }
 
 func TestNewLeaderWaitsOutTheLeaseOfTheFormerOne(t *testing.T) {
