--- a/dispatch/belief.go
+++ b/dispatch/belief.go
@@ -36,9 +36,10 @@
 	// silentLife is how long a server that control no longer hears of is used
 	// because it answers this instance.
 	silentLife = 2 * time.Second
-	// MuteAfter is how long a server with work must have said nothing at all to
-	// count as stuck; one that is only slow goes on.
-	MuteAfter = 500 * time.Millisecond
+	// muteAfter is how long a server with work must have said nothing at all, beyond
+	// the time in which it reads what it has, to count as stuck; one that is only
+	// slow goes on.
+	muteAfter = 400 * time.Millisecond
 	// unreadPause is assumed where a server wants nothing for a time that cannot
 	// be read, longestPause bounds what is believed: a server that is better
 	// sooner starts anew.
@@ -299,9 +300,21 @@
 }
 
 // Mute reports whether the server has shown no life since a time, for long enough
-// that it cannot only be slow.
-func (b *Belief) Mute(since, now time.Time) bool {
-	return now.Sub(since) >= MuteAfter && b.heard.Before(since)
+// that it cannot only be slow: longer than engines that read at a pace read what
+// this instance has there.
+func (b *Belief) Mute(since, now time.Time, r *Reader) bool {
+	return b.heard.Before(since) && now.Sub(since) >= b.patience(r)
+}
+
+// Stuck reports whether the server has said nothing for so long since it was asked.
+func (b *Belief) Stuck(now time.Time, r *Reader) bool { return b.Silence(now) >= b.patience(r) }
+
+func (b *Belief) patience(r *Reader) time.Duration {
+	tokens := b.own.Reading + b.own.Later
+	if tokens == 0 {
+		return muteAfter
+	}
+	return muteAfter + time.Duration(float64(tokens)/r.Pace()*float64(time.Millisecond))
 }
 
 // View writes the server as a decision sees it: others is what other instances
--- a/emulator/run.go
+++ b/emulator/run.go
@@ -468,7 +468,7 @@
 	q.ended = func() {
 		if !q.begun {
 			b.Left(work)
-			if b.Mute(clock(sent), clock(r.now)) {
+			if b.Mute(clock(sent), clock(r.now), &e.reader) {
 				b.Failed(true, clock(r.now))
 			}
 			r.result.fail(c.kind)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -235,7 +235,7 @@
 	if !c.repeatable() || c.sends+1 >= c.route.MaxServers || c.deadline.Sub(now) < 2*leastLeft {
 		return false
 	}
-	if !c.gateway.policy.On(dispatch.Patience) || a.backend.silence(now) < dispatch.MuteAfter {
+	if !c.gateway.policy.On(dispatch.Patience) || !a.backend.stuck(now) {
 		return false
 	}
 	if !c.gateway.budget(c.service.Name).Take(now) {
--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -67,11 +67,12 @@
 	return b.weights[model]
 }
 
-// silence is how long the server has said nothing although it was asked.
-func (b *backend) silence(now time.Time) time.Duration {
+// stuck reports whether the server has said nothing since it was asked, for longer
+// than it can take it.
+func (b *backend) stuck(now time.Time) bool {
 	b.room.mu.Lock()
 	defer b.room.mu.Unlock()
-	return b.belief.Silence(now)
+	return b.belief.Stuck(now, &b.room.reader)
 }
 
 // mute reports whether the server has shown no life since a time, for long enough
@@ -79,7 +80,7 @@
 func (b *backend) mute(since, now time.Time) bool {
 	b.room.mu.Lock()
 	defer b.room.mu.Unlock()
-	return b.belief.Mute(since, now)
+	return b.belief.Mute(since, now, &b.room.reader)
 }
 
 // fail counts a failure; see dispatch.Belief.Failed.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -22,8 +22,8 @@
 	// awayPenalty keeps a part from spreading over servers for nothing: each
 	// copy takes memory from other parts.
 	awayPenalty = 30 * time.Millisecond
-	// silenceAllowed is how long a server with work may say nothing before it
-	// looks stuck: longer than the reading of a large prompt.
+	// silenceAllowed is how long a server with work may say nothing, beyond the
+	// time in which it reads what it has, before it looks stuck.
 	silenceAllowed = 450 * time.Millisecond
 	// silenceFactor turns further silence into expected wait.
 	silenceFactor = 4
@@ -113,7 +113,7 @@
 		cost += farPenalty
 	}
 	if s.Silence > silenceAllowed {
-		cost += silenceFactor * (s.Silence - silenceAllowed)
+		cost += silenceFactor * max(0, s.Silence-silenceAllowed)
 	}
 	if j.PromptTokens > 0 {
 		cost += j.Overhead + readTime(s, j) + roomTime(s, j)
