--- a/cmd/galena-load/main.go
+++ b/cmd/galena-load/main.go
@@ -36,7 +36,11 @@
 	pattern string
 	scorers string
 	without string
-	plotted string
+	// timeline is a file for what callers of each second got, ablate the seeds over
+	// which each mechanism is switched off.
+	timeline string
+	ablate   int
+	plotted  string
 
 	trace       string
 	policy      string
@@ -67,6 +71,8 @@
 	fs.StringVar(&o.scorers, "scorers", "expected-time,prefix-affinity,least-load", "placement modules compared on -pattern, comma-separated")
 	fs.StringVar(&o.without, "without", "", "mechanisms that -scorers' "+placement.DefaultScorer+" works without on -pattern, comma-separated: "+strings.Join(dispatch.Names(), ", "))
 	fs.StringVar(&o.plotted, "plot", "", "PNG file for the times to the first event on -pattern")
+	fs.IntVar(&o.ablate, "ablate", 0, "number of seeds over which -pattern is played without each mechanism in turn; 0 for not at all")
+	fs.StringVar(&o.timeline, "timeline", "", "PNG file for credit, refusals, and expected against real waits over time on -pattern")
 	fs.StringVar(&o.table, "table", "", "folder whose reports are written as a table and plots; then exit")
 	fs.StringVar(&o.control, "control", "http://127.0.0.1:8090", "base URLs of the control replicas, comma-separated")
 	fs.StringVar(&o.entries, "entries", "http://127.0.0.1:8080", "base URLs of the entries' caller listeners, comma-separated")
@@ -153,6 +159,9 @@
 	if err != nil {
 		return err
 	}
+	if o.ablate > 0 {
+		return emulator.WriteAblation(os.Stdout, p, o.ablate)
+	}
 	decisions, err := dispatch.Without(o.without)
 	if err != nil {
 		return err
@@ -169,9 +178,17 @@
 		}
 		results = append(results, emulator.Play(p, policy))
 	}
-	if err := emulator.WriteTable(os.Stdout, results); err != nil || o.plotted == "" {
+	if err := emulator.WriteTable(os.Stdout, results); err != nil {
 		return err
 	}
+	if o.timeline != "" {
+		if err := load.PlotTimeline(o.timeline, results); err != nil {
+			return err
+		}
+	}
+	if o.plotted == "" {
+		return nil
+	}
 	return load.PlotPattern(o.plotted, results)
 }
 
--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -174,6 +174,16 @@
 	require.Equal(t, first.String(), second.String())
 }
 
+func TestAblationNamesEveryMechanism(t *testing.T) {
+	p := pattern(t, "full")
+	p.Seconds = 6
+	var table bytes.Buffer
+	require.NoError(t, WriteAblation(&table, p, 2))
+	for _, name := range dispatch.Names() {
+		require.Contains(t, table.String(), name)
+	}
+}
+
 func TestPatternsAreChecked(t *testing.T) {
 	tests := []struct{ name, content, want string }{
 		{"not JSON", `{`, "decode pattern"},
--- a/emulator/result.go
+++ b/emulator/result.go
@@ -143,6 +143,12 @@
 	return list[int(q*float64(len(list)-1))]
 }
 
+// Objective is the time in which an answer earns its full credit.
+func (k *KindResult) Objective() time.Duration { return milliseconds(k.kind.ObjectiveMS) }
+
+// Worth is the credit of an answer on time.
+func (k *KindResult) Worth() float64 { return k.kind.Worth }
+
 // Share is the credit earned of that owed, over all kinds.
 func (r *Result) Share() float64 {
 	credit, owed := 0.0, 0.0
@@ -169,7 +175,7 @@
 				return err
 			}
 		}
-		if _, err := fmt.Fprintf(w, "%-14s %-18s all kinds: credit %.3f\n", r.Pattern, r.Policy, r.Share()); err != nil {
+		if _, err := fmt.Fprintf(w, "%-14s %-18s all kinds: credit %.3f, runs put out %d\n", r.Pattern, r.Policy, r.Share(), r.Preempted); err != nil {
 			return err
 		}
 	}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -322,10 +322,19 @@
 func (p *peers) tell(ctx context.Context, url string, c fleetv1.Entries, req *fleetv1.TellRequest) {
 	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
-	if _, err := c.Tell(ctx, req); err != nil {
-		p.mu.Lock()
-		defer p.mu.Unlock()
+	_, err := c.Tell(ctx, req)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, lost := p.silent[url]
+	if err != nil {
 		p.silent[url] = time.Now().Add(silentPause)
-		p.logger.Debug("entry instance not told", slog.String("peer", url), slog.Any("error", err))
+		if !lost {
+			p.logger.Info("entry instance not told", slog.String("peer", url), slog.Any("error", err))
+		}
+		return
+	}
+	if lost {
+		delete(p.silent, url)
+		p.logger.Info("entry instance told again", slog.String("peer", url))
 	}
 }
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -98,7 +98,10 @@
 		claimed = r.line.Claimed(c.spot())
 	}
 	got, held := g.try(c, claimed, time.Now())
-	if !held || r.line.Full() {
+	if held && r.line.Full() {
+		got, held = placed{why: noRoom}, false
+	}
+	if !held {
 		r.mu.Unlock()
 		return got
 	}
@@ -108,7 +111,7 @@
 	g.metrics.waiting.Inc()
 	defer g.metrics.waiting.Dec()
 	began := time.Now()
-	got = g.await(ctx, r, w, granted)
+	got = g.await(ctx, c, w, granted)
 	c.waiter, c.held = nil, c.held+time.Since(began)
 	return got
 }
@@ -131,7 +134,8 @@
 }
 
 // await waits until a request is placed, or nobody waits for it any more.
-func (g *Gateway) await(ctx context.Context, r *room, w *dispatch.Waiter, granted chan placed) placed {
+func (g *Gateway) await(ctx context.Context, c *call, w *dispatch.Waiter, granted chan placed) placed {
+	r := c.room
 	step := time.NewTicker(holdStep)
 	defer step.Stop()
 	for {
@@ -143,10 +147,10 @@
 			defer r.mu.Unlock()
 			select {
 			case got := <-granted:
-				return got // it is counted there: the sending ends at once
+				g.giveBack(c, got.backend)
 			default:
+				r.line.Leave(w)
 			}
-			r.line.Leave(w)
 			return placed{why: timeUp}
 		case now := <-step.C:
 			r.mu.Lock()
@@ -159,6 +163,17 @@
 	}
 }
 
+// giveBack ends the counting of a request at a server that it was never sent to.
+// The caller holds the room's lock.
+func (g *Gateway) giveBack(c *call, b *backend) {
+	if b == nil {
+		return
+	}
+	b.belief.Left(c.work)
+	b.belief.Ended(c.work, 0)
+	g.freed(b)
+}
+
 // try decides what becomes of a request now, and counts it at its server; held
 // says that it waits here. The caller holds the room's lock.
 func (g *Gateway) try(c *call, claimed map[string]bool, now time.Time) (got placed, held bool) {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -174,7 +174,7 @@
 // refuse writes an answer of the gateway's own.
 func (g *Gateway) refuse(rw http.ResponseWriter, c *call, status int, why string, after time.Duration, err error) {
 	g.metrics.outcome(c, why)
-	route, servers, document := "", 0, uint64(0)
+	route, servers, document, tokens := "", 0, uint64(0), 0
 	if c.route != nil {
 		route = c.route.Name
 	}
@@ -182,8 +182,11 @@
 		w := g.world.Load()
 		servers, document = len(w.services[c.service.Name]), w.table.Version
 	}
+	if c.prompt != nil {
+		tokens = c.prompt.Tokens
+	}
 	g.logger.Info("request refused", slog.String("request", c.request.ID), slog.String("route", route), slog.Int("status", status),
-		slog.String("reason", why), slog.Int("sends", c.sends), slog.Bool("may_have_run", c.ran), slog.Int("servers_known", servers),
+		slog.String("reason", why), slog.Int("sends", c.sends), slog.Bool("may_have_run", c.ran), slog.Int("servers_known", servers), slog.Int("prompt_tokens", tokens),
 		slog.Uint64("document", document), slog.Duration("come_back", after), slog.Duration("in_turn", c.decision.Outlook.InTurn), slog.Duration("behind", c.decision.Outlook.Behind), slog.Duration("held", c.held), slog.Duration("patience", c.patienceGiven()),
 		slog.Duration("took", time.Since(c.began)), slog.Any("error", err))
 	g.dialect.Refusal(rw.Header(), c.request.ID, after)
--- a/load/table.go
+++ b/load/table.go
@@ -127,6 +127,53 @@
 	return plotTimes(path, title, lines)
 }
 
+// PlotTimeline draws what callers of each second got on a pattern: for each kind and
+// policy the share of the credit, the share that was refused, and the time to the
+// first event that was expected and that came, as parts of the objective.
+func PlotTimeline(path string, results []*emulator.Result) error {
+	var lines []any
+	title := ""
+	for _, r := range results {
+		title = "by the second of the callers' coming, " + r.Pattern
+		for i := range r.Kinds {
+			k := &r.Kinds[i]
+			objective := k.Objective().Seconds()
+			var credit, refused, expected, came plotter.XYs
+			for n, s := range k.Seconds {
+				x := float64(n)
+				if s.Owed > 0 {
+					credit = append(credit, plotter.XY{X: x, Y: s.Credit / s.Owed})
+					refused = append(refused, plotter.XY{X: x, Y: float64(s.Refusals) * k.Worth() / s.Owed})
+				}
+				if s.Judged > 0 && objective > 0 {
+					expected = append(expected, plotter.XY{X: x, Y: s.Expected.Seconds() / float64(s.Judged) / objective})
+					came = append(came, plotter.XY{X: x, Y: s.Came.Seconds() / float64(s.Judged) / objective})
+				}
+			}
+			for _, line := range []struct {
+				name   string
+				points plotter.XYs
+			}{{"credit", credit}, {"refused", refused}, {"expected", expected}, {"came", came}} {
+				if len(line.points) > 0 {
+					lines = append(lines, k.Name+", "+line.name+", "+r.Policy, line.points)
+				}
+			}
+		}
+	}
+	if len(lines) == 0 {
+		return nil
+	}
+	p := plot.New()
+	p.Title.Text = title
+	p.X.Label.Text = "second"
+	p.Y.Label.Text = "share of the credit or the callers; part of the objective"
+	p.Legend.Top = true
+	if err := plotutil.AddLinePoints(p, lines...); err != nil {
+		return eris.Wrap(err, "add lines")
+	}
+	return eris.Wrapf(p.Save(plotWidth, plotHeight, path), "save %s", path)
+}
+
 // plotTimes draws pairs of a name and its points.
 func plotTimes(path, title string, lines []any) error {
 	if len(lines) == 0 {
--- a/registry/table_test.go
+++ b/registry/table_test.go
@@ -115,3 +115,25 @@
 		}
 	})
 }
+
+// TestLeavingHoldsForOneLife: what a server said of its leaving survives its own
+// announcements, and ends with that life; it is noted also before the server is
+// known here.
+func TestLeavingHoldsForOneLife(t *testing.T) {
+	table, now := NewTable(time.Second), time.Unix(100, 0)
+	table.Hear(word(1, 1, ready), now)
+	require.False(t, table.Leaves("s", 9, now), "another life")
+	require.True(t, table.Leaves("s", 1, now))
+	require.False(t, table.Leaves("s", 1, now), "it is known")
+	table.Hear(word(1, 2, ready), now)
+	require.True(t, table.servers["s"].Leaving)
+	table.Hear(word(2, 1, ready), now)
+	require.False(t, table.servers["s"].Leaving)
+
+	other := word(5, 3, ready)
+	other.Server = "other"
+	require.True(t, table.Leaves("other", 5, now))
+	require.True(t, table.Hear(other, now))
+	require.True(t, table.servers["other"].Leaving)
+	require.Equal(t, ready, table.servers["other"].State)
+}
