--- a/gateway/room.go
+++ b/gateway/room.go
@@ -373,11 +373,3 @@
 		}
 	}
 }
-
-// estimate is the time to the first event that was expected of a decision.
-func estimate(d *dispatch.Decision) time.Duration {
-	if d.Verdict == admission.InTurn {
-		return d.Outlook.InTurn
-	}
-	return d.Outlook.Behind
-}
