--- a/gateway/room.go
+++ b/gateway/room.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/galenaarch/galenaarch/admission"
 	"github.com/galenaarch/galenaarch/dispatch"
 	"github.com/galenaarch/galenaarch/placement"
 )
