--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -18,8 +18,10 @@
 
 // Times and bounds of what entry instances tell each other.
 const (
-	// tellPause gathers what changes at about the same time.
-	tellPause = 8 * time.Millisecond
+	// tellPause gathers what changes at about the same time; celledPause is that
+	// where an instance tells as many as it may: each word costs both sides.
+	tellPause   = 8 * time.Millisecond
+	celledPause = 25 * time.Millisecond
 	// tellEvery renews a word that has not changed while there is work.
 	tellEvery   = 400 * time.Millisecond
 	tellTimeout = 300 * time.Millisecond
@@ -242,7 +244,7 @@
 			select {
 			case <-ctx.Done():
 				return
-			case <-time.After(tellPause):
+			case <-time.After(pauseFor(len(view.Current().Entries))):
 			}
 		case <-zones.C:
 			p.tellZones(ctx, view.Current().Entries)
@@ -260,6 +262,14 @@
 	}
 }
 
+// pauseFor is how long changes are gathered among so many entry instances.
+func pauseFor(entries int) time.Duration {
+	if placement.Celled(entries) {
+		return celledPause
+	}
+	return tellPause
+}
+
 func (p *peers) tellAll(ctx context.Context, entries map[string]*fleetv1.EntryInstance) {
 	p.mu.Lock()
 	p.sequence++
