Gateway test: a case that was left out is back, listed; an input that was lowered is as before

Cause: when the test of cells was moved, its case of a prompt that another cell serves late was left out, and one input went from 450 to 330 ms. The input passes as it was.

--- a/gateway/room_test.go
+++ b/gateway/room_test.go
@@ -72,30 +72,46 @@
 	}{
 		{"calm", 0, 0, true, admission.InTurn},
 		{"busier, but on time", 200 * time.Millisecond, 0, true, admission.InTurn},
-		{"late here, on time there", 330 * time.Millisecond, 0, false, admission.InTurn},
+		{"late here, on time there", 450 * time.Millisecond, 0, false, admission.InTurn},
 		{"late everywhere", time.Second, time.Second, true, admission.TurnAway},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			h := newHall(t, 8)
-			h.world.cells["llm"] = map[string]bool{}
-			c := h.call(500)
-			for n, b := range h.world.services["llm"] {
-				before := tt.far
-				if n < 4 {
-					h.world.cells["llm"][b.server], before = true, tt.near
-				}
-				tokens := int(float64(before.Milliseconds()) * c.room.reader.Pace())
-				b.belief.Sent(dispatch.Work{Unread: tokens}, time.Now())
-				b.belief.Sent(dispatch.Work{Unread: tokens, Later: true}, time.Now())
-			}
-			d, chosen := h.decide(c, nil, time.Now())
-			require.Equal(t, tt.own, h.world.cells["llm"][chosen.server])
-			require.Equal(t, tt.want, d.Verdict)
+			own, verdict := decideInCells(t, tt.near, tt.far)
+			require.Equal(t, tt.own, own)
+			require.Equal(t, tt.want, verdict)
 		})
 	}
 }
 
+// TestNobodyIsTurnedAwayWhomAnotherCellServesLate: load pattern, one cell has far
+// more to read than others.
+func TestNobodyIsTurnedAwayWhomAnotherCellServesLate(t *testing.T) {
+	own, verdict := decideInCells(t, 1400*time.Millisecond, 200*time.Millisecond)
+	require.False(t, own)
+	require.Equal(t, admission.Behind, verdict)
+}
+
+// decideInCells decides on a short prompt before two cells with so much to read, and
+// reports whether the own one was chosen.
+func decideInCells(t *testing.T, near, far time.Duration) (own bool, verdict admission.Verdict) {
+	t.Helper()
+	h := newHall(t, 8)
+	h.world.cells["llm"] = map[string]bool{}
+	c := h.call(500)
+	for n, b := range h.world.services["llm"] {
+		before := far
+		if n < 4 {
+			h.world.cells["llm"][b.server], before = true, near
+		}
+		tokens := int(float64(before.Milliseconds()) * c.room.reader.Pace())
+		b.belief.Sent(dispatch.Work{Unread: tokens}, time.Now())
+		b.belief.Sent(dispatch.Work{Unread: tokens, Later: true}, time.Now())
+	}
+	d, chosen := h.decide(c, nil, time.Now())
+	return h.world.cells["llm"][chosen.server], d.Verdict
+}
+
 // TestPromptWaitsHereUntilARunEnds: load pattern, many callers at once, whose
 // prompts fill the memory of all engines. A prompt that can be on time goes when a
 // run ends, to the server where that was; one whose caller leaves is not counted
