Log and count what servers state about themselves

Cause: after the incident no log line and no metric said what a response stated about its server, so that the hypotheses could not be told apart: a dropped statement looks like one that is obeyed by each instance alone, or one that was forgotten. Change: the rate limit is decoded, logged when it changes (with the request's ID) and shown as a gauge; directives are counted by kind; a header that begins like a directive and is not known is logged once and counted. No decision uses any of it yet.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -291,12 +291,21 @@
 	if a.response.Server != "" && a.response.Server != b.server {
 		return
 	}
+	c.gateway.reportUnknownDirectives(b, c.request.ID, a.response.UnknownDirectives)
 	if a.response.Leaving {
+		c.gateway.metrics.directives.WithLabelValues(directiveLeaving).Inc()
 		c.gateway.markLeaving(b, c.request.ID)
 	}
+	if limit := a.response.RateLimit; limit != nil {
+		if limit.Limited {
+			c.gateway.metrics.directives.WithLabelValues(directiveRateLimit).Inc()
+		}
+		c.gateway.recordRateLimit(b, *limit, c.request.ID)
+	}
 	if a.response.PauseFor == nil || a.status != http.StatusServiceUnavailable {
 		return
 	}
+	c.gateway.metrics.directives.WithLabelValues(directivePause).Inc()
 	var until time.Time
 	b.update(func(tracker *dispatch.BackendState) { until = tracker.Pause(*a.response.PauseFor, now, rand.Float64()) })
 	c.gateway.stores.PausePolling(b.address, until)
--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -31,6 +31,8 @@
 
 	tracker dispatch.BackendState
 	weights map[string]uint64
+	// rateLimit is what the server last stated in a response to this instance.
+	rateLimit dispatch.RateLimit
 }
 
 func newBackend(a *fleetv1.Announcement, s *site.Service, state *serviceState, connections int, now time.Time) *backend {
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/galenaarch/galenaarch/config/site"
+	"github.com/galenaarch/galenaarch/dispatch"
 )
 
 // Part is one declared part of a prompt. Two prompts share a cached context up to the
@@ -88,6 +89,12 @@
 	// PauseFor is how long the server asks for no requests; nil if not stated, 0 if
 	// the value cannot be parsed.
 	PauseFor *time.Duration
+	// RateLimit is what the server states about its request rate; nil if the value
+	// cannot be parsed.
+	RateLimit *dispatch.RateLimit
+	// UnknownDirectives names the headers by which the server asks for something that
+	// this version does not support.
+	UnknownDirectives []string
 	// IdleTimeout is how long the server keeps an idle connection open; 0 if not
 	// stated.
 	IdleTimeout time.Duration
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -77,6 +77,8 @@
 
 	mu           sync.Mutex
 	retryBudgets map[string]*retry.Window
+	// unknownDirectives are the header names that were logged as unknown directives.
+	unknownDirectives map[string]bool
 }
 
 // Dependencies are the components that a Gateway uses.
@@ -96,6 +98,7 @@
 		dialect: deps.Dialect, view: deps.View, stores: deps.Stores, follower: deps.Follower, peers: deps.peers, scorer: deps.Scorer, policy: deps.Policy,
 		instance: s.Instance, zone: s.FailureDomain, retryLimits: s.RetryLimits, announceInterval: s.AnnounceInterval, weightRolloutTime: s.WeightRolloutTime,
 		logger: logger, metrics: m, started: time.Now(), accessLogLimiter: rate.NewLimiter(accessLogRate, accessLogBurst), retryBudgets: make(map[string]*retry.Window),
+		unknownDirectives: make(map[string]bool),
 	}
 	g.routing.Store(&routingState{entryCount: 1})
 	return g
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -15,8 +15,18 @@
 	panics         prometheus.Counter
 	queued         prometheus.Gauge
 	estimateErrors *prometheus.HistogramVec
+	directives     *prometheus.CounterVec
+	rateLimits     *prometheus.GaugeVec
 }
 
+// Directives of servers, as label values of a metric.
+const (
+	directiveLeaving   = "leaving"
+	directivePause     = "pause"
+	directiveRateLimit = "rate limit"
+	directiveUnknown   = "unknown"
+)
+
 func newMetrics(r prometheus.Registerer) *metrics {
 	m := &metrics{
 		queued: prometheus.NewGauge(prometheus.GaugeOpts{Name: "galena_gateway_waiting_requests", Help: "Requests that wait here for room at a server."}),
@@ -29,7 +39,9 @@
 		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "galena_gateway_first_byte_seconds", Help: "Time from a request's arrival to the server's first byte.",
 			Buckets: []float64{.005, .01, .025, .05, .1, .2, .3, .5, .8, 1.5, 3, 10}}, []string{"kind"}),
 	}
-	r.MustRegister(m.outcomes, m.failedAttempts, m.firstByte, m.unlogged, m.panics, m.queued, m.estimateErrors)
+	m.directives = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_server_directives_total", Help: "Responses by which a server directs how it is used, by directive."}, []string{"directive"})
+	m.rateLimits = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "galena_gateway_server_rate_limit", Help: "Requests a second that a server takes from all instances together, while it states a limit."}, []string{"server"})
+	r.MustRegister(m.directives, m.rateLimits, m.outcomes, m.failedAttempts, m.firstByte, m.unlogged, m.panics, m.queued, m.estimateErrors)
 	return m
 }
 
