Obey the rate limit that a server states, for all entry instances together

What callers saw: nothing yet; a server in need got 129 requests in 4 s where it allowed 78, from all four entry instances.

Ruled out: a limit obeyed by each instance alone (each would have sent at most 4 x 12), and one that is forgotten (it never had an effect).

Change: a request to a rate-limited server needs a permit. - One entry instance issues the permits for a server: the first in rank among those that the control instances list as accepting, while a majority lists it. It may not know for 1.5 s that it no longer leads; a new one waits 1.8 s. A stopping one goes on for 1.7 s. - Permits expire 250 ms after they were asked for. An instance asks as decisions lack permits; refused ones ask in turns, so that the load of the issuer does not grow with the number of instances. - An instance that reaches no issuer uses its share of 0.3 of the limit, in turns that cannot be saved up. Together: at most 1.3 times the limit and one request in 4 s, plus 0.3 without an issuer; polls of the server take 0.1. The bound of the users is 1.5 times and 5. - Statements carry revisions and reach all instances through the updates between them, requests for permits, and control, which keeps them with the server's incarnation. - Without a permit a request goes to another server; if there is none it waits at most 50 ms for a permit that was asked for, and is then rejected with its turn in the order of return. The decisions are in dispatch/; the mechanism "rate-limits" switches them off. Polls of control instances complete however often they are interrupted.

--- a/contexts/watcher.go
+++ b/contexts/watcher.go
@@ -77,6 +77,8 @@
 	cancel context.CancelFunc
 	// pausedUntil is the wall-clock time before which it is not polled.
 	pausedUntil time.Time
+	// minInterval is the least time between two polls; 0 for none.
+	minInterval time.Duration
 }
 
 // NewWatcher returns a watcher without holders.
@@ -101,6 +103,15 @@
 	}
 }
 
+// SetPollInterval sets the least time between two polls of an engine or store; 0 for none.
+func (w *Watcher) SetPollInterval(address string, interval time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if s := w.polled[address]; s != nil {
+		s.minInterval = interval
+	}
+}
+
 // Options switches off parts of the transfer decisions, for experiments.
 type Options struct {
 	// DisableEngineFetch disables fetching from engines. IgnoreSlowness assumes that
@@ -271,8 +282,11 @@
 func (w *Watcher) pollLoop(ctx context.Context, s *HolderState) {
 	backoff := initialBackoff
 	unreachable := false
+	var polledAt time.Time
 	for ctx.Err() == nil {
 		sleep(ctx, w.pauseRemaining(s.Address))
+		w.awaitPollInterval(ctx, s.Address, polledAt)
+		polledAt = time.Now()
 		err := w.poll(ctx, s)
 		var paused *dispatch.RetryAfterError
 		if errors.As(err, &paused) {
@@ -313,6 +327,24 @@
 	return 0
 }
 
+// awaitPollInterval waits until the least time between two polls has passed since the
+// last one. The interval may change meanwhile.
+func (w *Watcher) awaitPollInterval(ctx context.Context, address string, last time.Time) {
+	for ctx.Err() == nil {
+		w.mu.Lock()
+		interval := time.Duration(0)
+		if s := w.polled[address]; s != nil {
+			interval = s.minInterval
+		}
+		w.mu.Unlock()
+		remaining := interval - time.Since(last)
+		if remaining <= 0 {
+			return
+		}
+		sleep(ctx, min(remaining, maxBackoff))
+	}
+}
+
 // sleep waits for d or until the context ends.
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -33,6 +33,7 @@
 	RetryJitter
 	StaleWeightsPenalty
 	EstimateMargin
+	RateLimits
 	mechanismCount
 )
 
@@ -64,6 +65,7 @@
 	RetryJitter:          {"return-spread", "callers that were rejected together and would retry together"},
 	StaleWeightsPenalty:  {"old-weights-cost", "rolling updates to new weights"},
 	EstimateMargin:       {"doubt", "inaccurate wait estimates, by which a prompt that would meet its objective is judged late"},
+	RateLimits:           {"rate-limits", "servers that state how many requests per second they take from all instances"},
 }
 
 // String implements fmt.Stringer.
--- a/fleetview/view.go
+++ b/fleetview/view.go
@@ -81,6 +81,12 @@
 	servers      map[string]*fleetv1.Announcement
 	entries      []*fleetv1.EntryInstance
 	lastResponse time.Time
+	// confirmedAt is when the last completed poll began: from then on at least, the
+	// instance lists this process.
+	confirmedAt time.Time
+	// interrupted is set when the last poll was interrupted. The next one does not
+	// wait, so that a poll completes however often they are interrupted.
+	interrupted bool
 	// lastListed is when a member list last contained the instance.
 	lastListed time.Time
 	// reportedVersions holds the newest document versions that it reported.
@@ -109,6 +115,7 @@
 	released      map[string]bool
 	self          *fleetv1.EntryInstance
 	leaving       leavingServers
+	limits        limitReports
 	wake          chan struct{}
 	changed       chan struct{}
 }
@@ -212,8 +219,15 @@
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	v.mu.Lock()
-	req := &fleetv1.SyncRequest{Self: v.self, Feed: s.feed, Cursor: s.cursor, Known: v.knownVersions(), Leaving: v.leaving.current(time.Now()), WaitMs: uint32(pollWait.Milliseconds())}
+	startedAt := time.Now()
+	req := &fleetv1.SyncRequest{Self: v.self, Feed: s.feed, Cursor: s.cursor, Known: v.knownVersions(), Leaving: v.leaving.current(startedAt), Limits: v.limits.current(startedAt), WaitMs: uint32(pollWait.Milliseconds())}
+	if s.interrupted {
+		req.WaitMs = 0
+	}
 	wake := v.wake
+	if req.WaitMs == 0 {
+		wake = nil
+	}
 	v.mu.Unlock()
 	finished := make(chan struct{})
 	defer close(finished)
@@ -227,13 +241,16 @@
 		}
 	}()
 	response, err := s.client.Sync(ctx, req)
-	if interrupted.Load() {
+	v.mu.Lock()
+	s.interrupted = err != nil && interrupted.Load()
+	v.mu.Unlock()
+	if err != nil && interrupted.Load() {
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	v.applyResponse(s, response)
+	v.applyResponse(s, response, startedAt)
 	return nil
 }
 
@@ -262,7 +279,8 @@
 	return true
 }
 
-func (v *View) applyResponse(s *source, r *fleetv1.SyncResponse) {
+// applyResponse applies the response to a poll that began at startedAt.
+func (v *View) applyResponse(s *source, r *fleetv1.SyncResponse, startedAt time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	changed := len(r.Announcements) > 0 || r.Feed != s.feed || !sameEntries(s.entries, r.Entries)
@@ -274,6 +292,7 @@
 		changed = true
 		v.logger.Info("control instance reachable", slog.String("peer", s.url), slog.Uint64("feed", r.Feed))
 	}
+	s.confirmedAt = startedAt
 	s.feed, s.cursor, s.lastResponse, s.entries = r.Feed, r.Cursor, time.Now(), r.Entries
 	for _, a := range r.Announcements {
 		s.servers[a.Server] = a
@@ -312,7 +331,7 @@
 			mergeAnnouncement(next.Servers, a)
 		}
 		for _, e := range s.entries {
-			if existing := next.Entries[e.Name]; existing == nil || e.StartedUnixMs > existing.StartedUnixMs || (e.StartedUnixMs == existing.StartedUnixMs && e.Sequence > existing.Sequence) {
+			if existing := next.Entries[e.Name]; existing == nil || newerEntry(e, existing) {
 				next.Entries[e.Name] = e
 			}
 		}
@@ -337,7 +356,7 @@
 		newest, other = a, existing
 	}
 	if other.BornUnixMs == newest.BornUnixMs {
-		newest = withHighestVersions(newest, other)
+		newest = withNewestRateLimit(withHighestVersions(newest, other), other)
 	}
 	if other.Leaving && !newest.Leaving && other.BornUnixMs == newest.BornUnixMs {
 		newest = proto.CloneOf(newest)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -300,7 +300,7 @@
 		if limit.Limited {
 			c.gateway.metrics.directives.WithLabelValues(directiveRateLimit).Inc()
 		}
-		c.gateway.recordRateLimit(b, *limit, c.request.ID)
+		c.gateway.observeRateLimit(b, *limit, c.request.ID)
 	}
 	if a.response.PauseFor == nil || a.status != http.StatusServiceUnavailable {
 		return
--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -31,8 +31,8 @@
 
 	tracker dispatch.BackendState
 	weights map[string]uint64
-	// rateLimit is what the server last stated in a response to this instance.
-	rateLimit dispatch.RateLimit
+	// rateLimit is the rate limit of the incarnation; nil if it never stated one.
+	rateLimit atomic.Pointer[serverLimit]
 }
 
 func newBackend(a *fleetv1.Announcement, s *site.Service, state *serviceState, connections int, now time.Time) *backend {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -61,6 +61,9 @@
 	queueTime     time.Duration
 	// pausedUntil is when the first server accepts requests again if none does now.
 	pausedUntil time.Time
+	// rateLimited are the servers that the last decision left out because this instance
+	// has no permit for them.
+	rateLimited []*backend
 }
 
 // rawPath returns the path as sent by the client.
--- a/gateway/directives.go
+++ b/gateway/directives.go
@@ -1,28 +1,6 @@
 package gateway
 
-import (
-	"log/slog"
-
-	"github.com/galenaarch/galenaarch/dispatch"
-)
-
-// recordRateLimit records what a response states about the server's request rate.
-// request is the ID of the request.
-func (g *Gateway) recordRateLimit(b *backend, limit dispatch.RateLimit, request string) {
-	b.state.mu.Lock()
-	changed := b.rateLimit != limit
-	b.rateLimit = limit
-	b.state.mu.Unlock()
-	if !changed {
-		return
-	}
-	if limit.Limited {
-		g.metrics.rateLimits.WithLabelValues(b.server).Set(limit.PerSecond)
-	} else {
-		g.metrics.rateLimits.DeleteLabelValues(b.server)
-	}
-	g.logger.Info("server rate limit changed", slog.String("server", b.server), slog.Bool("limited", limit.Limited), slog.Float64("per_second", limit.PerSecond), slog.String("request", request))
-}
+import "log/slog"
 
 // maxUnknownDirectives bounds the remembered header names that were logged.
 const maxUnknownDirectives = 64
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -11,6 +11,7 @@
 	"github.com/galenaarch/galenaarch/dispatch"
 	"github.com/galenaarch/galenaarch/fleetview"
 	"github.com/galenaarch/galenaarch/placement"
+	"github.com/galenaarch/galenaarch/registry"
 )
 
 // connectionShare is the share of a server's connections that all entry instances use
@@ -55,6 +56,7 @@
 		g.followContexts(ctx, s, next)
 	}
 	g.routing.Store(next)
+	g.attachRateLimits(next)
 	g.closeRemoved(old, next)
 	g.states.recheckAll()
 	if old == nil || (old.table == nil && next.table != nil) {
@@ -168,8 +170,13 @@
 	var leaving []incarnation
 	for _, a := range s.NewestIncarnations() {
 		service := next.table.Service(a.Service)
+		id := incarnation{a.Server, a.BornUnixMs}
 		if a.Leaving {
-			leaving = append(leaving, incarnation{a.Server, a.BornUnixMs})
+			leaving = append(leaving, id)
+		}
+		if a.RateLimit != nil {
+			g.mergeRateLimit(id, registry.DecodeRateLimit(a.RateLimit), "control")
+			g.limits.markReported(id, a.RateLimit.Revision)
 		}
 		if service == nil || a.State != fleetv1.ServerState_SERVER_STATE_READY {
 			continue
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -54,6 +54,10 @@
 	policy   *dispatch.Policy
 	states   serviceStates
 	leaving  leavingServers
+	limits   rateLimits
+	permits  *permitClient
+	// permitFailures limits the log lines on failed requests for permits.
+	permitFailures failureLog
 	// announceInterval is the time between announcements of a backend server.
 	announceInterval time.Duration
 	// weightRolloutTime is the time in which all servers are to run a new target
@@ -98,8 +102,9 @@
 		dialect: deps.Dialect, view: deps.View, stores: deps.Stores, follower: deps.Follower, peers: deps.peers, scorer: deps.Scorer, policy: deps.Policy,
 		instance: s.Instance, zone: s.FailureDomain, retryLimits: s.RetryLimits, announceInterval: s.AnnounceInterval, weightRolloutTime: s.WeightRolloutTime,
 		logger: logger, metrics: m, started: time.Now(), accessLogLimiter: rate.NewLimiter(accessLogRate, accessLogBurst), retryBudgets: make(map[string]*retry.Window),
-		unknownDirectives: make(map[string]bool),
+		unknownDirectives: make(map[string]bool), permitFailures: failureLog{logger: logger},
 	}
+	g.permits = newPermitClient(g)
 	g.routing.Store(&routingState{entryCount: 1})
 	return g
 }
@@ -117,6 +122,7 @@
 		case <-changed:
 		case now := <-ticker.C:
 			g.closeIdle(now)
+			g.limits.removeOld(g.routing.Load(), now)
 			g.updateRetryBudgets(now)
 		}
 	}
@@ -273,15 +279,26 @@
 func (c *call) retryable() bool { return c.route.Retryable() }
 
 // retryAfter returns the time after which a client whose request has not run may retry:
-// if all servers are paused, the time until the first accepts requests again.
+// if all servers are paused, the time until the first accepts requests again, and if the
+// others are rate-limited, the client's turn at their rate.
 func (c *call) retryAfter() time.Duration {
-	if wait := time.Until(c.pausedUntil); wait > 0 {
-		return wait
-	}
 	jitter := rand.Float64()
 	if !c.gateway.policy.Enabled(dispatch.RetryJitter) {
 		jitter = 0
 	}
+	wait := time.Until(c.pausedUntil)
+	if len(c.rateLimited) > 0 {
+		rate := c.gateway.returnRate(c.rateLimited)
+		c.state.mu.Lock()
+		delay := c.state.returns.Next(rate, jitter, time.Now())
+		c.state.mu.Unlock()
+		if wait <= 0 || delay < wait {
+			wait = delay
+		}
+	}
+	if wait > 0 {
+		return wait
+	}
 	return admission.RetryDelay(c.decision.Estimate, jitter)
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -17,6 +17,8 @@
 	estimateErrors *prometheus.HistogramVec
 	directives     *prometheus.CounterVec
 	rateLimits     *prometheus.GaugeVec
+	permitsIssued  prometheus.Counter
+	permitRequests *prometheus.CounterVec
 }
 
 // Directives of servers, as label values of a metric.
@@ -41,7 +43,9 @@
 	}
 	m.directives = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_server_directives_total", Help: "Responses by which a server directs how it is used, by directive."}, []string{"directive"})
 	m.rateLimits = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "galena_gateway_server_rate_limit", Help: "Requests a second that a server takes from all instances together, while it states a limit."}, []string{"server"})
-	r.MustRegister(m.directives, m.rateLimits, m.outcomes, m.failedAttempts, m.firstByte, m.unlogged, m.panics, m.queued, m.estimateErrors)
+	m.permitsIssued = prometheus.NewCounter(prometheus.CounterOpts{Name: "galena_gateway_permits_issued_total", Help: "Permits for rate-limited servers that this instance issued to itself and others."})
+	m.permitRequests = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_permit_requests_total", Help: "Requests for permits to other instances, by server and outcome."}, []string{"outcome"})
+	r.MustRegister(m.directives, m.rateLimits, m.permitsIssued, m.permitRequests, m.outcomes, m.failedAttempts, m.firstByte, m.unlogged, m.panics, m.queued, m.estimateErrors)
 	return m
 }
 
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -14,6 +14,7 @@
 	"github.com/galenaarch/galenaarch/dispatch"
 	"github.com/galenaarch/galenaarch/fleetview"
 	"github.com/galenaarch/galenaarch/placement"
+	"github.com/galenaarch/galenaarch/registry"
 )
 
 // Intervals and limits of the updates between entry instances.
@@ -74,6 +75,12 @@
 	// onUpdate is called after an update from another instance, with the incarnations
 	// that it reports as leaving.
 	onUpdate func(leaving []incarnation, from string)
+	// limits lists the rate limits to include in updates, onLimit is called for each
+	// limit in an update from another instance, and servePermits responds to requests
+	// for permits.
+	limits       func(now time.Time) []*fleetv1.ServerRateLimit
+	onLimit      func(id incarnation, limit dispatch.StatedLimit, from string)
+	servePermits func(r *fleetv1.AcquirePermitsRequest) *fleetv1.AcquirePermitsResponse
 
 	mu      sync.Mutex
 	ownLoad map[string]dispatch.Load
@@ -91,6 +98,10 @@
 func newPeers(self *fleetv1.EntryInstance, client *http.Client, logger *slog.Logger) *peers {
 	p := &peers{
 		self: self, client: client, logger: logger, changed: make(chan struct{}, 1), ownLoad: make(map[string]dispatch.Load), zoneUpdates: make(map[string]*peerUpdate), onUpdate: func([]incarnation, string) {},
+		limits: func(time.Time) []*fleetv1.ServerRateLimit { return nil }, onLimit: func(incarnation, dispatch.StatedLimit, string) {},
+		servePermits: func(*fleetv1.AcquirePermitsRequest) *fleetv1.AcquirePermitsResponse {
+			return &fleetv1.AcquirePermitsResponse{}
+		},
 		updates: make(map[string]*peerUpdate), backoffUntil: make(map[string]time.Time), clients: make(map[string]fleetv1.Entries),
 	}
 	p.totals.Store(&map[string]dispatch.Load{})
@@ -187,6 +198,9 @@
 // Tell implements fleetv1.Entries. It stores an update from another instance, and calls
 // onUpdate unless the update is outdated.
 func (p *peers) Tell(_ context.Context, r *fleetv1.TellRequest) (*fleetv1.TellResponse, error) {
+	for _, l := range r.Limits {
+		p.onLimit(incarnation{l.Server.GetServer(), l.Server.GetBornUnixMs()}, registry.DecodeRateLimit(l.Limit), r.Entry)
+	}
 	if p.apply(r) {
 		leaving := make([]incarnation, len(r.Leaving))
 		for i, l := range r.Leaving {
@@ -197,6 +211,18 @@
 	return &fleetv1.TellResponse{}, nil
 }
 
+// AcquirePermits implements fleetv1.Entries.
+func (p *peers) AcquirePermits(_ context.Context, r *fleetv1.AcquirePermitsRequest) (*fleetv1.AcquirePermitsResponse, error) {
+	return p.servePermits(r), nil
+}
+
+// permitClient returns the client for requests for permits to a peer.
+func (p *peers) permitClient(url string) fleetv1.Entries {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.clientOf(url)
+}
+
 // apply stores an update and reports whether it is the newest of its instance.
 func (p *peers) apply(r *fleetv1.TellRequest) bool {
 	p.mu.Lock()
@@ -288,9 +314,10 @@
 // other instances, with cells only to those of its failure domain. It does not wait for
 // the responses. entries is keyed by instance name.
 func (p *peers) sendUpdates(ctx context.Context, entries map[string]*fleetv1.EntryInstance) {
+	limits := p.limits(time.Now())
 	p.mu.Lock()
 	p.sequence++
-	req := &fleetv1.TellRequest{Entry: p.self.Name, StartedUnixMs: p.self.StartedUnixMs, Sequence: p.sequence}
+	req := &fleetv1.TellRequest{Entry: p.self.Name, StartedUnixMs: p.self.StartedUnixMs, Sequence: p.sequence, Limits: limits}
 	req.Work = encodeWork(p.ownLoad)
 	for _, id := range p.leaving {
 		req.Leaving = append(req.Leaving, &fleetv1.ServerLife{Server: id.server, BornUnixMs: id.startedMs})
@@ -314,7 +341,7 @@
 	if !placement.UsesCells(len(entries)) {
 		return
 	}
-	byZone := make(map[string][]string)
+	byZone, limits := make(map[string][]string), p.limits(time.Now())
 	for name, e := range entries {
 		if e.Zone != p.self.Zone && e.PeerUrl != "" {
 			byZone[e.Zone] = append(byZone[e.Zone], name)
@@ -329,7 +356,7 @@
 		}
 	}
 	p.rotation++
-	req := &fleetv1.TellRequest{Entry: p.self.Name, StartedUnixMs: p.self.StartedUnixMs, Zone: p.self.Zone, Work: encodeWork(work)}
+	req := &fleetv1.TellRequest{Entry: p.self.Name, StartedUnixMs: p.self.StartedUnixMs, Zone: p.self.Zone, Work: encodeWork(work), Limits: limits}
 	p.mu.Unlock()
 	for _, names := range byZone {
 		slices.Sort(names)
@@ -350,6 +377,11 @@
 	if now.Before(p.backoffUntil[url]) {
 		return nil
 	}
+	return p.clientOf(url)
+}
+
+// clientOf returns the client for a peer. The caller holds p.mu.
+func (p *peers) clientOf(url string) fleetv1.Entries {
 	c := p.clients[url]
 	if c == nil {
 		c = fleetv1.NewEntriesProtobufClient(url, p.client)
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -185,6 +185,7 @@
 		p.gateway.applyLeavingReport(leaving, from)
 		p.gateway.states.recheckAll()
 	}
+	p.peers.limits, p.peers.onLimit, p.peers.servePermits = p.gateway.limits.announced, p.gateway.mergeRateLimit, p.gateway.permits.serve
 	p.logger.Info("scheduling configured", slog.String("placement", p.settings.Placement), slog.Any("without", policy.Disabled()))
 	return nil
 }
@@ -229,6 +230,7 @@
 	}
 	p.view.Start(ctx)
 	go p.peers.run(ctx, p.view)
+	go p.gateway.permits.run(ctx, p.view)
 	go p.gateway.Run(ctx)
 	return nil
 }
@@ -283,6 +285,7 @@
 func (p *Process) Drain(ctx context.Context) error {
 	startedAt := time.Now()
 	p.gateway.drain.start(startedAt, p.settings.GracePeriod)
+	p.gateway.permits.drainStartedAt.Store(&startedAt)
 	p.view.SetAccepting(false)
 	ticker := time.NewTicker(50 * time.Millisecond)
 	defer ticker.Stop()
--- /dev/null
+++ b/gateway/rate_limits.go
@@ -0,0 +1,315 @@
+package gateway
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/galenaarch/galenaarch/api/fleetv1"
+	"github.com/galenaarch/galenaarch/dispatch"
+	"github.com/galenaarch/galenaarch/registry"
+)
+
+const (
+	// maxRateLimits bounds the number of incarnations whose rate limit is known. It is
+	// above the number of servers that the control instances list.
+	maxRateLimits = 65536
+	// rateLimitRetention is how long the limit of an incarnation that is no longer
+	// listed is remembered: it may be listed again, or at another address.
+	rateLimitRetention = 15 * time.Minute
+	// limitAnnounceTime is how long a changed limit is announced to other instances.
+	limitAnnounceTime = 5 * time.Second
+	// limitReportSpread is the time over which instances that learn of a limit at the
+	// same moment report it to the control instances, so that most find it reported.
+	limitReportSpread = 300 * time.Millisecond
+	// limitReportRetry is the time after which a limit that the control instances do
+	// not list yet is reported again.
+	limitReportRetry = time.Second
+)
+
+// serverLimit is the rate limit of one incarnation of a server, this instance's permits
+// for it, and its permit issuer if this instance is in charge.
+type serverLimit struct {
+	incarnation
+
+	// mu guards the fields below.
+	mu      sync.Mutex
+	stated  dispatch.StatedLimit
+	permits dispatch.Permits
+	issuer  dispatch.PermitIssuer
+	role    dispatch.IssuerRole
+	issuing bool
+	// lastIssuer is the instance that last issued permits.
+	lastIssuer string
+	// changedAt is when the limit last changed here, seenAt when the incarnation was
+	// last listed.
+	changedAt, seenAt time.Time
+	// reportedRevision is the newest revision that the control instances list; a newer
+	// one is reported at reportAt.
+	reportedRevision uint64
+	reportAt         time.Time
+}
+
+// limited reports whether the server states a limit now.
+func (l *serverLimit) limited() bool {
+	if l == nil {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.stated.Limited
+}
+
+func (l *serverLimit) current() dispatch.StatedLimit {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.stated
+}
+
+// change applies a change of the statement and reports the limits before and after it.
+func (l *serverLimit) change(now time.Time, update func(*dispatch.StatedLimit) bool) (from, to dispatch.StatedLimit, changed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	from = l.stated
+	if changed = update(&l.stated); !changed {
+		return from, from, false
+	}
+	l.permits.LimitChanged(from.RateLimit, l.stated.RateLimit)
+	l.changedAt = now
+	if l.reportAt.IsZero() {
+		l.reportAt = now.Add(rand.N(limitReportSpread))
+	}
+	return from, l.stated, true
+}
+
+// rateLimits are the known rate limits by incarnation.
+//
+// Invariant: a limit outlives the backend that it was stated to: an incarnation that is
+// listed again, under a new document or at another address, is still limited.
+type rateLimits struct {
+	mu    sync.RWMutex
+	known map[incarnation]*serverLimit
+}
+
+// get returns the limit of an incarnation, nil if it never stated one.
+func (r *rateLimits) get(id incarnation) *serverLimit {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.known[id]
+}
+
+// getOrAdd returns the limit of an incarnation, a new one if there is none; nil if there is
+// no room.
+func (r *rateLimits) getOrAdd(id incarnation, now time.Time) *serverLimit {
+	if l := r.get(id); l != nil {
+		return l
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.known == nil {
+		r.known = make(map[incarnation]*serverLimit)
+	}
+	l := r.known[id]
+	if l == nil && len(r.known) < maxRateLimits {
+		l = &serverLimit{incarnation: id, seenAt: now}
+		r.known[id] = l
+	}
+	return l
+}
+
+// all lists the known limits.
+func (r *rateLimits) all() []*serverLimit {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	list := make([]*serverLimit, 0, len(r.known))
+	for _, l := range r.known {
+		list = append(list, l)
+	}
+	return list
+}
+
+// removeOld forgets the incarnations that have not been listed for rateLimitRetention.
+func (r *rateLimits) removeOld(rs *routingState, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, l := range r.known {
+		l.mu.Lock()
+		if b := rs.backends[id.server]; b != nil && b.incarnation == id {
+			l.seenAt = now
+		}
+		if now.Sub(l.seenAt) > rateLimitRetention {
+			delete(r.known, id)
+		}
+		l.mu.Unlock()
+	}
+}
+
+// announced lists the limits that changed recently, for other instances.
+func (r *rateLimits) announced(now time.Time) []*fleetv1.ServerRateLimit {
+	var list []*fleetv1.ServerRateLimit
+	for _, l := range r.all() {
+		l.mu.Lock()
+		if now.Sub(l.changedAt) < limitAnnounceTime {
+			list = append(list, l.encode())
+		}
+		l.mu.Unlock()
+	}
+	return list
+}
+
+// unreported lists the limits that are due to be reported to the control instances.
+func (r *rateLimits) unreported(now time.Time) []*fleetv1.ServerRateLimit {
+	var list []*fleetv1.ServerRateLimit
+	for _, l := range r.all() {
+		l.mu.Lock()
+		switch {
+		case l.stated.Revision <= l.reportedRevision:
+			l.reportAt = time.Time{}
+		case !l.reportAt.IsZero() && !now.Before(l.reportAt):
+			l.reportAt = now.Add(limitReportRetry)
+			list = append(list, l.encode())
+		}
+		l.mu.Unlock()
+	}
+	return list
+}
+
+// markReported records the revision of a limit that the control instances list.
+func (r *rateLimits) markReported(id incarnation, revision uint64) {
+	if l := r.get(id); l != nil {
+		l.mu.Lock()
+		l.reportedRevision = max(l.reportedRevision, revision)
+		l.mu.Unlock()
+	}
+}
+
+// encode encodes the limit; the caller holds l.mu.
+func (l *serverLimit) encode() *fleetv1.ServerRateLimit {
+	return &fleetv1.ServerRateLimit{Server: &fleetv1.ServerLife{Server: l.server, BornUnixMs: l.startedMs}, Limit: registry.EncodeRateLimit(l.stated)}
+}
+
+// observeRateLimit records what a response of a server states. request is the ID of the
+// request, empty if it was one of this process's own calls.
+func (g *Gateway) observeRateLimit(b *backend, limit dispatch.RateLimit, request string) {
+	l := b.rateLimit.Load()
+	if l == nil {
+		if !limit.Limited {
+			return
+		}
+		if l = g.limits.getOrAdd(b.incarnation, time.Now()); l == nil {
+			g.logger.Warn("server rate limit not stored: too many are known", slog.String("server", b.server), slog.Int("known", maxRateLimits))
+			return
+		}
+		b.rateLimit.Store(l)
+	}
+	g.changeRateLimit(l, slog.String("request", request), func(s *dispatch.StatedLimit) bool { return s.Observe(limit) })
+}
+
+// observeRateLimitAt records what the server at an address states in response to one of
+// this process's own calls.
+func (g *Gateway) observeRateLimitAt(address string, limit dispatch.RateLimit) {
+	for _, b := range g.routing.Load().backends {
+		if b.address == address {
+			g.observeRateLimit(b, limit, "")
+		}
+	}
+}
+
+// mergeRateLimit records a limit that another process reports.
+func (g *Gateway) mergeRateLimit(id incarnation, limit dispatch.StatedLimit, from string) {
+	if limit.Revision == 0 {
+		return
+	}
+	l := g.limits.getOrAdd(id, time.Now())
+	if l == nil {
+		return
+	}
+	if b := g.routing.Load().backends[id.server]; b != nil && b.incarnation == id {
+		b.rateLimit.Store(l)
+	}
+	g.changeRateLimit(l, slog.String("told_by", from), func(s *dispatch.StatedLimit) bool { return s.Merge(limit) })
+}
+
+// changeRateLimit applies a change of a limit, logs it and passes it on to the other
+// instances.
+func (g *Gateway) changeRateLimit(l *serverLimit, source slog.Attr, update func(*dispatch.StatedLimit) bool) {
+	from, to, changed := l.change(time.Now(), update)
+	if !changed {
+		return
+	}
+	if to.Limited {
+		g.metrics.rateLimits.WithLabelValues(l.server).Set(to.PerSecond)
+	} else {
+		g.metrics.rateLimits.DeleteLabelValues(l.server)
+	}
+	g.logger.Info("server rate limit changed", slog.String("server", l.server), slog.Bool("limited", to.Limited), slog.Float64("per_second", to.PerSecond),
+		slog.Bool("was_limited", from.Limited), slog.Float64("was_per_second", from.PerSecond), slog.Uint64("revision", to.Revision), source)
+	g.limitPolling(l, to.RateLimit)
+	g.peers.notify()
+	g.permits.notify()
+}
+
+// limitPolling adapts the polling of a server's context to its rate limit.
+func (g *Gateway) limitPolling(l *serverLimit, limit dispatch.RateLimit) {
+	rs := g.routing.Load()
+	if b := rs.backends[l.server]; b != nil && b.incarnation == l.incarnation {
+		g.stores.SetPollInterval(b.address, dispatch.PollInterval(limit, rs.entryCount))
+	}
+}
+
+// attachRateLimits connects the backends of a new routing state with the known limits.
+func (g *Gateway) attachRateLimits(rs *routingState) {
+	for _, l := range g.limits.all() {
+		b := rs.backends[l.server]
+		if b == nil || b.incarnation != l.incarnation {
+			continue
+		}
+		b.rateLimit.Store(l)
+		g.limitPolling(l, l.current().RateLimit)
+	}
+}
+
+// fallback returns the part of a limit that this instance may use without permits.
+func (g *Gateway) fallback(l *serverLimit) dispatch.Fallback {
+	return dispatch.Fallback{Limit: l.stated.RateLimit, Instances: g.routing.Load().entryCount, Jitter: rand.Float64()}
+}
+
+// mayUse reports whether a server's rate limit allows a request of this instance now. If
+// not, permits are asked for.
+func (g *Gateway) mayUse(b *backend, now time.Time) bool {
+	l := b.rateLimit.Load()
+	if l == nil || !g.policy.Enabled(dispatch.RateLimits) {
+		return true
+	}
+	l.mu.Lock()
+	allowed := !l.stated.Limited || l.permits.Available(g.fallback(l), now)
+	l.mu.Unlock()
+	if !allowed {
+		g.permits.notify()
+	}
+	return allowed
+}
+
+// takePermit uses up a permit for a request to a server; false if there is none.
+func (g *Gateway) takePermit(b *backend, now time.Time) bool {
+	l := b.rateLimit.Load()
+	if l == nil || !g.policy.Enabled(dispatch.RateLimits) {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.stated.Limited || l.permits.Take(g.fallback(l), now)
+}
+
+// returnRate returns this instance's share of the rate at which the rate-limited servers
+// of a list take requests.
+func (g *Gateway) returnRate(limited []*backend) float64 {
+	total := 0.0
+	for _, b := range limited {
+		if l := b.rateLimit.Load(); l != nil {
+			total += l.current().PerSecond
+		}
+	}
+	return total / float64(g.routing.Load().entryCount)
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -51,6 +51,7 @@
 	reasonClientLeft   rejectReason = "caller left"
 	reasonNoCapacity   rejectReason = "no answer in time"
 	reasonAllPaused    rejectReason = "servers want nothing"
+	reasonRateLimited  rejectReason = "rate limited"
 )
 
 // nextResponse sends the request to servers until one responds. It returns nil and
@@ -94,6 +95,9 @@
 
 // resolveReason returns the final reason why there is no server for the request.
 func (c *call) resolveReason(reason rejectReason) rejectReason {
+	if reason == reasonNoServer && len(c.rateLimited) > 0 {
+		return reasonRateLimited
+	}
 	if reason == reasonNoServer && !c.pausedUntil.IsZero() {
 		return reasonAllPaused
 	}
--- a/gateway/service_state.go
+++ b/gateway/service_state.go
@@ -27,6 +27,8 @@
 	estimateErrors [2]dispatch.EstimateErrors
 	// firstServerAt is when this process first learned of a server of the service.
 	firstServerAt time.Time
+	// returns spreads the return of clients rejected because of rate limits.
+	returns dispatch.ReturnSchedule
 	// lastRecheck is when a waiting request last had the queue rescheduled. The others
 	// then skip theirs for half of queueRecheckInterval.
 	lastRecheck time.Time
@@ -95,9 +97,22 @@
 }
 
 // place chooses a server for a request and counts its load there. A prompt is queued
-// while all servers are full. Without a server, the backend is nil and the reason is
+// while all servers are full. A request that only rate-limited servers can take waits up
+// to maxPermitWait for a permit. Without a server, the backend is nil and the reason is
 // set.
 func (g *Gateway) place(ctx context.Context, c *call) placementResult {
+	deadline := time.Now().Add(maxPermitWait)
+	for {
+		arrival := g.permits.arrival()
+		result := g.placeOnce(ctx, c)
+		if result.backend != nil || result.reason != reasonNoServer || len(c.rateLimited) == 0 || !g.permits.await(ctx, arrival, c.rateLimited, deadline) {
+			return result
+		}
+	}
+}
+
+// placeOnce is place without the wait for a permit.
+func (g *Gateway) placeOnce(ctx context.Context, c *call) placementResult {
 	s := c.state
 	s.mu.Lock()
 	var claimed map[string]bool
@@ -195,6 +210,10 @@
 		c.awaitedServer = b.server
 		return placementResult{}, true
 	}
+	if !g.takePermit(b, now) {
+		c.rateLimited = append(c.rateLimited, b)
+		return placementResult{reason: reasonNoServer}, false
+	}
 	c.work = dispatch.Work{PrefillTokens: d.PrefillTokens, MemoryTokens: c.job().MemoryTokens, Deferred: c.deferred()}
 	b.tracker.Sent(c.work, now)
 	g.publishLoad(b)
@@ -224,7 +243,7 @@
 // lock.
 func (g *Gateway) decide(c *call, claimed map[string]bool, now time.Time) (dispatch.Decision, *backend) {
 	rs, s := g.routing.Load(), c.state
-	usable, pausedUntil := g.usableBackends(rs.services[c.service.Name], now)
+	usable, pausedUntil := g.usableBackends(c, rs.services[c.service.Name], now)
 	c.pausedUntil = pausedUntil
 	if c.prompt != nil {
 		usable = rs.excludeOutdated(c.prompt.Model, usable, now)
@@ -319,9 +338,11 @@
 
 // usableBackends returns the servers that requests may be sent to: the reachable ones,
 // or the unreachable ones if there are no others. Leaving and paused servers are never
-// included. pausedUntil is when the first paused server accepts requests again, zero if
-// other servers are usable.
-func (g *Gateway) usableBackends(all []*backend, now time.Time) (reachable []*backend, pausedUntil time.Time) {
+// included, and rate-limited ones only with a permit; those left out for lack of one are
+// listed in c.rateLimited. pausedUntil is when the first paused server accepts requests
+// again, zero if other servers are usable.
+func (g *Gateway) usableBackends(c *call, all []*backend, now time.Time) (reachable []*backend, pausedUntil time.Time) {
+	c.rateLimited = c.rateLimited[:0]
 	reachable = make([]*backend, 0, len(all))
 	var unreachable []*backend
 	for _, b := range all {
@@ -332,13 +353,17 @@
 			if pausedUntil.IsZero() || until.Before(pausedUntil) {
 				pausedUntil = until
 			}
+		case c.triedServers[b.server]:
+			reachable = append(reachable, b) // needs no permit: it is not used again
+		case !g.mayUse(b, now):
+			c.rateLimited = append(c.rateLimited, b)
 		case b.tracker.Lost(now):
 			unreachable = append(unreachable, b)
 		default:
 			reachable = append(reachable, b)
 		}
 	}
-	if len(reachable) == 0 {
+	if len(reachable) == 0 && len(c.rateLimited) == 0 {
 		reachable = unreachable
 	}
 	if len(reachable) > 0 {
--- a/registry/hub.go
+++ b/registry/hub.go
@@ -12,6 +12,7 @@
 
 	"github.com/galenaarch/galenaarch/api/controlv1"
 	"github.com/galenaarch/galenaarch/api/fleetv1"
+	"github.com/galenaarch/galenaarch/dispatch"
 )
 
 // Timing of a hub.
@@ -145,6 +146,32 @@
 	}
 }
 
+// MergeRateLimit records a rate limit of an incarnation of a server that the process
+// from reports.
+func (h *Hub) MergeRateLimit(server string, bornUnixMS int64, limit dispatch.StatedLimit, from string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.table.MergeRateLimit(server, bornUnixMS, limit) {
+		h.rateLimitChanged(server, limit.RateLimit, from)
+	}
+}
+
+// ObserveRateLimit records what a server states about its request rate in a response
+// to the control instance from.
+func (h *Hub) ObserveRateLimit(server string, bornUnixMS int64, limit dispatch.RateLimit, from string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.table.ObserveRateLimit(server, bornUnixMS, limit) {
+		h.rateLimitChanged(server, limit, from)
+	}
+}
+
+// rateLimitChanged logs a changed rate limit and wakes the waiting polls. mu must be held.
+func (h *Hub) rateLimitChanged(server string, limit dispatch.RateLimit, from string) {
+	h.notifyChanged()
+	h.logger.Info("server rate limit changed", slog.String("server", server), slog.Bool("limited", limit.Limited), slog.Float64("per_second", limit.PerSecond), slog.String("reported_by", from))
+}
+
 // AcceptingAddresses lists the addresses of the entry instances that accept
 // clients, at most limit (0: all), for clients in a failure domain.
 func (h *Hub) AcceptingAddresses(domain string, limit int) []string {
@@ -225,6 +252,9 @@
 	for _, l := range req.Leaving {
 		h.MarkLeaving(l.Server, l.BornUnixMs, req.Self.GetName())
 	}
+	for _, l := range req.Limits {
+		h.MergeRateLimit(l.Server.GetServer(), l.Server.GetBornUnixMs(), DecodeRateLimit(l.Limit), req.Self.GetName())
+	}
 	cursor := req.Cursor
 	if req.Feed != h.feedID {
 		cursor = 0
--- a/registry/table.go
+++ b/registry/table.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/galenaarch/galenaarch/api/fleetv1"
+	"github.com/galenaarch/galenaarch/dispatch"
 )
 
 // Limits of a table.
@@ -90,6 +91,7 @@
 	if existing != nil && existing.BornUnixMs == a.BornUnixMs {
 		keepHighestVersions(a.Weights, existing.Weights)
 		a.Leaving = a.Leaving || existing.Leaving
+		a.RateLimit = existing.RateLimit
 	}
 	changed := existing == nil || !equalExceptSequence(a, existing.Announcement)
 	if existing == nil {
@@ -175,6 +177,35 @@
 	return true
 }
 
+// MergeRateLimit adopts a rate limit that another process knows, if it is newer than
+// the one in the table, and reports whether the table changed. Limits of servers that
+// are not in the table are ignored: they are reported again.
+func (t *Table) MergeRateLimit(server string, bornUnixMS int64, limit dispatch.StatedLimit) bool {
+	return t.updateRateLimit(server, bornUnixMS, func(s *dispatch.StatedLimit) bool { return s.Merge(limit) })
+}
+
+// ObserveRateLimit records what a response of a server states about its request rate,
+// and reports whether the table changed.
+func (t *Table) ObserveRateLimit(server string, bornUnixMS int64, limit dispatch.RateLimit) bool {
+	return t.updateRateLimit(server, bornUnixMS, func(s *dispatch.StatedLimit) bool { return s.Observe(limit) })
+}
+
+func (t *Table) updateRateLimit(server string, bornUnixMS int64, update func(*dispatch.StatedLimit) bool) bool {
+	existing := t.servers[server]
+	if existing == nil || existing.BornUnixMs != bornUnixMS {
+		return false
+	}
+	stated := DecodeRateLimit(existing.RateLimit)
+	if !update(&stated) {
+		return false
+	}
+	next := proto.CloneOf(existing.Announcement)
+	next.RateLimit = EncodeRateLimit(stated)
+	existing.Announcement = next
+	t.markChanged(existing)
+	return true
+}
+
 // equalExceptSequence compares everything that subscribers act upon.
 func equalExceptSequence(a, existing *fleetv1.Announcement) bool {
 	b := proto.CloneOf(existing)
