Rate limits: one issuer after a drain or an ended limit, and limits are used under sparse load

Found by a test in virtual time: entry and control instances with kills, drains, freezes, cuts, uneven load and a limit that falls, rises, ends and begins again.

A second SIGTERM no longer extends the time for which a stopping instance issues. Now a permit is asked for only while a request waits for it, at the time that the issuer named. - Unused permits accumulate up to 3 more, which the bound leaves room for; less for limits of a few requests a second. - The list of instances is read every 100 ms, and ranks are computed when it changes: with 760 instances and many limited servers it was the main cost.

--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -8,8 +8,9 @@
 type Permits struct {
 	grants []permitGrant
 	// lacking counts the decisions since the last request for permits that could have
-	// used one.
-	lacking int
+	// used one, lackedAt is when the last of them was made.
+	lacking  int
+	lackedAt time.Time
 	// askAfter is when the instance may ask again; asking is set while a request is in
 	// flight.
 	askAfter time.Time
@@ -25,6 +26,15 @@
 	expiresAt time.Time
 }
 
+// MaxPermitWait is how long a request that no other server can take waits for a permit.
+// For later requests none are asked for in advance: with little load at each of many
+// instances, most would expire unused.
+const MaxPermitWait = 50 * time.Millisecond
+
+// permitRoundTrip is the time allowed for a request for permits: one that is made later
+// comes too late for the request that waits for it.
+const permitRoundTrip = 10 * time.Millisecond
+
 // issuerTimeout is how long an instance without a response from an issuer waits before it
 // uses the fallback.
 const issuerTimeout = 300 * time.Millisecond
@@ -54,7 +64,7 @@
 	if len(p.grants) > 0 || p.useFallback(f, now) {
 		return true
 	}
-	p.lacking++
+	p.lacking, p.lackedAt = p.lacking+1, now
 	if p.unansweredSince.IsZero() {
 		p.unansweredSince = now
 		if p.askAfter.After(now) {
@@ -101,14 +111,25 @@
 	if p.asking || p.lacking == 0 || now.Before(p.askAfter) {
 		return 0
 	}
+	if now.Sub(p.lackedAt) > MaxPermitWait-permitRoundTrip {
+		p.lacking, p.unansweredSince = 0, time.Time{}
+		return 0
+	}
 	atMost := 1 + int(max(l.PerSecond, minPermitRate)*permitTTL.Seconds())
 	wanted := min(p.lacking, atMost)
 	p.lacking, p.asking = 0, true
 	return wanted
 }
 
-// NextAsk returns when the instance may next ask for permits.
-func (p *Permits) NextAsk() time.Time { return p.askAfter }
+// NextAsk returns when the instance may next ask for permits, and whether it lacks some.
+func (p *Permits) NextAsk() (at time.Time, lacking bool) {
+	return p.askAfter, p.lacking > 0 && !p.asking
+}
+
+// Expected reports whether a permit may arrive until the deadline of a request.
+func (p *Permits) Expected(deadline time.Time) bool {
+	return !p.askAfter.After(deadline.Add(-permitRoundTrip))
+}
 
 // Granted records an issuer's response to a request that was sent at sentAt.
 func (p *Permits) Granted(count int, retryAfter time.Duration, sentAt, now time.Time) {
--- a/dispatch/rate_limit.go
+++ b/dispatch/rate_limit.go
@@ -54,8 +54,8 @@
 	return true
 }
 
-// Shares of a rate limit. The users' bound is one and a half times the limit. Permits
-// take up to 1 + permitTTL/4 s + issueBurstTime/4 s of it in any 4 s; the rest covers
+// Shares of a rate limit. The users' bound for any 4 s is one and a half times the limit
+// and 5 requests. Permits take up to 1.075 times the limit and 3; the rest
 // instances that reach no issuer and polls, which need no permits.
 const (
 	// minPermitRate is the least number of permits issued per second: with none, no
@@ -63,7 +63,10 @@
 	minPermitRate = 0.25
 	// permitTTL is how long a permit may be used, counted from the request for it.
 	permitTTL = 250 * time.Millisecond
-	// issueBurstTime is the time for which unused permits accumulate at the issuer.
+	// Unused permits accumulate at the issuer: one, those of smallBurstTime up to
+	// maxSmallBurst, and those of issueBurstTime.
+	smallBurstTime = 250 * time.Millisecond
+	maxSmallBurst  = 2
 	issueBurstTime = 50 * time.Millisecond
 	// fallbackShare is the part of the limit that all instances without an issuer use
 	// together.
@@ -103,7 +106,7 @@
 	minAskInterval = 20 * time.Millisecond
 	maxAskInterval = time.Second
 	// askerTTL is how long an instance that was refused counts as one that asks.
-	askerTTL = 1500 * time.Millisecond
+	askerTTL = 100 * time.Millisecond
 	// maxAskers bounds the number of instances that are told apart.
 	maxAskers = 4096
 )
@@ -116,7 +119,7 @@
 	if p.refilledAt.IsZero() || now.Before(p.refilledAt) {
 		p.refilledAt = now
 	}
-	burst := 1 + rate*issueBurstTime.Seconds()
+	burst := 1 + min(maxSmallBurst, rate*smallBurstTime.Seconds()) + rate*issueBurstTime.Seconds()
 	p.available = min(burst, p.available+rate*now.Sub(p.refilledAt).Seconds())
 	p.refilledAt = now
 	granted = min(wanted, int(p.available))
@@ -148,20 +151,21 @@
 // lists it so in response to a poll that began at most LeadTTL ago. An instance that no
 // longer leads may not know for LeadTTL, and a new one waits longer than that before it
 // issues.
-type IssuerRole struct {
-	leadsSince time.Time
-}
+type IssuerRole struct{ leadsSince, updatedAt time.Time }
 
 // Times of a role.
 const (
 	// LeadTTL is the age up to which a registered poll counts. It covers two polls
 	// without changes, of which the second is still open.
-	LeadTTL = 1500 * time.Millisecond
+	LeadTTL = 1700 * time.Millisecond
 	// leadDelay is how long an instance leads before it issues.
-	leadDelay = 1800 * time.Millisecond
+	leadDelay = 2000 * time.Millisecond
 	// ResignTime is how long an instance that is stopping goes on issuing: no other one
 	// can have led for leadDelay before.
-	ResignTime = 1700 * time.Millisecond
+	ResignTime = 1900 * time.Millisecond
+	// maxRoleGap is the longest time between two updates of a role that counts as
+	// continuous; it is below leadDelay.
+	maxRoleGap = 500 * time.Millisecond
 )
 
 // FirstIssuer returns the instance that ranks first for a server; empty if there is none.
@@ -176,13 +180,16 @@
 	return first
 }
 
-// Update records whether the instance leads, and reports whether it issues permits.
+// Update records whether the instance leads, and reports whether it issues permits. It is
+// called at least once within maxRoleGap: another instance may lead in a longer gap.
 func (r *IssuerRole) Update(leads bool, now time.Time) bool {
+	gap := now.Sub(r.updatedAt)
+	r.updatedAt = now
 	if !leads {
 		r.leadsSince = time.Time{}
 		return false
 	}
-	if r.leadsSince.IsZero() {
+	if r.leadsSince.IsZero() || gap > maxRoleGap {
 		r.leadsSince = now
 	}
 	return now.Sub(r.leadsSince) >= leadDelay
--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,14 +18,11 @@
 	// permitTimeout limits one request for permits. Permits that come later have
 	// expired.
 	permitTimeout = 250 * time.Millisecond
-	// permitInterval is the time between checks of what is due without a new request:
-	// repeated requests for permits, roles and reports.
-	permitInterval = 20 * time.Millisecond
+	// permitInterval is the longest time between updates of the roles and reports of
+	// limits.
+	permitInterval = 100 * time.Millisecond
 	// entryListTTL is how long the list of entry instances is reused.
-	entryListTTL = 20 * time.Millisecond
-	// maxPermitWait is how long a request that no other server can take waits for a
-	// permit that has been asked for.
-	maxPermitWait = 50 * time.Millisecond
+	entryListTTL = 100 * time.Millisecond
 )
 
 // permitClient gets permits for rate-limited servers: from this instance if it issues
@@ -45,9 +43,13 @@
 
 // entryList is a result of View.CurrentEntries and when it was obtained.
 type entryList struct {
-	byName            map[string]*fleetv1.EntryInstance
-	listed, accepting bool
-	at                time.Time
+	byName map[string]*fleetv1.EntryInstance
+	at     time.Time
+	// candidates may issue permits, in the order of their names; version changes with
+	// them. eligible reports whether this instance is one of them.
+	candidates []string
+	version    uint64
+	eligible   bool
 }
 
 func newPermitClient(g *Gateway) *permitClient {
@@ -79,18 +81,19 @@
 
 // run asks for permits and reports limits to the control instances until the context ends.
 func (c *permitClient) run(ctx context.Context, view *fleetview.View) {
-	ticker := time.NewTicker(permitInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(permitInterval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-c.wake:
-		case <-ticker.C:
+		case <-timer.C:
 		}
 		now := time.Now()
-		c.acquire(ctx, now)
+		next := c.acquire(ctx, now)
 		view.ReportRateLimits(c.gateway.limits.unreported(now))
+		timer.Reset(max(time.Millisecond, next.Sub(now)))
 	}
 }
 
@@ -99,30 +102,39 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if now.Sub(c.entries.at) >= entryListTTL {
-		list := entryList{at: now}
-		list.byName, list.listed, list.accepting = c.gateway.view.CurrentEntries(now, dispatch.LeadTTL-entryListTTL)
-		c.entries = list
+		c.entries = c.listEntries(now, c.entries)
 	}
 	return c.entries
 }
 
-// firstIssuer returns the entry instance that ranks first for a server, nil if none is
-// known, and whether this instance leads.
-func (c *permitClient) firstIssuer(server string, now time.Time) (first *fleetv1.EntryInstance, leads bool) {
-	list, self := c.currentEntries(now), c.gateway.instance
-	startedAt := c.drainStartedAt.Load()
-	eligible := list.accepting
-	if startedAt != nil {
-		eligible = list.listed && now.Sub(*startedAt) < dispatch.ResignTime
+// listEntries lists the entry instances anew. A stopping instance stays a candidate for
+// its own permits until it resigns.
+func (c *permitClient) listEntries(now time.Time, previous entryList) entryList {
+	entries, listed, accepting := c.gateway.view.CurrentEntries(now, dispatch.LeadTTL-entryListTTL)
+	list := entryList{byName: entries, at: now, eligible: accepting, version: previous.version}
+	if startedAt := c.drainStartedAt.Load(); startedAt != nil {
+		list.eligible = listed && now.Sub(*startedAt) < dispatch.ResignTime-entryListTTL
 	}
-	candidates := make([]string, 0, len(list.byName))
-	for name, e := range list.byName {
-		if e.Accepting || (name == self && eligible) {
-			candidates = append(candidates, name)
+	for name, e := range entries {
+		if (name == c.gateway.instance && list.eligible) || (name != c.gateway.instance && e.Accepting) {
+			list.candidates = append(list.candidates, name)
 		}
 	}
-	name := dispatch.FirstIssuer(server, candidates)
-	return list.byName[name], name == self && eligible
+	slices.Sort(list.candidates)
+	if !slices.Equal(list.candidates, previous.candidates) {
+		list.version++
+	}
+	return list
+}
+
+// firstIssuer returns the entry instance that ranks first for a server, nil if none is
+// known, and whether this instance leads. The caller holds l.mu.
+func (c *permitClient) firstIssuer(l *serverLimit, now time.Time) (first *fleetv1.EntryInstance, leads bool) {
+	list := c.currentEntries(now)
+	if l.rankedVersion != list.version {
+		l.first, l.rankedVersion = dispatch.FirstIssuer(l.server, list.candidates), list.version
+	}
+	return list.byName[l.first], list.eligible && l.first == c.gateway.instance
 }
 
 // updateRole updates whether this instance issues the permits of a server. The caller
@@ -143,16 +155,17 @@
 	requests []*fleetv1.PermitRequest
 }
 
-// acquire asks for the permits that decisions lacked.
-func (c *permitClient) acquire(ctx context.Context, now time.Time) {
+// acquire asks for the permits that decisions lacked, and returns when it is due again.
+func (c *permitClient) acquire(ctx context.Context, now time.Time) (next time.Time) {
 	targets := make(map[string]*permitTarget)
+	next = now.Add(permitInterval)
 	arrived := false
 	for _, l := range c.gateway.limits.all() {
 		if !l.limited() {
 			continue
 		}
-		first, leads := c.firstIssuer(l.server, now)
 		l.mu.Lock()
+		first, leads := c.firstIssuer(l, now)
 		issuing := c.updateRole(l, leads, now)
 		wanted := l.permits.Wanted(l.stated.RateLimit, now)
 		switch {
@@ -166,6 +179,9 @@
 		default:
 			c.addRequest(targets, c.issuerToAsk(l, first), l, wanted, now)
 		}
+		if at, lacking := l.permits.NextAsk(); lacking && at.Before(next) {
+			next = at
+		}
 		l.mu.Unlock()
 	}
 	for _, t := range targets {
@@ -174,6 +190,7 @@
 	if arrived {
 		c.announceArrival()
 	}
+	return next
 }
 
 // issue issues permits of a server to an instance. The caller holds l.mu.
@@ -264,8 +281,8 @@
 			continue
 		}
 		now := time.Now()
-		_, leads := c.firstIssuer(id.server, now)
 		l.mu.Lock()
+		_, leads := c.firstIssuer(l, now)
 		grant.Issuing = c.updateRole(l, leads, now)
 		grant.Limit = registry.EncodeRateLimit(l.stated)
 		if grant.Issuing && l.stated.Limited {
@@ -285,7 +302,7 @@
 	for _, b := range limited {
 		if l := b.rateLimit.Load(); l != nil {
 			l.mu.Lock()
-			expected = expected || !l.permits.NextAsk().After(deadline)
+			expected = expected || l.permits.Expected(deadline)
 			l.mu.Unlock()
 		}
 	}
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -285,7 +285,7 @@
 func (p *Process) Drain(ctx context.Context) error {
 	startedAt := time.Now()
 	p.gateway.drain.start(startedAt, p.settings.GracePeriod)
-	p.gateway.permits.drainStartedAt.Store(&startedAt)
+	p.gateway.permits.drainStartedAt.CompareAndSwap(nil, &startedAt)
 	p.view.SetAccepting(false)
 	ticker := time.NewTicker(50 * time.Millisecond)
 	defer ticker.Stop()
--- a/gateway/rate_limits.go
+++ b/gateway/rate_limits.go
@@ -40,8 +40,10 @@
 	issuer  dispatch.PermitIssuer
 	role    dispatch.IssuerRole
 	issuing bool
-	// lastIssuer is the instance that last issued permits.
-	lastIssuer string
+	// lastIssuer is the instance that last issued permits, first the one that ranks first
+	// among the candidates of rankedVersion.
+	lastIssuer, first string
+	rankedVersion     uint64
 	// changedAt is when the limit last changed here, seenAt when the incarnation was
 	// last listed.
 	changedAt, seenAt time.Time
@@ -206,16 +208,6 @@
 	g.changeRateLimit(l, slog.String("request", request), func(s *dispatch.StatedLimit) bool { return s.Observe(limit) })
 }
 
-// observeRateLimitAt records what the server at an address states in response to one of
-// this process's own calls.
-func (g *Gateway) observeRateLimitAt(address string, limit dispatch.RateLimit) {
-	for _, b := range g.routing.Load().backends {
-		if b.address == address {
-			g.observeRateLimit(b, limit, "")
-		}
-	}
-}
-
 // mergeRateLimit records a limit that another process reports.
 func (g *Gateway) mergeRateLimit(id incarnation, limit dispatch.StatedLimit, from string) {
 	if limit.Revision == 0 {
--- a/gateway/service_state.go
+++ b/gateway/service_state.go
@@ -98,10 +98,10 @@
 
 // place chooses a server for a request and counts its load there. A prompt is queued
 // while all servers are full. A request that only rate-limited servers can take waits up
-// to maxPermitWait for a permit. Without a server, the backend is nil and the reason is
+// to dispatch.MaxPermitWait for a permit. Without a server, the backend is nil and the reason is
 // set.
 func (g *Gateway) place(ctx context.Context, c *call) placementResult {
-	deadline := time.Now().Add(maxPermitWait)
+	deadline := time.Now().Add(dispatch.MaxPermitWait)
 	for {
 		arrival := g.permits.arrival()
 		result := g.placeOnce(ctx, c)
