Obey a rate limit that a server states in response to polls, reports and orders

Class of the incident: what a server says is dropped. A statement counts whichever call it answers, but event polls of the entry and control instances, status reports and orders read only the announcement that a server is leaving.

Cause: each caller picked the headers that it knew. Change: one type, Directives, holds what any response says about its server, and is decoded in one place. Event polls pass it to the request path, control instances merge a limit into the server's announcement. A response that names another server is not attributed to the one at the address.

--- a/contextrelay/server.go
+++ b/contextrelay/server.go
@@ -8,6 +8,7 @@
 	"github.com/galenaarch/galenaarch/api/fleetv1"
 	"github.com/galenaarch/galenaarch/config/site"
 	"github.com/galenaarch/galenaarch/contexts"
+	"github.com/galenaarch/galenaarch/dispatch"
 	"github.com/galenaarch/galenaarch/fleetview"
 	"github.com/galenaarch/galenaarch/kernel"
 )
@@ -40,14 +41,17 @@
 var _ fleetv1.Contexts = (*Server)(nil)
 
 // NewServer returns the server of the control instance with the base URL self.
-// onLeaving is called, with the server and the start of its incarnation in Unix
-// milliseconds, for each engine that reports that it is leaving.
-func NewServer(self string, f contexts.Feed, v *fleetview.View, decode func([]byte) (*site.Document, error), onLeaving func(server string, born int64), logger *slog.Logger) *Server {
+// onDirectives is called, with the server and the start of its incarnation in Unix
+// milliseconds, with what engines say about themselves in response to polls.
+func NewServer(self string, f contexts.Feed, v *fleetview.View, decode func([]byte) (*site.Document, error), onDirectives func(server string, born int64, d dispatch.Directives), logger *slog.Logger) *Server {
 	s := &Server{watcher: contexts.NewRelayWatcher(f, logger), view: v, self: self, decode: decode, logger: logger, feed: uint64(time.Now().UnixNano())}
-	s.watcher.OnLeaving(func(address string) {
+	s.watcher.OnDirectives(func(address string, d dispatch.Directives) {
+		if d.RateLimit != nil {
+			s.watcher.SetPollInterval(address, dispatch.PollInterval(*d.RateLimit, len(v.Current().ControlURLs)))
+		}
 		for _, a := range v.Current().NewestIncarnations() {
-			if a.Address == address {
-				onLeaving(a.Server, a.BornUnixMs)
+			if a.Address == address && (d.Server == "" || d.Server == a.Server) {
+				onDirectives(a.Server, a.BornUnixMs, d)
 			}
 		}
 	})
--- a/contexts/store.go
+++ b/contexts/store.go
@@ -8,6 +8,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/galenaarch/galenaarch/dispatch"
 )
 
 // Key identifies a part of a prompt under a cache salt. The same part under another
@@ -58,8 +60,8 @@
 	// Gap means that earlier changes are missing from the report.
 	Gap     bool
 	Changes []Change
-	// Leaving means that an engine has announced that it wants no new requests.
-	Leaving bool
+	// Directives are those of an engine.
+	dispatch.Directives
 }
 
 // HolderState is the tracked state of one store or engine. It is not safe for
@@ -93,6 +95,8 @@
 	measuredAt       time.Time
 	// ignoreSlowness disables the slowness estimate.
 	ignoreSlowness bool
+	// rateLimited is set while the engine states a rate limit in response to polls.
+	rateLimited bool
 	// linkFreeAt is when this instance's pending transfers end at their nominal
 	// times. They run one after another.
 	linkFreeAt time.Time
--- a/contexts/watcher.go
+++ b/contexts/watcher.go
@@ -27,8 +27,7 @@
 // Feed polls stores and engines for their content.
 type Feed interface {
 	// Changes returns the changes after a cursor, waiting up to wait for one. The
-	// result is never nil: together with an error it may report that an engine is
-	// leaving. A holder that asks not to be polled for some time returns a
+	// result is never nil: together with an error it may contain directives. A holder that asks not to be polled for some time returns a
 	// dispatch.RetryAfterError.
 	Changes(ctx context.Context, address string, after uint64, wait time.Duration) (*Changes, error)
 	// List returns everything that a holder holds. It delays the holder's other work.
@@ -50,12 +49,13 @@
 // Watcher tracks the state of all stores and engines. It polls some of them itself
 // and gets the state of the others from relaying instances.
 type Watcher struct {
-	feed      Feed
-	logger    *slog.Logger
-	started   time.Time
-	bootTime  time.Duration
-	options   Options
-	onLeaving func(address string)
+	feed     Feed
+	logger   *slog.Logger
+	started  time.Time
+	bootTime time.Duration
+	options  Options
+	// onDirectives is called with the directives of engines.
+	onDirectives func(address string, d dispatch.Directives)
 
 	mu sync.Mutex
 	// polled holds the holders that this watcher polls, by address.
@@ -89,9 +89,9 @@
 	}
 }
 
-// OnLeaving sets the callback for an engine that reports to this watcher that it
-// is leaving. It must be called before any holder is tracked.
-func (w *Watcher) OnLeaving(f func(address string)) { w.onLeaving = f }
+// OnDirectives sets the callback for what engines say about themselves in response to
+// polls. It must be called before any holder is tracked.
+func (w *Watcher) OnDirectives(f func(address string, d dispatch.Directives)) { w.onDirectives = f }
 
 // PausePolling suspends the polling of an engine or store until a wall-clock time. It
 // never shortens a pause.
@@ -356,6 +356,20 @@
 	}
 }
 
+// reportDirectives passes on what an engine says about itself; the end of a rate limit once.
+func (w *Watcher) reportDirectives(s *HolderState, d dispatch.Directives) {
+	if !s.Engine || w.onDirectives == nil {
+		return
+	}
+	w.mu.Lock()
+	limited := d.RateLimit != nil && (d.RateLimit.Limited || s.rateLimited)
+	s.rateLimited = limited && d.RateLimit.Limited
+	w.mu.Unlock()
+	if d.Leaving || limited {
+		w.onDirectives(s.Address, d)
+	}
+}
+
 // poll polls a holder once. The age of the state counts from the end of the poll.
 func (w *Watcher) poll(ctx context.Context, s *HolderState) error {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
@@ -364,9 +378,7 @@
 	after := s.Cursor()
 	w.mu.Unlock()
 	changes, err := w.feed.Changes(ctx, s.Address, after, pollWait)
-	if changes.Leaving && s.Engine && w.onLeaving != nil {
-		w.onLeaving(s.Address)
-	}
+	w.reportDirectives(s, changes.Directives)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/dispatch/directives.go
@@ -0,0 +1,12 @@
+package dispatch
+
+// Directives are what a response says about its server, whichever call it responds to.
+type Directives struct {
+	// Server is the incarnation that responded; empty if the response does not name it.
+	Server string
+	// Leaving is set if the server has announced that it wants no new requests.
+	Leaving bool
+	// RateLimit is what the server states about its request rate; nil if the response
+	// says nothing about it.
+	RateLimit *RateLimit
+}
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -180,7 +180,7 @@
 	p.gateway = New(Dependencies{
 		Dialect: dialect, View: p.view, Stores: stores, Follower: contextrelay.NewFollower(stores, client, p.logger), Scorer: scorer, Policy: policy, peers: p.peers,
 	}, &p.settings, p.logger, newMetrics(ctx.Registry))
-	stores.OnLeaving(p.gateway.markLeavingAt)
+	stores.OnDirectives(p.gateway.applyDirectivesAt)
 	p.peers.onUpdate = func(leaving []incarnation, from string) {
 		p.gateway.applyLeavingReport(leaving, from)
 		p.gateway.states.recheckAll()
--- a/gateway/service_state.go
+++ b/gateway/service_state.go
@@ -384,13 +384,19 @@
 	}
 }
 
-// markLeavingAt records that the server at an address announced that it is leaving, in
-// response to one of this process's own calls.
-func (g *Gateway) markLeavingAt(address string) {
+// applyDirectivesAt applies what the server at an address says about itself in response to
+// one of this process's own calls.
+func (g *Gateway) applyDirectivesAt(address string, d dispatch.Directives) {
 	for _, b := range g.routing.Load().backends {
-		if b.address == address {
+		if b.address != address || (d.Server != "" && d.Server != b.server) {
+			continue
+		}
+		if d.Leaving {
 			g.markLeaving(b, "")
 		}
+		if d.RateLimit != nil {
+			g.observeRateLimit(b, *d.RateLimit, "")
+		}
 	}
 }
 
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -19,6 +19,7 @@
 	"github.com/galenaarch/galenaarch/contexts"
 	"github.com/galenaarch/galenaarch/control"
 	"github.com/galenaarch/galenaarch/control/state"
+	"github.com/galenaarch/galenaarch/dispatch"
 	"github.com/galenaarch/galenaarch/fleetview"
 	"github.com/galenaarch/galenaarch/httpserver"
 	"github.com/galenaarch/galenaarch/kernel"
@@ -134,14 +135,19 @@
 		return err
 	}
 	r.view = fleetview.New([]string{r.replica.URL()}, nil, r.client, r.logger)
-	r.contextServer = contextrelay.NewServer(r.replica.URL(), feed, r.view, r.platform.DecodeDocument, r.markLeaving, r.logger)
+	r.contextServer = contextrelay.NewServer(r.replica.URL(), feed, r.view, r.platform.DecodeDocument, r.applyDirectives, r.logger)
 	r.replica.Mount(fleetv1.ContextsPathPrefix, fleetv1.NewContextsServer(r.contextServer))
 	return nil
 }
 
-// markLeaving records that a server has told this instance that it is leaving.
-func (r *Registrar) markLeaving(server string, bornUnixMS int64) {
-	r.hub.MarkLeaving(server, bornUnixMS, r.replica.Instance())
+// applyDirectives records what a server says about itself in response to this instance.
+func (r *Registrar) applyDirectives(server string, bornUnixMS int64, d dispatch.Directives) {
+	if d.Leaving {
+		r.hub.MarkLeaving(server, bornUnixMS, r.replica.Instance())
+	}
+	if d.RateLimit != nil {
+		r.hub.ObserveRateLimit(server, bornUnixMS, *d.RateLimit, r.replica.Instance())
+	}
 }
 
 // Hub returns the hub of this instance.
@@ -175,7 +181,7 @@
 	if err != nil {
 		return err
 	}
-	runner := weights.NewRunner(r.replica.Instance(), r.settings.OrderLease, r.settings.WeightRolloutTime, engines, stores, r.replica, r.view, r.hub.ObserveWeights, r.markLeaving, r.platform.DecodeDocument, r.logger)
+	runner := weights.NewRunner(r.replica.Instance(), r.settings.OrderLease, r.settings.WeightRolloutTime, engines, stores, r.replica, r.view, r.hub.ObserveWeights, r.applyDirectives, r.platform.DecodeDocument, r.logger)
 	go runner.Run(ctx)
 	return nil
 }
--- a/weights/plan.go
+++ b/weights/plan.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"github.com/galenaarch/galenaarch/dispatch"
 	"github.com/galenaarch/galenaarch/placement"
 )
 
@@ -55,8 +56,7 @@
 
 // Report is the state that a backend server reports about itself.
 type Report struct {
-	// Leaving is true if the server is leaving: it accepts no new requests.
-	Leaving  bool
+	dispatch.Directives
 	Versions map[string]uint64
 	// Busy is true while the server executes an order.
 	Busy bool
--- a/weights/runner.go
+++ b/weights/runner.go
@@ -87,13 +87,12 @@
 // OrderResult is a backend server's response to an order.
 type OrderResult struct {
 	Outcome Outcome
-	// Leaving is true if the server is leaving: it accepts no new requests.
-	Leaving bool
+	dispatch.Directives
 }
 
 // EngineClient calls backend servers that run models. If a server rejects calls
 // for a limited time, the error is a *dispatch.RetryAfterError. The report is
-// never nil: even with an error, it states whether the server is leaving.
+// never nil: even with an error, it contains the server's directives.
 type EngineClient interface {
 	Report(ctx context.Context, s Server) (*Report, error)
 	SendOrder(ctx context.Context, s Server, o Order) (OrderResult, error)
@@ -118,7 +117,7 @@
 	leadership     Leadership
 	view           *fleetview.View
 	onVersions     func(server string, startUnixMs int64, versions map[string]uint64)
-	onLeaving      func(server string, startUnixMs int64)
+	onDirectives   func(server string, startUnixMs int64, d dispatch.Directives)
 	decodeDocument func(content []byte) (*site.Document, error)
 	logger         *slog.Logger
 
@@ -140,12 +139,12 @@
 // NewRunner returns a runner for the instance with the given name. formerLease
 // is how long orders of a former leader may remain valid; rolloutLimit is the
 // time in which all servers should be updated. onVersions is called with the
-// versions that servers report, onLeaving for each server that reports that it
-// is leaving.
+// versions that servers report, onDirectives with what they say about themselves
+// in response to calls.
 func NewRunner(name string, formerLease, rolloutLimit time.Duration, engines EngineClient, stores StoreClient, leadership Leadership, view *fleetview.View,
-	onVersions func(string, int64, map[string]uint64), onLeaving func(string, int64), decodeDocument func([]byte) (*site.Document, error), logger *slog.Logger) *Runner {
+	onVersions func(string, int64, map[string]uint64), onDirectives func(string, int64, dispatch.Directives), decodeDocument func([]byte) (*site.Document, error), logger *slog.Logger) *Runner {
 	return &Runner{
-		name: name, formerLease: formerLease, engines: engines, leadership: leadership, view: view, onVersions: onVersions, onLeaving: onLeaving, decodeDocument: decodeDocument, logger: logger, pausedUntil: make(map[string]time.Time),
+		name: name, formerLease: formerLease, engines: engines, leadership: leadership, view: view, onVersions: onVersions, onDirectives: onDirectives, decodeDocument: decodeDocument, logger: logger, pausedUntil: make(map[string]time.Time),
 		cleaner:      storeCleaner{stores: stores, logger: logger},
 		rolloutLimit: rolloutLimit, plan: NewPlan(rolloutLimit), failures: make(map[string]int), inFlight: make(map[string]bool),
 	}
@@ -280,7 +279,7 @@
 func (r *Runner) poll(ctx context.Context, t Task, requested map[string]uint64) {
 	polledAt := time.Now()
 	report, err := r.engines.Report(ctx, t.Server)
-	r.recordAvailability(t, report.Leaving, err)
+	r.recordAvailability(t, report.Directives, err)
 	if err != nil {
 		r.recordFailure(t, "look", err)
 		return
@@ -304,11 +303,11 @@
 	return r.plan.DueTask(t.Server.ID, requested, time.Now())
 }
 
-// recordAvailability handles a server that is leaving or rejects calls for a
-// limited time.
-func (r *Runner) recordAvailability(t Task, leaving bool, err error) {
-	if leaving {
-		r.onLeaving(t.Server.ID, t.Server.StartUnixMs)
+// recordAvailability handles what a server says about itself in response to a call, and
+// a server that rejects calls for a limited time.
+func (r *Runner) recordAvailability(t Task, d dispatch.Directives, err error) {
+	if d.Leaving || d.RateLimit != nil {
+		r.onDirectives(t.Server.ID, t.Server.StartUnixMs, d)
 	}
 	var retryAfterErr *dispatch.RetryAfterError
 	if !errors.As(err, &retryAfterErr) {
@@ -376,7 +375,7 @@
 	o := Order{Model: t.Model, Version: t.Version, LoadMode: LoadAfterRequests, Holder: r.name, FencingNumber: fencingNumber, ExpectedSequence: t.ExpectedSequence}
 	result, err := r.engines.SendOrder(ctx, t.Server, o)
 	outcome := result.Outcome
-	r.recordAvailability(t, result.Leaving, err)
+	r.recordAvailability(t, result.Directives, err)
 	r.logger.Info("load order sent", slog.String("server", t.Server.ID), slog.String("model", t.Model), slog.Uint64("version", t.Version),
 		slog.Uint64("fence", fencingNumber), slog.Uint64("expected", t.ExpectedSequence), slog.String("outcome", outcome.String()), slog.Any("error", err))
 	r.mu.Lock()
