Keep a server's pause when its incarnation is listed anew

What callers saw: requests that a paused server rejects, at the cost of an attempt each; the server gets what it asked to be spared.

Cause, of the incident's class (what a server says is forgotten): the pause was a field of the backend, and a new backend is made when the incarnation is listed at another address or its service leaves the document and returns. Leaving servers were remembered by incarnation, pauses were not.

Pauses are kept by incarnation, as rate limits are.

--- a/dispatch/backend_state.go
+++ b/dispatch/backend_state.go
@@ -288,6 +288,14 @@
 	return b.pausedUntil
 }
 
+// ResumePause restores the pause of an incarnation that is listed anew. It does nothing if
+// the pause has ended.
+func (b *BackendState) ResumePause(until, now time.Time) {
+	if until.After(now) {
+		b.pausedUntil, b.concurrencyLimit = until, 1
+	}
+}
+
 // PausedUntil returns when the server accepts requests again.
 func (b *BackendState) PausedUntil() time.Time { return b.pausedUntil }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -266,7 +265,7 @@
 	}
 	a.status = a.exchange.Response.StatusCode
 	a.response = c.gateway.dialect.DecodeResponse(a.status, a.exchange.Response.Header)
-	a.applyServerDirectives(c, now)
+	a.applyServerDirectives(c)
 	if len(a.response.IgnoredHeaders) > 0 {
 		c.gateway.logger.Info("unparsable headers ignored", slog.String("request", c.request.ID), slog.String("server", a.backend.server), slog.Any("headers", a.response.IgnoredHeaders))
 	}
@@ -286,7 +285,7 @@
 // applyServerDirectives handles a server that announces that it is leaving or asks for
 // a pause. Every response from that server counts, whichever request it belongs to; a
 // response that names another server is ignored.
-func (a *attempt) applyServerDirectives(c *call, now time.Time) {
+func (a *attempt) applyServerDirectives(c *call) {
 	b := a.backend
 	if a.response.Server != "" && a.response.Server != b.server {
 		return
@@ -305,12 +304,7 @@
 	if a.response.PauseFor == nil || a.status != http.StatusServiceUnavailable {
 		return
 	}
-	c.gateway.metrics.directives.WithLabelValues(directivePause).Inc()
-	var until time.Time
-	b.update(func(tracker *dispatch.BackendState) { until = tracker.Pause(*a.response.PauseFor, now, rand.Float64()) })
-	c.gateway.stores.PausePolling(b.address, until)
-	c.gateway.logger.Info("server asked for a pause", slog.String("server", b.server), slog.String("request", c.request.ID),
-		slog.Duration("said", *a.response.PauseFor), slog.Duration("for", until.Sub(now)))
+	c.gateway.pause(b, *a.response.PauseFor, c.request.ID)
 }
 
 // updateLoad records the load that a server reports.
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -199,6 +199,7 @@
 	}
 	if b == nil || b.startedMs != a.BornUnixMs || b.address != a.Address || b.service.Name != service.Name {
 		b = newBackend(a, service, g.states.get(service.Name), connections, now)
+		b.tracker.ResumePause(g.pauses.get(b.incarnation), now)
 	} else {
 		b.pool.SetMax(connections)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -54,6 +54,7 @@
 	policy   *dispatch.Policy
 	states   serviceStates
 	leaving  leavingServers
+	pauses   serverPauses
 	limits   rateLimits
 	permits  *permitClient
 	// permitFailures limits the log lines on failed requests for permits.
