Obey Retry-After with status 429, not only with 503

What callers saw: a server that rejects requests with 429 and names a time to come back got the next requests at once.

Cause, of the incident's class (what a server says is dropped): the time was read with one status only, though both promise that the request has not run.

Evidence: TestTooManyRequestsWithRetryAfterPausesServer failed before (the next request reached the server) and passes now; status reports, orders and event polls likewise (a new row in the table of internal calls).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -301,10 +301,10 @@
 		}
 		c.gateway.observeRateLimit(b, *limit, c.request.ID)
 	}
-	if a.response.PauseFor == nil || a.status != http.StatusServiceUnavailable {
-		return
+	rejected := a.status == http.StatusServiceUnavailable || a.status == http.StatusTooManyRequests
+	if a.response.PauseFor != nil && rejected {
+		c.gateway.pause(b, *a.response.PauseFor, c.request.ID)
 	}
-	c.gateway.pause(b, *a.response.PauseFor, c.request.ID)
 }
 
 // updateLoad records the load that a server reports.
