Pause requests to an engine that rejects an event poll with a time to come back

What callers saw: requests sent to an engine that wants nothing, each rejected at the cost of an attempt.

Cause, of the incident's class (what a server says is known to one component only): Retry-After in the response to a poll paused the polls of that address, while requests went on; and the pause of polls was lost when the engine was tracked anew. Change: a poll reports the pause with the other directives, and a holder that is tracked anew begins with the pause of its incarnation.

Evidence: TestPauseRequestedInEventPollIsReported failed before (no report within a second) and passes now; TestPausedEngineIsNotPolledWhenTrackedAnew is new with the field that it tests.

--- a/contexts/watcher.go
+++ b/contexts/watcher.go
@@ -44,6 +44,9 @@
 	// Engine marks a backend server: it caches parts for its own use, others may
 	// fetch them, and nothing is saved there on request.
 	Engine bool
+	// PausedUntil is the wall-clock time before which a holder that was not tracked yet is
+	// not polled.
+	PausedUntil time.Time
 }
 
 // Watcher tracks the state of all stores and engines. It polls some of them itself
@@ -144,7 +147,7 @@
 		s := w.polled[spec.Address]
 		if s == nil {
 			pollCtx, cancel := context.WithCancel(ctx)
-			s = &polledHolder{HolderState: NewHolderState(spec.Address, spec.Zone), cancel: cancel}
+			s = &polledHolder{HolderState: NewHolderState(spec.Address, spec.Zone), cancel: cancel, pausedUntil: spec.PausedUntil}
 			s.journal = w.journal
 			w.polled[spec.Address] = s
 			go w.pollLoop(pollCtx, s.HolderState)
@@ -365,7 +368,7 @@
 	limited := d.RateLimit != nil && (d.RateLimit.Limited || s.rateLimited)
 	s.rateLimited = limited && d.RateLimit.Limited
 	w.mu.Unlock()
-	if d.Leaving || limited {
+	if d.Leaving || limited || d.PauseFor != nil {
 		w.onDirectives(s.Address, d)
 	}
 }
--- a/dispatch/directives.go
+++ b/dispatch/directives.go
@@ -1,5 +1,7 @@
 package dispatch
 
+import "time"
+
 // Directives are what a response says about its server, whichever call it responds to.
 type Directives struct {
 	// Server is the incarnation that responded; empty if the response does not name it.
@@ -9,4 +11,7 @@
 	// RateLimit is what the server states about its request rate; nil if the response
 	// says nothing about it.
 	RateLimit *RateLimit
+	// PauseFor is how long a server that rejects a call asks for no requests; nil if it does
+	// not, 0 if the value cannot be parsed.
+	PauseFor *time.Duration
 }
--- a/gateway/directives.go
+++ b/gateway/directives.go
@@ -50,6 +50,19 @@
 	return p.until[id]
 }
 
+// byAddress returns when the pauses of the listed backends end, by address.
+func (p *serverPauses) byAddress(rs *routingState) map[string]time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pauses := make(map[string]time.Time)
+	for id, until := range p.until {
+		if b := rs.backends[id.server]; b != nil && b.incarnation == id {
+			pauses[b.address] = until
+		}
+	}
+	return pauses
+}
+
 // pause records that a server asked for no requests for some time. request is the ID of
 // the request that it rejected, empty if it was one of this process's own calls.
 func (g *Gateway) pause(b *backend, asked time.Duration, request string) {
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -67,7 +67,12 @@
 // followContexts polls stores and engines for their contents, or subscribes to the
 // control instances that do.
 func (g *Gateway) followContexts(ctx context.Context, s *fleetview.Snapshot, next *routingState) {
-	polled, subscribed := contextrelay.SplitByPolling(contextrelay.ListHolders(next.table, s), next.entryCount)
+	holders := contextrelay.ListHolders(next.table, s)
+	pauses := g.pauses.byAddress(next)
+	for i := range holders {
+		holders[i].PausedUntil = pauses[holders[i].Address]
+	}
+	polled, subscribed := contextrelay.SplitByPolling(holders, next.entryCount)
 	g.stores.SetHolders(ctx, polled, subscribed)
 	if len(subscribed) > 0 {
 		g.follower.SetSources(ctx, s.ControlURLs)
--- a/gateway/service_state.go
+++ b/gateway/service_state.go
@@ -397,6 +397,9 @@
 		if d.RateLimit != nil {
 			g.observeRateLimit(b, *d.RateLimit, "")
 		}
+		if d.PauseFor != nil {
+			g.pause(b, *d.PauseFor, "")
+		}
 	}
 }
 
