Forget leaving servers that are too old to exist

What callers saw, after some 32,768 servers have left in a process's life: requests sent to servers that have announced that they are leaving.

Cause, of the incident's class (what a server says is dropped): the set of leaving incarnations is bounded, and the method that removes old ones was called by tests only, so a full set ignored the next statement. The list of recent ones that the method also returned had no other user and is gone; its test checks the removal as before.

Evidence: TestFullLeavingSetTakesNewServers failed before and passes now.

--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -120,9 +121,6 @@
 	leavingRetention = 15 * time.Minute
 	// maxLeavingServers limits the number of remembered incarnations.
 	maxLeavingServers = 32768
-	// leavingAnnounceTime is how long a leaving incarnation is announced to other
-	// instances, so that a process that starts meanwhile learns of it too.
-	leavingAnnounceTime = time.Minute
 )
 
 // add records a leaving incarnation and reports whether it was added: it is not if it
@@ -130,7 +128,13 @@
 func (l *leavingServers) add(id incarnation, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if _, known := l.since[id]; known || len(l.since) >= maxLeavingServers {
+	if _, known := l.since[id]; known {
+		return false
+	}
+	if len(l.since) >= maxLeavingServers {
+		l.forget(now)
+	}
+	if len(l.since) >= maxLeavingServers {
 		return false
 	}
 	if l.since == nil {
@@ -147,19 +151,14 @@
 	return known
 }
 
-// recent lists the incarnations recorded less than leavingAnnounceTime ago, which are
-// announced to other instances. It forgets those older than leavingRetention.
-func (l *leavingServers) recent(now time.Time) []*fleetv1.ServerLife {
+// removeOld forgets the incarnations older than leavingRetention.
+func (l *leavingServers) removeOld(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var list []*fleetv1.ServerLife
-	for id, since := range l.since {
-		switch age := now.Sub(since); {
-		case age > leavingRetention:
-			delete(l.since, id)
-		case age < leavingAnnounceTime:
-			list = append(list, &fleetv1.ServerLife{Server: id.server, BornUnixMs: id.startedMs})
-		}
-	}
-	return list
+	l.forget(now)
+}
+
+// forget is removeOld for a caller that holds l.mu.
+func (l *leavingServers) forget(now time.Time) {
+	maps.DeleteFunc(l.since, func(_ incarnation, since time.Time) bool { return now.Sub(since) > leavingRetention })
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -124,6 +124,7 @@
 		case now := <-ticker.C:
 			g.closeIdle(now)
 			g.limits.removeOld(g.routing.Load(), now)
+			g.leaving.removeOld(now)
 			g.updateRetryBudgets(now)
 		}
 	}
--- a/gateway/service_state_test.go
+++ b/gateway/service_state_test.go
@@ -163,7 +163,21 @@
 	require.False(t, l.add(incarnation{"0", 1}, now), "already recorded")
 	require.True(t, l.contains(incarnation{"0", 1}))
 	require.False(t, l.contains(incarnation{"0", 2}), "another incarnation")
-	require.Len(t, l.recent(now.Add(time.Second)), maxLeavingServers)
-	require.Empty(t, l.recent(now.Add(leavingRetention+time.Second)))
+	l.removeOld(now.Add(time.Second))
+	require.Len(t, l.since, maxLeavingServers)
+	l.removeOld(now.Add(leavingRetention + time.Second))
 	require.Empty(t, l.since)
 }
+
+// TestFullLeavingSetTakesNewServers guards against a process that has seen so many servers
+// leave that it ignores the next one: nothing removed the old ones.
+func TestFullLeavingSetTakesNewServers(t *testing.T) {
+	var l leavingServers
+	now := time.Unix(1000, 0)
+	for n := range maxLeavingServers {
+		require.True(t, l.add(incarnation{fmt.Sprint(n), 1}, now))
+	}
+	now = now.Add(leavingRetention + time.Second)
+	require.True(t, l.add(incarnation{"new", 1}, now))
+	require.True(t, l.contains(incarnation{"new", 1}))
+}
