--- a/faults/soak_test.go
+++ b/faults/soak_test.go
@@ -67,6 +67,12 @@
 
 // startSoak starts the processes. The flags are added to those of the gateways.
 func startSoak(t *testing.T, seed uint64, flags ...string) *soak {
+	t.Helper()
+	return startSoakWith(t, seed, soakGateways, flags...)
+}
+
+// startSoakWith is startSoak with a number of gateways.
+func startSoakWith(t *testing.T, seed uint64, gateways int, flags ...string) *soak {
 	t.Helper()
 	dir, err := buildBinaries()
 	require.NoError(t, err, dir)
@@ -87,7 +93,7 @@
 			"-surface", "platform", "-surface-listen", s.platformAddresses[i], "-directory-listen", freeAddress(t), "-announce-interval", announceInterval.String(),
 		}, commonArgs()...)})
 	}
-	for i := range soakGateways {
+	for i := range gateways {
 		name, ready := fmt.Sprint("gateway-", i), freeAddress(t)
 		s.gatewayAddresses = append(s.gatewayAddresses, freeAddress(t))
 		s.gateways = append(s.gateways, &process{t: t, name: name, path: filepath.Join(dir, "galena-gateway"), logPath: filepath.Join(data, name+".log"), ready: "http://" + ready + "/ready", args: append([]string{
@@ -173,7 +179,7 @@
 	id, path := fmt.Sprint("r-", s.requestCount.Add(1)), []string{platformtest.AtMostOncePrefix, platformtest.IdempotentPrefix}[rand.IntN(2)]
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
-	response, err := platformtest.Send(ctx, s.gatewayAddresses[rand.IntN(soakGateways)], path+"x", id, requestMaxWait)
+	response, err := platformtest.Send(ctx, s.gatewayAddresses[rand.IntN(len(s.gatewayAddresses))], path+"x", id, requestMaxWait)
 	if response == nil {
 		return false // the instance was killed or is frozen, so no response is guaranteed
 	}
