Emulator: servers that state a rate limit

The emulator decides with the code of the gateway, so rate limits belong there too: a share of the servers states a limit for some time (kind "limited"), instances get permits from the issuer of package dispatch, and the result says by how much the users' bound was exceeded. Three patterns with half of the servers limited to 2 requests a second exceed it without the mechanism "rate-limits" and not with it; service recovers after a limit of a third of the servers like after other faults.

--- a/emulator/entry.go
+++ b/emulator/entry.go
@@ -36,6 +36,9 @@
 	// pause that it asked for ends. The last two are 0 without such a report.
 	visibleFrom            time.Duration
 	leavingSince, pauseEnd time.Duration
+	// rateLimit is the rate limit that the server last stated to the instance.
+	rateLimit dispatch.StatedLimit
+	permits   dispatch.Permits
 }
 
 // entryInstance simulates one entry instance. It makes its decisions with package
@@ -70,23 +73,50 @@
 }
 
 // available returns the servers that may receive requests: those that are discovered,
-// not leaving and not paused.
-func (e *entryInstance) available(servers []*server, at time.Duration) []*server {
+// not leaving and not paused, and rate-limited ones only with a permit.
+func (e *entryInstance) available(servers []*server, at time.Duration, policy *dispatch.Policy) []*server {
 	usable := make([]*server, 0, len(servers))
 	for _, s := range servers {
 		state := e.states[s]
-		if state.visibleFrom <= at && !state.Leaving() && !toTime(at).Before(state.PausedUntil()) {
+		if state.visibleFrom <= at && !state.Leaving() && !toTime(at).Before(state.PausedUntil()) && (!policy.Enabled(dispatch.RateLimits) || state.mayUse(s, at)) {
 			usable = append(usable, s)
 		}
 	}
 	return usable
 }
 
-// recordSignals records that a server reports with its response that it is leaving
-// or asks for a pause. The jitter, from 0 to 1, spreads the end of the pause.
+// mayUse reports whether the server's rate limit allows a request now. The instance asks
+// for permits without delay.
+func (s *serverState) mayUse(from *server, at time.Duration) bool {
+	limit, now := s.rateLimit.RateLimit, toTime(at)
+	if !limit.Limited || s.permits.Available(dispatch.Fallback{}, now) {
+		return true
+	}
+	wanted := s.permits.Wanted(limit, now)
+	if wanted == 0 {
+		return false
+	}
+	granted, retryAfter := from.permitIssuer.Issue(limit, "", wanted, now)
+	s.permits.Granted(granted, retryAfter, now, now)
+	return granted > 0
+}
+
+// takePermit uses up a permit if the server states a rate limit.
+func (s *serverState) takePermit(at time.Duration) {
+	if s.rateLimit.Limited {
+		s.permits.Take(dispatch.Fallback{}, toTime(at))
+	}
+}
+
+// recordSignals records that a server reports with its response that it is leaving,
+// asks for a pause or states a rate limit. The jitter, from 0 to 1, spreads the end of the pause.
 func (e *entryInstance) recordSignals(s *server, rejected bool, at time.Duration, jitter float64) {
 	state := e.states[s]
 	leaving, pause := s.signals(at)
+	from := state.rateLimit.RateLimit
+	if limit := s.rateLimit(at); state.rateLimit.Observe(limit) {
+		state.permits.LimitChanged(from, limit)
+	}
 	if leaving && !state.Leaving() {
 		state.MarkLeaving()
 		state.leavingSince = at
--- a/emulator/pattern.go
+++ b/emulator/pattern.go
@@ -115,6 +115,8 @@
 //     leaving. The duration has no effect.
 //   - busy: a share of the servers rejects all requests and asks for a pause until
 //     the fault ends.
+//   - limited: a share of the servers states a rate limit, the magnitude, until the
+//     fault ends.
 //   - lost: entry instances lose their state and rediscover the servers one by one
 //     over the duration.
 type Fault struct {
@@ -122,8 +124,8 @@
 	StartSeconds    float64 `json:"at_seconds"`
 	DurationSeconds float64 `json:"for_seconds"`
 	ServerShare     float64 `json:"share"`
-	// Magnitude is the factor of the kinds burst and slow, and the probability, from 0
-	// to 1, of the kind fail.
+	// Magnitude is the factor of the kinds burst and slow, the probability, from 0 to 1,
+	// of the kind fail, and the requests per second of the kind limited.
 	Magnitude float64 `json:"x"`
 }
 
@@ -160,9 +162,9 @@
 	}
 	for _, f := range p.Faults {
 		switch f.Kind {
-		case "burst", "dark", "slow", "fail", "leaving", "busy", "lost":
+		case "burst", "dark", "slow", "fail", "leaving", "busy", "limited", "lost":
 		default:
-			return eris.Errorf("pattern %s: unknown kind %q in troubles, want burst, dark, slow, fail, leaving, busy or lost", p.Name, f.Kind)
+			return eris.Errorf("pattern %s: unknown kind %q in troubles, want burst, dark, slow, fail, leaving, busy, limited or lost", p.Name, f.Kind)
 		}
 	}
 	return nil
--- a/emulator/recovery_test.go
+++ b/emulator/recovery_test.go
@@ -49,6 +49,7 @@
 		"a quarter failing":                      {Kind: "fail", ServerShare: 0.25, Magnitude: 0.4},
 		"a third paused":                         {Kind: "busy", ServerShare: 0.34},
 		"all paused":                             {Kind: "busy", ServerShare: 1, DurationSeconds: 2},
+		"a third rate-limited":                   {Kind: "limited", ServerShare: 0.34, Magnitude: 4},
 		"a sixth leaving":                        {Kind: "leaving", ServerShare: 0.17},
 		"all instances lose their state":         {Kind: "lost", DurationSeconds: 1},
 		"all lose their state, slow rediscovery": {Kind: "lost", DurationSeconds: 3},
@@ -153,3 +154,17 @@
 		})
 	}
 }
+
+// TestRateLimitedServersReceiveNoMoreThanAllowed guards against instances that together send
+// more than a server's rate limit allows. Without the mechanism they do.
+func TestRateLimitedServersReceiveNoMoreThanAllowed(t *testing.T) {
+	for _, name := range []string{"returning", "calm", "burst"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := patternWithFault(t, name, 1, Fault{Kind: "limited", ServerShare: 0.5, Magnitude: 2, DurationSeconds: 12})
+			p.Seconds = faultStartSeconds + 12
+			require.Zero(t, Simulate(p, expectedTime).MostAboveLimit)
+			require.Positive(t, Simulate(p, expectedTimeWithout(t, "rate-limits")).MostAboveLimit)
+		})
+	}
+}
--- a/emulator/result.go
+++ b/emulator/result.go
@@ -15,6 +15,10 @@
 	// had reported to it that it is leaving, SentToPaused those sent during a pause
 	// that the server had asked it for. Both should be 0.
 	SentToLeaving, SentToPaused int
+	// MostAboveLimit is the largest number of requests that reached a rate-limited server
+	// in 4 s beyond the users' bound of one and a half times the limit and 5 requests;
+	// windows begin 3 s after the first statement or later. It should be 0.
+	MostAboveLimit int
 	// Preemptions is the number of preemptions at all engines.
 	Preemptions int
 }
--- a/emulator/run.go
+++ b/emulator/run.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/galenaarch/galenaarch/admission"
@@ -77,6 +78,9 @@
 		r.now = e.at
 		e.run()
 	}
+	for _, s := range append(slices.Clone(r.engines), r.plainServers...) {
+		r.result.MostAboveLimit = max(r.result.MostAboveLimit, s.mostAboveLimit())
+	}
 	for _, s := range r.engines {
 		r.result.Preemptions += s.engine.preemptions
 	}
@@ -281,7 +285,7 @@
 			PromptTokens: k.PrefixTokens + k.SuffixTokens, MemoryTokens: k.peakMemory(), Long: k.PrefixTokens+k.SuffixTokens >= placement.LongPromptTokens,
 		}
 	}
-	servers = e.available(servers, r.now)
+	servers = e.available(servers, r.now, r.policy.Mechanisms)
 	views := make([]placement.Server, len(servers))
 	for i, s := range servers {
 		e.states[s].View(&views[i], r.policy.Mechanisms, r.othersLoad(e, s), "", toTime(r.now))
--- a/emulator/send.go
+++ b/emulator/send.go
@@ -16,6 +16,10 @@
 	if k.isPrompt() {
 		work.MemoryTokens = k.peakMemory()
 	}
+	state.takePermit(sentAt)
+	if s.rateLimit(sentAt).Limited {
+		s.limitedArrivals = append(s.limitedArrivals, sentAt)
+	}
 	state.Sent(work, toTime(sentAt))
 	if _, pause := s.signals(r.now); pause > 0 {
 		r.rejectPaused(req, s, work)
--- a/emulator/server.go
+++ b/emulator/server.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/galenaarch/galenaarch/dispatch"
 )
 
 // server models one backend server.
@@ -21,6 +23,10 @@
 	// cachedPrefixes is ordered by last use, the least recently used first.
 	cachedPrefixes []cachedPrefix
 	faults         []Fault
+	// permitIssuer issues the permits of the server while it states a rate limit;
+	// limitedArrivals are the requests that reach it meanwhile.
+	permitIssuer    dispatch.PermitIssuer
+	limitedArrivals []time.Duration
 }
 
 type cachedPrefix struct{ prefix, tokens int }
@@ -32,6 +38,43 @@
 	responseAt time.Duration
 }
 
+// rateLimit returns the rate limit that the server states with its responses.
+func (s *server) rateLimit(at time.Duration) dispatch.RateLimit {
+	for i := range s.faults {
+		if f := &s.faults[i]; f.Kind == "limited" && f.active(at) {
+			return dispatch.RateLimit{Limited: true, PerSecond: f.Magnitude}
+		}
+	}
+	return dispatch.RateLimit{}
+}
+
+// The users' bound on the requests to a rate-limited server.
+const (
+	limitGrace  = 3 * time.Second
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+)
+
+// mostAboveLimit returns the largest number of requests beyond the bound in any window.
+func (s *server) mostAboveLimit() int {
+	if len(s.limitedArrivals) == 0 {
+		return 0
+	}
+	most, last := 0, 0
+	for first, from := range s.limitedArrivals {
+		for last < len(s.limitedArrivals) && s.limitedArrivals[last] <= from+limitWindow {
+			last++
+		}
+		if from < s.limitedArrivals[0]+limitGrace {
+			continue
+		}
+		allowed := limitFactor*s.rateLimit(from).PerSecond*limitWindow.Seconds() + limitSlack
+		most = max(most, last-first-int(allowed))
+	}
+	return most
+}
+
 // signals returns what the server reports with its responses: whether it is leaving,
 // and the pause that it asks for, or 0.
 func (s *server) signals(at time.Duration) (leaving bool, pause time.Duration) {
