A prompt without a permit for current weights does not go to older ones

Found by reading the change: rate-limited servers without a permit were removed before the servers on older weights. If the only servers that had switched were rate-limited, a prompt could go to older weights after the rollout time (rule VERSION). They now count among the servers that have switched. TestRateLimitedServerIsNotReplacedByOutdatedOne covers it. Permits also stay valid if a server states a limit that is lower by less than a tenth, as one that recomputes it for each response does.

--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -148,10 +148,14 @@
 	p.asking, p.askAfter = false, now.Add(unansweredRetry)
 }
 
-// LimitChanged adjusts the permits to a new limit. Permits that were issued under a higher
-// limit are dropped.
+// keepPermitsShare is the part of a former limit from which on permits stay valid: a server
+// may state a slightly different limit in each response.
+const keepPermitsShare = 0.9
+
+// LimitChanged adjusts the permits to a new limit. Permits that were issued under a much
+// higher limit are dropped.
 func (p *Permits) LimitChanged(from, to RateLimit) {
-	if to.stricterThan(from) {
+	if to.stricterThan(from) && to.PerSecond < keepPermitsShare*from.PerSecond {
 		p.grants = nil
 	}
 	p.fallback = fallbackTurns{}
--- a/gateway/service_state.go
+++ b/gateway/service_state.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -246,7 +247,7 @@
 	usable, pausedUntil := g.usableBackends(c, rs.services[c.service.Name], now)
 	c.pausedUntil = pausedUntil
 	if c.prompt != nil {
-		usable = rs.excludeOutdated(c.prompt.Model, usable, now)
+		usable = c.excludeOutdated(rs, usable, now)
 	}
 	req := g.newDecisionRequest(c, now)
 	candidates := func(set *candidateSet, list []*backend) *dispatch.Candidates {
@@ -291,6 +292,21 @@
 	return d, s.cellScratch.backends[d.Server]
 }
 
+// excludeOutdated removes the servers on older weights from those that may be used and from
+// those left out for lack of a permit. The latter count among the servers that have
+// switched: without a permit, a prompt must not go to older weights instead. The caller
+// holds the state's lock.
+func (c *call) excludeOutdated(rs *routingState, usable []*backend, now time.Time) []*backend {
+	all := append(slices.Clone(usable), c.rateLimited...)
+	kept := rs.excludeOutdated(c.prompt.Model, all, now)
+	if len(kept) == len(all) {
+		return usable
+	}
+	outdated := func(b *backend) bool { return !slices.Contains(kept, b) }
+	c.rateLimited = slices.DeleteFunc(c.rateLimited, outdated)
+	return slices.DeleteFunc(usable, outdated)
+}
+
 // currentPosition returns the position of the request in the queue, or the one that it
 // would get.
 func (c *call) currentPosition() dispatch.Position {
--- a/gateway/weights_test.go
+++ b/gateway/weights_test.go
@@ -60,3 +60,23 @@
 		})
 	}
 }
+
+// TestRateLimitedServerIsNotReplacedByOutdatedOne guards against prompts that go to older
+// weights after the rollout time because this instance has no permit for the servers that
+// have switched.
+func TestRateLimitedServerIsNotReplacedByOutdatedOne(t *testing.T) {
+	requestedAt := time.Unix(1000, 0)
+	rs := &routingState{weightRolloutTime: 8 * time.Second, targetVersions: map[string]uint64{"m": 2}, targetSince: map[string]time.Time{"m": requestedAt}}
+	service, state := &site.Service{Name: "llm", Engine: &site.Engine{}}, &serviceState{}
+	backendOn := func(name string, version uint64) *backend {
+		b := newBackend(&fleetv1.Announcement{Server: name}, service, state, 0, requestedAt)
+		b.raiseWeightVersion("m", version)
+		return b
+	}
+	switched, outdated, limitedOutdated := backendOn("i-1", 2), backendOn("i-2", 1), backendOn("i-3", 1)
+	c := &call{prompt: &Prompt{Model: "m"}, rateLimited: []*backend{switched, limitedOutdated}}
+	require.Equal(t, []*backend{outdated}, c.excludeOutdated(rs, []*backend{outdated}, requestedAt.Add(time.Second)), "early: older weights are used")
+	require.Len(t, c.rateLimited, 2)
+	require.Empty(t, c.excludeOutdated(rs, []*backend{outdated}, requestedAt.Add(8*time.Second)))
+	require.Equal(t, []*backend{switched}, c.rateLimited)
+}
