--- a/faults/soak_test.go
+++ b/faults/soak_test.go
@@ -82,8 +82,8 @@
 		controlAddresses = append(controlAddresses, freeAddress(t))
 	}
 	seeds, data := strings.Join(controlAddresses, ","), t.TempDir()
-	commonArgs := func() []string {
-		return []string{"-seeds", seeds, "-failure-domain", "zone-a", "-metrics-listen", freeAddress(t)}
+	commonArgs := func(address func() string) []string {
+		return []string{"-seeds", seeds, "-failure-domain", "zone-a", "-metrics-listen", address()}
 	}
 	for i, listen := range controlAddresses {
 		name := fmt.Sprint("control-", i)
@@ -91,14 +91,15 @@
 		s.controls = append(s.controls, &process{t: t, name: name, path: filepath.Join(dir, "galena-control"), logPath: filepath.Join(data, name+".log"), args: append([]string{
 			"-instance", name, "-listen", listen, "-data-dir", dataDir(t, data, name), "-trusted-network", "-trust-folder", "-found",
 			"-surface", "platform", "-surface-listen", s.platformAddresses[i], "-directory-listen", freeAddress(t), "-announce-interval", announceInterval.String(),
-		}, commonArgs()...)})
+		}, commonArgs(func() string { return freeAddress(t) })...)})
 	}
 	for i := range gateways {
-		name, ready := fmt.Sprint("gateway-", i), freeAddress(t)
-		s.gatewayAddresses = append(s.gatewayAddresses, freeAddress(t))
+		address := func() string { return onLoopbackHost(freeAddress(t), i/gatewaysPerHost) }
+		name, ready := fmt.Sprint("gateway-", i), address()
+		s.gatewayAddresses = append(s.gatewayAddresses, address())
 		s.gateways = append(s.gateways, &process{t: t, name: name, path: filepath.Join(dir, "galena-gateway"), logPath: filepath.Join(data, name+".log"), ready: "http://" + ready + "/ready", args: append([]string{
-			"-instance", name, "-dialect", "platform", "-listen", s.gatewayAddresses[i], "-ready-listen", ready, "-peer-listen", freeAddress(t),
-		}, append(commonArgs(), flags...)...)})
+			"-instance", name, "-dialect", "platform", "-listen", s.gatewayAddresses[i], "-ready-listen", ready, "-peer-listen", address(),
+		}, append(commonArgs(address), flags...)...)})
 	}
 	for i := range soakServers {
 		server := platformtest.New(t, fmt.Sprint("i-", i))
@@ -112,6 +113,15 @@
 	return s
 }
 
+// gatewaysPerHost is the number of gateways whose ports a test process has.
+const gatewaysPerHost = 40
+
+// onLoopbackHost moves an address to another loopback host, on which the ports of this
+// process are free again; host 0 is 127.0.0.1.
+func onLoopbackHost(address string, host int) string {
+	return fmt.Sprintf("127.0.0.%d%s", 1+host, strings.TrimPrefix(address, "127.0.0.1"))
+}
+
 // serverReply returns a mostly successful reply and counts executions.
 func (s *soak) serverReply(r *platformtest.Request) platformtest.Response {
 	reply := randomReply(r)
