--- a/contexts/watcher.go
+++ b/contexts/watcher.go
@@ -27,8 +27,8 @@
 // Feed polls stores and engines for their content.
 type Feed interface {
 	// Changes returns the changes after a cursor, waiting up to wait for one. The
-	// result is never nil: together with an error it may contain directives. A holder that asks not to be polled for some time returns a
-	// dispatch.RetryAfterError.
+	// result is never nil: together with an error it may contain directives. A holder
+	// that asks not to be polled for some time returns a dispatch.RetryAfterError.
 	Changes(ctx context.Context, address string, after uint64, wait time.Duration) (*Changes, error)
 	// List returns everything that a holder holds. It delays the holder's other work.
 	List(ctx context.Context, address string) (*Changes, error)
--- a/gateway/directives.go
+++ b/gateway/directives.go
@@ -10,6 +10,15 @@
 	"github.com/galenaarch/galenaarch/dispatch"
 )
 
+// serverStatements are what servers state about themselves. They are kept by incarnation,
+// outside the routing state, which is rebuilt with each document and announcement.
+type serverStatements struct {
+	leaving leavingServers
+	pauses  serverPauses
+	limits  rateLimits
+	unknown unknownDirectives
+}
+
 // serverPauses are the pauses that servers have asked this instance for, by incarnation.
 //
 // Invariant: a pause outlives the backend that was asked for it: an incarnation that is
@@ -75,21 +84,35 @@
 	g.logger.Info("server asked for a pause", slog.String("server", b.server), slog.String("request", request), slog.Duration("said", asked), slog.Duration("for", until.Sub(now)))
 }
 
-// maxUnknownDirectives bounds the remembered header names that were logged.
+// unknownDirectives are the names of headers that were logged as unknown directives.
+type unknownDirectives struct {
+	mu     sync.Mutex
+	logged map[string]bool
+}
+
+// maxUnknownDirectives bounds the remembered names.
 const maxUnknownDirectives = 64
 
+// add records a name and reports whether it is to be logged: once, if there is room.
+func (u *unknownDirectives) add(name string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.logged[name] || len(u.logged) >= maxUnknownDirectives {
+		return false
+	}
+	if u.logged == nil {
+		u.logged = make(map[string]bool)
+	}
+	u.logged[name] = true
+	return true
+}
+
 // reportUnknownDirectives counts the directives that this version does not support, and
 // logs each header name once.
 func (g *Gateway) reportUnknownDirectives(b *backend, request string, names []string) {
 	for _, name := range names {
 		g.metrics.directives.WithLabelValues(directiveUnknown).Inc()
-		g.mu.Lock()
-		logged := g.unknownDirectives[name] || len(g.unknownDirectives) >= maxUnknownDirectives
-		if !logged {
-			g.unknownDirectives[name] = true
-		}
-		g.mu.Unlock()
-		if !logged {
+		if g.unknown.add(name) {
 			g.logger.Warn("server sent an unknown directive", slog.String("server", b.server), slog.String("header", name), slog.String("request", request))
 		}
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -53,12 +53,8 @@
 	scorer   placement.Scorer
 	policy   *dispatch.Policy
 	states   serviceStates
-	leaving  leavingServers
-	pauses   serverPauses
-	limits   rateLimits
 	permits  *permitClient
-	// permitFailures limits the log lines on failed requests for permits.
-	permitFailures failureLog
+	serverStatements
 	// announceInterval is the time between announcements of a backend server.
 	announceInterval time.Duration
 	// weightRolloutTime is the time in which all servers are to run a new target
@@ -82,8 +78,6 @@
 
 	mu           sync.Mutex
 	retryBudgets map[string]*retry.Window
-	// unknownDirectives are the header names that were logged as unknown directives.
-	unknownDirectives map[string]bool
 }
 
 // Dependencies are the components that a Gateway uses.
@@ -103,7 +97,6 @@
 		dialect: deps.Dialect, view: deps.View, stores: deps.Stores, follower: deps.Follower, peers: deps.peers, scorer: deps.Scorer, policy: deps.Policy,
 		instance: s.Instance, zone: s.FailureDomain, retryLimits: s.RetryLimits, announceInterval: s.AnnounceInterval, weightRolloutTime: s.WeightRolloutTime,
 		logger: logger, metrics: m, started: time.Now(), accessLogLimiter: rate.NewLimiter(accessLogRate, accessLogBurst), retryBudgets: make(map[string]*retry.Window),
-		unknownDirectives: make(map[string]bool), permitFailures: failureLog{logger: logger},
 	}
 	g.permits = newPermitClient(g)
 	g.routing.Store(&routingState{entryCount: 1})
@@ -123,7 +116,9 @@
 		case <-changed:
 		case now := <-ticker.C:
 			g.closeIdle(now)
-			g.limits.removeOld(g.routing.Load(), now)
+			for _, server := range g.limits.removeOld(g.routing.Load(), now) {
+				g.metrics.rateLimits.DeleteLabelValues(server)
+			}
 			g.leaving.removeOld(now)
 			g.updateRetryBudgets(now)
 		}
--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -39,6 +40,8 @@
 	// granted is closed and replaced when permits arrive.
 	granted chan struct{}
 	entries entryList
+	// failureLoggedAt is when a failed request to each peer was last logged.
+	failureLoggedAt map[string]time.Time
 }
 
 // entryList is a result of View.CurrentEntries and when it was obtained.
@@ -53,7 +56,7 @@
 }
 
 func newPermitClient(g *Gateway) *permitClient {
-	return &permitClient{gateway: g, wake: make(chan struct{}, 1), granted: make(chan struct{})}
+	return &permitClient{gateway: g, wake: make(chan struct{}, 1), granted: make(chan struct{}), failureLoggedAt: make(map[string]time.Time)}
 }
 
 // notify wakes run.
@@ -233,7 +236,7 @@
 	now := time.Now()
 	if err != nil || len(response.Grants) != len(t.requests) {
 		c.gateway.metrics.permitRequests.WithLabelValues("failed").Inc()
-		c.gateway.permitFailures.log(t.entry.Name, err, now)
+		c.logFailure(t.entry.Name, err, now)
 		for _, l := range t.limits {
 			l.mu.Lock()
 			l.permits.Unanswered(now)
@@ -321,25 +324,19 @@
 	}
 }
 
-// failureLog logs the first of consecutive failures with each peer.
-type failureLog struct {
-	logger *slog.Logger
-	mu     sync.Mutex
-	since  map[string]time.Time
-}
-
 // failureLogInterval is the least time between two log lines on one peer.
 const failureLogInterval = 5 * time.Second
 
-func (f *failureLog) log(peer string, err error, now time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.since == nil || len(f.since) > maxRateLimits {
-		f.since = make(map[string]time.Time)
+// logFailure logs a failed request to a peer, at most one in failureLogInterval.
+func (c *permitClient) logFailure(peer string, err error, now time.Time) {
+	c.mu.Lock()
+	recent := now.Sub(c.failureLoggedAt[peer]) < failureLogInterval
+	if !recent {
+		maps.DeleteFunc(c.failureLoggedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= failureLogInterval })
+		c.failureLoggedAt[peer] = now
 	}
-	if now.Sub(f.since[peer]) < failureLogInterval {
-		return
+	c.mu.Unlock()
+	if !recent {
+		c.gateway.logger.Info("request for permits failed", slog.String("peer", peer), slog.Any("error", err))
 	}
-	f.since[peer] = now
-	f.logger.Info("request for permits failed", slog.String("peer", peer), slog.Any("error", err))
 }
--- a/gateway/rate_limits.go
+++ b/gateway/rate_limits.go
@@ -131,8 +131,9 @@
 	return list
 }
 
-// removeOld forgets the incarnations that have not been listed for rateLimitRetention.
-func (r *rateLimits) removeOld(rs *routingState, now time.Time) {
+// removeOld forgets the incarnations that have not been listed for rateLimitRetention, and
+// returns their servers.
+func (r *rateLimits) removeOld(rs *routingState, now time.Time) (removed []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for id, l := range r.known {
@@ -142,9 +143,11 @@
 		}
 		if now.Sub(l.seenAt) > rateLimitRetention {
 			delete(r.known, id)
+			removed = append(removed, id.server)
 		}
 		l.mu.Unlock()
 	}
+	return removed
 }
 
 // announced lists the limits that changed recently, for other instances.
--- a/gateway/service_state.go
+++ b/gateway/service_state.go
@@ -99,8 +99,8 @@
 
 // place chooses a server for a request and counts its load there. A prompt is queued
 // while all servers are full. A request that only rate-limited servers can take waits up
-// to dispatch.MaxPermitWait for a permit. Without a server, the backend is nil and the reason is
-// set.
+// to dispatch.MaxPermitWait for a permit. Without a server, the backend is nil and the
+// reason is set.
 func (g *Gateway) place(ctx context.Context, c *call) placementResult {
 	deadline := time.Now().Add(dispatch.MaxPermitWait)
 	for {
@@ -297,6 +297,9 @@
 // switched: without a permit, a prompt must not go to older weights instead. The caller
 // holds the state's lock.
 func (c *call) excludeOutdated(rs *routingState, usable []*backend, now time.Time) []*backend {
+	if len(c.rateLimited) == 0 {
+		return rs.excludeOutdated(c.prompt.Model, usable, now)
+	}
 	all := append(slices.Clone(usable), c.rateLimited...)
 	kept := rs.excludeOutdated(c.prompt.Model, all, now)
 	if len(kept) == len(all) {
