--- a/dispatch/rate_limit.go
+++ b/dispatch/rate_limit.go
@@ -107,7 +107,7 @@
 	maxAskInterval = time.Second
 	// askerTTL is how long an instance that was refused counts as one that asks.
 	askerTTL = 100 * time.Millisecond
-	// maxAskers bounds the number of instances that are told apart.
+	// maxAskers bounds the number of instances that are counted.
 	maxAskers = 4096
 )
 
--- a/dispatch/rate_limit_faults_test.go
+++ b/dispatch/rate_limit_faults_test.go
@@ -16,11 +16,11 @@
 
 // The users' bound on the requests that reach a rate-limited server.
 const (
-	limitGrace      = 3 * time.Second
-	limitWindow     = 4 * time.Second
-	limitFactor     = 1.5
-	limitSlack      = 5
-	limitToldBefore = 500 * time.Millisecond
+	limitGrace    = 3 * time.Second
+	limitWindow   = 4 * time.Second
+	limitFactor   = 1.5
+	limitSlack    = 5
+	limitPassedOn = 500 * time.Millisecond
 )
 
 // Times of the simulated system; they are those of the entry and control instances.
@@ -100,7 +100,7 @@
 	listedBy        []*simList // by control instance
 	ranked          []*simList // the lists for which first was computed
 	first           string
-	toldAt          time.Duration // when the server's limit first reached this life; 0 before
+	passedOnAt      time.Duration // when the server's limit first reached this life; 0 before
 	demand          float64       // requests per second
 }
 
@@ -364,7 +364,7 @@
 			return
 		}
 		s.all = append(s.all, s.now)
-		if e.toldAt > 0 && s.now-e.toldAt >= limitToldBefore {
+		if e.passedOnAt > 0 && s.now-e.passedOnAt >= limitPassedOn {
 			s.arrivals = append(s.arrivals, s.now)
 		}
 		limit := s.limitAt(s.now)
@@ -373,8 +373,8 @@
 		}
 		s.on(e, s.delay()+upTo(s.random, 20*time.Millisecond), func() {
 			if s.connected(e.name, "server") {
-				if limit.Limited && e.toldAt == 0 {
-					e.toldAt = s.now
+				if limit.Limited && e.passedOnAt == 0 {
+					e.passedOnAt = s.now
 				}
 				s.observe(e, limit)
 			}
@@ -448,7 +448,7 @@
 		// response. (One instance, seed 161: 6 requests at the end of a freeze during which
 		// the limit fell to 0.)
 		e.frozenUntil = s.now + lasts
-		s.after(lasts, func() { e.toldAt = 0 })
+		s.after(lasts, func() { e.passedOnAt = 0 })
 	case 3: // cut off from all other processes of the system
 		var pairs [][2]string
 		for _, other := range s.entries {
@@ -553,14 +553,14 @@
 }
 
 // allowed returns the requests that the users' bound allows in a window. A limit binds the
-// instances that passed on a response with it limitToldBefore ago or earlier, so the
+// instances that passed on a response with it limitPassedOn ago or earlier, so the
 // highest of the limits since then counts.
 func (s *rateLimitSim) allowed(from time.Duration) (bound float64, limited bool) {
 	const step = 20 * time.Millisecond
 	sum, limited := 0.0, true
 	for at := from; at < from+limitWindow; at += step {
 		highest := 0.0
-		for _, l := range []RateLimit{s.limitAt(at), s.limitAt(at - limitToldBefore)} {
+		for _, l := range []RateLimit{s.limitAt(at), s.limitAt(at - limitPassedOn)} {
 			limited = limited && l.Limited
 			highest = max(highest, l.PerSecond)
 		}
--- a/gateway/directives.go
+++ b/gateway/directives.go
@@ -93,7 +93,7 @@
 // maxUnknownDirectives bounds the remembered names.
 const maxUnknownDirectives = 64
 
-// add records a name and reports whether it is to be logged: once, if there is room.
+// add records a name and reports whether it is to be logged: once, unless maxUnknownDirectives is reached.
 func (u *unknownDirectives) add(name string) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/gateway/rate_limits.go
+++ b/gateway/rate_limits.go
@@ -101,8 +101,8 @@
 	return r.known[id]
 }
 
-// getOrAdd returns the limit of an incarnation, a new one if there is none; nil if there is
-// no room.
+// getOrAdd returns the limit of an incarnation, a new one if there is none; nil if
+// maxRateLimits is reached.
 func (r *rateLimits) getOrAdd(id incarnation, now time.Time) *serverLimit {
 	if l := r.get(id); l != nil {
 		return l
