--- a/faults/rate_limit_soak_test.go
+++ b/faults/rate_limit_soak_test.go
@@ -73,6 +73,14 @@
 	s.changes = append(s.changes, limitChange{time.Now(), perSecond})
 }
 
+// snapshot returns a copy: requests that a gateway retries may still arrive after the
+// clients have stopped.
+func (s *limitedServer) snapshot() *limitedServer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &limitedServer{changes: slices.Clone(s.changes), arrivals: slices.Clone(s.arrivals)}
+}
+
 // limitAt returns the limit at a time, 0 for none, and when the server began to state one.
 func (s *limitedServer) limitAt(at time.Time) (perSecond float64, since time.Time) {
 	for _, c := range s.changes {
@@ -421,7 +429,8 @@
 	end := time.Now()
 	stop()
 	workers.Wait()
-	for i, server := range l.limited {
+	for i := range l.limited {
+		server := l.limited[i].snapshot()
 		used := server.used(end)
 		t.Logf("%s: %d requests, %d changes of the limit, %.2f of it used at the end", l.servers[i].ID, len(server.arrivals), len(server.changes), used)
 		l.requireBound(t, l.servers[i].ID, server)
