--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -19,6 +19,8 @@
 	rateLimits     *prometheus.GaugeVec
 	permitsIssued  prometheus.Counter
 	permitRequests *prometheus.CounterVec
+	// aborted counts streams that ended early, by why they left their server.
+	aborted *prometheus.CounterVec
 }
 
 // Directives of servers, as label values of a metric.
@@ -45,7 +47,8 @@
 	m.rateLimits = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "galena_gateway_server_rate_limit", Help: "Requests a second that a server takes from all instances together, while it states a limit."}, []string{"server"})
 	m.permitsIssued = prometheus.NewCounter(prometheus.CounterOpts{Name: "galena_gateway_permits_issued_total", Help: "Permits for rate-limited servers that this instance issued to itself and others."})
 	m.permitRequests = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_permit_requests_total", Help: "Requests for permits to other instances, by server and outcome."}, []string{"outcome"})
-	r.MustRegister(m.directives, m.rateLimits, m.permitsIssued, m.permitRequests, m.outcomes, m.failedAttempts, m.firstByte, m.unlogged, m.panics, m.queued, m.estimateErrors)
+	m.aborted = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_streams_aborted_total", Help: "Streams that had begun and ended early, by why they left their server."}, []string{"cause"})
+	r.MustRegister(m.aborted, m.directives, m.rateLimits, m.permitsIssued, m.permitRequests, m.outcomes, m.failedAttempts, m.firstByte, m.unlogged, m.panics, m.queued, m.estimateErrors)
 	return m
 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -41,6 +41,30 @@
 	headersSent bool
 	lastEventID string
 	pending     []byte
+	// interruption is why the stream last left its server: one of the interruption
+	// constants.
+	interruption string
+}
+
+// Reasons why a stream leaves its server, as label values of a metric.
+const (
+	interruptionSilent   = "server silent"
+	interruptionBroken   = "server broke off"
+	interruptionTooLong  = "response too long"
+	interruptionDeadline = "deadline"
+)
+
+// interruptionOf returns the reason for an error of a stream.
+func (c *call) interruptionOf(err error) string {
+	switch {
+	case errors.Is(err, errStalled):
+		return interruptionSilent
+	case errors.Is(err, errResponseTooLong):
+		return interruptionTooLong
+	case !time.Now().Before(c.deadline):
+		return interruptionDeadline
+	}
+	return interruptionBroken
 }
 
 // relay forwards a server's response. It returns false if the request is to continue
@@ -251,6 +275,7 @@
 		c.gateway.metrics.recordOutcome(c, string(reasonClientLeft))
 		panic(http.ErrAbortHandler)
 	}
+	s.interruption = c.interruptionOf(err)
 	c.logInterrupted(a, err)
 	a.backend.recordFailure(false, time.Now())
 	if !c.route.Resumable || c.attemptsSent >= c.route.MaxServers+extraAttempts {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -154,10 +154,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if s.headersSent {
-		c.gateway.metrics.recordOutcome(c, "broken off")
-		c.gateway.logger.Warn("stream aborted", slog.String("request", c.request.ID), slog.String("route", c.route.Name),
-			slog.String("reason", string(reason)), slog.String("last_event", s.lastEventID), slog.Int("sends", c.attemptsSent))
-		panic(http.ErrAbortHandler)
+		c.abort(s, reason)
 	}
 	status, after := http.StatusServiceUnavailable, c.retryAfter()
 	switch {
@@ -169,6 +166,18 @@
 	c.gateway.reject(rw, c, status, string(reason), after, nil)
 }
 
+// abort ends a stream that has begun and cannot go on. The closed connection tells the
+// client that it is not complete.
+func (c *call) abort(s *stream, reason rejectReason) {
+	g := c.gateway
+	g.metrics.recordOutcome(c, "broken off")
+	g.metrics.aborted.WithLabelValues(s.interruption).Inc()
+	g.logger.Warn("stream aborted", slog.String("request", c.request.ID), slog.String("route", c.route.Name),
+		slog.String("cause", s.interruption), slog.String("reason", string(reason)), slog.String("last_event", s.lastEventID), slog.Int("sends", c.attemptsSent),
+		slog.Uint64("document", c.routing.table.Version), slog.Uint64("current_document", g.routing.Load().table.Version), slog.Duration("took", time.Since(c.startedAt)))
+	panic(http.ErrAbortHandler)
+}
+
 // timeBudget returns the time allowed by the client and the route; 0 if the request was
 // rejected before that was known.
 func (c *call) timeBudget() time.Duration {
