A stopping instance answers every request that it holds

Cause: at the end of the grace period open connections were closed, whether or not their requests had got a response; and a draining instance admitted streams by their usual duration, with no time for a server that is silent for a second or two. The same class as the streams that left a silent server: something in progress is given up for a silence although an answer is possible.

Streams, which can only be cut, are admitted while their usual duration and two seconds fit.

In TestDrainAdmitsRequestsThatEndInTime one row expected a stream of 3.25 s to be admitted 4 s into a grace period of 8 s; a silence of one second would cut it. It is replaced by two rows that fix the new boundary to the millisecond; the old row holds for requests that are not streams.

--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -15,6 +15,14 @@
 	// finishMargin is added to the expected duration of a request: its response must
 	// be sent before the process exits.
 	finishMargin = 250 * time.Millisecond
+	// maxSilence is how long a sound server may send nothing in the middle of a stream;
+	// clients do not wait longer for the next event. It is reserved for streams, which
+	// can only be cut, up to maxSilenceShare of the grace period.
+	maxSilence      = 2 * time.Second
+	maxSilenceShare = 0.25
+	// answerTimeout is how long requests without a response get to receive one after
+	// shutdownTimeout; with it, it is below graceMargin.
+	answerTimeout = 150 * time.Millisecond
 	// drainRetryAfter is when a client that a draining instance rejects may retry: at
 	// once, since the other instances have capacity.
 	drainRetryAfter = 10 * time.Millisecond
@@ -31,9 +39,12 @@
 	// deadline is when the process must have finished, in nanoseconds of Unix time; 0
 	// before the drain.
 	deadline atomic.Int64
+	// silence is reserved for the servers of streams, in nanoseconds.
+	silence atomic.Int64
 }
 
 func (s *drainState) start(now time.Time, grace time.Duration) {
+	s.silence.Store(int64(min(maxSilence, time.Duration(maxSilenceShare*float64(grace)))))
 	s.deadline.Store(now.Add(grace - graceMargin).UnixNano())
 }
 
@@ -41,8 +52,11 @@
 
 // admits reports whether a request with the given expected duration may still be
 // accepted.
-func (s *drainState) admits(now time.Time, needed time.Duration) bool {
+func (s *drainState) admits(now time.Time, needed time.Duration, kind site.Kind) bool {
 	deadline := s.deadline.Load()
+	if kind == site.KindStream {
+		needed += time.Duration(s.silence.Load())
+	}
 	return deadline == 0 || now.Add(needed+finishMargin).UnixNano() <= deadline
 }
 
--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -16,23 +16,26 @@
 	begin := time.Unix(1000, 0)
 	tests := []struct {
 		name          string
+		kind          site.Kind
 		after, needed time.Duration
 		want          bool
 	}{
-		{"short request at the start", 0, 300 * time.Millisecond, true},
-		{"request longer than the grace period at the start", 0, 15 * time.Second, false},
-		{"stream that just ends in time", 4 * time.Second, 3250 * time.Millisecond, true},
-		{"stream that would be cut off", 5 * time.Second, 2500 * time.Millisecond, false},
-		{"short request at the end", 7 * time.Second, 200 * time.Millisecond, true},
-		{"any request after the end", 8 * time.Second, 0, false},
+		{"short request at the start", site.KindIdempotent, 0, 300 * time.Millisecond, true},
+		{"request longer than the grace period at the start", site.KindIdempotent, 0, 15 * time.Second, false},
+		{"request that just ends in time", site.KindIdempotent, 4 * time.Second, 3250 * time.Millisecond, true},
+		{"stream that just ends in time after a silence", site.KindStream, 4 * time.Second, 1250 * time.Millisecond, true},
+		{"stream that a silence would cut off", site.KindStream, 4 * time.Second, 1251 * time.Millisecond, false},
+		{"stream that would be cut off", site.KindStream, 5 * time.Second, 2500 * time.Millisecond, false},
+		{"short request at the end", site.KindAtMostOnce, 7 * time.Second, 200 * time.Millisecond, true},
+		{"any request after the end", site.KindIdempotent, 8 * time.Second, 0, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			var s drainState
-			require.True(t, s.admits(begin, time.Hour), "before the drain")
+			require.True(t, s.admits(begin, time.Hour, tt.kind), "before the drain")
 			s.start(begin, grace)
 			require.True(t, s.started())
-			require.Equal(t, tt.want, s.admits(begin.Add(tt.after), tt.needed))
+			require.Equal(t, tt.want, s.admits(begin.Add(tt.after), tt.needed, tt.kind))
 			require.Equal(t, tt.after >= grace-graceMargin, s.expired(begin.Add(tt.after)))
 		})
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -67,10 +67,14 @@
 	metrics        *metrics
 	started        time.Time
 
-	routing   atomic.Pointer[routingState]
-	drain     drainState
-	durations routeDurations
-	inflight  atomic.Int64
+	routing atomic.Pointer[routingState]
+	drain   drainState
+	// stopping ends when the process is about to exit and stopRequests ends it: requests
+	// in progress then get a response.
+	stopping     context.Context
+	stopRequests context.CancelFunc
+	durations    routeDurations
+	inflight     atomic.Int64
 	// lastArrival is when the last request arrived, in nanoseconds of Unix time.
 	lastArrival      atomic.Int64
 	promptMix        placement.LengthMix
@@ -98,6 +102,7 @@
 		instance: s.Instance, zone: s.FailureDomain, retryLimits: s.RetryLimits, announceInterval: s.AnnounceInterval, weightRolloutTime: s.WeightRolloutTime,
 		logger: logger, metrics: m, started: time.Now(), accessLogLimiter: rate.NewLimiter(accessLogRate, accessLogBurst), retryBudgets: make(map[string]*retry.Window),
 	}
+	g.stopping, g.stopRequests = context.WithCancel(context.Background())
 	g.permits = newPermitClient(g)
 	g.routing.Store(&routingState{entryCount: 1})
 	return g
@@ -192,7 +197,7 @@
 		g.reject(rw, c, status, reason, 0, nil)
 		return
 	}
-	if needed := g.durations.estimate(c.route.Name, c.deadline.Sub(c.startedAt)); !g.drain.admits(now, needed) {
+	if needed := g.durations.estimate(c.route.Name, c.deadline.Sub(c.startedAt)); !g.drain.admits(now, needed, c.route.Kind) {
 		g.reject(rw, c, http.StatusServiceUnavailable, "stopping", drainRetryAfter, nil)
 		return
 	}
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -303,11 +303,14 @@
 	}
 }
 
-// Stop implements kernel.Stopper. Responses in progress may finish.
+// Stop implements kernel.Stopper. Responses in progress may finish; requests without a
+// response get one.
 func (p *Process) Stop(ctx context.Context) error {
+	defer p.gateway.stopRequests()
 	if p.cancel != nil {
 		p.cancel()
 	}
+	stopCtx := ctx
 	ctx, cancel := context.WithTimeout(ctx, shutdownTimeout)
 	defer cancel()
 	for _, s := range []*http.Server{p.clientServer, p.readyServer, p.peerServer} {
@@ -315,9 +318,22 @@
 			continue
 		}
 		if err := s.Shutdown(ctx); err != nil {
+			if s == p.clientServer {
+				p.answerOpenRequests(stopCtx)
+			}
 			p.logger.Info("open connections closed", slog.String("reason", "grace period expired"), slog.Int64("open", p.gateway.inflight.Load()), slog.Any("error", err))
 			_ = s.Close() // the grace period of open connections has expired
 		}
 	}
 	return nil
 }
+
+// answerOpenRequests ends the requests in progress, so that those without a response get
+// one before their connections are closed.
+func (p *Process) answerOpenRequests(ctx context.Context) {
+	p.gateway.stopRequests()
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	// Shutdown returns an error if the time is not enough, which the caller logs.
+	_ = p.clientServer.Shutdown(ctx)
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -11,13 +11,19 @@
 	"github.com/galenaarch/galenaarch/config/site"
 )
 
+// errStopping ends the requests that are in progress when the process is about to exit.
+var errStopping = errors.New("the process is stopping")
+
 // errDeadline ends a request whose client or route timeout has passed.
 var errDeadline = errors.New("request deadline exceeded")
 
 // serve sends the request until it gets a response, and relays it.
 func (c *call) serve(rw http.ResponseWriter, r *http.Request) {
-	ctx, cancel := context.WithDeadlineCause(r.Context(), c.deadline, errDeadline)
-	defer cancel()
+	ctx, cancelDeadline := context.WithDeadlineCause(r.Context(), c.deadline, errDeadline)
+	defer cancelDeadline()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer context.AfterFunc(c.gateway.stopping, func() { cancel(errStopping) })()
 	c.gateway.retryBudget(c.service.Name).RecordRequest(c.startedAt)
 	s := &stream{call: c, rw: rw, lastEventID: c.request.LastEventID}
 	defer c.releaseReserved()
@@ -56,6 +62,7 @@
 	reasonNoCapacity   rejectReason = "no answer in time"
 	reasonAllPaused    rejectReason = "servers want nothing"
 	reasonRateLimited  rejectReason = "rate limited"
+	reasonStopping     rejectReason = "stopping"
 )
 
 // nextResponse sends the request to servers until one responds. It returns nil and
@@ -66,7 +73,7 @@
 			if r.Context().Err() != nil {
 				return nil, reasonClientLeft
 			}
-			return nil, reasonDeadline
+			return nil, endReason(ctx)
 		}
 		now := time.Now()
 		remaining := c.deadline.Sub(now)
@@ -84,6 +91,9 @@
 			if r.Context().Err() != nil {
 				return nil, reasonClientLeft
 			}
+			if ctx.Err() != nil {
+				return nil, endReason(ctx)
+			}
 			c.retryGranted = c.attemptsSent > 0 // it was not used
 			return nil, c.resolveReason(result.reason)
 		}
@@ -101,6 +111,14 @@
 	}
 }
 
+// endReason returns why the context of a request has ended although its client waits.
+func endReason(ctx context.Context) rejectReason {
+	if errors.Is(context.Cause(ctx), errStopping) {
+		return reasonStopping
+	}
+	return reasonDeadline
+}
+
 // resolveReason returns the final reason why there is no server for the request.
 func (c *call) resolveReason(reason rejectReason) rejectReason {
 	if reason == reasonNoServer && len(c.rateLimited) > 0 {
@@ -179,6 +197,9 @@
 		c.abort(s, reason)
 	}
 	status, after := http.StatusServiceUnavailable, c.retryAfter()
+	if reason == reasonStopping {
+		after = drainRetryAfter
+	}
 	switch {
 	case c.mayHaveRun && reason == reasonDeadline:
 		status, after = http.StatusGatewayTimeout, 0
