Upstream: a server that read nothing for 1.5 s lost the request

What callers saw: 502 for a request whose server was silent for less than two seconds and went on, if its body was larger than the server's receive window.

Cause: TCP_USER_TIMEOUT also ends a connection whose peer acknowledges every window probe but reads nothing. It was 1.5 s, less than the silence of a sound server.

Ruled out: the attempt timer and the keep-alive probes. The test has neither another server nor an idle connection, and the error is "write: connection timed out".

Change: the timeout is 2.5 s. A partition is detected one second later where no attempt timer applies, that is for requests that may not be retried.

TestServerThatPausesReadingGetsTheWholeBody failed before (once), and passed three times after, with -race.

--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -26,8 +26,10 @@
 	// connection in that time is down or partitioned.
 	dialTimeout = 350 * time.Millisecond
 	// unackedTimeout closes a connection whose peer acknowledges nothing: a network
-	// partition sends no reset.
-	unackedTimeout = 1500 * time.Millisecond
+	// partition sends no reset. It also bounds how long the peer may read nothing while
+	// a request fills its receive window, so it is above the two seconds for which a
+	// sound server may be silent.
+	unackedTimeout = 2500 * time.Millisecond
 	// keepAliveIdle and keepAliveInterval detect a silent peer while a response is
 	// awaited.
 	keepAliveIdle     = 2 * time.Second
