Contexts: read the kind of a holder under its lock

What callers saw: nothing known. go test -race reported in TestPartThatCrashesServersIsNotSentAgain that a poll reads HolderState.Engine while a new routing state configures the holder.

Cause: Watcher.reportDirectives read the field before it took the lock.

Change: it is read under the lock.

--- a/contexts/watcher.go
+++ b/contexts/watcher.go
@@ -361,10 +361,14 @@
 
 // reportDirectives passes on what an engine says about itself; the end of a rate limit once.
 func (w *Watcher) reportDirectives(s *HolderState, d dispatch.Directives) {
-	if !s.Engine || w.onDirectives == nil {
+	if w.onDirectives == nil {
 		return
 	}
 	w.mu.Lock()
+	if !s.Engine {
+		w.mu.Unlock()
+		return
+	}
 	limited := d.RateLimit != nil && (d.RateLimit.Limited || s.rateLimited)
 	s.rateLimited = limited && d.RateLimit.Limited
 	w.mu.Unlock()
