Gateway: log and count the requests that end with their server

What callers saw: responses that break off. The log had one line a request, and none said whether the server ended, under which requests, and what these have in common.

Change: one line for each incarnation of a server that ended under requests of this instance: how many waited, had begun or were answering, and the parts that the first two share; another line if the server was not found to have ended within 10 s. Two counters. No change of behaviour.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -65,6 +65,8 @@
 	headersAt     time.Time
 	cancel        context.CancelCauseFunc
 	weightVersion uint64
+	// answered is set once a complete event was received.
+	answered bool
 	// work is the load that the request puts on the server.
 	work dispatch.Work
 	// fetchedTokens are fetched by transfers that are expected to take
@@ -128,6 +130,9 @@
 	a.classify(c, r, err, a.headersAt)
 	c.updateEstimates(a)
 	c.recordAttempt(a)
+	if err != nil {
+		c.recordBrokenAttempt(a, err)
+	}
 	return a
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -67,10 +67,12 @@
 	metrics        *metrics
 	started        time.Time
 
-	routing   atomic.Pointer[routingState]
-	drain     drainState
-	durations routeDurations
-	inflight  atomic.Int64
+	routing atomic.Pointer[routingState]
+	drain   drainState
+	// interruptions are the requests interrupted by broken connections.
+	interruptions interruptions
+	durations     routeDurations
+	inflight      atomic.Int64
 	// lastArrival is when the last request arrived, in nanoseconds of Unix time.
 	lastArrival      atomic.Int64
 	promptMix        placement.LengthMix
@@ -120,6 +122,7 @@
 				g.metrics.rateLimits.DeleteLabelValues(server)
 			}
 			g.leaving.removeOld(now)
+			g.logInterruptions(now)
 			g.updateRetryBudgets(now)
 		}
 	}
--- /dev/null
+++ b/gateway/interruptions.go
@@ -0,0 +1,230 @@
+package gateway
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"maps"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/galenaarch/galenaarch/api/fleetv1"
+	"github.com/galenaarch/galenaarch/fleetview"
+)
+
+const (
+	// maxInterruptedRuns bounds the incarnations whose interrupted requests are counted.
+	maxInterruptedRuns = 256
+	// interruptionSettleTime is the time after the end of a server in which its requests
+	// are found to be interrupted.
+	interruptionSettleTime = 500 * time.Millisecond
+	// endConfirmTime is how long after an interruption the server may be found to have
+	// ended; a server that restarts is announced within seconds.
+	endConfirmTime = 10 * time.Second
+	// maxCountedParts bounds the parts counted of one incarnation, maxLoggedParts those
+	// in a log line.
+	maxCountedParts = 256
+	maxLoggedParts  = 8
+)
+
+// interruptedStage is how far the response to an interrupted request had got.
+type interruptedStage int
+
+const (
+	// stageWaiting: no response headers.
+	stageWaiting interruptedStage = iota
+	// stageBegun: headers, but neither an event nor a complete body.
+	stageBegun
+	// stageAnswering: at least one event.
+	stageAnswering
+	stageCount
+)
+
+// stageNames are the names in logs and metrics.
+var stageNames = [stageCount]string{"waiting", "begun", "answering"}
+
+// How the end of a server was found, as values in logs.
+const (
+	endRefused   = "connection refused"
+	endAnnounced = "announcement"
+)
+
+// interruptedRun are the requests that were interrupted at one incarnation of a server by
+// a broken connection.
+type interruptedRun struct {
+	address, service string
+	requests         [stageCount]int
+	// parts counts the requests without an event by the parts that they share with
+	// others.
+	parts map[string]int
+	// lastRequest is the ID of the last one.
+	lastRequest     string
+	firstAt, lastAt time.Time
+	// endedAt is when the incarnation was found to have ended, by endedBy; zero if it
+	// was not.
+	endedAt time.Time
+	endedBy string
+}
+
+// interruptions are the interrupted requests by incarnation.
+type interruptions struct {
+	mu   sync.Mutex
+	runs map[incarnation]*interruptedRun
+}
+
+// isConnectionBroken reports whether an error is a connection that its peer closed or reset,
+// or on which the peer acknowledged nothing.
+func isConnectionBroken(err error) bool {
+	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, syscall.ETIMEDOUT} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
+
+// stage returns how far the response to an attempt has got.
+func (a *attempt) stage() interruptedStage {
+	switch {
+	case a.answered:
+		return stageAnswering
+	case a.result == responseReceived:
+		return stageBegun
+	}
+	return stageWaiting
+}
+
+// recordInterruption records an attempt that failed with err, if the connection broke.
+func (c *call) recordInterruption(a *attempt, err error) {
+	if a.result == clientCanceled || !isConnectionBroken(err) {
+		return
+	}
+	c.gateway.interruptions.add(a.backend, c, a.stage(), time.Now())
+}
+
+// add counts an interrupted request.
+func (s *interruptions) add(b *backend, c *call, stage interruptedStage, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	run := s.runs[b.incarnation]
+	if run == nil {
+		if len(s.runs) >= maxInterruptedRuns {
+			return
+		}
+		if s.runs == nil {
+			s.runs = make(map[incarnation]*interruptedRun)
+		}
+		run = &interruptedRun{address: b.address, service: b.service.Name, parts: make(map[string]int), firstAt: now}
+		s.runs[b.incarnation] = run
+	}
+	run.requests[stage]++
+	run.lastAt, run.lastRequest = now, c.request.ID
+	if stage == stageAnswering || c.prompt == nil {
+		return
+	}
+	for _, p := range c.sharedParts() {
+		if _, known := run.parts[p.ID]; known || len(run.parts) < maxCountedParts {
+			run.parts[p.ID]++
+		}
+	}
+}
+
+// markEnded records that an incarnation has ended.
+func (s *interruptions) markEnded(id incarnation, by string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if run := s.runs[id]; run != nil && run.endedAt.IsZero() {
+		run.endedAt, run.endedBy = now, by
+	}
+}
+
+// markAnnouncedEnds records which incarnations have ended by the announcements in a fleet
+// snapshot.
+func (s *interruptions) markAnnouncedEnds(snapshot *fleetview.Snapshot, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, run := range s.runs {
+		if run.endedAt.IsZero() && hasEnded(snapshot, id, run.address) {
+			run.endedAt, run.endedBy = now, endAnnounced
+		}
+	}
+}
+
+// hasEnded reports whether, by the announcements in a fleet snapshot, an incarnation has
+// ended or a later one has its ID or address.
+func hasEnded(snapshot *fleetview.Snapshot, id incarnation, address string) bool {
+	if a := snapshot.Servers[id.server]; a != nil && a.BornUnixMs >= id.startedMs {
+		if a.BornUnixMs > id.startedMs || a.State == fleetv1.ServerState_SERVER_STATE_GONE {
+			return true
+		}
+	}
+	for _, a := range snapshot.Servers {
+		if a.Address == address && a.BornUnixMs > id.startedMs {
+			return true
+		}
+	}
+	return false
+}
+
+// takeSettled removes and returns the incarnations whose interrupted requests are to be
+// logged: those that ended interruptionSettleTime ago, and those that were not found to
+// have ended within endConfirmTime.
+func (s *interruptions) takeSettled(now time.Time) map[incarnation]*interruptedRun {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var settled map[incarnation]*interruptedRun
+	for id, run := range s.runs {
+		ended := !run.endedAt.IsZero() && now.Sub(run.endedAt) >= interruptionSettleTime && now.Sub(run.lastAt) >= interruptionSettleTime
+		if ended || now.Sub(run.firstAt) >= endConfirmTime {
+			if settled == nil {
+				settled = make(map[incarnation]*interruptedRun)
+			}
+			settled[id] = run
+			delete(s.runs, id)
+		}
+	}
+	return settled
+}
+
+// logInterruptions logs and counts the settled interruptions.
+func (g *Gateway) logInterruptions(now time.Time) {
+	for id, run := range g.interruptions.takeSettled(now) {
+		ended := !run.endedAt.IsZero()
+		message, cause := "connections of a running server broke", causeConnection
+		if ended {
+			message, cause = "server ended under requests", causeServerEnded
+			g.metrics.serversEnded.Inc()
+		}
+		for stage, n := range run.requests {
+			g.metrics.interrupted.WithLabelValues(cause, stageNames[stage]).Add(float64(n))
+		}
+		g.logger.Info(message, slog.String("server", id.server), slog.Int64("born_unix_ms", id.startedMs), slog.String("address", run.address), slog.String("backend", run.service),
+			slog.Int("waiting", run.requests[stageWaiting]), slog.Int("begun", run.requests[stageBegun]), slog.Int("answering", run.requests[stageAnswering]),
+			slog.Any("parts", topParts(run.parts)), slog.String("found_by", run.endedBy), slog.String("request", run.lastRequest))
+	}
+}
+
+// topParts lists the parts with the most requests, as ID:REQUESTS, at most maxLoggedParts.
+func topParts(parts map[string]int) []string {
+	ids := slices.SortedFunc(maps.Keys(parts), func(a, b string) int {
+		return cmp.Or(cmp.Compare(parts[b], parts[a]), cmp.Compare(a, b))
+	})
+	list := make([]string, 0, maxLoggedParts)
+	for _, id := range ids[:min(len(ids), maxLoggedParts)] {
+		list = append(list, fmt.Sprintf("%.64s:%d", id, parts[id]))
+	}
+	return list
+}
+
+// recordBrokenAttempt records an attempt without a response: as interrupted if the connection
+// broke, and the server as ended if it refuses connections.
+func (c *call) recordBrokenAttempt(a *attempt, err error) {
+	c.recordInterruption(a, err)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		c.gateway.interruptions.markEnded(a.backend.incarnation, endRefused, time.Now())
+	}
+}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -19,8 +19,16 @@
 	rateLimits     *prometheus.GaugeVec
 	permitsIssued  prometheus.Counter
 	permitRequests *prometheus.CounterVec
+	interrupted    *prometheus.CounterVec
+	serversEnded   prometheus.Counter
 }
 
+// Causes of interrupted requests, as label values of a metric.
+const (
+	causeServerEnded = "server ended"
+	causeConnection  = "connection broken"
+)
+
 // Directives of servers, as label values of a metric.
 const (
 	directiveLeaving   = "leaving"
@@ -45,7 +53,9 @@
 	m.rateLimits = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "galena_gateway_server_rate_limit", Help: "Requests a second that a server takes from all instances together, while it states a limit."}, []string{"server"})
 	m.permitsIssued = prometheus.NewCounter(prometheus.CounterOpts{Name: "galena_gateway_permits_issued_total", Help: "Permits for rate-limited servers that this instance issued to itself and others."})
 	m.permitRequests = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_permit_requests_total", Help: "Requests for permits to other instances, by server and outcome."}, []string{"outcome"})
-	r.MustRegister(m.directives, m.rateLimits, m.permitsIssued, m.permitRequests, m.outcomes, m.failedAttempts, m.firstByte, m.unlogged, m.panics, m.queued, m.estimateErrors)
+	m.interrupted = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_interrupted_requests_total", Help: "Requests whose connection to the server broke, by cause and by how far the response had got."}, []string{"cause", "stage"})
+	m.serversEnded = prometheus.NewCounter(prometheus.CounterOpts{Name: "galena_gateway_servers_ended_under_requests_total", Help: "Incarnations of backend servers that ended while requests of this instance were in progress."})
+	r.MustRegister(m.interrupted, m.serversEnded, m.directives, m.rateLimits, m.permitsIssued, m.permitRequests, m.outcomes, m.failedAttempts, m.firstByte, m.unlogged, m.panics, m.queued, m.estimateErrors)
 	return m
 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -148,6 +148,7 @@
 
 // logInterrupted logs a response that broke off.
 func (c *call) logInterrupted(a *attempt, err error) {
+	c.recordInterruption(a, err)
 	c.gateway.logger.Info("response interrupted", slog.String("request", c.request.ID), slog.String("route", c.route.Name),
 		slog.String("server", a.backend.server), slog.Int("status", a.status), slog.Duration("took", time.Since(a.startedAt)), slog.Any("error", err))
 }
@@ -231,6 +232,7 @@
 	if length == 0 {
 		return false
 	}
+	a.answered = true
 	s.sendHeaders(a)
 	events := s.pending[:length]
 	if id := findLastEventID(events); id != "" {
