--- /dev/null
+++ b/dispatch/crash_evidence.go
@@ -0,0 +1,583 @@
+package dispatch
+
+import (
+	"hash/maphash"
+	"slices"
+	"strings"
+	"time"
+)
+
+// PromptPart identifies a part of the prompts of one service.
+type PromptPart struct{ Service, Part string }
+
+// compare orders parts.
+func (p PromptPart) compare(other PromptPart) int {
+	if c := strings.Compare(p.Service, other.Service); c != 0 {
+		return c
+	}
+	return strings.Compare(p.Part, other.Part)
+}
+
+// ServerRun identifies one incarnation of a backend server.
+type ServerRun struct {
+	Server    string
+	StartedMs int64
+}
+
+// Suspect is a part of a request that ended with its server.
+type Suspect struct {
+	Part PromptPart
+	// Begun is set if the response had begun, but no event or complete body had been
+	// received.
+	Begun bool
+}
+
+// CrashReport describes an incarnation at which requests were interrupted. Until it is
+// known to have ended, the interruptions blame nothing.
+type CrashReport struct {
+	Run      ServerRun
+	Ended    bool
+	Age      time.Duration
+	Suspects []Suspect
+}
+
+// AnsweredReport states when a server last answered a request with a part.
+type AnsweredReport struct {
+	Part PromptPart
+	Age  time.Duration
+}
+
+// QuarantineReport describes a round of a part's quarantine. Higher rounds replace lower
+// ones.
+type QuarantineReport struct {
+	Part  PromptPart
+	Round int
+	// Lifted is set once a request with the part was answered in this round.
+	Lifted         bool
+	Age, Remaining time.Duration
+}
+
+// EvidenceReport is what an instance tells others. It carries ages and remaining times,
+// since the clocks of the instances differ.
+type EvidenceReport struct {
+	Crashes     []CrashReport
+	Answered    []AnsweredReport
+	Quarantined []QuarantineReport
+}
+
+// Empty reports whether there is nothing to tell.
+func (r EvidenceReport) Empty() bool {
+	return len(r.Crashes) == 0 && len(r.Answered) == 0 && len(r.Quarantined) == 0
+}
+
+// What makes a part the cause of crashes. Each crash under the part counts
+// begunStrength or waitingStrength.
+const (
+	begunStrength   = 2
+	waitingStrength = 1
+	// quarantineStrength is what a part needs that was not answered recently: three
+	// crashes after the response had begun.
+	quarantineStrength = 3 * begunStrength
+	// answeredPartStrength is what a part needs that was answered within answeredTTL
+	// before the crashes, and what decides between parts with the same crashes.
+	answeredPartStrength = 5 * begunStrength
+	// Crashes within crashGroupTime may have one cause outside the prompts, as the loss
+	// of a failure domain. They blame a part only if it has crashes of other times too.
+	crashGroupTime  = 500 * time.Millisecond
+	minCrashGroups  = 3
+	minGroupsOfMany = 2
+	// settleTime is how long a crash waits for the reports of other instances.
+	settleTime = 500 * time.Millisecond
+	// transitAllowance is taken off the time of an answer of which another instance
+	// reports, so that one before a crash does not count as one after it.
+	transitAllowance = 300 * time.Millisecond
+)
+
+// Bounds on what is remembered.
+const (
+	crashTTL        = 10 * time.Minute
+	interruptionTTL = 15 * time.Second // without a confirmed end
+	answeredTTL     = 5 * time.Minute
+	maxCrashes      = 128
+	maxSuspects     = 128  // of one crash
+	maxAnswered     = 8192 // in each of two generations
+	maxQuarantined  = 1024
+)
+
+// Times of a quarantine. With the doubling, three trials at most fall within an hour.
+const (
+	quarantineTime    = 10 * time.Minute // in the first round, after the last crash
+	maxQuarantineTime = 160 * time.Minute
+	// quarantineMemory is how long the round is remembered after a quarantine.
+	quarantineMemory = time.Hour
+	// trialRetryAfter is when to come back if only another instance may try a part.
+	trialRetryAfter = 30 * time.Second
+)
+
+// quarantinePeriod is how long a round of quarantine lasts.
+func quarantinePeriod(round int) time.Duration {
+	return min(maxQuarantineTime, quarantineTime<<min(max(round-1, 0), 8))
+}
+
+// crash is what is known of an incarnation at which requests were interrupted.
+type crash struct {
+	at       time.Time
+	ended    bool
+	suspects map[PromptPart]bool // begun
+	// explained is set if a quarantined part is the cause; suspects holds only that one.
+	explained bool
+}
+
+// quarantine is a part's round of quarantine. When its time is over, the part stays
+// rejected but for one trial, which begins the next round; an answer lifts it.
+type quarantine struct {
+	round       int
+	lifted      bool
+	since, ends time.Time
+}
+
+// CrashEvidence finds the parts of prompts under which servers crash. All instances
+// exchange their evidence and come to the same result. The zero value is ready for use;
+// the caller holds a lock.
+type CrashEvidence struct {
+	crashes     map[ServerRun]*crash
+	quarantined map[PromptPart]*quarantine
+	// answered and answeredBefore hold the times of the last answers by the hash of
+	// the part; when answered is full it replaces answeredBefore.
+	seed                     maphash.Seed
+	answered, answeredBefore map[uint64]time.Time
+	// judgeAt is when a crash settles; zero if all have.
+	judgeAt time.Time
+}
+
+// Interrupted records that a request ended before its first event or complete body,
+// without a response from its server.
+func (e *CrashEvidence) Interrupted(run ServerRun, suspects []Suspect, now time.Time) {
+	e.merge(CrashReport{Run: run, Suspects: suspects}, now)
+	e.judge(now)
+}
+
+// Ended records that an incarnation has ended. It matters only for one at which requests
+// were interrupted, here or, as others may report later, elsewhere.
+func (e *CrashEvidence) Ended(run ServerRun, now time.Time) {
+	if c := e.crashes[run]; c != nil && !c.ended {
+		c.ended = true
+		e.judge(now)
+	}
+}
+
+// AwaitsEnd reports whether requests were interrupted at an incarnation that is not known
+// to have ended.
+func (e *CrashEvidence) AwaitsEnd(run ServerRun) bool {
+	c := e.crashes[run]
+	return c != nil && !c.ended
+}
+
+// Answered records that a server has answered a request with the parts, by an event or a
+// complete body.
+func (e *CrashEvidence) Answered(parts []PromptPart, now time.Time) {
+	for _, p := range parts {
+		e.answeredAt(p, now)
+	}
+}
+
+// answeredAt records an answer, and reports whether it changes what is known of a suspect
+// or quarantined part.
+func (e *CrashEvidence) answeredAt(p PromptPart, at time.Time) (changed bool) {
+	before := e.lastAnswer(p)
+	if !at.After(before) {
+		return false
+	}
+	if len(e.answered) >= maxAnswered {
+		e.answeredBefore, e.answered = e.answered, nil
+	}
+	if e.answered == nil {
+		e.answered = make(map[uint64]time.Time)
+	}
+	e.answered[e.hash(p)] = at
+	if q := e.quarantined[p]; q != nil && !q.lifted && !at.Before(q.since) {
+		q.lifted, changed = true, true
+	}
+	for _, c := range e.crashes {
+		if _, suspect := c.suspects[p]; suspect && !c.explained && before.Before(c.at) {
+			changed = true
+		}
+	}
+	return changed
+}
+
+func (e *CrashEvidence) hash(p PromptPart) uint64 {
+	if e.seed == (maphash.Seed{}) {
+		e.seed = maphash.MakeSeed()
+	}
+	return maphash.Comparable(e.seed, p)
+}
+
+// lastAnswer returns when a part was last answered; zero if that is not known.
+func (e *CrashEvidence) lastAnswer(p PromptPart) time.Time {
+	h := e.hash(p)
+	if at, ok := e.answered[h]; ok {
+		return at
+	}
+	return e.answeredBefore[h]
+}
+
+// Merge adopts what another instance reports, and says whether that is news. Reports may
+// be merged in any order and more than once.
+func (e *CrashEvidence) Merge(r EvidenceReport, now time.Time) (changed bool) {
+	for _, c := range r.Crashes {
+		changed = e.merge(c, now) || changed
+	}
+	for _, a := range r.Answered {
+		changed = e.answeredAt(a.Part, now.Add(-a.Age-transitAllowance)) || changed
+	}
+	for _, q := range r.Quarantined {
+		changed = e.mergeQuarantine(q, now) || changed
+	}
+	return e.judge(now) || changed
+}
+
+// merge adds what is known of one incarnation.
+func (e *CrashEvidence) merge(r CrashReport, now time.Time) (changed bool) {
+	if r.Age < 0 || r.Age >= crashTTL || (!r.Ended && r.Age >= interruptionTTL) {
+		return false
+	}
+	at := now.Add(-r.Age)
+	c := e.crashes[r.Run]
+	if c == nil {
+		if len(e.crashes) >= maxCrashes && !e.dropCrash() {
+			return false
+		}
+		if e.crashes == nil {
+			e.crashes = make(map[ServerRun]*crash)
+		}
+		c = &crash{at: at, suspects: make(map[PromptPart]bool)}
+		e.crashes[r.Run], changed = c, true
+	}
+	if at.Before(c.at) {
+		c.at = at
+	}
+	if r.Ended && !c.ended {
+		c.ended, changed = true, true
+	}
+	for _, s := range r.Suspects {
+		begun, known := c.suspects[s.Part]
+		if c.explained || (known && (begun || !s.Begun)) || (!known && len(c.suspects) >= maxSuspects) {
+			continue
+		}
+		c.suspects[s.Part], changed = s.Begun, true
+	}
+	return changed
+}
+
+// dropCrash drops the crash that matters least: explained ones and those without a
+// confirmed end first, then the oldest.
+func (e *CrashEvidence) dropCrash() bool {
+	var least *crash
+	var leastRun ServerRun
+	matters := func(c *crash) bool { return c.ended && !c.explained }
+	for run, c := range e.crashes {
+		if least == nil || (matters(least) && !matters(c)) || (matters(least) == matters(c) && c.at.Before(least.at)) {
+			least, leastRun = c, run
+		}
+	}
+	delete(e.crashes, leastRun)
+	return least != nil
+}
+
+// mergeQuarantine adopts a round of quarantine. Of reports of the same round, the
+// earlier end counts: the time in transit makes the others late.
+func (e *CrashEvidence) mergeQuarantine(r QuarantineReport, now time.Time) (changed bool) {
+	if r.Round <= 0 || r.Age < 0 || r.Remaining <= -quarantineMemory {
+		return false
+	}
+	since, ends := now.Add(-r.Age), now.Add(min(r.Remaining, maxQuarantineTime))
+	q := e.quarantined[r.Part]
+	if q == nil || r.Round > q.round {
+		q = e.setQuarantine(r.Part, quarantine{round: r.Round, since: since, ends: ends})
+		changed = true
+	}
+	if r.Round < q.round {
+		return changed
+	}
+	if since.Before(q.since) {
+		q.since = since
+	}
+	if ends.Before(q.ends) {
+		q.ends = ends
+	}
+	if !q.lifted && (r.Lifted || !e.lastAnswer(r.Part).Before(q.since)) {
+		q.lifted, changed = true, true
+	}
+	return changed
+}
+
+// setQuarantine begins a round of quarantine.
+func (e *CrashEvidence) setQuarantine(p PromptPart, q quarantine) *quarantine {
+	if e.quarantined == nil {
+		e.quarantined = make(map[PromptPart]*quarantine)
+	}
+	if _, known := e.quarantined[p]; !known && len(e.quarantined) >= maxQuarantined {
+		var first *quarantine
+		var firstPart PromptPart
+		for part, other := range e.quarantined {
+			if first == nil || other.ends.Before(first.ends) {
+				first, firstPart = other, part
+			}
+		}
+		delete(e.quarantined, firstPart)
+	}
+	e.quarantined[p] = &q
+	return &q
+}
+
+// Report returns what other instances should know.
+func (e *CrashEvidence) Report(now time.Time) EvidenceReport {
+	e.Expire(now)
+	var r EvidenceReport
+	suspects := make(map[PromptPart]bool)
+	for run, c := range e.crashes {
+		report := CrashReport{Run: run, Ended: c.ended, Age: max(0, now.Sub(c.at))}
+		for p, begun := range c.suspects {
+			report.Suspects = append(report.Suspects, Suspect{p, begun})
+			suspects[p] = suspects[p] || !c.explained
+		}
+		slices.SortFunc(report.Suspects, func(a, b Suspect) int { return a.Part.compare(b.Part) })
+		r.Crashes = append(r.Crashes, report)
+	}
+	for p, unexplained := range suspects {
+		if at := e.lastAnswer(p); unexplained && now.Sub(at) < answeredTTL+crashTTL {
+			r.Answered = append(r.Answered, AnsweredReport{p, max(0, now.Sub(at))})
+		}
+	}
+	for p, q := range e.quarantined {
+		r.Quarantined = append(r.Quarantined, QuarantineReport{p, q.round, q.lifted, max(0, now.Sub(q.since)), q.ends.Sub(now)})
+	}
+	slices.SortFunc(r.Crashes, func(a, b CrashReport) int {
+		if c := strings.Compare(a.Run.Server, b.Run.Server); c != 0 {
+			return c
+		}
+		return int(max(-1, min(1, a.Run.StartedMs-b.Run.StartedMs)))
+	})
+	slices.SortFunc(r.Answered, func(a, b AnsweredReport) int { return a.Part.compare(b.Part) })
+	slices.SortFunc(r.Quarantined, func(a, b QuarantineReport) int { return a.Part.compare(b.Part) })
+	return r
+}
+
+// Blocked reports whether a request with the parts must be rejected, under which part,
+// and when it may come back. mayTry tells whether this instance is the one that may try
+// a part whose quarantine is over. A request that is sent nevertheless is announced by
+// Sent.
+func (e *CrashEvidence) Blocked(parts []PromptPart, mayTry func(PromptPart) bool, now time.Time) (part PromptPart, until time.Time, blocked bool) {
+	if !e.judgeAt.IsZero() && !now.Before(e.judgeAt) {
+		e.judge(now)
+	}
+	if len(e.quarantined) == 0 {
+		return PromptPart{}, time.Time{}, false
+	}
+	for _, p := range parts {
+		q := e.quarantined[p]
+		if q == nil || q.lifted {
+			continue
+		}
+		ends := q.ends
+		if !now.Before(ends) {
+			if mayTry != nil && mayTry(p) {
+				continue
+			}
+			ends = now.Add(trialRetryAfter)
+		}
+		if !blocked || ends.After(until) {
+			part, until, blocked = p, ends, true
+		}
+	}
+	return part, until, blocked
+}
+
+// Sent records that a request with the parts, which is not blocked, is sent to a server.
+// If it tries a part whose quarantine is over, the next round begins: nobody else tries
+// the part until an answer lifts the quarantine or that round is over. It reports
+// whether the request is such a trial; others should then be told at once.
+func (e *CrashEvidence) Sent(parts []PromptPart, now time.Time) (trial bool) {
+	for _, p := range parts {
+		if q := e.quarantined[p]; q != nil && !q.lifted {
+			e.setQuarantine(p, quarantine{round: q.round + 1, since: now, ends: now.Add(quarantinePeriod(q.round + 1))})
+			trial = true
+		}
+	}
+	return trial
+}
+
+// RepeatAllowed reports whether a request that was interrupted at a server may be sent
+// again: not if another server has already ended under one of its parts, of which no
+// request was answered.
+func (e *CrashEvidence) RepeatAllowed(run ServerRun, suspects []Suspect, now time.Time) bool {
+	for _, s := range suspects {
+		if q := e.quarantined[s.Part]; q != nil && !q.lifted {
+			return false
+		}
+		if !s.Begun || now.Sub(e.lastAnswer(s.Part)) < answeredTTL {
+			continue
+		}
+		for other, c := range e.crashes {
+			if other != run && c.ended && !c.explained && c.suspects[s.Part] {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// Empty reports whether nothing is suspect or quarantined.
+func (e *CrashEvidence) Empty(now time.Time) bool {
+	e.Expire(now)
+	return len(e.crashes) == 0 && len(e.quarantined) == 0
+}
+
+// Expire drops what is too old to matter.
+func (e *CrashEvidence) Expire(now time.Time) {
+	e.judge(now)
+	for run, c := range e.crashes {
+		if age := now.Sub(c.at); age >= crashTTL || (!c.ended && age >= interruptionTTL) {
+			delete(e.crashes, run)
+		}
+	}
+	for p, q := range e.quarantined {
+		if now.Sub(q.ends) >= quarantineMemory {
+			delete(e.quarantined, p)
+		}
+	}
+}
+
+// charge is what the unexplained crashes say about one part.
+type charge struct {
+	part     PromptPart
+	strength int
+	crashes  []time.Time
+	answered bool // recently before the crashes
+}
+
+// enough reports whether a charge suffices for a quarantine.
+func (c *charge) enough() bool {
+	slices.SortFunc(c.crashes, time.Time.Compare)
+	groups, from := 0, time.Time{}
+	for _, at := range c.crashes {
+		if groups == 0 || at.Sub(from) >= crashGroupTime {
+			groups, from = groups+1, at
+		}
+	}
+	if c.answered {
+		return c.strength >= answeredPartStrength && groups >= minCrashGroups
+	}
+	return c.strength >= quarantineStrength && groups >= minCrashGroups || c.strength >= answeredPartStrength && groups >= minGroupsOfMany
+}
+
+// judge puts the parts into quarantine that explain the crashes, and reports whether it
+// did. The part with the most unexplained crashes goes first; its crashes no longer count
+// against the parts that were only beside it.
+func (e *CrashEvidence) judge(now time.Time) (changed bool) {
+	e.explain()
+	for {
+		charges := e.charges(now)
+		guilty := chooseGuilty(charges)
+		if len(guilty) == 0 {
+			return changed
+		}
+		for _, c := range guilty {
+			last := c.crashes[len(c.crashes)-1]
+			round := 1
+			if q := e.quarantined[c.part]; q != nil {
+				round = q.round + 1
+			}
+			e.setQuarantine(c.part, quarantine{round: round, since: last, ends: last.Add(quarantinePeriod(round))})
+			changed = true
+		}
+		e.explain()
+	}
+}
+
+// explain marks the crashes under quarantined parts.
+func (e *CrashEvidence) explain() {
+	if len(e.quarantined) == 0 {
+		return
+	}
+	for _, c := range e.crashes {
+		if c.explained || !c.ended {
+			continue
+		}
+		for p, begun := range c.suspects {
+			if q := e.quarantined[p]; q != nil && !q.lifted {
+				c.explained, c.suspects = true, map[PromptPart]bool{p: begun}
+				break
+			}
+		}
+	}
+}
+
+// charges adds up the unexplained crashes of each part, the strongest charge first.
+func (e *CrashEvidence) charges(now time.Time) []*charge {
+	e.judgeAt = time.Time{}
+	byPart := make(map[PromptPart]*charge)
+	for _, c := range e.crashes {
+		if !c.ended || c.explained {
+			continue
+		}
+		if settled := c.at.Add(settleTime); now.Before(settled) {
+			if e.judgeAt.IsZero() || settled.Before(e.judgeAt) {
+				e.judgeAt = settled
+			}
+			continue
+		}
+		for p, begun := range c.suspects {
+			answered := e.lastAnswer(p)
+			if !answered.Before(c.at) {
+				continue
+			}
+			of := byPart[p]
+			if of == nil {
+				of = &charge{part: p}
+				byPart[p] = of
+			}
+			of.crashes = append(of.crashes, c.at)
+			of.answered = of.answered || c.at.Sub(answered) < answeredTTL
+			of.strength += waitingStrength
+			if begun {
+				of.strength += begunStrength - waitingStrength
+			}
+		}
+	}
+	charges := make([]*charge, 0, len(byPart))
+	for _, c := range byPart {
+		charges = append(charges, c)
+	}
+	slices.SortFunc(charges, func(a, b *charge) int {
+		if a.strength != b.strength {
+			return b.strength - a.strength
+		}
+		return a.part.compare(b.part)
+	})
+	return charges
+}
+
+// chooseGuilty returns the part whose charge suffices and is stronger than any other's.
+// Parts with equal charges are told apart by further crashes, as long as these are few.
+func chooseGuilty(charges []*charge) []*charge {
+	for i, c := range charges {
+		if !c.enough() {
+			continue
+		}
+		var equal []*charge
+		for j, other := range charges {
+			if j != i && other.strength >= c.strength && other.answered == c.answered {
+				equal = append(equal, other)
+			}
+		}
+		if len(equal) == 0 {
+			return []*charge{c}
+		}
+		if c.strength >= answeredPartStrength && !c.answered && equal[0].strength == c.strength {
+			return append(slices.DeleteFunc(equal, func(o *charge) bool { return !o.enough() }), c)
+		}
+	}
+	return nil
+}
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -34,6 +34,7 @@
 	StaleWeightsPenalty
 	EstimateMargin
 	RateLimits
+	PartQuarantine
 	mechanismCount
 )
 
@@ -66,6 +67,7 @@
 	StaleWeightsPenalty:  {"old-weights-cost", "rolling updates to new weights"},
 	EstimateMargin:       {"doubt", "inaccurate wait estimates, by which a prompt that would meet its objective is judged late"},
 	RateLimits:           {"rate-limits", "servers that state how many requests per second they take from all instances"},
+	PartQuarantine:       {"part-quarantine", "prompts with a part that crashes every server that begins to respond to it"},
 }
 
 // String implements fmt.Stringer.
