Crash evidence: a further answer before the same crash is no news

An answer of which another instance reports twice, with another time in transit, counted as news each time, so that instances would pass it on to each other without end. Answered reports, as Merge does, whether others should be told.

Found by TestCrashEvidenceReachesOtherEntries in registry, which passes now.

--- a/dispatch/crash_evidence.go
+++ b/dispatch/crash_evidence.go
@@ -174,11 +174,13 @@
 }
 
 // Answered records that a server has answered a request with the parts, by an event or a
-// complete body.
-func (e *CrashEvidence) Answered(parts []PromptPart, now time.Time) {
+// complete body. It reports whether that changes what is known of a suspect or quarantined
+// part; others should then be told.
+func (e *CrashEvidence) Answered(parts []PromptPart, now time.Time) (changed bool) {
 	for _, p := range parts {
-		e.answeredAt(p, now)
+		changed = e.answeredAt(p, now) || changed
 	}
+	return changed
 }
 
 // answeredAt records an answer, and reports whether it changes what is known of a suspect
@@ -199,8 +201,8 @@
 		q.lifted, changed = true, true
 	}
 	for _, c := range e.crashes {
-		if _, suspect := c.suspects[p]; suspect && !c.explained && before.Before(c.at) {
-			changed = true
+		if _, suspect := c.suspects[p]; suspect && !c.explained && before.Before(c.at) && (!at.Before(c.at) || c.at.Sub(before) >= answeredTTL) {
+			changed = true // later answers before the same crash are no news
 		}
 	}
 	return changed
