Fleet protocol: exchange crash evidence between instances

They report it to all control instances, at once if it is urgent, and again to one that has restarted. Control instances merge what they receive and return it to each entry instance that does not have the revision, also to those that wait in a poll. Messages carry ages and remaining times, and at most 4096 suspects.

go test -race ./registry ./fleetview: passes. go test -race -run Evidence ./gateway: passes.

--- a/fleetview/view.go
+++ b/fleetview/view.go
@@ -91,7 +91,9 @@
 	lastListed time.Time
 	// reportedVersions holds the newest document versions that it reported.
 	reportedVersions map[string]uint64
-	unreachable      bool
+	// evidence is the exchange of crash evidence with it.
+	evidence    sourceEvidence
+	unreachable bool
 }
 
 // View follows the control instances until its context ends.
@@ -116,6 +118,7 @@
 	self          *fleetv1.EntryInstance
 	leaving       leavingServers
 	limits        limitReports
+	evidence      evidenceExchange
 	wake          chan struct{}
 	changed       chan struct{}
 }
@@ -228,7 +231,10 @@
 	if req.WaitMs == 0 {
 		wake = nil
 	}
+	req.EvidenceRevision = s.evidence.received
+	evidence := v.evidence
 	v.mu.Unlock()
+	evidence.addTo(req, s, startedAt)
 	finished := make(chan struct{})
 	defer close(finished)
 	interrupted := atomic.Bool{}
@@ -251,6 +257,7 @@
 		return err
 	}
 	v.applyResponse(s, response, startedAt)
+	v.applyEvidence(s, req, response, evidence)
 	return nil
 }
 
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -81,6 +81,13 @@
 	limits       func(now time.Time) []*fleetv1.ServerRateLimit
 	onLimit      func(id incarnation, limit dispatch.StatedLimit, from string)
 	servePermits func(r *fleetv1.AcquirePermitsRequest) *fleetv1.AcquirePermitsResponse
+	// evidence returns the crash evidence to include in updates, nil for none, and
+	// onEvidence is called for that in an update from another instance.
+	evidence   func(now time.Time) *fleetv1.CrashEvidence
+	onEvidence func(e *fleetv1.CrashEvidence, from string)
+	// evidenceNews schedules the evidence in updates to peers, evidenceZoneNews that in
+	// updates to other failure domains.
+	evidenceNews, evidenceZoneNews evidenceSchedule
 
 	mu      sync.Mutex
 	ownLoad map[string]dispatch.Load
@@ -102,6 +109,7 @@
 		servePermits: func(*fleetv1.AcquirePermitsRequest) *fleetv1.AcquirePermitsResponse {
 			return &fleetv1.AcquirePermitsResponse{}
 		},
+		evidence: func(time.Time) *fleetv1.CrashEvidence { return nil }, onEvidence: func(*fleetv1.CrashEvidence, string) {},
 		updates: make(map[string]*peerUpdate), backoffUntil: make(map[string]time.Time), clients: make(map[string]fleetv1.Entries),
 	}
 	p.totals.Store(&map[string]dispatch.Load{})
@@ -201,6 +209,9 @@
 	for _, l := range r.Limits {
 		p.onLimit(incarnation{l.Server.GetServer(), l.Server.GetBornUnixMs()}, registry.DecodeRateLimit(l.Limit), r.Entry)
 	}
+	if r.Evidence != nil {
+		p.onEvidence(r.Evidence, r.Entry)
+	}
 	if p.apply(r) {
 		leaving := make([]incarnation, len(r.Leaving))
 		for i, l := range r.Leaving {
@@ -293,7 +304,7 @@
 			idle := len(p.ownLoad) == 0
 			p.totalsStale.Store(true)
 			p.mu.Unlock()
-			if idle {
+			if idle && !p.evidenceNews.due(time.Now()) {
 				continue
 			}
 		}
@@ -314,10 +325,10 @@
 // other instances, with cells only to those of its failure domain. It does not wait for
 // the responses. entries is keyed by instance name.
 func (p *peers) sendUpdates(ctx context.Context, entries map[string]*fleetv1.EntryInstance) {
-	limits := p.limits(time.Now())
+	limits, evidence := p.limits(time.Now()), p.dueEvidence(&p.evidenceNews)
 	p.mu.Lock()
 	p.sequence++
-	req := &fleetv1.TellRequest{Entry: p.self.Name, StartedUnixMs: p.self.StartedUnixMs, Sequence: p.sequence, Limits: limits}
+	req := &fleetv1.TellRequest{Entry: p.self.Name, StartedUnixMs: p.self.StartedUnixMs, Sequence: p.sequence, Limits: limits, Evidence: evidence}
 	req.Work = encodeWork(p.ownLoad)
 	for _, id := range p.leaving {
 		req.Leaving = append(req.Leaving, &fleetv1.ServerLife{Server: id.server, BornUnixMs: id.startedMs})
@@ -341,7 +352,7 @@
 	if !placement.UsesCells(len(entries)) {
 		return
 	}
-	byZone, limits := make(map[string][]string), p.limits(time.Now())
+	byZone, limits, evidence := make(map[string][]string), p.limits(time.Now()), p.dueEvidence(&p.evidenceZoneNews)
 	for name, e := range entries {
 		if e.Zone != p.self.Zone && e.PeerUrl != "" {
 			byZone[e.Zone] = append(byZone[e.Zone], name)
@@ -356,7 +367,7 @@
 		}
 	}
 	p.rotation++
-	req := &fleetv1.TellRequest{Entry: p.self.Name, StartedUnixMs: p.self.StartedUnixMs, Zone: p.self.Zone, Work: encodeWork(work), Limits: limits}
+	req := &fleetv1.TellRequest{Entry: p.self.Name, StartedUnixMs: p.self.StartedUnixMs, Zone: p.self.Zone, Work: encodeWork(work), Limits: limits, Evidence: evidence}
 	p.mu.Unlock()
 	for _, names := range byZone {
 		slices.Sort(names)
--- /dev/null
+++ b/registry/crash_evidence.go
@@ -0,0 +1,146 @@
+package registry
+
+import (
+	"cmp"
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/galenaarch/galenaarch/api/fleetv1"
+	"github.com/galenaarch/galenaarch/dispatch"
+)
+
+// DecodeCrashEvidence decodes crash evidence; nil stands for none. Entries without a server
+// or part are left out.
+func DecodeCrashEvidence(e *fleetv1.CrashEvidence) dispatch.EvidenceReport {
+	var r dispatch.EvidenceReport
+	for _, c := range e.GetCrashes() {
+		if c.Server.GetServer() == "" {
+			continue
+		}
+		report := dispatch.CrashReport{Run: dispatch.ServerRun{Server: c.Server.Server, StartedMs: c.Server.BornUnixMs}, Ended: c.Ended, Age: decodeAge(c.AgeMs)}
+		for _, s := range c.Suspects {
+			if s.Part.GetPart() != "" {
+				report.Suspects = append(report.Suspects, dispatch.Suspect{Part: decodePart(s.Part), Begun: s.Begun})
+			}
+		}
+		r.Crashes = append(r.Crashes, report)
+	}
+	for _, a := range e.GetAnswered() {
+		if a.Part.GetPart() != "" {
+			r.Answered = append(r.Answered, dispatch.AnsweredReport{Part: decodePart(a.Part), Age: decodeAge(a.AgeMs)})
+		}
+	}
+	for _, q := range e.GetQuarantined() {
+		if q.Part.GetPart() != "" {
+			r.Quarantined = append(r.Quarantined, dispatch.QuarantineReport{Part: decodePart(q.Part), Round: int(q.Round), Lifted: q.Lifted, Age: decodeAge(q.AgeMs), Remaining: decodeRemaining(q.RemainingMs)})
+		}
+	}
+	return r
+}
+
+// maxEncodedSuspects bounds the suspects in one message, which takes about 40 bytes for each.
+const maxEncodedSuspects = 4096
+
+// EncodeCrashEvidence is the inverse of DecodeCrashEvidence; it returns nil for an empty
+// report. Beyond maxEncodedSuspects the oldest crashes are left out.
+func EncodeCrashEvidence(r dispatch.EvidenceReport) *fleetv1.CrashEvidence {
+	if r.Empty() {
+		return nil
+	}
+	e := &fleetv1.CrashEvidence{}
+	suspects := 0
+	for _, c := range slices.SortedStableFunc(slices.Values(r.Crashes), func(a, b dispatch.CrashReport) int { return cmp.Compare(a.Age, b.Age) }) {
+		if suspects += len(c.Suspects); suspects > maxEncodedSuspects {
+			break
+		}
+		run := &fleetv1.CrashedRun{Server: &fleetv1.ServerLife{Server: c.Run.Server, BornUnixMs: c.Run.StartedMs}, Ended: c.Ended, AgeMs: encodeAge(c.Age)}
+		for _, s := range c.Suspects {
+			run.Suspects = append(run.Suspects, &fleetv1.CrashSuspect{Part: encodePart(s.Part), Begun: s.Begun})
+		}
+		e.Crashes = append(e.Crashes, run)
+	}
+	for _, a := range r.Answered {
+		e.Answered = append(e.Answered, &fleetv1.AnsweredPart{Part: encodePart(a.Part), AgeMs: encodeAge(a.Age)})
+	}
+	for _, q := range r.Quarantined {
+		e.Quarantined = append(e.Quarantined, &fleetv1.QuarantinedPart{Part: encodePart(q.Part), Round: uint32(max(0, q.Round)), Lifted: q.Lifted, AgeMs: encodeAge(q.Age), RemainingMs: q.Remaining.Milliseconds()})
+	}
+	return e
+}
+
+func decodePart(p *fleetv1.PromptPart) dispatch.PromptPart {
+	return dispatch.PromptPart{Service: p.Service, Part: p.Part}
+}
+
+func encodePart(p dispatch.PromptPart) *fleetv1.PromptPart {
+	return &fleetv1.PromptPart{Service: p.Service, Part: p.Part}
+}
+
+// maxAge bounds decoded ages and remaining times, so that they cannot overflow.
+const maxAge = 24 * time.Hour
+
+func decodeAge(ms uint64) time.Duration {
+	return time.Duration(min(ms, uint64(maxAge.Milliseconds()))) * time.Millisecond
+}
+
+func decodeRemaining(ms int64) time.Duration {
+	return time.Duration(max(-maxAge.Milliseconds(), min(ms, maxAge.Milliseconds()))) * time.Millisecond
+}
+
+func encodeAge(age time.Duration) uint64 { return uint64(max(0, age.Milliseconds())) }
+
+// evidenceCacheTime is how long an encoded report is reused, and so the largest error of
+// the ages in it.
+const evidenceCacheTime = 20 * time.Millisecond
+
+// evidenceStore is the crash evidence that entry instances have reported to a hub. It is
+// guarded by the hub's lock.
+type evidenceStore struct {
+	evidence dispatch.CrashEvidence
+	// revision increases with each change; 0 before the first.
+	revision uint64
+	// encoded is the report of a revision at a time.
+	encoded         *fleetv1.CrashEvidence
+	encodedRevision uint64
+	encodedAt       time.Time
+}
+
+// merge adds a report and tells whether it is news.
+func (s *evidenceStore) merge(r dispatch.EvidenceReport, now time.Time) bool {
+	if !s.evidence.Merge(r, now) {
+		return false
+	}
+	s.revision++
+	return true
+}
+
+// report returns the evidence, nil for none.
+func (s *evidenceStore) report(now time.Time) *fleetv1.CrashEvidence {
+	if s.encodedRevision != s.revision || now.Sub(s.encodedAt) >= evidenceCacheTime {
+		s.encoded, s.encodedRevision, s.encodedAt = EncodeCrashEvidence(s.evidence.Report(now)), s.revision, now
+	}
+	return s.encoded
+}
+
+// MergeCrashEvidence adds the crash evidence that an entry instance reports.
+func (h *Hub) MergeCrashEvidence(r dispatch.EvidenceReport, from string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.evidence.merge(r, time.Now()) {
+		h.notifyChanged()
+		h.logger.Info("crash evidence changed", slog.Int("crashes", len(r.Crashes)), slog.Int("quarantined", len(r.Quarantined)), slog.Uint64("revision", h.evidence.revision), slog.String("reported_by", from))
+	}
+}
+
+// addEvidence adds the crash evidence to the response to an entry instance that does not
+// know its revision. mu must be held.
+func (h *Hub) addEvidence(req *fleetv1.SyncRequest, response *fleetv1.SyncResponse) {
+	if req.Self == nil {
+		return
+	}
+	response.EvidenceRevision = h.evidence.revision
+	if h.evidence.revision > 0 && (req.Feed != h.feedID || req.EvidenceRevision != h.evidence.revision) {
+		response.Evidence = h.evidence.report(time.Now())
+	}
+}
--- a/registry/hub.go
+++ b/registry/hub.go
@@ -58,7 +58,9 @@
 	table *Table
 	// entries holds the polling entry instances by name.
 	entries map[string]*entryState
-	// changed is closed and replaced at each change of the table.
+	// evidence is what the entry instances know of crashes of servers.
+	evidence evidenceStore
+	// changed is closed and replaced at each change of the table or the evidence.
 	changed chan struct{}
 }
 
@@ -255,6 +257,9 @@
 	for _, l := range req.Limits {
 		h.MergeRateLimit(l.Server.GetServer(), l.Server.GetBornUnixMs(), DecodeRateLimit(l.Limit), req.Self.GetName())
 	}
+	if req.Evidence != nil {
+		h.MergeCrashEvidence(DecodeCrashEvidence(req.Evidence), req.Self.GetName())
+	}
 	cursor := req.Cursor
 	if req.Feed != h.feedID {
 		cursor = 0
@@ -264,7 +269,7 @@
 	for {
 		documentsChanged := h.documents.Changed()
 		response, changed := h.buildResponse(req, cursor)
-		if len(response.Announcements) > 0 || len(response.Documents) > 0 || req.Feed != h.feedID {
+		if len(response.Announcements) > 0 || len(response.Documents) > 0 || response.Evidence != nil || req.Feed != h.feedID {
 			return response, nil
 		}
 		select {
@@ -302,5 +307,6 @@
 	response.Cursor = h.table.Cursor()
 	response.Announcements = h.table.ChangesSince(cursor)
 	response.Entries = h.liveEntries()
+	h.addEvidence(req, response)
 	return response, h.changed
 }
