Gateway: a part of prompts that crashed servers is sent to no further one

Cause: nothing related the ends of servers to parts of prompts.

Change: each request that a broken connection interrupts before its first event is recorded as evidence, and each first event as an answer. The end of the server is confirmed by a refused connection, by one extra connection, or by announcements. A prompt with a quarantined part is rejected before a server is chosen, also while it waits: 503 with a time to come back, 502 if it may have run. An interrupted request is not repeated if another server ended under a part of it. When a quarantine is over only the instance that ranks first for the part may try it, after it has ranked first for 2 s. While nothing is suspect, the check is one atomic load. A stream without a length or chunks that ends before its first event is treated as broken off.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -64,6 +64,16 @@
 	// rateLimited are the servers that the last decision left out because this instance
 	// has no permit for them.
 	rateLimited []*backend
+	// parts is the result of recordableParts. suspects are those of the last attempt that
+	// was interrupted, at the incarnation interruptedAt.
+	parts         []dispatch.PromptPart
+	suspects      []dispatch.Suspect
+	interruptedAt dispatch.ServerRun
+	// quarantinedPart is why the request is rejected, until quarantinedUntil. trial is set
+	// if it tries a part whose quarantine is over.
+	quarantinedPart  string
+	quarantinedUntil time.Time
+	trial            bool
 }
 
 // rawPath returns the path as sent by the client.
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -58,7 +58,7 @@
 	g.routing.Store(next)
 	g.attachRateLimits(next)
 	g.closeRemoved(old, next)
-	g.interruptions.markAnnouncedEnds(s, time.Now())
+	g.recordAnnouncedEnds(s)
 	g.states.recheckAll()
 	if old == nil || (old.table == nil && next.table != nil) {
 		g.view.SetAccepting(next.table != nil && !g.drain.started())
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -69,8 +69,10 @@
 
 	routing atomic.Pointer[routingState]
 	drain   drainState
-	// interruptions are the requests interrupted by broken connections.
+	// interruptions are the requests interrupted by broken connections, evidence what
+	// they say about parts of prompts.
 	interruptions interruptions
+	evidence      *crashEvidence
 	durations     routeDurations
 	inflight      atomic.Int64
 	// lastArrival is when the last request arrived, in nanoseconds of Unix time.
@@ -100,7 +102,7 @@
 		instance: s.Instance, zone: s.FailureDomain, retryLimits: s.RetryLimits, announceInterval: s.AnnounceInterval, weightRolloutTime: s.WeightRolloutTime,
 		logger: logger, metrics: m, started: time.Now(), accessLogLimiter: rate.NewLimiter(accessLogRate, accessLogBurst), retryBudgets: make(map[string]*retry.Window),
 	}
-	g.permits = newPermitClient(g)
+	g.permits, g.evidence = newPermitClient(g), newCrashEvidence(g)
 	g.routing.Store(&routingState{entryCount: 1})
 	return g
 }
@@ -280,8 +282,12 @@
 
 // retryAfter returns the time after which a client whose request has not run may retry:
 // if all servers are paused, the time until the first accepts requests again, and if the
-// others are rate-limited, the client's turn at their rate.
+// others are rate-limited, the client's turn at their rate. A request with a quarantined
+// part may come back when the quarantine ends.
 func (c *call) retryAfter() time.Duration {
+	if wait := time.Until(c.quarantinedUntil); wait > 0 {
+		return wait
+	}
 	jitter := rand.Float64()
 	if !c.gateway.policy.Enabled(dispatch.RetryJitter) {
 		jitter = 0
--- a/gateway/interruptions.go
+++ b/gateway/interruptions.go
@@ -24,7 +24,7 @@
 	interruptionSettleTime = 500 * time.Millisecond
 	// endConfirmTime is how long after an interruption the server may be found to have
 	// ended; a server that restarts is announced within seconds.
-	endConfirmTime = 10 * time.Second
+	endConfirmTime = 15 * time.Second
 	// maxCountedParts bounds the parts counted of one incarnation, maxLoggedParts those
 	// in a log line.
 	maxCountedParts = 256
@@ -103,7 +103,11 @@
 	if a.result == clientCanceled || !isConnectionBroken(err) {
 		return
 	}
-	c.gateway.interruptions.add(a.backend, c, a.stage(), time.Now())
+	stage := a.stage()
+	c.gateway.interruptions.add(a.backend, c, stage, time.Now())
+	if stage != stageAnswering {
+		c.gateway.evidence.interrupted(c, a, stage == stageBegun)
+	}
 }
 
 // add counts an interrupted request.
@@ -143,24 +147,29 @@
 }
 
 // markAnnouncedEnds records which incarnations have ended by the announcements in a fleet
-// snapshot.
-func (s *interruptions) markAnnouncedEnds(snapshot *fleetview.Snapshot, now time.Time) {
+// snapshot, and returns them.
+func (s *interruptions) markAnnouncedEnds(snapshot *fleetview.Snapshot, now time.Time) (ended []incarnation) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, run := range s.runs {
 		if run.endedAt.IsZero() && hasEnded(snapshot, id, run.address) {
 			run.endedAt, run.endedBy = now, endAnnounced
+			ended = append(ended, id)
 		}
 	}
+	return ended
 }
 
 // hasEnded reports whether, by the announcements in a fleet snapshot, an incarnation has
-// ended or a later one has its ID or address.
+// ended or a later one has its ID or address. An empty address stands for the announced one.
 func hasEnded(snapshot *fleetview.Snapshot, id incarnation, address string) bool {
 	if a := snapshot.Servers[id.server]; a != nil && a.BornUnixMs >= id.startedMs {
 		if a.BornUnixMs > id.startedMs || a.State == fleetv1.ServerState_SERVER_STATE_GONE {
 			return true
 		}
+		if address == "" {
+			address = a.Address
+		}
 	}
 	for _, a := range snapshot.Servers {
 		if a.Address == address && a.BornUnixMs > id.startedMs {
@@ -225,6 +234,6 @@
 func (c *call) recordBrokenAttempt(a *attempt, err error) {
 	c.recordInterruption(a, err)
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		c.gateway.interruptions.markEnded(a.backend.incarnation, endRefused, time.Now())
+		c.gateway.serverEnded(a.backend.incarnation, endRefused)
 	}
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -21,6 +21,7 @@
 	permitRequests *prometheus.CounterVec
 	interrupted    *prometheus.CounterVec
 	serversEnded   prometheus.Counter
+	quarantined    prometheus.Gauge
 }
 
 // Causes of interrupted requests, as label values of a metric.
@@ -55,7 +56,8 @@
 	m.permitRequests = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_permit_requests_total", Help: "Requests for permits to other instances, by server and outcome."}, []string{"outcome"})
 	m.interrupted = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_interrupted_requests_total", Help: "Requests whose connection to the server broke, by cause and by how far the response had got."}, []string{"cause", "stage"})
 	m.serversEnded = prometheus.NewCounter(prometheus.CounterOpts{Name: "galena_gateway_servers_ended_under_requests_total", Help: "Incarnations of backend servers that ended while requests of this instance were in progress."})
-	r.MustRegister(m.interrupted, m.serversEnded, m.directives, m.rateLimits, m.permitsIssued, m.permitRequests, m.outcomes, m.failedAttempts, m.firstByte, m.unlogged, m.panics, m.queued, m.estimateErrors)
+	m.quarantined = prometheus.NewGauge(prometheus.GaugeOpts{Name: "galena_gateway_quarantined_parts", Help: "Parts of prompts that are sent to no server because servers crash under them."})
+	r.MustRegister(m.quarantined, m.interrupted, m.serversEnded, m.directives, m.rateLimits, m.permitsIssued, m.permitRequests, m.outcomes, m.failedAttempts, m.firstByte, m.unlogged, m.panics, m.queued, m.estimateErrors)
 	return m
 }
 
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -186,6 +186,8 @@
 		p.gateway.states.recheckAll()
 	}
 	p.peers.limits, p.peers.onLimit, p.peers.servePermits = p.gateway.limits.announced, p.gateway.mergeRateLimit, p.gateway.permits.serve
+	p.peers.evidence, p.peers.onEvidence = p.gateway.evidence.report, p.gateway.evidence.merge
+	p.view.ExchangeEvidence(p.gateway.evidence.report, p.gateway.evidence.merge)
 	p.logger.Info("scheduling configured", slog.String("placement", p.settings.Placement), slog.Any("without", policy.Disabled()))
 	return nil
 }
@@ -231,6 +233,7 @@
 	p.view.Start(ctx)
 	go p.peers.run(ctx, p.view)
 	go p.gateway.permits.run(ctx, p.view)
+	go p.gateway.evidence.run(ctx)
 	go p.gateway.Run(ctx)
 	return nil
 }
--- /dev/null
+++ b/gateway/quarantine.go
@@ -0,0 +1,437 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"maps"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/galenaarch/galenaarch/api/fleetv1"
+	"github.com/galenaarch/galenaarch/dispatch"
+	"github.com/galenaarch/galenaarch/fleetview"
+	"github.com/galenaarch/galenaarch/registry"
+)
+
+const (
+	// evidenceDelay batches the interruptions of one crash.
+	evidenceDelay = 10 * time.Millisecond
+	// evidenceTick is the time between reviews of the evidence while there is any.
+	evidenceTick = 200 * time.Millisecond
+	// confirmDelay is the time between an interruption and the dial that confirms the end
+	// of the server, whose listener may be closed a little later than its connections;
+	// confirmTimeout limits the dial.
+	confirmDelay   = 30 * time.Millisecond
+	confirmTimeout = 350 * time.Millisecond
+	// confirmInterval is the least time between two such dials to one incarnation, and
+	// how long it is remembered that an incarnation refused a connection.
+	confirmInterval = 5 * time.Second
+	// maxConfirming bounds the incarnations that were dialed, or refused a connection,
+	// within confirmInterval.
+	maxConfirming = 256
+	// maxRecordedParts bounds the parts recorded of one request.
+	maxRecordedParts = 64
+	// trialLeadTime is how long this instance must have ranked first for a part before it
+	// may try it: another one may not know for dispatch.LeadTTL that it no longer does.
+	trialLeadTime = 2 * time.Second
+)
+
+// crashEvidence is what this instance knows of the parts of prompts under which servers
+// crash.
+type crashEvidence struct {
+	gateway *Gateway
+	// relevant is false while nothing is suspect or quarantined: the request path then
+	// takes no lock.
+	relevant atomic.Bool
+	// wake has an element while a change waits to be passed on.
+	wake chan struct{}
+	// urgent is set if the change must be passed on at once.
+	urgent atomic.Bool
+
+	// mu guards the fields below.
+	mu       sync.Mutex
+	evidence dispatch.CrashEvidence
+	// dialed and refused hold when an incarnation was last dialed for confirmation, and
+	// when it last refused a connection.
+	dialed, refused map[incarnation]time.Time
+	// known are the quarantines that were logged.
+	known map[dispatch.PromptPart]knownQuarantine
+	// candidates is the version of the list of instances that may try a part, valid since
+	// candidatesSince.
+	candidates      uint64
+	candidatesSince time.Time
+}
+
+// knownQuarantine is a logged state of a quarantine.
+type knownQuarantine struct {
+	round  int
+	lifted bool
+}
+
+func newCrashEvidence(g *Gateway) *crashEvidence {
+	return &crashEvidence{gateway: g, wake: make(chan struct{}, 1), dialed: make(map[incarnation]time.Time), refused: make(map[incarnation]time.Time), known: make(map[dispatch.PromptPart]knownQuarantine)}
+}
+
+func (id incarnation) run() dispatch.ServerRun {
+	return dispatch.ServerRun{Server: id.server, StartedMs: id.startedMs}
+}
+
+// recordableParts returns the parts of the request that may be the cause of a crash; nil if
+// there are none or the mechanism is off.
+func (c *call) recordableParts() []dispatch.PromptPart {
+	if c.prompt == nil || !c.gateway.policy.Enabled(dispatch.PartQuarantine) {
+		return nil
+	}
+	if c.parts == nil {
+		shared := c.sharedParts()
+		c.parts = make([]dispatch.PromptPart, len(shared))
+		for i, p := range shared {
+			c.parts[i] = dispatch.PromptPart{Service: c.service.Name, Part: p.ID}
+		}
+	}
+	return c.parts
+}
+
+// notify wakes run, which passes on the changed evidence.
+func (e *crashEvidence) notify(urgent bool) {
+	if urgent {
+		e.urgent.Store(true)
+	}
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+// interrupted records an attempt whose connection broke before the first event or the
+// complete body.
+func (e *crashEvidence) interrupted(c *call, a *attempt, begun bool) {
+	parts := c.recordableParts()
+	if len(parts) == 0 {
+		return
+	}
+	suspects := make([]dispatch.Suspect, 0, min(len(parts), maxRecordedParts))
+	for _, p := range parts[:min(len(parts), maxRecordedParts)] {
+		suspects = append(suspects, dispatch.Suspect{Part: p, Begun: begun})
+	}
+	id, now := a.backend.incarnation, time.Now()
+	c.interruptedAt, c.suspects = id.run(), suspects
+	e.mu.Lock()
+	e.evidence.Interrupted(id.run(), suspects, now)
+	e.relevant.Store(true)
+	if now.Sub(e.refused[id]) < confirmInterval {
+		e.evidence.Ended(id.run(), now)
+	}
+	confirm := e.evidence.AwaitsEnd(id.run()) && now.Sub(e.dialed[id]) >= confirmInterval && remember(e.dialed, id, now)
+	e.mu.Unlock()
+	e.notify(true)
+	if confirm {
+		go e.confirmEnd(a.backend)
+	}
+}
+
+// remember records the time of an event at an incarnation and forgets old ones. It returns
+// false if there are too many.
+func remember(times map[incarnation]time.Time, id incarnation, now time.Time) bool {
+	if len(times) >= maxConfirming {
+		maps.DeleteFunc(times, func(_ incarnation, at time.Time) bool { return now.Sub(at) >= confirmInterval })
+	}
+	if len(times) >= maxConfirming {
+		return false
+	}
+	times[id] = now
+	return true
+}
+
+// confirmEnd finds out by one connection whether a server has ended.
+func (e *crashEvidence) confirmEnd(b *backend) {
+	time.Sleep(confirmDelay)
+	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
+	defer cancel()
+	connection, err := (&net.Dialer{}).DialContext(ctx, "tcp4", b.address)
+	if err == nil {
+		connection.Close()
+		return
+	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		e.gateway.serverEnded(b.incarnation, endRefused)
+	}
+}
+
+// serverEnded records that an incarnation of a server has ended.
+func (g *Gateway) serverEnded(id incarnation, by string) {
+	now := time.Now()
+	g.interruptions.markEnded(id, by, now)
+	g.evidence.ended(id, now)
+}
+
+// recordAnnouncedEnds records the servers that have ended by the announcements in a fleet
+// snapshot.
+func (g *Gateway) recordAnnouncedEnds(s *fleetview.Snapshot) {
+	now := time.Now()
+	for _, id := range g.interruptions.markAnnouncedEnds(s, now) {
+		g.evidence.ended(id, now)
+	}
+}
+
+// ended records that an incarnation has ended.
+func (e *crashEvidence) ended(id incarnation, now time.Time) {
+	e.mu.Lock()
+	awaited := e.evidence.AwaitsEnd(id.run())
+	e.evidence.Ended(id.run(), now)
+	remember(e.refused, id, now)
+	e.mu.Unlock()
+	if awaited {
+		e.notify(true)
+	}
+}
+
+// markAnswered records that the server answers the request: with its first complete event,
+// or a complete body.
+func (c *call) markAnswered(a *attempt) {
+	if a.answered {
+		return
+	}
+	a.answered = true
+	if parts := c.recordableParts(); len(parts) > 0 {
+		e := c.gateway.evidence
+		e.mu.Lock()
+		changed := e.evidence.Answered(parts[:min(len(parts), maxRecordedParts)], time.Now())
+		e.mu.Unlock()
+		if changed {
+			e.notify(c.trial)
+		}
+	}
+}
+
+// markBodyAnswered records a complete response that is not a stream, with a body of at least
+// the given length. Only a success shows that the server has processed the prompt.
+func (c *call) markBodyAnswered(a *attempt, length int) {
+	if a.status/100 == 2 && (length > 0 || !a.closeDelimited()) {
+		c.markAnswered(a)
+	}
+}
+
+// closeDelimited reports whether the body of a response has neither a length nor chunks. Its
+// end is that of the connection, which a server that crashes may also close in order.
+func (a *attempt) closeDelimited() bool {
+	r := a.exchange.Response
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
+}
+
+// rejectQuarantined reports whether a request must be rejected because of one of its parts.
+func (c *call) rejectQuarantined(now time.Time) bool {
+	e := c.gateway.evidence
+	if !e.relevant.Load() {
+		return false
+	}
+	parts := c.recordableParts()
+	if len(parts) == 0 {
+		return false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.blocks(c, parts, now)
+}
+
+// blocks is rejectQuarantined for a caller that holds e.mu. A trial that did not run may go
+// to another server.
+func (e *crashEvidence) blocks(c *call, parts []dispatch.PromptPart, now time.Time) bool {
+	if c.trial && !c.mayHaveRun {
+		return false
+	}
+	part, until, blocked := e.evidence.Blocked(parts, e.mayTry, now)
+	if blocked {
+		c.quarantinedPart, c.quarantinedUntil = part.Part, until
+	}
+	return blocked
+}
+
+// admitParts reports whether a request may be sent with its parts. If it tries a part whose
+// quarantine is over, the other instances are told.
+func (c *call) admitParts(now time.Time) bool {
+	e := c.gateway.evidence
+	if !e.relevant.Load() {
+		return true
+	}
+	parts := c.recordableParts()
+	if len(parts) == 0 {
+		return true
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.blocks(c, parts, now) {
+		return false
+	}
+	if !c.trial && e.evidence.Sent(parts, now) {
+		c.trial = true
+		e.gateway.logger.Info("quarantined prompt part tried", slog.String("request", c.request.ID), slog.String("backend", c.service.Name))
+		e.notify(true)
+	}
+	return true
+}
+
+// mayTry reports whether this instance is the one that may try a part whose quarantine is
+// over. The caller holds e.mu.
+//
+// Invariant: only the first in rank among the instances that the control instances list as
+// accepting clients tries a part, and only after it has been so for trialLeadTime.
+func (e *crashEvidence) mayTry(p dispatch.PromptPart) bool {
+	now := time.Now()
+	list := e.gateway.permits.currentEntries(now)
+	return list.eligible && list.version == e.candidates && now.Sub(e.candidatesSince) >= trialLeadTime &&
+		dispatch.FirstIssuer(p.Service+"/"+p.Part, list.candidates) == e.gateway.instance
+}
+
+// repeatBlocked returns the reason why a request that was interrupted may not be sent again,
+// or an empty one.
+func (c *call) repeatBlocked(now time.Time) rejectReason {
+	if len(c.suspects) == 0 {
+		return ""
+	}
+	e := c.gateway.evidence
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.evidence.RepeatAllowed(c.interruptedAt, c.suspects, now) {
+		return reasonRepeatUnsafe
+	}
+	return ""
+}
+
+// report returns the evidence for other processes, nil for none.
+func (e *crashEvidence) report(now time.Time) *fleetv1.CrashEvidence {
+	if !e.relevant.Load() {
+		return nil
+	}
+	e.mu.Lock()
+	r := e.evidence.Report(now)
+	e.mu.Unlock()
+	return registry.EncodeCrashEvidence(r)
+}
+
+// merge adds the evidence of another process.
+func (e *crashEvidence) merge(encoded *fleetv1.CrashEvidence, _ string) {
+	if !e.gateway.policy.Enabled(dispatch.PartQuarantine) {
+		return
+	}
+	r, now := registry.DecodeCrashEvidence(encoded), time.Now()
+	e.mu.Lock()
+	changed := e.evidence.Merge(r, now)
+	for id, at := range e.refused {
+		if now.Sub(at) < confirmInterval && e.evidence.AwaitsEnd(id.run()) {
+			e.evidence.Ended(id.run(), now)
+			changed = true
+		}
+	}
+	if changed {
+		e.relevant.Store(!e.evidence.Empty(now))
+	}
+	e.mu.Unlock()
+	if changed {
+		e.notify(false)
+	}
+}
+
+// run passes on changes of the evidence and reviews it until the context ends.
+func (e *crashEvidence) run(ctx context.Context) {
+	ticker := time.NewTicker(evidenceTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-e.wake:
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(evidenceDelay):
+			}
+			changed := e.review(time.Now())
+			e.passOn(e.urgent.Swap(false) || changed)
+		case now := <-ticker.C:
+			if !e.relevant.Load() {
+				continue
+			}
+			if e.review(now) {
+				e.passOn(true)
+			}
+		}
+	}
+}
+
+// passOn sends the evidence to the other instances and to the control instances, to these
+// at once if it is urgent.
+func (e *crashEvidence) passOn(urgent bool) {
+	e.gateway.peers.evidenceChanged(e.relevant.Load())
+	e.gateway.view.EvidenceChanged(urgent)
+	e.gateway.states.recheckAll()
+}
+
+// review confirms ends of servers by announcements and logs what has changed since the last
+// review. It reports whether an end was confirmed or a quarantine began or ended.
+func (e *crashEvidence) review(now time.Time) (changed bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if list := e.gateway.permits.currentEntries(now); list.version != e.candidates || e.candidatesSince.IsZero() {
+		e.candidates, e.candidatesSince = list.version, now
+	}
+	relevant := !e.evidence.Empty(now)
+	e.relevant.Store(relevant)
+	current, active := make(map[dispatch.PromptPart]knownQuarantine), 0
+	if relevant {
+		report := e.evidence.Report(now)
+		if e.confirmAnnouncedEnds(report.Crashes, now) {
+			report, changed = e.evidence.Report(now), true
+		}
+		for _, q := range report.Quarantined {
+			state := knownQuarantine{q.Round, q.Lifted}
+			current[q.Part] = state
+			if !q.Lifted {
+				active++
+			}
+			if before, known := e.known[q.Part]; before != state {
+				changed = true
+				e.logQuarantine(&q, known)
+			}
+		}
+	}
+	e.known = current
+	e.gateway.metrics.quarantined.Set(float64(active))
+	return changed
+}
+
+// confirmAnnouncedEnds records which of the incarnations, at which this or another instance
+// had requests interrupted, have ended by the announcements, and reports whether there are
+// any. The caller holds e.mu.
+func (e *crashEvidence) confirmAnnouncedEnds(crashes []dispatch.CrashReport, now time.Time) (confirmed bool) {
+	snapshot := e.gateway.view.Current()
+	for _, c := range crashes {
+		if !c.Ended && hasEnded(snapshot, incarnation{c.Run.Server, c.Run.StartedMs}, "") {
+			e.evidence.Ended(c.Run, now)
+			confirmed = true
+		}
+	}
+	return confirmed
+}
+
+// logQuarantine logs a quarantine that has begun, been renewed or been lifted. known reports
+// whether an earlier state was logged.
+func (e *crashEvidence) logQuarantine(q *dispatch.QuarantineReport, known bool) {
+	message := "prompt part quarantined"
+	if q.Lifted {
+		message = "quarantine of prompt part lifted"
+		if !known {
+			return
+		}
+	}
+	part := q.Part.Part
+	e.gateway.logger.Warn(message, slog.String("backend", q.Part.Service), slog.String("part", part[:min(len(part), maxLoggedPartLength)]), slog.Int("round", q.Round),
+		slog.Duration("age", q.Age), slog.Duration("remaining", q.Remaining))
+}
+
+// maxLoggedPartLength bounds a part's ID in a log line.
+const maxLoggedPartLength = 64
--- /dev/null
+++ b/gateway/quarantine_test.go
@@ -0,0 +1,106 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenaarch/galenaarch/dispatch"
+	"github.com/galenaarch/galenaarch/registry"
+	"github.com/galenaarch/galenaarch/upstream"
+)
+
+const suspectPart = "part-1"
+
+// suspectCall returns a request with suspectPart.
+func (h *testGateway) suspectCall(tokens int) *call {
+	c := h.call(tokens)
+	c.prompt.Parts = []Part{{ID: suspectPart, Tokens: 1}, {ID: "own", Tokens: tokens - 1}}
+	return c
+}
+
+// quarantineSuspectPart makes the gateway learn of a quarantine from another instance.
+func (h *testGateway) quarantineSuspectPart(remaining time.Duration) {
+	h.evidence.merge(registry.EncodeCrashEvidence(dispatch.EvidenceReport{Quarantined: []dispatch.QuarantineReport{
+		{Part: dispatch.PromptPart{Service: "llm", Part: suspectPart}, Round: 1, Age: 10 * time.Minute, Remaining: remaining},
+	}}), "other")
+}
+
+// TestQueuedRequestWithQuarantinedPartIsRejected guards against a part that is quarantined
+// while a request with it waits for a server, and is then sent.
+func TestQueuedRequestWithQuarantinedPartIsRejected(t *testing.T) {
+	h := newTestGateway(t, 1)
+	b := h.routing.services["llm"][0]
+	b.update(func(tracker *dispatch.BackendState) {
+		tracker.Sent(dispatch.Work{MemoryTokens: testMemory}, time.Now())
+	})
+	c := h.suspectCall(1000)
+	results := make(chan placementResult, 1)
+	go func() { results <- h.place(t.Context(), c) }()
+	s := h.states.get("llm")
+	require.Eventually(t, func() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.queue.Len() == 1 }, 5*time.Second, time.Millisecond)
+	h.quarantineSuspectPart(time.Minute)
+	select {
+	case result := <-results:
+		require.Equal(t, placementResult{reason: reasonQuarantined}, result)
+	case <-time.After(5 * time.Second):
+		t.Fatal("still queued")
+	}
+	require.Equal(t, suspectPart, c.quarantinedPart)
+	require.InDelta(t, time.Minute, c.retryAfter(), float64(time.Second))
+	require.Equal(t, 1, b.tracker.OwnLoad().Requests, "only the first request")
+}
+
+// TestInterruptedRequestIsNotTheNextCrash guards against the repeat of a request under whose
+// part another server has ended.
+func TestInterruptedRequestIsNotTheNextCrash(t *testing.T) {
+	h := newTestGateway(t, 2)
+	cut := &upstream.Error{Phase: upstream.PhaseReadBody, Err: io.ErrUnexpectedEOF}
+	interrupt := func(b *backend) *call {
+		c := h.suspectCall(1000)
+		h.evidence.dialed[b.incarnation] = time.Now() // no connection
+		c.recordInterruption(&attempt{gateway: h.Gateway, backend: b, result: responseReceived, status: http.StatusOK}, cut)
+		return c
+	}
+	first, second := h.routing.services["llm"][0], h.routing.services["llm"][1]
+	require.Empty(t, interrupt(first).repeatBlocked(time.Now()))
+	require.Empty(t, interrupt(second).repeatBlocked(time.Now()), "the first server is not known to have ended")
+	h.serverEnded(first.incarnation, endRefused)
+	require.Equal(t, reasonRepeatUnsafe, interrupt(second).repeatBlocked(time.Now()))
+	require.Empty(t, interrupt(first).repeatBlocked(time.Now()), "no other server has ended")
+}
+
+// TestOnlyOneTrialOfQuarantinedPart guards against several requests that try a part whose
+// quarantine is over, here or at several instances.
+func TestOnlyOneTrialOfQuarantinedPart(t *testing.T) {
+	h := newTestGateway(t, 1)
+	setCandidates := func(version uint64, since time.Time, names ...string) {
+		h.permits.entries = entryList{at: time.Now().Add(time.Hour), candidates: names, version: version, eligible: true}
+		h.evidence.candidates, h.evidence.candidatesSince = version, since
+	}
+	blocked := func() bool { return !h.suspectCall(1000).admitParts(time.Now()) }
+	require.False(t, blocked())
+	h.quarantineSuspectPart(-time.Second)
+	long := time.Now().Add(-time.Hour)
+	setCandidates(1, time.Now(), "e")
+	require.True(t, blocked(), "another instance may not know yet that this one ranks first")
+	other := "other"
+	for n := 0; dispatch.FirstIssuer("llm/"+suspectPart, []string{"e", other}) == "e"; n++ {
+		other += "x"
+	}
+	setCandidates(2, long, "e", other)
+	require.True(t, blocked(), "the other instance ranks first")
+	setCandidates(3, long, "e")
+	trial := h.suspectCall(1000)
+	require.True(t, trial.admitParts(time.Now()))
+	require.True(t, trial.trial)
+	require.True(t, blocked(), "one trial at a time")
+	require.True(t, trial.admitParts(time.Now()), "it may go to another server as long as it has not run")
+	trial.mayHaveRun = true
+	require.False(t, trial.admitParts(time.Now()))
+	trial.markAnswered(&attempt{gateway: h.Gateway})
+	require.False(t, blocked(), "an answer ends the quarantine")
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -93,6 +93,7 @@
 	if len(body) > maxBufferedResponse {
 		return c.relayUnbuffered(rw, a, body)
 	}
+	c.markBodyAnswered(a, len(body))
 	a.exchange.Finish(a.response.IdleTimeout)
 	if r.Method != http.MethodHead {
 		rw.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -120,6 +121,7 @@
 		c.logInterrupted(a, err)
 		panic(http.ErrAbortHandler)
 	}
+	c.markBodyAnswered(a, len(prefix))
 	a.exchange.Finish(a.response.IdleTimeout)
 	c.recordServed(a)
 	return true
@@ -190,7 +192,11 @@
 				watch.progress()
 			}
 		}
+		if errors.Is(err, io.EOF) && !a.answered && a.closeDelimited() {
+			err = io.ErrUnexpectedEOF
+		}
 		if errors.Is(err, io.EOF) && len(s.pending) == 0 {
+			c.markAnswered(a)
 			s.sendHeaders(a)
 			a.exchange.Finish(a.response.IdleTimeout)
 			c.recordServed(a)
@@ -232,7 +238,7 @@
 	if length == 0 {
 		return false
 	}
-	a.answered = true
+	s.call.markAnswered(a)
 	s.sendHeaders(a)
 	events := s.pending[:length]
 	if id := findLastEventID(events); id != "" {
--- a/gateway/service_state.go
+++ b/gateway/service_state.go
@@ -200,6 +200,9 @@
 // tryPlace decides on a request now, and counts its load at the chosen server; queued
 // is set if it must wait at this instance. The caller holds the state's lock.
 func (g *Gateway) tryPlace(c *call, claimed map[string]bool, now time.Time) (result placementResult, queued bool) {
+	if c.rejectQuarantined(now) {
+		return placementResult{reason: reasonQuarantined}, false
+	}
 	d, b := g.decide(c, claimed, now)
 	c.decision, c.awaitedServer = d, ""
 	switch d.Action {
@@ -211,6 +214,9 @@
 		c.awaitedServer = b.server
 		return placementResult{}, true
 	}
+	if !c.admitParts(now) {
+		return placementResult{reason: reasonQuarantined}, false
+	}
 	if !g.takePermit(b, now) {
 		c.rateLimited = append(c.rateLimited, b)
 		return placementResult{reason: reasonNoServer}, false
