Gateway: parts also count at services that are not scheduled by prompts

A route whose prompts declare parts may be split between engines and other servers. The latter could crash under a part without a record of it, and were sent quarantined parts.

TestPartsAreRecordedAtServicesWithoutEngines passes: go test -race ./gateway.

--- a/gateway/interruptions.go
+++ b/gateway/interruptions.go
@@ -127,10 +127,10 @@
 	}
 	run.requests[stage]++
 	run.lastAt, run.lastRequest = now, c.request.ID
-	if stage == stageAnswering || c.prompt == nil {
+	if stage == stageAnswering {
 		return
 	}
-	for _, p := range c.sharedParts() {
+	for _, p := range c.declaredParts() {
 		if _, known := run.parts[p.ID]; known || len(run.parts) < maxCountedParts {
 			run.parts[p.ID]++
 		}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -80,14 +80,27 @@
 	return dispatch.ServerRun{Server: id.server, StartedMs: id.startedMs}
 }
 
-// recordableParts returns the parts of the request that may be the cause of a crash; nil if
-// there are none or the mechanism is off.
+// declaredParts returns the parts of the prompt that other requests may have in common with
+// this one, also if the service is not scheduled by prompts.
+func (c *call) declaredParts() []Part {
+	switch {
+	case c.prompt != nil:
+		return c.sharedParts()
+	case c.route == nil || !c.route.DeclaresPrompt || c.request.Prompt == nil:
+		return nil
+	}
+	parts := c.request.Prompt.Parts
+	return parts[:max(0, len(parts)-1)]
+}
+
+// recordableParts returns the parts of the request that may be the cause of a crash; none if
+// the mechanism is off.
 func (c *call) recordableParts() []dispatch.PromptPart {
-	if c.prompt == nil || !c.gateway.policy.Enabled(dispatch.PartQuarantine) {
+	if !c.gateway.policy.Enabled(dispatch.PartQuarantine) {
 		return nil
 	}
 	if c.parts == nil {
-		shared := c.sharedParts()
+		shared := c.declaredParts()
 		c.parts = make([]dispatch.PromptPart, len(shared))
 		for i, p := range shared {
 			c.parts[i] = dispatch.PromptPart{Service: c.service.Name, Part: p.ID}
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -73,6 +73,20 @@
 	require.Empty(t, interrupt(first).repeatBlocked(time.Now()), "no other server has ended")
 }
 
+// TestPartsAreRecordedAtServicesWithoutEngines guards against a route that is split between
+// engines and other servers, where the latter crash under the part unnoticed.
+func TestPartsAreRecordedAtServicesWithoutEngines(t *testing.T) {
+	h := newTestGateway(t, 1)
+	c := h.suspectCall(1000)
+	want := c.recordableParts()
+	require.Len(t, want, 1)
+	other := h.call(1000)
+	other.request, other.prompt = &Request{Prompt: c.prompt}, nil
+	require.Empty(t, other.recordableParts(), "the route declares no prompts")
+	other.parts, other.route.DeclaresPrompt = nil, true
+	require.Equal(t, want, other.recordableParts())
+}
+
 // TestOnlyOneTrialOfQuarantinedPart guards against several requests that try a part whose
 // quarantine is over, here or at several instances.
 func TestOnlyOneTrialOfQuarantinedPart(t *testing.T) {
