--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -73,8 +73,12 @@
 	// in progress then get a response.
 	stopping     context.Context
 	stopRequests context.CancelFunc
-	durations    routeDurations
-	inflight     atomic.Int64
+	// interruptions are the requests interrupted by broken connections, evidence what
+	// they say about parts of prompts.
+	interruptions interruptions
+	evidence      *crashEvidence
+	durations     routeDurations
+	inflight      atomic.Int64
 	// lastArrival is when the last request arrived, in nanoseconds of Unix time.
 	lastArrival      atomic.Int64
 	promptMix        placement.LengthMix
@@ -103,7 +107,7 @@
 		logger: logger, metrics: m, started: time.Now(), accessLogLimiter: rate.NewLimiter(accessLogRate, accessLogBurst), retryBudgets: make(map[string]*retry.Window),
 	}
 	g.stopping, g.stopRequests = context.WithCancel(context.Background())
-	g.permits = newPermitClient(g)
+	g.permits, g.evidence = newPermitClient(g), newCrashEvidence(g)
 	g.routing.Store(&routingState{entryCount: 1})
 	return g
 }
@@ -125,6 +129,7 @@
 				g.metrics.rateLimits.DeleteLabelValues(server)
 			}
 			g.leaving.removeOld(now)
+			g.logInterruptions(now)
 			g.updateRetryBudgets(now)
 		}
 	}
@@ -282,8 +287,12 @@
 
 // retryAfter returns the time after which a client whose request has not run may retry:
 // if all servers are paused, the time until the first accepts requests again, and if the
-// others are rate-limited, the client's turn at their rate.
+// others are rate-limited, the client's turn at their rate. A request with a quarantined
+// part may come back when the quarantine ends.
 func (c *call) retryAfter() time.Duration {
+	if wait := time.Until(c.quarantinedUntil); wait > 0 {
+		return wait
+	}
 	jitter := rand.Float64()
 	if !c.gateway.policy.Enabled(dispatch.RetryJitter) {
 		jitter = 0
