Rate limits: a very high stated limit ended in a division by zero

A server that states a limit of 1e10 requests per second made the interval between fallback turns 0. An instance that reached no issuer then divided by zero in the next decision, with the lock of the service's state held: a decision in a request's goroutine left the service locked for good, one in another goroutine ended the process. From about 1e19 on, the counts of permits left the range of int, with a different result on amd64 and arm64.

Rates are now bounded at a million per second wherever a time or count is derived from them.

--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -54,7 +54,7 @@
 	if f.Instances == 0 {
 		return 0
 	}
-	return fallbackShare * max(f.Limit.PerSecond, minPermitRate) / float64(f.Instances)
+	return fallbackShare * f.Limit.permitRate() / float64(f.Instances)
 }
 
 // Available reports whether a request may be sent now. If not, the instance lacks a
@@ -115,7 +115,7 @@
 		p.lacking, p.unansweredSince = 0, time.Time{}
 		return 0
 	}
-	atMost := 1 + int(max(l.PerSecond, minPermitRate)*permitTTL.Seconds())
+	atMost := 1 + int(l.permitRate()*permitTTL.Seconds())
 	wanted := min(p.lacking, atMost)
 	p.lacking, p.asking = 0, true
 	return wanted
--- a/dispatch/rate_limit.go
+++ b/dispatch/rate_limit.go
@@ -15,6 +15,9 @@
 	PerSecond float64
 }
 
+// permitRate returns the number of permits to issue per second.
+func (l RateLimit) permitRate() float64 { return min(max(l.PerSecond, minPermitRate), maxPermitRate) }
+
 // stricterThan reports whether l allows fewer requests than other.
 func (l RateLimit) stricterThan(other RateLimit) bool {
 	if l.Limited != other.Limited {
@@ -61,6 +64,9 @@
 	// minPermitRate is the least number of permits issued per second: with none, no
 	// response would report that the limit has risen.
 	minPermitRate = 0.25
+	// maxPermitRate is the highest rate that is told apart from no limit. Times and counts
+	// derived from it stay within the range of their types.
+	maxPermitRate = 1e6
 	// permitTTL is how long a permit may be used, counted from the request for it.
 	permitTTL = 250 * time.Millisecond
 	// Unused permits accumulate at the issuer: one, those of smallBurstTime up to
@@ -88,7 +94,7 @@
 	if !l.Limited {
 		return 0
 	}
-	return max(minPollInterval, time.Duration(float64(max(1, pollers))/(pollShare*max(l.PerSecond, minPermitRate))*float64(time.Second)))
+	return max(minPollInterval, time.Duration(float64(max(1, pollers))/(pollShare*l.permitRate())*float64(time.Second)))
 }
 
 // PermitIssuer issues the permits for one server to all instances, no faster than the
@@ -115,7 +121,7 @@
 // again. Refused instances ask in turns, so that the load of the issuer does not grow
 // with their number.
 func (p *PermitIssuer) Issue(l RateLimit, asker string, wanted int, now time.Time) (granted int, retryAfter time.Duration) {
-	rate := max(l.PerSecond, minPermitRate)
+	rate := l.permitRate()
 	if p.refilledAt.IsZero() || now.Before(p.refilledAt) {
 		p.refilledAt = now
 	}
--- a/dispatch/rate_limit_test.go
+++ b/dispatch/rate_limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -163,3 +164,31 @@
 		FirstIssuer("server-1", names)
 	}
 }
+
+// A server may state any number: a rate of 1e10 ended in a division by zero in the decision
+// of every later request, and one of 1e300 in negative permits.
+func TestExtremeLimitsAreUsable(t *testing.T) {
+	for _, rate := range []float64{0, 5e-324, 1e9, 1e10, 1e15, 1e19, 1e300, math.MaxFloat64} {
+		limit := RateLimit{Limited: true, PerSecond: rate}
+		require.GreaterOrEqual(t, PollInterval(limit, 5), minPollInterval, rate)
+		now := time.Unix(1000, 0)
+		var issuer PermitIssuer
+		var permits Permits
+		fallback := Fallback{Limit: limit, Instances: 3, Jitter: 0.5}
+		sent := 0
+		for range 40 {
+			now = now.Add(300 * time.Millisecond)
+			if permits.Available(fallback, now) && permits.Take(fallback, now) {
+				sent++
+			}
+			if wanted := permits.Wanted(limit, now); wanted != 0 {
+				require.Positive(t, wanted, rate)
+				permits.Unanswered(now)
+			}
+			granted, after := issuer.Issue(limit, "e1", 2, now)
+			require.True(t, granted >= 0 && granted <= 2, "%g: %d granted", rate, granted)
+			require.Positive(t, after, rate)
+		}
+		require.Equal(t, rate >= 1e9, sent > 30, "%g: %d sent", rate, sent)
+	}
+}
