Fleet view: an entry of an unknown service hid the server at its address

Of several entries at one address only the one with the latest start is listed.

Only services of the document compete for an address now. Leaving servers and rate limits are still taken from all entries that have not ended, since a document may drop a service and name it again.

--- a/config/site/table.go
+++ b/config/site/table.go
@@ -56,6 +56,9 @@
 // Service returns a service by name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// HasService reports whether the document names a service.
+func (t *Table) HasService(name string) bool { return t.services[name] != nil }
+
 // Account returns the account to which a key belongs, or nil.
 func (t *Table) Account(key string) *Account { return t.accountsByKey[key] }
 
--- a/contextrelay/holders.go
+++ b/contextrelay/holders.go
@@ -59,9 +59,9 @@
 			}})
 		}
 	}
-	for _, a := range s.NewestIncarnations() {
+	for _, a := range s.NewestIncarnations(t.HasService) {
 		service := t.Service(a.Service)
-		if service == nil || service.Engine == nil || a.Silent || a.State != fleetv1.ServerState_SERVER_STATE_READY {
+		if service.Engine == nil || a.Silent || a.State != fleetv1.ServerState_SERVER_STATE_READY {
 			continue
 		}
 		e := service.Engine
--- a/contextrelay/server.go
+++ b/contextrelay/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"github.com/galenaarch/galenaarch/api/fleetv1"
@@ -33,6 +34,8 @@
 	logger  *slog.Logger
 	// feed identifies this process's sequence of cursors.
 	feed uint64
+	// table is that of the newest site document; nil until there is one.
+	table atomic.Pointer[site.Table]
 	// undecodable is the version of the last document that could not be decoded,
 	// which is logged once.
 	undecodable uint64
@@ -49,7 +52,11 @@
 		if d.RateLimit != nil {
 			s.watcher.SetPollInterval(address, dispatch.PollInterval(*d.RateLimit, len(v.Current().ControlURLs)))
 		}
-		for _, a := range v.Current().NewestIncarnations() {
+		table := s.table.Load()
+		if table == nil {
+			return
+		}
+		for _, a := range v.Current().NewestIncarnations(table.HasService) {
 			if a.Address == address && (d.Server == "" || d.Server == a.Server) {
 				onDirectives(a.Server, a.BornUnixMs, d)
 			}
@@ -61,12 +68,12 @@
 // Run polls the holders that the fleet snapshot assigns to this instance until the
 // context ends.
 func (s *Server) Run(ctx context.Context) {
-	var table *site.Table
 	entries, assigned := 0, 0
 	for {
 		changed := s.view.Changed()
 		snapshot := s.view.Current()
-		table = s.latestTable(snapshot, table)
+		table := s.latestTable(snapshot, s.table.Load())
+		s.table.Store(table)
 		entries = max(entries, len(snapshot.Entries))
 		if table != nil {
 			specs := assignedHolders(ListHolders(table, snapshot), entries, s.self, snapshot.ControlURLs)
--- a/fleetview/view.go
+++ b/fleetview/view.go
@@ -54,17 +54,21 @@
 }
 
 // NewestIncarnations lists the servers that have not ended; of several
-// incarnations at one address only the newest is included.
-func (s *Snapshot) NewestIncarnations() []*fleetv1.Announcement {
+// incarnations at one address only the newest is included. Servers of services that
+// are not known are neither listed nor do they hide others.
+func (s *Snapshot) NewestIncarnations(known func(service string) bool) []*fleetv1.Announcement {
+	candidate := func(a *fleetv1.Announcement) bool {
+		return a.State != fleetv1.ServerState_SERVER_STATE_GONE && known(a.Service)
+	}
 	newestStart := make(map[string]int64)
 	for _, a := range s.Servers {
-		if a.State != fleetv1.ServerState_SERVER_STATE_GONE {
+		if candidate(a) {
 			newestStart[a.Address] = max(newestStart[a.Address], a.BornUnixMs)
 		}
 	}
 	var list []*fleetv1.Announcement
 	for _, a := range s.Servers {
-		if a.State != fleetv1.ServerState_SERVER_STATE_GONE && a.BornUnixMs >= newestStart[a.Address] {
+		if candidate(a) && a.BornUnixMs >= newestStart[a.Address] {
 			list = append(list, a)
 		}
 	}
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -51,6 +51,7 @@
 		}
 	}
 	if next.table != nil {
+		g.applyReports(s)
 		g.listBackends(s, old, next)
 		g.chooseCells(s, next)
 		g.followContexts(ctx, s, next)
@@ -168,13 +169,14 @@
 	return compiled
 }
 
-// listBackends lists the backends of each service. Of two incarnations at one address
-// only the younger is listed.
-func (g *Gateway) listBackends(s *fleetview.Snapshot, old, next *routingState) {
-	now := time.Now()
+// applyReports applies what the control instances report of all servers that have not
+// ended, also those of services that the current document does not name.
+func (g *Gateway) applyReports(s *fleetview.Snapshot) {
 	var leaving []incarnation
-	for _, a := range s.NewestIncarnations() {
-		service := next.table.Service(a.Service)
+	for _, a := range s.Servers {
+		if a.State == fleetv1.ServerState_SERVER_STATE_GONE {
+			continue
+		}
 		id := incarnation{a.Server, a.BornUnixMs}
 		if a.Leaving {
 			leaving = append(leaving, id)
@@ -183,16 +185,25 @@
 			g.mergeRateLimit(id, registry.DecodeRateLimit(a.RateLimit), "control")
 			g.limits.markReported(id, a.RateLimit.Revision)
 		}
-		if service == nil || a.State != fleetv1.ServerState_SERVER_STATE_READY {
+	}
+	g.applyLeavingReport(leaving, "control")
+}
+
+// listBackends lists the backends of each service. Of two incarnations at one address
+// only the younger is listed.
+func (g *Gateway) listBackends(s *fleetview.Snapshot, old, next *routingState) {
+	now := time.Now()
+	for _, a := range s.NewestIncarnations(next.table.HasService) {
+		if a.State != fleetv1.ServerState_SERVER_STATE_READY {
 			continue
 		}
+		service := next.table.Service(a.Service)
 		b := g.backendFor(a, service, connectionLimit(service, next.entryCount), old, now)
 		next.backends[a.Server] = b
 		if !b.retired.Load() {
 			next.services[a.Service] = append(next.services[a.Service], b)
 		}
 	}
-	g.applyLeavingReport(leaving, "control")
 }
 
 // backendFor returns the existing backend of an incarnation or a new one. An
