Registry: an entry of another service replaced a live server of the same ID

An entry under the ID of a server, with a later start and another service, replaced the server in the table of its control instance, and every later announcement of the server was older: it got no requests until goneRetention had passed (two minutes after the last accepted one). TestOtherServiceDoesNotReplaceLiveServer and TestSilentEntryOfOtherServiceHidesNoServer failed before.

A server does not change its service. In a table such an entry now changes nothing while the server announces itself; between tables of several control instances the one that is still announced counts. Not covered: an entry that names the server's own service and a plausible later start cannot be told from a restart.

--- a/fleetview/view_test.go
+++ b/fleetview/view_test.go
@@ -201,3 +201,17 @@
 	}
 	require.Equal(t, uint64(2), siteVersion(v), "the older version is never released")
 }
+
+// One control instance holds the entry of another writer under the ID of a server, another
+// one those of the server itself.
+func TestSilentEntryOfOtherServiceHidesNoServer(t *testing.T) {
+	server := &fleetv1.Announcement{Server: "s", Service: "x", BornUnixMs: 1, Sequence: 9, State: fleetv1.ServerState_SERVER_STATE_READY}
+	odd := &fleetv1.Announcement{Server: "s", Service: "y", BornUnixMs: 2, Sequence: 1, State: fleetv1.ServerState_SERVER_STATE_READY, Silent: true}
+	for _, order := range [][]*fleetv1.Announcement{{server, odd}, {odd, server}} {
+		merged := make(map[string]*fleetv1.Announcement)
+		for _, a := range order {
+			mergeAnnouncement(merged, a)
+		}
+		require.Equal(t, "x", merged["s"].Service)
+	}
+}
--- a/registry/table.go
+++ b/registry/table.go
@@ -56,11 +56,13 @@
 
 // Supersedes reports whether an announcement supersedes the existing one, nil
 // for none. Invariant: an incarnation that has ended stays ended, and an older
-// incarnation never replaces a newer one.
+// incarnation never replaces a newer one, except for a silent one of another service.
 func Supersedes(a, existing *fleetv1.Announcement) bool {
 	switch {
 	case existing == nil:
 		return true
+	case ofOtherService(a, existing) && a.Silent != existing.Silent:
+		return existing.Silent
 	case a.BornUnixMs != existing.BornUnixMs:
 		return a.BornUnixMs > existing.BornUnixMs
 	case existing.State == fleetv1.ServerState_SERVER_STATE_GONE:
@@ -71,6 +73,14 @@
 	return a.Sequence > existing.Sequence
 }
 
+// ofOtherService reports whether two announcements under one ID, neither of an ended
+// server, name different services. A server does not change its service: one of them is
+// of another writer.
+func ofOtherService(a, b *fleetv1.Announcement) bool {
+	gone := fleetv1.ServerState_SERVER_STATE_GONE
+	return a.Service != b.Service && a.Service != "" && b.Service != "" && a.State != gone && b.State != gone
+}
+
 // IsFull reports whether the table has no room for a server that it does not hold
 // yet.
 func (t *Table) IsFull(server string) bool {
@@ -79,13 +89,14 @@
 
 // Announce applies an announcement and reports whether it changed what
 // subscribers see. An older announcement changes nothing, not even the time of
-// the last announcement.
+// the last announcement, and neither does one of another service while the server
+// announces itself.
 func (t *Table) Announce(a *fleetv1.Announcement, now time.Time) bool {
 	existing := t.servers[a.Server]
 	if t.IsFull(a.Server) {
 		return false
 	}
-	if existing != nil && !Supersedes(a, existing.Announcement) {
+	if existing != nil && (!Supersedes(a, existing.Announcement) || (ofOtherService(a, existing.Announcement) && !existing.Silent)) {
 		return false
 	}
 	if existing != nil && existing.BornUnixMs == a.BornUnixMs {
--- a/registry/table_test.go
+++ b/registry/table_test.go
@@ -138,3 +138,18 @@
 	require.True(t, table.servers["other"].Leaving)
 	require.Equal(t, ready, table.servers["other"].State)
 }
+
+// An entry of another writer under the ID of a server that still announces itself.
+func TestOtherServiceDoesNotReplaceLiveServer(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable(time.Second)
+	require.True(t, table.Announce(announcement(1, 5, ready), now))
+	odd := announcement(2, 1, ready)
+	odd.Service = "y"
+	require.False(t, table.Announce(proto.CloneOf(odd), now.Add(time.Second)))
+	require.False(t, table.Announce(announcement(1, 6, ready), now.Add(2*time.Second)))
+	require.Equal(t, "x", table.ChangesSince(0)[0].Service)
+	// After the server has fallen silent, its ID may stand for another one.
+	table.Expire(now.Add(10 * time.Second))
+	require.True(t, table.Announce(odd, now.Add(10*time.Second)))
+}
