Contexts: a link that is too slow to compute looked like the fastest one

With a rate near 0 or below it in the document, or a very long delay, the transfer time left the range of a duration and became negative: every part that such a store holds was fetched from there. TestExtremeLinksAreNotUsed failed before.

A nominal transfer time is now at most an hour, also where it cannot be computed.

--- a/contexts/contexts_test.go
+++ b/contexts/contexts_test.go
@@ -279,3 +279,24 @@
 	require.True(t, ShouldTransfer(partList(part("first", 341), part("quote", 1520))))
 	require.False(t, ShouldTransfer(nil))
 }
+
+// A document may state any rate and delay: a very slow link must not look fast because its
+// transfer time is beyond the range of a duration.
+func TestExtremeLinksAreNotUsed(t *testing.T) {
+	for name, edit := range map[string]func(s *HolderState){
+		"rate near 0":     func(s *HolderState) { s.Rate = 5e-324 },
+		"negative rate":   func(s *HolderState) { s.Rate = -1 },
+		"very long delay": func(s *HolderState) { s.FirstDelay = 1e18 },
+	} {
+		extreme, ordinary := store("s:1", "b", 10_000), store("s:2", "b", 10_000)
+		edit(extreme)
+		addPart(extreme, "p", 1000)
+		require.Empty(t, Plan([]*HolderState{extreme}, partList(part("p", 1000)), target, start).Fetch[0], name)
+		addPart(ordinary, "p", 1000)
+		for range 3 {
+			extreme.observeTransfer(time.Hour, time.Second, start)
+			plan := Plan([]*HolderState{extreme, ordinary}, partList(part("p", 1000)), target, start)
+			require.Equal(t, "s:2", plan.Fetch[0], name)
+		}
+	}
+}
--- a/contexts/plan.go
+++ b/contexts/plan.go
@@ -129,13 +129,21 @@
 	t.UnsavedParts++
 }
 
-// nominal returns the transfer time at the holder's configured rate and delay.
+// maxNominal bounds a nominal transfer time. It is far above the time of any transfer that
+// is worth making, and keeps multiples of it within the range of time.Duration.
+const maxNominal = time.Hour
+
+// nominal returns the transfer time at the holder's configured rate and delay, at most
+// maxNominal; also if the rate is not above 0.
 func (s *HolderState) nominal(tokens int, zone string) time.Duration {
-	d := time.Duration(float64(tokens) / s.Rate * float64(time.Millisecond))
+	d := float64(tokens) / s.Rate * float64(time.Millisecond)
 	if s.Zone != zone {
 		d *= crossDomainFactor
 	}
-	return s.FirstDelay + d
+	if d += float64(s.FirstDelay); d >= 0 && d < float64(maxNominal) {
+		return time.Duration(d)
+	}
+	return maxNominal
 }
 
 // transfer returns the expected transfer time, including the wait for the transfers
