Streams: a response of any content was joined to a stream that broke off

A stream had begun and broke off, and the server that was to resume it answered 200 with something else than its continuation. Clients found in their stream an error page without a content type, an error event, encoded bytes, or the events from the first one again; after a response without any event their stream ended as if it were complete. A stream whose events have no ID was sent again from its first event. Not affected, before and now: other statuses, refusals, foreign IDs, responses that break off.

A response now continues a stream only as an unencoded event stream whose first event has a higher ID than the last one that was forwarded; until then nothing of it is forwarded, and its end is no end of the stream. Behind an event without an ID a stream is not resumed. Event IDs need not be consecutive, so skipped events cannot be told from an event with several pieces.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -41,12 +41,16 @@
 	headersSent bool
 	lastEventID string
 	pending     []byte
+	// resuming is set until the first event of a server that resumes the stream;
+	// unnumbered is set if the last forwarded event has no ID.
+	resuming, unnumbered bool
 }
 
 // relay forwards a server's response. It returns false if the request is to continue
 // on another server.
 func (c *call) relay(rw http.ResponseWriter, r *http.Request, s *stream, a *attempt) bool {
-	if c.route.Kind == site.KindStream && a.status == http.StatusOK && isEventStream(a.exchange.Response.Header) {
+	header := a.exchange.Response.Header
+	if c.route.Kind == site.KindStream && a.status == http.StatusOK && isEventStream(header) && (!s.headersSent || continuesAsEventStream(header, rw.Header())) {
 		return c.relayStream(r, s, a)
 	}
 	if s.headersSent {
@@ -59,7 +63,8 @@
 // type, a response on a stream route counts as one.
 func isEventStream(h http.Header) bool {
 	contentType := h.Get("Content-Type")
-	return contentType == "" || strings.HasPrefix(contentType, "text/event-stream")
+	mediaType, _, _ := strings.Cut(contentType, ";")
+	return contentType == "" || strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
 }
 
 // impliesNotRun reports whether a status implies that the request has not run.
@@ -171,7 +176,7 @@
 // relayStream forwards complete events as they arrive. It returns false if the stream
 // broke and is to resume on another server.
 func (c *call) relayStream(r *http.Request, s *stream, a *attempt) bool {
-	s.pending = s.pending[:0]
+	s.pending, s.resuming = s.pending[:0], s.headersSent
 	remaining := c.maxStreamBytes()
 	watch := c.startStallWatch(a)
 	defer watch.stop()
@@ -185,11 +190,14 @@
 		if n > 0 {
 			a.backend.update(func(tracker *dispatch.BackendState) { tracker.Responded(time.Now()) })
 			s.pending = append(s.pending, (*buffer)[:n]...)
-			if s.forwardEvents(a) {
+			if err := s.checkContinuation(); err != nil {
+				return s.handleInterruption(r, a, err)
+			}
+			if !s.resuming && s.forwardEvents(a) {
 				watch.progress()
 			}
 		}
-		if errors.Is(err, io.EOF) && len(s.pending) == 0 {
+		if errors.Is(err, io.EOF) && len(s.pending) == 0 && !s.resuming {
 			s.sendHeaders(a)
 			a.exchange.Finish(a.response.IdleTimeout)
 			c.recordServed(a)
@@ -233,9 +241,7 @@
 	}
 	s.sendHeaders(a)
 	events := s.pending[:length]
-	if id := findLastEventID(events); id != "" {
-		s.lastEventID = id
-	}
+	s.recordEvents(events)
 	_, _ = s.rw.Write(events) // a client that leaves cancels the request's context
 	if f, ok := s.rw.(http.Flusher); ok {
 		f.Flush()
@@ -253,7 +259,7 @@
 	}
 	c.logInterrupted(a, err)
 	a.backend.recordFailure(false, time.Now())
-	if !c.route.Resumable || c.attemptsSent >= c.route.MaxServers+extraAttempts {
+	if !c.route.Resumable || s.unnumbered || c.attemptsSent >= c.route.MaxServers+extraAttempts {
 		c.giveUp(s.rw, r, s, reasonNotRetryable)
 		return true
 	}
@@ -271,18 +277,3 @@
 	}
 	return length
 }
-
-// findLastEventID returns the last event ID in complete events.
-func findLastEventID(events []byte) string {
-	i := bytes.LastIndex(events, []byte("\nid:"))
-	switch {
-	case i >= 0:
-		i++
-	case bytes.HasPrefix(events, []byte("id:")):
-		i = 0
-	default:
-		return ""
-	}
-	line, _, _ := bytes.Cut(events[i+len("id:"):], []byte("\n"))
-	return strings.TrimSpace(string(line))
-}
