Streams: one that broke off looked complete to an HTTP/1.0 client

A response to such a client has no chunks and ends with its connection. An aborted one ended with an ordinary close, like a complete one (TestBrokenStreamResetsHTTP10Client failed: no error behind three of six events). Its connection is now reset.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -164,7 +164,7 @@
 func (g *Gateway) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	g.inflight.Add(1)
 	defer g.inflight.Add(-1)
-	defer g.recoverPanic(r)
+	defer g.recoverPanic(rw, r)
 	now := time.Now()
 	g.lastArrival.Store(now.UnixNano())
 	if g.drain.started() {
@@ -205,7 +205,8 @@
 // recoverPanic logs a panic while handling a request and aborts the connection; the
 // process goes on. It must be deferred directly, or it recovers nothing. After any panic
 // it panics again with http.ErrAbortHandler, which net/http does not log.
-func (g *Gateway) recoverPanic(r *http.Request) {
+// The connection of an HTTP/1.0 client is reset.
+func (g *Gateway) recoverPanic(rw http.ResponseWriter, r *http.Request) {
 	recovered := recover()
 	if recovered == nil {
 		return
@@ -214,9 +215,25 @@
 		g.metrics.panics.Inc()
 		g.logger.Error("panic while handling a request", slog.String("path", rawPath(r)), slog.Any("fault", recovered), slog.String("stack", string(debug.Stack())))
 	}
+	if !r.ProtoAtLeast(1, 1) {
+		resetConnection(rw)
+	}
 	panic(http.ErrAbortHandler)
 }
 
+// resetConnection resets the connection to a client. A response to an HTTP/1.0 client has
+// no chunks and may have no length, so that a closed connection would end it as complete.
+func resetConnection(rw http.ResponseWriter) {
+	connection, _, err := http.NewResponseController(rw).Hijack()
+	if err != nil {
+		return // net/http closes it
+	}
+	if c, ok := connection.(interface{ SetLinger(seconds int) error }); ok {
+		_ = c.SetLinger(0) // the connection is closed in any case
+	}
+	_ = connection.Close()
+}
+
 // resolveRoute finds the route, service and account.
 func (c *call) resolveRoute(r *http.Request) (status int, reason string) {
 	t := c.routing.table
