Test: a continuation of a completion is no other content

Guards the completions surface against a fault that others reported: a stream breaks off and the next engine responds with a page, JSON, an error, no event or a part of one.

--- a/entry/run_test.go
+++ b/entry/run_test.go
@@ -73,6 +73,17 @@
 		{"invalid JSON", []fault{respondRaw("data: {\n\n")}, ""},
 		{"error event", []fault{respondRaw(`data: {"error":{"message":"out of memory"}}` + "\n\n")}, ""},
 		{"oversized line", []fault{respondRaw("data: " + strings.Repeat("x", 2<<20))}, ""},
+		{"page instead of the continuation", []fault{failAfter(3), respondRaw("<html>\n\n<h1>failed</h1>\n\n</html>\n\n")}, ""},
+		{"JSON instead of the continuation", []fault{failAfter(3), respondRaw(`{"choices":[{"text":"x","finish_reason":"stop"}]}` + "\n\n")}, ""},
+		{"continuation without an event", []fault{failAfter(3), respondRaw("data: [DONE]\n\n")}, ""},
+		{"empty continuation", []fault{failAfter(3), respondRaw("")}, ""},
+		{"part of an event instead of the continuation", []fault{failAfter(3), respondRaw(`data: {"choices":[{"te`)}, ""},
+		{"error event instead of the continuation", []fault{failAfter(3), respondRaw(`data: {"error":{"message":"out of memory"}}` + "\n\n")}, ""},
+		{"bad request to the continuation", []fault{failAfter(3), respondStatus(http.StatusBadRequest, "<html>\n\n")}, ""},
+		{"internal error to the continuation", []fault{failAfter(3), respondStatus(http.StatusInternalServerError, "data: x\n\n")}, ""},
+		{"no content to the continuation", []fault{failAfter(3), respondStatus(http.StatusNoContent, "")}, ""},
+		{"partial content to the continuation", []fault{failAfter(3), respondStatus(http.StatusPartialContent, "data: [DONE]\n\n")}, ""},
+		{"redirect of the continuation", []fault{failAfter(3), respondStatus(http.StatusFound, "data: [DONE]\n\n")}, ""},
 		{"event of another request after the first event", []fault{
 			respondRaw(`data: {"id":"cmpl-7","choices":[]}` + "\n\n" + foreignEvent)}, "cmpl-7"},
 	}
