Steward: the repeat of an earlier response was taken for that of a later call

On a kept connection a faulty server could write an earlier response once more: the state of a server or the refusal of an order was then that of another call. Calls to servers now use a connection each, as those of the weight runner and of plain services do already.

--- a/steward/backends.go
+++ b/steward/backends.go
@@ -19,10 +19,9 @@
 
 // Limits of requests to entries and backend servers.
 const (
-	dialTimeout           = time.Second
-	maxResponseBytes      = 64 << 20
-	maxProbeBytes         = 64 << 10
-	maxIdleConnsPerServer = 2
+	dialTimeout      = time.Second
+	maxResponseBytes = 64 << 20
+	maxProbeBytes    = 64 << 10
 	// probePriority schedules a probe ahead of client requests that the server
 	// has not finished yet.
 	probePriority = -1
@@ -57,10 +56,12 @@
 	return &HTTPBackends{
 		entries:     entries,
 		entryClient: entryClient,
+		// Connections are not reused: a server may write the response to an earlier
+		// call once more, and nothing in it would reveal that.
 		serverClient: &http.Client{Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			MaxIdleConnsPerHost: maxIdleConnsPerServer,
-			DisableCompression:  true,
+			DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DisableKeepAlives:  true,
+			DisableCompression: true,
 		}},
 	}
 }
@@ -134,7 +135,6 @@
 		return 0, err
 	}
 	defer resp.Body.Close()
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxProbeBytes)) // allows the connection to be reused
 	return resp.StatusCode, nil
 }
 
