Entry: implausible announcements of engines were accepted

An announcement of 2^62 slots, which overflows the sum of a deployment's slots, was taken over; a sequence of 2^64-1 kept out all later announcements of the incarnation; a prefill rate near 0 gives infinite costs; port 0 cannot be called (by the code; only the acceptance was run). TestAnnouncementValidation failed for five of the seven new bodies before (a port out of range and deep nesting were refused already).

Slots are bounded at 2^20, sequences at 2^53, a stated rate must be 1e-3 to 1e12 tokens per second. Not bounded: the incarnation, which any value may name.

--- a/entry/api_test.go
+++ b/entry/api_test.go
@@ -171,6 +171,13 @@
 		{"unsupported scheme", `{"server":"s","url":"file:///etc"}`, http.StatusBadRequest},
 		{"query in URL", `{"server":"s","url":"http://127.0.0.1:1/?a="}`, http.StatusBadRequest},
 		{"negative slots", `{"server":"s","url":"http://127.0.0.1:1","slots":-1}`, http.StatusBadRequest},
+		{"implausible slots", `{"server":"s","url":"http://127.0.0.1:1","slots":4611686018427387904}`, http.StatusBadRequest},
+		{"port 0", `{"server":"s","url":"http://127.0.0.1:0"}`, http.StatusBadRequest},
+		{"port out of range", `{"server":"s","url":"http://127.0.0.1:65536"}`, http.StatusBadRequest},
+		{"implausible sequence", `{"server":"s","url":"http://127.0.0.1:1","incarnation":1,"sequence":18446744073709551615}`, http.StatusBadRequest},
+		{"prefill rate near 0", `{"server":"s","url":"http://127.0.0.1:1","prefill_tokens_per_second":5e-324}`, http.StatusBadRequest},
+		{"implausible prefill rate", `{"server":"s","url":"http://127.0.0.1:1","prefill_tokens_per_second":1e308}`, http.StatusBadRequest},
+		{"deeply nested", `{"server":"s","url":"http://127.0.0.1:1","new":` + strings.Repeat("[", 30_000) + strings.Repeat("]", 30_000) + `}`, http.StatusBadRequest},
 		{"name too long", `{"server":"s","url":"http://127.0.0.1:1","role":"` + strings.Repeat("x", 200) + `"}`, http.StatusBadRequest},
 		{"body too long", `{"server":"` + strings.Repeat("x", maxAnnounceBytes) + `"}`, http.StatusBadRequest},
 	}
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -252,6 +252,15 @@
 const (
 	maxAnnounceBytes = 64 << 10
 	maxAdapters      = 256
+	// maxSlots keeps sums over all servers within the range of int.
+	maxSlots = 1 << 20
+	// maxSequence bounds sequence numbers: after the highest one no announcement of the
+	// incarnation would be newer.
+	maxSequence = 1 << 53
+	// minPrefillRate and maxPrefillRate bound a stated prefill throughput in tokens per
+	// second, so that times derived from it are finite.
+	minPrefillRate = 1e-3
+	maxPrefillRate = 1e12
 )
 
 // validAnnouncement reports whether an announcement describes a server that can
@@ -266,10 +275,14 @@
 	if err != nil || (target.Scheme != "http" && target.Scheme != "https") || target.RawQuery != "" || target.User != nil {
 		return false
 	}
-	if _, err := netip.ParseAddrPort(target.Host); err != nil {
+	if address, err := netip.ParseAddrPort(target.Host); err != nil || address.Port() == 0 {
 		return false
 	}
-	return validID(a.Server) && a.Slots >= 0 && a.PrefillTokensPerSecond >= 0 && len(a.Adapters) <= maxAdapters
+	rate := a.PrefillTokensPerSecond
+	if rate != 0 && (rate < minPrefillRate || rate > maxPrefillRate) {
+		return false
+	}
+	return validID(a.Server) && a.Slots >= 0 && a.Slots <= maxSlots && a.Sequence <= maxSequence && len(a.Adapters) <= maxAdapters
 }
 
 func (e *Entry) serveAnnounce(w http.ResponseWriter, r *http.Request) {
