--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/galenaarch/galenaarch/config/site"
@@ -43,6 +44,10 @@
 	// lastEventAt is when the client was sent the last event; zero before the first.
 	lastEventAt time.Time
 	pending     []byte
+	// resuming is set until the first event of a server that resumes the stream;
+	// unnumbered is set if the last forwarded event has no ID.
+	resuming   bool
+	unnumbered atomic.Bool
 	// interruption is why the stream last left its server: one of the interruption
 	// constants.
 	interruption string
@@ -72,7 +77,8 @@
 // relay forwards a server's response. It returns false if the request is to continue
 // on another server.
 func (c *call) relay(rw http.ResponseWriter, r *http.Request, s *stream, a *attempt) bool {
-	if c.route.Kind == site.KindStream && a.status == http.StatusOK && isEventStream(a.exchange.Response.Header) {
+	header := a.exchange.Response.Header
+	if c.route.Kind == site.KindStream && a.status == http.StatusOK && isEventStream(header) && (!s.headersSent || continuesAsEventStream(header, rw.Header())) {
 		return c.relayStream(r, s, a)
 	}
 	if s.headersSent {
@@ -85,7 +91,8 @@
 // type, a response on a stream route counts as one.
 func isEventStream(h http.Header) bool {
 	contentType := h.Get("Content-Type")
-	return contentType == "" || strings.HasPrefix(contentType, "text/event-stream")
+	mediaType, _, _ := strings.Cut(contentType, ";")
+	return contentType == "" || strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
 }
 
 // impliesNotRun reports whether a status implies that the request has not run.
@@ -200,9 +207,9 @@
 // relayStream forwards complete events as they arrive. It returns false if the stream
 // broke and is to resume on another server.
 func (c *call) relayStream(r *http.Request, s *stream, a *attempt) bool {
-	s.pending = s.pending[:0]
+	s.pending, s.resuming = s.pending[:0], s.headersSent
 	remaining := c.maxStreamBytes()
-	watch := c.startStallWatch(r.Context(), a)
+	watch := c.startStallWatch(r.Context(), s, a)
 	defer watch.stop()
 	buffer := readBuffers.Get().(*[]byte)
 	defer readBuffers.Put(buffer)
@@ -215,14 +222,18 @@
 		if n > 0 {
 			a.backend.update(func(tracker *dispatch.BackendState) { tracker.Responded(time.Now()) })
 			s.pending = append(s.pending, (*buffer)[:n]...)
-			if s.forwardEvents(a) {
+			if err := s.checkContinuation(); err != nil {
+				watch.stop()
+				return s.handleInterruption(r, a, err)
+			}
+			if !s.resuming && s.forwardEvents(a) {
 				watch.progress()
 			}
 		}
 		if errors.Is(err, io.EOF) && !a.answered && a.closeDelimited() {
 			err = io.ErrUnexpectedEOF
 		}
-		if errors.Is(err, io.EOF) && len(s.pending) == 0 {
+		if errors.Is(err, io.EOF) && len(s.pending) == 0 && !s.resuming {
 			watch.stop()
 			c.markAnswered(a)
 			s.sendHeaders(a)
@@ -270,9 +281,7 @@
 	s.call.markAnswered(a)
 	s.sendHeaders(a)
 	events := s.pending[:length]
-	if id := findLastEventID(events); id != "" {
-		s.lastEventID = id
-	}
+	s.recordEvents(events)
 	s.lastEventAt = time.Now()
 	_, _ = s.rw.Write(events) // a client that leaves cancels the request's context
 	if f, ok := s.rw.(http.Flusher); ok {
@@ -292,7 +301,7 @@
 	s.interruption = c.interruptionOf(err)
 	c.logInterrupted(a, err)
 	a.backend.recordFailure(false, time.Now())
-	if !c.route.Resumable {
+	if !c.route.Resumable || s.unnumbered.Load() {
 		c.giveUp(s.rw, r, s, reasonNotRetryable)
 		return true
 	}
@@ -310,18 +319,3 @@
 	}
 	return length
 }
-
-// findLastEventID returns the last event ID in complete events.
-func findLastEventID(events []byte) string {
-	i := bytes.LastIndex(events, []byte("\nid:"))
-	switch {
-	case i >= 0:
-		i++
-	case bytes.HasPrefix(events, []byte("id:")):
-		i = 0
-	default:
-		return ""
-	}
-	line, _, _ := bytes.Cut(events[i+len("id:"):], []byte("\n"))
-	return strings.TrimSpace(string(line))
-}
--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -31,6 +31,7 @@
 // abortShare it is canceled in any case.
 type stallWatch struct {
 	call    *call
+	stream  *stream
 	attempt *attempt
 	// lastEventAt is the time of the last event, in nanoseconds of Unix time.
 	lastEventAt atomic.Int64
@@ -51,8 +52,8 @@
 
 // startStallWatch starts to monitor a stream. It does nothing if the clients'
 // tolerance is not known.
-func (c *call) startStallWatch(ctx context.Context, a *attempt) *stallWatch {
-	w := &stallWatch{call: c, attempt: a}
+func (c *call) startStallWatch(ctx context.Context, s *stream, a *attempt) *stallWatch {
+	w := &stallWatch{call: c, stream: s, attempt: a}
 	w.ctx, w.endSearches = context.WithCancel(ctx)
 	w.lastEventAt.Store(time.Now().UnixNano())
 	if c.route.ClientTimeout == 0 {
@@ -123,7 +124,7 @@
 // arrives meanwhile.
 func (w *stallWatch) tryFailOver(lastEventAt, now time.Time) bool {
 	c := w.call
-	if !c.maySwitchServer(w.attempt.backend, now) {
+	if w.stream.unnumbered.Load() || !c.maySwitchServer(w.attempt.backend, now) {
 		return false
 	}
 	ctx, cancel := context.WithCancel(w.ctx)
