Gateway: the parts of a request may be read while a stall watch places it

No failure was seen: the stall watch and the attempt timer may decide on a request while its response is read, and both would compute the list of parts.

go test -race -run "Quarantined|NextCrash|Interruption|Evidence|PartsAre" ./gateway and -run "TestLateEntry|TestPartThat" ./platform: pass.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/galenaarch/galenaarch/admission"
@@ -66,14 +67,14 @@
 	rateLimited []*backend
 	// parts is the result of recordableParts. suspects are those of the last attempt that
 	// was interrupted, at the incarnation interruptedAt.
-	parts         []dispatch.PromptPart
+	parts         atomic.Pointer[[]dispatch.PromptPart]
 	suspects      []dispatch.Suspect
 	interruptedAt dispatch.ServerRun
 	// quarantinedPart is why the request is rejected, until quarantinedUntil. trial is set
 	// if it tries a part whose quarantine is over.
 	quarantinedPart  string
 	quarantinedUntil time.Time
-	trial            bool
+	trial            atomic.Bool
 }
 
 // rawPath returns the path as sent by the client.
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -99,14 +99,16 @@
 	if !c.gateway.policy.Enabled(dispatch.PartQuarantine) {
 		return nil
 	}
-	if c.parts == nil {
-		shared := c.declaredParts()
-		c.parts = make([]dispatch.PromptPart, len(shared))
-		for i, p := range shared {
-			c.parts[i] = dispatch.PromptPart{Service: c.service.Name, Part: p.ID}
-		}
+	if known := c.parts.Load(); known != nil {
+		return *known
+	}
+	shared := c.declaredParts()
+	parts := make([]dispatch.PromptPart, len(shared))
+	for i, p := range shared {
+		parts[i] = dispatch.PromptPart{Service: c.service.Name, Part: p.ID}
 	}
-	return c.parts
+	c.parts.Store(&parts)
+	return parts
 }
 
 // notify wakes run, which passes on the changed evidence.
@@ -216,7 +218,7 @@
 		changed := e.evidence.Answered(parts[:min(len(parts), maxRecordedParts)], time.Now())
 		e.mu.Unlock()
 		if changed {
-			e.notify(c.trial)
+			e.notify(c.trial.Load())
 		}
 	}
 }
@@ -254,7 +256,7 @@
 // blocks is rejectQuarantined for a caller that holds e.mu. A trial that did not run may go
 // to another server.
 func (e *crashEvidence) blocks(c *call, parts []dispatch.PromptPart, now time.Time) bool {
-	if c.trial && !c.mayHaveRun {
+	if c.trial.Load() && !c.mayHaveRun {
 		return false
 	}
 	part, until, blocked := e.evidence.Blocked(parts, e.mayTry, now)
@@ -280,8 +282,8 @@
 	if e.blocks(c, parts, now) {
 		return false
 	}
-	if !c.trial && e.evidence.Sent(parts, now) {
-		c.trial = true
+	if !c.trial.Load() && e.evidence.Sent(parts, now) {
+		c.trial.Store(true)
 		e.gateway.logger.Info("quarantined prompt part tried", slog.String("request", c.request.ID), slog.String("backend", c.service.Name))
 		e.notify(true)
 	}
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -83,7 +83,8 @@
 	other := h.call(1000)
 	other.request, other.prompt = &Request{Prompt: c.prompt}, nil
 	require.Empty(t, other.recordableParts(), "the route declares no prompts")
-	other.parts, other.route.DeclaresPrompt = nil, true
+	other.route.DeclaresPrompt = true
+	other.parts.Store(nil)
 	require.Equal(t, want, other.recordableParts())
 }
 
@@ -110,7 +111,7 @@
 	setCandidates(3, long, "e")
 	trial := h.suspectCall(1000)
 	require.True(t, trial.admitParts(time.Now()))
-	require.True(t, trial.trial)
+	require.True(t, trial.trial.Load())
 	require.True(t, blocked(), "one trial at a time")
 	require.True(t, trial.admitParts(time.Now()), "it may go to another server as long as it has not run")
 	trial.mayHaveRun = true
