Gateway: an empty body that ends with its connection answers nothing

A server that ends after the headers of a response without a length or chunks looked like one that had answered: it is recorded as an interruption now, which blames the parts only if the server has ended. The response is relayed as before.

TestEmptyBodyIsNoAnswer passes: go test -race ./gateway.

--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"log/slog"
 	"maps"
 	"net"
@@ -224,10 +225,15 @@
 }
 
 // markBodyAnswered records a complete response that is not a stream, with a body of at least
-// the given length. Only a success shows that the server has processed the prompt.
+// the given length. Only a success shows that the server has processed the prompt, and a body
+// without a length or chunks only if it is not empty: the server may have ended instead.
 func (c *call) markBodyAnswered(a *attempt, length int) {
-	if a.status/100 == 2 && (length > 0 || !a.closeDelimited()) {
+	switch {
+	case a.status/100 != 2:
+	case length > 0 || !a.closeDelimited():
 		c.markAnswered(a)
+	case len(c.recordableParts()) > 0:
+		c.recordInterruption(a, io.ErrUnexpectedEOF)
 	}
 }
 
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -73,6 +73,36 @@
 	require.Empty(t, interrupt(first).repeatBlocked(time.Now()), "no other server has ended")
 }
 
+// TestEmptyBodyIsNoAnswer guards against a server that ends after the headers of a response
+// without a length or chunks, which then looks complete and acquits the parts.
+func TestEmptyBodyIsNoAnswer(t *testing.T) {
+	h := newTestGateway(t, 1)
+	b := h.routing.services["llm"][0]
+	tests := []struct {
+		name                  string
+		status                int
+		contentLength         int64
+		body                  int
+		answered, interrupted bool
+	}{
+		{"empty until the close", http.StatusOK, -1, 0, false, true},
+		{"empty with a length", http.StatusOK, 0, 0, true, false},
+		{"body until the close", http.StatusOK, -1, 5, true, false},
+		{"server error", http.StatusInternalServerError, 5, 5, false, false},
+	}
+	for n, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			id := incarnation{"i", int64(n)}
+			h.evidence.dialed[id] = time.Now() // no connection
+			at := &backend{incarnation: id, address: b.address, service: h.service}
+			a := &attempt{gateway: h.Gateway, backend: at, result: responseReceived, status: test.status, exchange: &upstream.Exchange{Response: &http.Response{ContentLength: test.contentLength}}}
+			h.suspectCall(1000).markBodyAnswered(a, test.body)
+			require.Equal(t, test.answered, a.answered)
+			require.Equal(t, test.interrupted, h.evidence.evidence.AwaitsEnd(id.run()))
+		})
+	}
+}
+
 // TestPartsAreRecordedAtServicesWithoutEngines guards against a route that is split between
 // engines and other servers, where the latter crash under the part unnoticed.
 func TestPartsAreRecordedAtServicesWithoutEngines(t *testing.T) {
