Gateway: a client that read nothing for a while lost its stream

What callers saw: a stream ended early at a server that sent all the time, after the client had read nothing for 2.5 s (1.25 times the time after which clients abandon a stream). A resumable one left its server after 1.2 s already if another was free.

Cause: the stall watch counts the time since the last event that was written to the client. While a write waits for the client, nothing is read, and that looked like a silent server.

Ruled out: the deadline (5 s; the stream ended 3.1 s after its start) and the timeout for unacknowledged data of clients (5 s).

Change: the time in which a write is in progress is no silence of the server. A client that has gone is still noticed by the closed connection, the 5 s or the deadline.

TestStreamOfPausingClientIsNotEnded failed before with "unexpected EOF", with and without -race.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -212,9 +212,7 @@
 		if n > 0 {
 			a.backend.update(func(tracker *dispatch.BackendState) { tracker.Responded(time.Now()) })
 			s.pending = append(s.pending, (*buffer)[:n]...)
-			if s.forwardEvents(a) {
-				watch.progress()
-			}
+			watch.forward(func() bool { return s.forwardEvents(a) })
 		}
 		if errors.Is(err, io.EOF) && len(s.pending) == 0 {
 			watch.stop()
--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -34,6 +34,9 @@
 	attempt *attempt
 	// lastEventAt is the time of the last event, in nanoseconds of Unix time.
 	lastEventAt atomic.Int64
+	// forwarding is set while events are written to the client: meanwhile nothing is
+	// read, and the server is not silent.
+	forwarding atomic.Bool
 	// ctx and endSearches end the search for another server when the watch stops,
 	// cancelSearch ends the current one.
 	ctx          context.Context
@@ -69,6 +72,16 @@
 	return time.Duration(share * float64(w.call.route.ClientTimeout))
 }
 
+// forward runs write, which writes what was read to the client and reports whether that
+// contained a complete event.
+func (w *stallWatch) forward(write func() bool) {
+	w.forwarding.Store(true)
+	defer w.forwarding.Store(false)
+	if write() {
+		w.progress()
+	}
+}
+
 // progress records a complete event.
 func (w *stallWatch) progress() {
 	w.lastEventAt.Store(time.Now().UnixNano())
@@ -105,10 +118,14 @@
 	if w.ended {
 		return
 	}
+	// This is read first: a write that ends now has updated lastEventAt before.
+	forwarding := w.forwarding.Load()
 	now := time.Now()
 	lastEventAt := time.Unix(0, w.lastEventAt.Load())
 	sinceEvent := now.Sub(lastEventAt)
 	switch {
+	case forwarding:
+		w.timer.Reset(recheckInterval)
 	case sinceEvent >= w.fraction(abortShare), sinceEvent >= w.fraction(failoverShare) && w.tryFailOver(lastEventAt, now):
 		w.ended, w.stalled = true, true
 		w.attempt.cancel(&upstream.Error{Phase: upstream.PhaseReadBody, Address: w.attempt.backend.address, Err: errStalled})
@@ -133,7 +150,7 @@
 	if !c.reserveReplacement(ctx, w.attempt.backend, lastEventAt) {
 		return false
 	}
-	if w.lastEventAt.Load() != lastEventAt.UnixNano() {
+	if w.forwarding.Load() || w.lastEventAt.Load() != lastEventAt.UnixNano() {
 		c.releaseReserved()
 		return false
 	}
