Upstream: the longer timeout for unacknowledged data only for large requests

The previous change lengthened the detection of connections that go silent for good from 1.5 s to 2.5 s for all requests, although only requests that may fill the server's receive window need it. Bodies up to 4 KB have 1.5 s again.

TestServerThatPausesReadingGetsTheWholeBody (4 MB) passed three times with -race.

--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -27,9 +27,11 @@
 	dialTimeout = 350 * time.Millisecond
 	// unackedTimeout closes a connection whose peer acknowledges nothing: a network
 	// partition sends no reset. It also bounds how long the peer may read nothing while
-	// a request fills its receive window, so it is above the two seconds for which a
-	// sound server may be silent.
-	unackedTimeout = 2500 * time.Millisecond
+	// a request fills its receive window. largeUnackedTimeout replaces it for requests
+	// above smallRequestBytes; it is above the two seconds for which a sound server may
+	// be silent.
+	unackedTimeout      = 1500 * time.Millisecond
+	largeUnackedTimeout = 2500 * time.Millisecond
 	// keepAliveIdle and keepAliveInterval detect a silent peer while a response is
 	// awaited.
 	keepAliveIdle     = 2 * time.Second
@@ -46,6 +48,8 @@
 const (
 	readBufferSize  = 4 << 10
 	writeBufferSize = 4 << 10
+	// smallRequestBytes is the largest body that fits even a small receive window.
+	smallRequestBytes = 4 << 10
 	// maxHeaderBytes limits the headers of one response, including interim ones: four
 	// times the request headers that site documents allow. A faulty server may send an
 	// endless header.
@@ -133,6 +137,8 @@
 	writer      *bufio.Writer
 	idleSince   time.Time
 	idleTimeout time.Duration
+	// unackedTimeout is that of the socket.
+	unackedTimeout time.Duration
 }
 
 // Pool holds the connections to one incarnation of one backend server.
@@ -154,19 +160,38 @@
 func NewPool(address string, maxOpen int) *Pool {
 	return &Pool{address: address, maxOpen: maxOpen, dialer: net.Dialer{
 		Timeout:         dialTimeout,
-		Control:         setUserTimeout,
+		Control:         func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, unackedTimeout) },
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
 	}}
 }
 
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+func setUserTimeout(raw syscall.RawConn, d time.Duration) error {
 	var err error
 	controlErr := raw.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
 	})
 	return errors.Join(controlErr, err)
 }
 
+// prepare sets the timeout for unacknowledged data that suits the size of a request.
+func (c *conn) prepare(r *Request) error {
+	d := unackedTimeout
+	if len(r.Body) > smallRequestBytes {
+		d = largeUnackedTimeout
+	}
+	if d == c.unackedTimeout {
+		return nil
+	}
+	raw, err := c.headerLimitedConn.Conn.(*net.TCPConn).SyscallConn()
+	if err == nil {
+		err = setUserTimeout(raw, d)
+	}
+	if err == nil {
+		c.unackedTimeout = d
+	}
+	return err
+}
+
 // SetMax changes the limit on open connections; 0 for no limit.
 func (p *Pool) SetMax(maxOpen int) {
 	p.mu.Lock()
@@ -289,7 +314,7 @@
 		return nil, &Error{Phase: PhaseDial, Address: p.address, Err: err}
 	}
 	limited := &headerLimitedConn{Conn: raw}
-	return &conn{headerLimitedConn: limited, reader: bufio.NewReaderSize(limited, readBufferSize), writer: bufio.NewWriterSize(raw, writeBufferSize), idleTimeout: defaultIdleTimeout}, nil
+	return &conn{headerLimitedConn: limited, reader: bufio.NewReaderSize(limited, readBufferSize), writer: bufio.NewWriterSize(raw, writeBufferSize), idleTimeout: defaultIdleTimeout, unackedTimeout: unackedTimeout}, nil
 }
 
 // Prepare opens a connection for the next request. It fails if the server does not accept
@@ -314,6 +339,10 @@
 			return nil, err
 		}
 	}
+	if err := c.prepare(r); err != nil {
+		p.discard(c)
+		return nil, &Error{Phase: PhaseDial, Address: p.address, Err: err}
+	}
 	x := &Exchange{pool: p, conn: c}
 	x.stop = context.AfterFunc(ctx, func() { c.Close() })
 	if err := c.writeRequest(r); err != nil {
