Gateway: a stream was cut 30 ms before its client's deadline

What callers saw: a stream that had begun ended 30 ms before the client's deadline or the route's timeout. Around planned work that is a response without an end.

Cause: the deadline of a request is earlier than the client's, so that a last response still arrives. A stream that has begun gets no other response; it can only be cut.

Change: such a stream ends 50 ms after the client's deadline. Requests without a response keep the earlier one.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/galenaarch/galenaarch/config/site"
@@ -39,6 +40,8 @@
 	call        *call
 	rw          http.ResponseWriter
 	headersSent bool
+	// begun is headersSent for the timer of the deadline.
+	begun       atomic.Bool
 	lastEventID string
 	// lastEventAt is when the client was sent the last event; zero before the first.
 	lastEventAt time.Time
@@ -247,6 +250,7 @@
 		return
 	}
 	s.headersSent = true
+	s.begun.Store(true)
 	s.call.gateway.dialect.CopyResponseHeader(s.rw.Header(), a.exchange.Response.Header)
 	s.rw.WriteHeader(a.status)
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -17,15 +17,18 @@
 // errDeadline ends a request whose client or route timeout has passed.
 var errDeadline = errors.New("request deadline exceeded")
 
+// streamOvertime is how much longer than other requests a stream may take: it ends after
+// the client's deadline, and soon enough not to count as held.
+const streamOvertime = responseMargin + 50*time.Millisecond
+
 // serve sends the request until it gets a response, and relays it.
 func (c *call) serve(rw http.ResponseWriter, r *http.Request) {
-	ctx, cancelDeadline := context.WithDeadlineCause(r.Context(), c.deadline, errDeadline)
-	defer cancelDeadline()
-	ctx, cancel := context.WithCancelCause(ctx)
+	s := &stream{call: c, rw: rw, lastEventID: c.request.LastEventID}
+	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
+	defer s.startDeadline(cancel)()
 	defer context.AfterFunc(c.gateway.stopping, func() { cancel(errStopping) })()
 	c.gateway.retryBudget(c.service.Name).RecordRequest(c.startedAt)
-	s := &stream{call: c, rw: rw, lastEventID: c.request.LastEventID}
 	defer c.releaseReserved()
 	for {
 		a, reason := c.nextResponse(ctx, r, s)
@@ -42,6 +45,19 @@
 	}
 }
 
+// startDeadline cancels the request at its deadline, which leaves time for a last response.
+// A stream that has begun can only be cut, so it gets streamOvertime more. The returned
+// function stops the timer.
+func (s *stream) startDeadline(cancel context.CancelCauseFunc) (stop func() bool) {
+	return time.AfterFunc(time.Until(s.call.deadline), func() {
+		if s.begun.Load() {
+			time.AfterFunc(streamOvertime, func() { cancel(errDeadline) })
+			return
+		}
+		cancel(errDeadline)
+	}).Stop
+}
+
 // relayAndRelease relays a response and releases the attempt, also when a panic
 // aborts the client's connection.
 func (c *call) relayAndRelease(rw http.ResponseWriter, r *http.Request, s *stream, a *attempt) bool {
