--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -40,6 +40,8 @@
 	call        *call
 	rw          http.ResponseWriter
 	headersSent bool
+	// begun is headersSent for the timer of the deadline.
+	begun       atomic.Bool
 	lastEventID string
 	// lastEventAt is when the client was sent the last event; zero before the first.
 	lastEventAt time.Time
@@ -226,9 +228,7 @@
 				watch.stop()
 				return s.handleInterruption(r, a, err)
 			}
-			if !s.resuming && s.forwardEvents(a) {
-				watch.progress()
-			}
+			watch.forward(func() bool { return !s.resuming && s.forwardEvents(a) })
 		}
 		if errors.Is(err, io.EOF) && !a.answered && a.closeDelimited() {
 			err = io.ErrUnexpectedEOF
@@ -267,6 +267,7 @@
 		return
 	}
 	s.headersSent = true
+	s.begun.Store(true)
 	s.call.gateway.dialect.CopyResponseHeader(s.rw.Header(), a.exchange.Response.Header)
 	s.rw.WriteHeader(a.status)
 }
