Entry: a stream that cannot be continued was given up while its server was silent

What callers saw: "the stream broke off and cannot be continued" for a response with a format, tools or another option that no second engine can continue, after its server had not announced itself for -server-ttl (2 s) and sent no token for one to two seconds. The server went on.

Cause: the watch of a lost server cancels the attempt without asking whether another server can continue the response.

Change: such a stream stays at its server until maxTokenGap (30 s). Others move as before.

TestStreamThatCannotBeContinuedWaitsForSilentServer failed before with stream_broken.

--- a/entry/continue.go
+++ b/entry/continue.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"slices"
 
 	"github.com/galenaarch/galenaarch/api/backend"
 )
@@ -52,13 +53,16 @@
 	return true
 }
 
+// continuable reports whether a response to the prompt may be continued from its text.
+func (p *prompt) continuable() bool {
+	return !slices.ContainsFunc(statefulOptions, func(name string) bool { return isSet(p.body, name) })
+}
+
 // continuation returns a prompt that makes an engine continue after text, which
 // consists of the given number of tokens.
 func (p *prompt) continuation(text string, tokens int) (*prompt, error) {
-	for _, name := range statefulOptions {
-		if isSet(p.body, name) {
-			return nil, errNotContinuable
-		}
+	if !p.continuable() {
+		return nil, errNotContinuable
 	}
 	if text == "" {
 		return p, nil
--- a/entry/run.go
+++ b/entry/run.go
@@ -41,7 +41,8 @@
 	maxTokenGap = 30 * time.Second
 	// lostServerGrace is how long a stream from a server that stopped
 	// announcing may go without an event. A server that merely fails to announce
-	// still streams.
+	// still streams. A stream that cannot be continued elsewhere stays until
+	// maxTokenGap.
 	lostServerGrace = time.Second
 	// minRetryBackoff and maxRetryBackoff bound the backoff before a retry.
 	minRetryBackoff = 5 * time.Millisecond
@@ -333,7 +334,10 @@
 	id := relay.Attempt{RequestID: p.request.requestID, Number: r.attemptNumber}
 	header := http.Header{headerRequestID: {id.ID()}}
 	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(header))
-	ctx, watch := watchServer(ctx, d.Server)
+	started := r.out.started
+	ctx, watch := watchServer(ctx, d.Server, func(events uint64) bool {
+		return (!started && events == 0) || p.continuable()
+	})
 	defer watch.stop()
 	target := relay.Target{Server: d.Server.Server, URL: d.Server.URL + p.path}
 	stream, err := relay.Open(ctx, e.engineClient, target, body, header, id, r.timeouts())
--- a/entry/run_test.go
+++ b/entry/run_test.go
@@ -264,6 +264,33 @@
 	require.Equal(t, want, got.text)
 }
 
+// A stream that no other server can continue must not be given up because its server is
+// silent and no longer announces itself: it may go on.
+func TestStreamThatCannotBeContinuedWaitsForSilentServer(t *testing.T) {
+	const silence = 2*lostServerGrace + 500*time.Millisecond
+	e := startEntry(t)
+	pause := func(w http.ResponseWriter, r *http.Request, next http.Handler) {
+		limited := &limitedWriter{ResponseWriter: w, left: 3}
+		limited.end = func() { time.Sleep(silence) }
+		next.ServeHTTP(limited, r)
+	}
+	one := startEngine(t, "engine-1", pause)
+	e.announce("engine-1", one.URL)
+	e.announce("engine-2", startEngine(t, "engine-2").URL)
+	e.fleet.Announce(backend.Announcement{Server: "engine-2", Leaving: true, Incarnation: 1}, time.Now())
+	request, want := completionRequest(pathChat, true)
+	request.body.(map[string]any)["response_format"] = map[string]string{"type": "json_object"}
+	result := make(chan *testResponse, 1)
+	go func() { result <- e.do(t, request) }()
+	require.Eventually(t, func() bool { return one.runs.Load() == 1 }, testWait, testPoll)
+	time.Sleep(50 * time.Millisecond) // the first events arrive
+	require.Equal(t, []string{"engine-1"}, e.fleet.Expire(time.Now().Add(2*time.Hour)))
+	got := <-result
+	require.Nil(t, got.fault, string(got.raw))
+	require.Equal(t, want, got.text)
+	require.True(t, got.done)
+}
+
 // A client that does not read must stop the engine and keep memory bounded:
 // unread data must fit into the socket and relay buffers.
 func TestSlowClientAppliesBackpressure(t *testing.T) {
