Upstream: a server with idle connections only counted as unreachable

What callers saw: a request stayed at a silent server although another one was idle, if this instance had as many connections to that one as it may have, all of them idle.

Cause: the check that a replacement accepts connections opens one, and the limit counts the idle connections too.

Change: one idle connection is closed in that case.

TestPrepareReplacesAnIdleConnectionAtTheLimit failed before with "all connections are in use".

--- a/upstream/silent_server_test.go
+++ b/upstream/silent_server_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/galenaarch/galenaarch/platform/platformtest"
 )
 
 // A server that reads nothing for a while and goes on must not lose the request that is
@@ -51,3 +53,25 @@
 	require.Equal(t, "ok", string(body))
 	require.NoError(t, <-served)
 }
+
+// A server whose connections are all idle must count as reachable.
+func TestPrepareReplacesAnIdleConnectionAtTheLimit(t *testing.T) {
+	server := platformtest.New(t, "i-1")
+	pool := NewPool(server.Address, 1)
+	defer pool.Close()
+	send := func() {
+		x, err := pool.Send(t.Context(), &Request{Method: http.MethodGet, Target: "/", Host: "a.example", Header: http.Header{}})
+		require.NoError(t, err)
+		_, err = io.ReadAll(x)
+		require.NoError(t, err)
+		x.Finish(0)
+	}
+	send()
+	require.NoError(t, pool.Prepare(t.Context()))
+	send()
+	require.Equal(t, uint64(2), pool.DialCount(), "the new connection is used")
+	x, err := pool.Send(t.Context(), &Request{Method: http.MethodGet, Target: "/", Host: "a.example", Header: http.Header{}})
+	require.NoError(t, err)
+	defer x.Abandon()
+	require.ErrorIs(t, pool.Prepare(t.Context()), ErrConnectionLimit, "the connection is in use")
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -317,10 +317,19 @@
 	return &conn{headerLimitedConn: limited, reader: bufio.NewReaderSize(limited, readBufferSize), writer: bufio.NewWriterSize(raw, writeBufferSize), idleTimeout: defaultIdleTimeout, unackedTimeout: unackedTimeout}, nil
 }
 
-// Prepare opens a connection for the next request. It fails if the server does not accept
-// one or the pool may open no further one.
+// Prepare opens a connection for the next request, in place of an idle one if the pool may
+// open no further one: an idle connection does not show that the server accepts requests.
+// It fails if the server accepts no connection or all of the pool are in use.
 func (p *Pool) Prepare(ctx context.Context) error {
 	c, err := p.dial(ctx)
+	if errors.Is(err, ErrConnectionLimit) {
+		idle := p.takeIdle()
+		if idle == nil {
+			return err
+		}
+		p.discard(idle)
+		c, err = p.dial(ctx)
+	}
 	if err != nil {
 		return err
 	}
