Weights: one wrong version in a response disabled its server for prompts

A response that stated a version above every requested one was remembered for the life of the server, and every later prompt there named it as the expected version. The server refused them all as misdirected, which is no failure, so it stayed the preferred one: with one server all clients received 503, 10 of 10 prompts in TestWrongWeightVersionInResponseIsCorrected, which failed before. A bound on the value does not help, as the next higher number does the same.

When a server refuses a version above the requested one, that version is now replaced by the requested one.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -367,8 +367,12 @@
 		return
 	}
 	// The server runs other weights than requested: as versions never decrease, these
-	// are newer ones.
-	if target := c.routing.targetVersions[c.prompt.Model]; target > a.weightVersion {
+	// are newer ones. A version above the target came from a wrong report.
+	target := c.routing.targetVersions[c.prompt.Model]
+	switch {
+	case target > a.weightVersion:
 		a.backend.raiseWeightVersion(c.prompt.Model, target)
+	case target > 0 && target < a.weightVersion:
+		a.backend.resetWeightVersion(c.prompt.Model, a.weightVersion, target)
 	}
 }
--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -66,6 +66,16 @@
 	b.weights[model] = max(b.weights[model], version)
 }
 
+// resetWeightVersion replaces a version that turned out to be wrong, unless another one was
+// reported meanwhile.
+func (b *backend) resetWeightVersion(model string, wrong, version uint64) {
+	b.state.mu.Lock()
+	defer b.state.mu.Unlock()
+	if b.weights[model] == wrong {
+		b.weights[model] = version
+	}
+}
+
 // weightVersion returns the highest weight version that the server reported for a model;
 // 0 if none.
 func (b *backend) weightVersion(model string) uint64 {
