Upstream: a switch of protocols was passed on as a response

A faulty server that answered 101 had it forwarded, although the entry instance removes Upgrade headers: the client waits for another protocol on a connection that goes on with HTTP. TestProtocolSwitchIsNoResponse failed before (101). Such a response now ends the attempt like bytes that are no response.

--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -61,6 +61,10 @@
 // ErrHeaderTooLarge reports response headers that exceed the size limit.
 var ErrHeaderTooLarge = errors.New("response header exceeds the size limit")
 
+// ErrProtocolSwitch reports a server that switches to another protocol, which no request
+// asks for.
+var ErrProtocolSwitch = errors.New("server switches to another protocol")
+
 // Phase is how far a request got.
 type Phase int
 
@@ -409,7 +413,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, ErrProtocolSwitch
+		}
+		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
 	}
@@ -452,7 +459,7 @@
 		return
 	}
 	c := x.conn
-	reusable := x.bodyComplete && !x.writeFailed && !x.Response.Close && x.Response.StatusCode != http.StatusSwitchingProtocols && c.reader.Buffered() == 0
+	reusable := x.bodyComplete && !x.writeFailed && !x.Response.Close && c.reader.Buffered() == 0
 	if !reusable || !x.stop() {
 		x.Abandon()
 		return
