Soaks share the faults of processes

The rate limit soak's faults move to a type that other soaks use, with the same order of random numbers. The logs of processes hold their standard output too.

--- a/faults/process_test.go
+++ b/faults/process_test.go
@@ -64,7 +64,7 @@
 	require.NoError(p.t, err)
 	defer log.Close()
 	p.cmd = exec.Command(p.path, p.args...)
-	p.cmd.Stderr = log
+	p.cmd.Stdout, p.cmd.Stderr = log, log
 	require.NoError(p.t, p.cmd.Start())
 	p.exited = make(chan error, 1)
 	go func(cmd *exec.Cmd, exited chan<- error) { exited <- cmd.Wait() }(p.cmd, p.exited)
--- a/faults/rate_limit_soak_test.go
+++ b/faults/rate_limit_soak_test.go
@@ -10,7 +10,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -97,16 +96,14 @@
 
 // limitSoak runs the soak with rate-limited servers.
 type limitSoak struct {
-	*soak
+	*processFaults
 	limited []*limitedServer
 
 	mu sync.Mutex
 	// passedOn holds, by gateway, when it began and ceased to pass on responses with a
-	// limit; excused the times at which it was stopped, frozen or started. busy marks the
-	// processes to which a fault occurs.
+	// limit; excused the times at which it was stopped, frozen or started.
 	passedOn [][]passedOn
 	excused  [][]time.Time
-	busy     []bool
 	refusals []time.Duration
 	// missing are refusals without a time to come back.
 	missing int
@@ -210,72 +207,6 @@
 	return slices.ContainsFunc(l.excused[gateway], func(at time.Time) bool { return !at.Before(from) && !at.After(to) })
 }
 
-// claim reserves a process for a fault, by its index among control replicas and gateways.
-func (l *limitSoak) claim(index int) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	claimed := !l.busy[index]
-	l.busy[index] = true
-	return claimed
-}
-
-func (l *limitSoak) release(index int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.busy[index] = false
-}
-
-// injectFault kills, stops, freezes or reloads a process; faults overlap.
-func (l *limitSoak) injectFault(random *rand.Rand, faults *sync.WaitGroup) {
-	index := random.IntN(len(l.controls) + len(l.gateways))
-	kind, lasts := random.IntN(5), 200*time.Millisecond+time.Duration(random.Int64N(int64(2500*time.Millisecond)))
-	if !l.claim(index) {
-		return
-	}
-	excuse := func() {}
-	target := l.process(index)
-	if gateway := index - len(l.controls); gateway >= 0 {
-		excuse = func() { l.excuse(gateway) }
-	}
-	faults.Go(func() {
-		defer l.release(index)
-		l.t.Logf("%s: fault %d for %v", target.name, kind, lasts.Round(time.Millisecond))
-		if kind < 4 {
-			excuse()
-			defer excuse()
-		}
-		switch kind {
-		case 0:
-			target.kill()
-			time.Sleep(lasts)
-			target.start()
-		case 1, 2: // a second SIGTERM while the process stops
-			_ = target.cmd.Process.Signal(syscall.SIGTERM)
-			if kind == 2 {
-				time.Sleep(lasts / 4)
-				_ = target.cmd.Process.Signal(syscall.SIGTERM) // the process may have exited
-			}
-			<-target.exited
-			target.cmd = nil
-			target.start()
-		case 3:
-			_ = target.cmd.Process.Signal(syscall.SIGSTOP)
-			time.Sleep(lasts)
-			_ = target.cmd.Process.Signal(syscall.SIGCONT)
-		case 4:
-			_ = target.cmd.Process.Signal(syscall.SIGHUP)
-		}
-	})
-}
-
-// process returns a control replica or gateway by its index.
-func (l *limitSoak) process(index int) *process {
-	if index < len(l.controls) {
-		return l.controls[index]
-	}
-	return l.gateways[index-len(l.controls)]
-}
-
 // changeLimit makes one server state another limit, or none.
 func (l *limitSoak) changeLimit(random *rand.Rand) {
 	server := l.limited[random.IntN(len(l.limited))]
@@ -368,7 +299,12 @@
 
 // startLimitSoak starts the processes and waits until they serve.
 func startLimitSoak(ctx context.Context, t *testing.T, seed uint64, gateways int, workers *sync.WaitGroup) *limitSoak {
-	l := &limitSoak{soak: startSoakWith(t, seed, gateways), passedOn: make([][]passedOn, gateways), excused: make([][]time.Time, gateways), busy: make([]bool, soakControls+gateways)}
+	l := &limitSoak{processFaults: &processFaults{soak: startSoakWith(t, seed, gateways)}, passedOn: make([][]passedOn, gateways), excused: make([][]time.Time, gateways)}
+	l.observe = func(index int, kind faultKind, _ bool) {
+		if gateway, ok := l.gatewayIndex(index); ok && kind != faultReload {
+			l.excuse(gateway)
+		}
+	}
 	for _, server := range l.servers {
 		limited := &limitedServer{}
 		l.limited = append(l.limited, limited)
@@ -418,7 +354,7 @@
 		if random.IntN(3) == 0 {
 			l.changeLimit(random)
 		} else {
-			l.injectFault(random, &faults)
+			l.inject(random, &faults)
 		}
 	}
 	faults.Wait()
