--- /dev/null
+++ b/faults/stream_client_test.go
@@ -0,0 +1,224 @@
+package faults
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/galenaarch/galenaarch/platform/platformtest"
+)
+
+const (
+	clientDialTimeout = time.Second
+	// clientEventGap is the time without an event after which clients leave a stream.
+	clientEventGap = 2 * time.Second
+	// maxRetryAfterShare is the share of a request's time within which clients obey the
+	// time to come back.
+	maxRetryAfterShare = 1.0 / 3
+	refusedPause       = 20 * time.Millisecond
+)
+
+// clientRequest is a request that a client sends, and what became of it.
+type clientRequest struct {
+	id      string
+	route   *soakRoute
+	gateway int
+	// path and header, besides those that every request has.
+	path   string
+	header map[string]string
+	// events and interval are what the request asks of its server; 0 events on routes
+	// without streams.
+	events   int
+	interval time.Duration
+	padding  int
+	// bodyDelay is the time between the request's header and its body.
+	bodyDelay time.Duration
+	timeout   time.Duration
+
+	sentAt time.Time
+	// wroteAt is when the last byte was sent; zero if it was not.
+	wroteAt, firstEventAt, endedAt time.Time
+	// onConnection is the number of earlier requests on the connection.
+	onConnection int
+	status       int
+	server       string
+	retryAfter   string
+	sealed       bool
+	received     int
+	// complete is set if the status line and the whole body or stream were received.
+	complete bool
+	// left is set if the client left because its time, or that for an event, had passed.
+	left  bool
+	err   error
+	wrong string
+}
+
+// deadline is when the time of the client or the shortest timeout of the route is over.
+func (r *clientRequest) deadline() time.Time {
+	return r.sentAt.Add(min(r.timeout, r.route.minTimeout))
+}
+
+// body returns the body: the request's ID, what it asks for, and padding.
+func (r *clientRequest) body() string {
+	return fmt.Sprintf("%s %d %d %s", r.id, r.events, r.interval.Milliseconds(), strings.Repeat("x", r.padding))
+}
+
+// connection is a client's connection to a gateway.
+type connection struct {
+	net.Conn
+	reader *bufio.Reader
+	used   int
+}
+
+func dialGateway(ctx context.Context, address string) (*connection, error) {
+	c, err := (&net.Dialer{Timeout: clientDialTimeout}).DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	return &connection{Conn: c, reader: bufio.NewReader(c)}, nil
+}
+
+// exchange sends a request and reads everything that belongs to its response. It reports
+// whether the connection can be used again.
+func (c *connection) exchange(r *clientRequest) (reusable bool) {
+	r.onConnection, r.sentAt = c.used, time.Now()
+	c.used++
+	defer func() { r.endedAt = time.Now() }()
+	if r.err = c.write(r); r.err != nil {
+		return false
+	}
+	r.wroteAt = time.Now()
+	gap := r.timeout
+	if r.events > 0 {
+		gap = clientEventGap
+	}
+	await := func() {
+		// The only failure is that of a closed connection, which the read reports.
+		_ = c.SetReadDeadline(earlier(r.sentAt.Add(r.timeout), time.Now().Add(gap)))
+	}
+	await()
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: http.MethodPost})
+	if err != nil {
+		r.fail(err)
+		return false
+	}
+	r.status, r.retryAfter, r.server = response.StatusCode, response.Header.Get("Retry-After"), response.Header.Get("X-Instance-Id")
+	r.sealed = response.Header.Get("X-Response-Seal") != ""
+	if id := response.Header.Get("X-Request-Id"); id != r.id {
+		r.wrong = fmt.Sprintf("response with the ID %q", id)
+		return false
+	}
+	if r.status == http.StatusOK && r.events > 0 {
+		err = r.readEvents(response.Body, await)
+	} else {
+		err = r.readBody(response.Body)
+	}
+	if err != nil {
+		r.fail(err)
+		return false
+	}
+	r.complete = true
+	if n := c.reader.Buffered(); n > 0 {
+		r.wrong = fmt.Sprintf("%d bytes after the response", n)
+		return false
+	}
+	return !response.Close
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// fail records that the connection ended, or that the client has left.
+func (r *clientRequest) fail(err error) {
+	r.err = err
+	r.left = errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+func (c *connection) write(r *clientRequest) error {
+	var head strings.Builder
+	body := r.body()
+	fmt.Fprintf(&head, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nContent-Length: %d\r\n", r.path, platformtest.Host, r.id, r.timeout.Milliseconds(), len(body))
+	for name, value := range r.header {
+		fmt.Fprintf(&head, "%s: %s\r\n", name, value)
+	}
+	head.WriteString("\r\n")
+	if r.bodyDelay == 0 {
+		head.WriteString(body)
+		body = ""
+	}
+	if err := c.SetWriteDeadline(time.Now().Add(r.timeout)); err != nil {
+		return err
+	}
+	if _, err := io.WriteString(c, head.String()); err != nil || body == "" {
+		return err
+	}
+	time.Sleep(r.bodyDelay)
+	_, err := io.WriteString(c, body)
+	return err
+}
+
+func (r *clientRequest) readBody(body io.Reader) error {
+	content, err := io.ReadAll(body)
+	if err == nil && r.status == http.StatusOK && string(content) != answerTo(r.id) {
+		r.wrong = fmt.Sprintf("body %q", content)
+	}
+	return err
+}
+
+func answerTo(id string) string { return "answer to " + id }
+
+// readEvents reads a stream to its end and checks that its events are those of the request,
+// in order, each once.
+func (r *clientRequest) readEvents(body io.Reader, await func()) error {
+	reader := bufio.NewReader(body)
+	var lines []string
+	for {
+		line, err := reader.ReadString('\n')
+		switch {
+		case errors.Is(err, io.EOF) && (line != "" || len(lines) > 0):
+			r.wrong = fmt.Sprintf("the stream ends within an event: %q", append(lines, line))
+			return nil
+		case errors.Is(err, io.EOF):
+			if r.received != r.events {
+				r.wrong = fmt.Sprintf("the stream ends as complete after %d of %d events", r.received, r.events)
+			}
+			return nil
+		case err != nil:
+			return err
+		case line != "\n":
+			lines = append(lines, line)
+			continue
+		}
+		if r.received == 0 {
+			r.firstEventAt = time.Now()
+		}
+		r.received++
+		if want := fmt.Sprintf("id: %d\ndata: %s %d\n", r.received, r.id, r.received); strings.Join(lines, "") != want && r.wrong == "" {
+			r.wrong = fmt.Sprintf("event %q, expected %q", lines, want)
+		}
+		lines = lines[:0]
+		await()
+	}
+}
+
+// pause returns how long the client waits before its next request.
+func (r *clientRequest) pause(longest time.Duration) time.Duration {
+	after := time.Duration(0)
+	if seconds, err := strconv.ParseFloat(r.retryAfter, 64); err == nil {
+		after = min(time.Duration(seconds*float64(time.Second)), time.Duration(maxRetryAfterShare*float64(r.timeout)))
+	}
+	return after + time.Duration(rand.Int64N(int64(longest)))
+}
