Soak with a part of prompts that crashes servers

Requests with the part come at all gateways while gateways are killed, frozen, stopped and reloaded. Counted are those that reach servers later than 3 s after the fifth crash, and how many sound requests of the account and with the same first part begin, also after servers that ended by themselves.

--- a/faults/process_faults_test.go
+++ b/faults/process_faults_test.go
@@ -37,6 +37,8 @@
 	*soak
 	// kinds are the kinds to inject; empty for all.
 	kinds []faultKind
+	// gatewaysOnly spares the control replicas.
+	gatewaysOnly bool
 	// observe is called when a fault begins and when it ends, with the index of the
 	// process among control replicas and gateways.
 	observe func(index int, kind faultKind, ended bool)
@@ -84,7 +86,7 @@
 	if len(f.kinds) > 0 && !slices.Contains(f.kinds, kind) {
 		kind = f.kinds[random.IntN(len(f.kinds))]
 	}
-	if !f.claim(index) {
+	if f.gatewaysOnly && index < len(f.controls) || !f.claim(index) {
 		return
 	}
 	faults.Go(func() {
--- a/faults/stream_soak_test.go
+++ b/faults/stream_soak_test.go
@@ -200,8 +200,8 @@
 	*processFaults
 	random *rand.Rand
 	all    []*soakServer
-	// reply overrides the response of a server to a request; it may be nil.
-	reply func(server *soakServer, r *platformtest.Request) *platformtest.Response
+	// adjust changes the response of a server to a request; it may be nil.
+	adjust func(server *soakServer, r *platformtest.Request, reply *platformtest.Response)
 
 	mu           sync.Mutex
 	startedAt    time.Time
@@ -237,7 +237,7 @@
 		random:        rand.New(rand.NewPCG(seed, 3)), arrivals: make(map[string][]arrival), counts: make(map[string]int), startedAt: time.Now(),
 	}
 	s.observe = s.observeFault()
-	for service, n := range map[string]int{engineService: 4, otherEngineService: 2, plainService: 3, otherPlainService: 2} {
+	for service, n := range map[string]int{engineService: 6, otherEngineService: 2, plainService: 3, otherPlainService: 2} {
 		for range n {
 			s.all = append(s.all, s.newServer(service))
 		}
@@ -334,10 +334,8 @@
 	if rand.IntN(60) == 0 {
 		reply = platformtest.Response{Status: http.StatusServiceUnavailable, NotExecuted: true, Body: "full"}
 	}
-	if s.reply != nil && !r.Misdirected {
-		if other := s.reply(server, r); other != nil {
-			reply = *other
-		}
+	if s.adjust != nil && !r.Misdirected {
+		s.adjust(server, r, &reply)
 	}
 	a := arrival{server: server, id: r.ID, at: r.ReceivedAt, executed: !reply.NotExecuted && !r.Misdirected, lastEventID: r.Header.Get("Last-Event-Id")}
 	a.until = server.occupy(a.at.Add(reply.Delay + time.Duration(reply.Events)*reply.EventInterval))
@@ -476,7 +474,7 @@
 
 // runClient sends requests to one gateway. It uses each connection until the gateway closes
 // it.
-func (s *streamSoak) runClient(ctx context.Context, gateway int, next func(gateway, n int) *clientRequest) {
+func (s *streamSoak) runClient(ctx context.Context, gateway int, longestPause time.Duration, next func(gateway, n int) *clientRequest) {
 	var c *connection
 	for n := 0; ctx.Err() == nil; n++ {
 		if c == nil {
@@ -493,7 +491,7 @@
 			c = nil
 		}
 		s.record(r)
-		time.Sleep(r.pause(clientPause))
+		time.Sleep(r.pause(longestPause))
 	}
 	if c != nil {
 		c.Close()
@@ -848,7 +846,7 @@
 	defer s.summary(c.seed)
 	for gateway := range c.gateways {
 		for range c.clients {
-			clients.Go(func() { s.runClient(ctx, gateway, nextRequest) })
+			clients.Go(func() { s.runClient(ctx, gateway, clientPause, nextRequest) })
 		}
 	}
 	random := rand.New(rand.NewPCG(c.seed, 2))
