--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -11,18 +11,28 @@
 	"github.com/galenaarch/galenaarch/config/site"
 )
 
+// errStopping ends the requests that are in progress when the process is about to exit.
+var errStopping = errors.New("the process is stopping")
+
 // errDeadline ends a request whose client or route timeout has passed.
 var errDeadline = errors.New("request deadline exceeded")
 
 // serve sends the request until it gets a response, and relays it.
 func (c *call) serve(rw http.ResponseWriter, r *http.Request) {
-	ctx, cancel := context.WithDeadlineCause(r.Context(), c.deadline, errDeadline)
-	defer cancel()
+	ctx, cancelDeadline := context.WithDeadlineCause(r.Context(), c.deadline, errDeadline)
+	defer cancelDeadline()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer context.AfterFunc(c.gateway.stopping, func() { cancel(errStopping) })()
 	c.gateway.retryBudget(c.service.Name).RecordRequest(c.startedAt)
 	s := &stream{call: c, rw: rw, lastEventID: c.request.LastEventID}
+	defer c.releaseReserved()
 	for {
 		a, reason := c.nextResponse(ctx, r, s)
 		if a == nil {
+			if c.awaitServer(ctx, s, reason) {
+				continue
+			}
 			c.giveUp(rw, r, s, reason)
 			return
 		}
@@ -52,6 +62,7 @@
 	reasonNoCapacity   rejectReason = "no answer in time"
 	reasonAllPaused    rejectReason = "servers want nothing"
 	reasonRateLimited  rejectReason = "rate limited"
+	reasonStopping     rejectReason = "stopping"
 )
 
 // nextResponse sends the request to servers until one responds. It returns nil and
@@ -62,7 +73,7 @@
 			if r.Context().Err() != nil {
 				return nil, reasonClientLeft
 			}
-			return nil, reasonDeadline
+			return nil, endReason(ctx)
 		}
 		now := time.Now()
 		remaining := c.deadline.Sub(now)
@@ -72,11 +83,18 @@
 		if reason := c.takeRetry(now); reason != "" {
 			return nil, reason
 		}
-		result := c.gateway.place(ctx, c)
+		result := placementResult{backend: c.takeReserved()}
+		if result.backend == nil {
+			result = c.gateway.place(ctx, c)
+		}
 		if result.backend == nil {
 			if r.Context().Err() != nil {
 				return nil, reasonClientLeft
 			}
+			if ctx.Err() != nil {
+				return nil, endReason(ctx)
+			}
+			c.retryGranted = c.attemptsSent > 0 // it was not used
 			return nil, c.resolveReason(result.reason)
 		}
 		a := c.send(ctx, r, result.backend, s.lastEventID, c.attemptTimeout(time.Until(c.deadline)))
@@ -93,6 +111,14 @@
 	}
 }
 
+// endReason returns why the context of a request has ended although its client waits.
+func endReason(ctx context.Context) rejectReason {
+	if errors.Is(context.Cause(ctx), errStopping) {
+		return reasonStopping
+	}
+	return reasonDeadline
+}
+
 // resolveReason returns the final reason why there is no server for the request.
 func (c *call) resolveReason(reason rejectReason) rejectReason {
 	if reason == reasonNoServer && len(c.rateLimited) > 0 {
@@ -120,10 +146,10 @@
 // The first attempt needs no retry. For a further one it uses up retryGranted if that is
 // set, or takes a retry from the budget if an earlier attempt reached a server.
 func (c *call) takeRetry(now time.Time) rejectReason {
-	if len(c.triedServers) == 0 {
+	if len(c.triedServers) == 0 && !c.leftSilent {
 		return ""
 	}
-	if c.mayHaveRun && (!c.retryable() || c.attemptsSent >= max(1, c.route.MaxServers)) {
+	if c.mayHaveRun && (!c.retryable() || !c.mayRunAgain()) {
 		return reasonNotRetryable
 	}
 	if len(c.triedServers) >= max(1, c.route.MaxServers)+extraAttempts {
@@ -139,10 +165,24 @@
 	return ""
 }
 
+// mayRunAgain reports whether the route allows another run of the request: at a further
+// server, or at one that may have run it and is not excluded.
+func (c *call) mayRunAgain() bool {
+	if len(c.ranServers) < max(1, c.route.MaxServers) {
+		return true
+	}
+	for server := range c.ranServers {
+		if !c.triedServers[server] {
+			return true
+		}
+	}
+	return false
+}
+
 // shouldRetry reports whether a server's response is an error that another server may
 // not have.
 func (c *call) shouldRetry(a *attempt) bool {
-	return a.status >= http.StatusInternalServerError && c.retryable() && c.attemptsSent < c.route.MaxServers &&
+	return a.status >= http.StatusInternalServerError && c.retryable() && len(c.ranServers) < c.route.MaxServers &&
 		time.Until(c.deadline) > 2*minAttemptTime
 }
 
@@ -154,12 +194,12 @@
 		panic(http.ErrAbortHandler)
 	}
 	if s.headersSent {
-		c.gateway.metrics.recordOutcome(c, "broken off")
-		c.gateway.logger.Warn("stream aborted", slog.String("request", c.request.ID), slog.String("route", c.route.Name),
-			slog.String("reason", string(reason)), slog.String("last_event", s.lastEventID), slog.Int("sends", c.attemptsSent))
-		panic(http.ErrAbortHandler)
+		c.abort(s, reason)
 	}
 	status, after := http.StatusServiceUnavailable, c.retryAfter()
+	if reason == reasonStopping {
+		after = drainRetryAfter
+	}
 	switch {
 	case c.mayHaveRun && reason == reasonDeadline:
 		status, after = http.StatusGatewayTimeout, 0
@@ -169,6 +209,18 @@
 	c.gateway.reject(rw, c, status, string(reason), after, nil)
 }
 
+// abort ends a stream that has begun and cannot go on. The closed connection tells the
+// client that it is not complete.
+func (c *call) abort(s *stream, reason rejectReason) {
+	g := c.gateway
+	g.metrics.recordOutcome(c, "broken off")
+	g.metrics.aborted.WithLabelValues(s.interruption).Inc()
+	g.logger.Warn("stream aborted", slog.String("request", c.request.ID), slog.String("route", c.route.Name),
+		slog.String("cause", s.interruption), slog.String("reason", string(reason)), slog.String("last_event", s.lastEventID), slog.Int("sends", c.attemptsSent),
+		slog.Uint64("document", c.routing.table.Version), slog.Uint64("current_document", g.routing.Load().table.Version), slog.Duration("took", time.Since(c.startedAt)))
+	panic(http.ErrAbortHandler)
+}
+
 // timeBudget returns the time allowed by the client and the route; 0 if the request was
 // rejected before that was known.
 func (c *call) timeBudget() time.Duration {
