--- a/faults/crashing_part_soak_test.go
+++ b/faults/crashing_part_soak_test.go
@@ -262,6 +262,7 @@
 // are rejected with them, or after servers that ended by themselves. Gateways are killed,
 // frozen, stopped and reloaded meanwhile.
 func TestCrashingPartSoak(t *testing.T) {
+	t.Parallel()
 	settings := soakSettingsFromEnv(t, crashSoakDuration)
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
