--- a/faults/crashing_part_soak_test.go
+++ b/faults/crashing_part_soak_test.go
@@ -234,6 +234,9 @@
 		c.violation("no server crashed under the part")
 		return
 	}
+	for i, crash := range crashes {
+		c.t.Logf("crash %d at %s: %s", i+1, c.since(crash.at), crash.server)
+	}
 	last := crashes[min(crashesAllowed, len(crashes))-1].at
 	counted, excused := 0, 0
 	for _, a := range arrivals {
