--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -20,9 +20,18 @@
 	permitsIssued  prometheus.Counter
 	permitRequests *prometheus.CounterVec
 	// aborted counts streams that ended early, by why they left their server.
-	aborted *prometheus.CounterVec
+	aborted      *prometheus.CounterVec
+	interrupted  *prometheus.CounterVec
+	serversEnded prometheus.Counter
+	quarantined  prometheus.Gauge
 }
 
+// Causes of interrupted requests, as label values of a metric.
+const (
+	causeServerEnded = "server ended"
+	causeConnection  = "connection broken"
+)
+
 // Directives of servers, as label values of a metric.
 const (
 	directiveLeaving   = "leaving"
@@ -48,7 +57,10 @@
 	m.permitsIssued = prometheus.NewCounter(prometheus.CounterOpts{Name: "galena_gateway_permits_issued_total", Help: "Permits for rate-limited servers that this instance issued to itself and others."})
 	m.permitRequests = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_permit_requests_total", Help: "Requests for permits to other instances, by server and outcome."}, []string{"outcome"})
 	m.aborted = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_streams_aborted_total", Help: "Streams that had begun and ended early, by why they left their server."}, []string{"cause"})
-	r.MustRegister(m.aborted, m.directives, m.rateLimits, m.permitsIssued, m.permitRequests, m.outcomes, m.failedAttempts, m.firstByte, m.unlogged, m.panics, m.queued, m.estimateErrors)
+	m.interrupted = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_interrupted_requests_total", Help: "Requests whose connection to the server broke, by cause and by how far the response had got."}, []string{"cause", "stage"})
+	m.serversEnded = prometheus.NewCounter(prometheus.CounterOpts{Name: "galena_gateway_servers_ended_under_requests_total", Help: "Incarnations of backend servers that ended while requests of this instance were in progress."})
+	m.quarantined = prometheus.NewGauge(prometheus.GaugeOpts{Name: "galena_gateway_quarantined_parts", Help: "Parts of prompts that are sent to no server because servers crash under them."})
+	r.MustRegister(m.aborted, m.quarantined, m.interrupted, m.serversEnded, m.directives, m.rateLimits, m.permitsIssued, m.permitRequests, m.outcomes, m.failedAttempts, m.firstByte, m.unlogged, m.panics, m.queued, m.estimateErrors)
 	return m
 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -119,6 +119,7 @@
 	if len(body) > maxBufferedResponse {
 		return c.relayUnbuffered(rw, a, body)
 	}
+	c.markBodyAnswered(a, len(body))
 	a.exchange.Finish(a.response.IdleTimeout)
 	if r.Method != http.MethodHead {
 		rw.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -146,6 +147,7 @@
 		c.logInterrupted(a, err)
 		panic(http.ErrAbortHandler)
 	}
+	c.markBodyAnswered(a, len(prefix))
 	a.exchange.Finish(a.response.IdleTimeout)
 	c.recordServed(a)
 	return true
@@ -174,6 +176,7 @@
 
 // logInterrupted logs a response that broke off.
 func (c *call) logInterrupted(a *attempt, err error) {
+	c.recordInterruption(a, err)
 	c.gateway.logger.Info("response interrupted", slog.String("request", c.request.ID), slog.String("route", c.route.Name),
 		slog.String("server", a.backend.server), slog.Int("status", a.status), slog.Duration("took", time.Since(a.startedAt)), slog.Any("error", err))
 }
@@ -216,8 +219,12 @@
 				watch.progress()
 			}
 		}
+		if errors.Is(err, io.EOF) && !a.answered && a.closeDelimited() {
+			err = io.ErrUnexpectedEOF
+		}
 		if errors.Is(err, io.EOF) && len(s.pending) == 0 {
 			watch.stop()
+			c.markAnswered(a)
 			s.sendHeaders(a)
 			a.exchange.Finish(a.response.IdleTimeout)
 			c.recordServed(a)
@@ -260,6 +267,7 @@
 	if length == 0 {
 		return false
 	}
+	s.call.markAnswered(a)
 	s.sendHeaders(a)
 	events := s.pending[:length]
 	if id := findLastEventID(events); id != "" {
