--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"log/slog"
 	"maps"
 	"net"
@@ -99,14 +100,16 @@
 	if !c.gateway.policy.Enabled(dispatch.PartQuarantine) {
 		return nil
 	}
-	if c.parts == nil {
-		shared := c.declaredParts()
-		c.parts = make([]dispatch.PromptPart, len(shared))
-		for i, p := range shared {
-			c.parts[i] = dispatch.PromptPart{Service: c.service.Name, Part: p.ID}
-		}
+	if known := c.parts.Load(); known != nil {
+		return *known
+	}
+	shared := c.declaredParts()
+	parts := make([]dispatch.PromptPart, len(shared))
+	for i, p := range shared {
+		parts[i] = dispatch.PromptPart{Service: c.service.Name, Part: p.ID}
 	}
-	return c.parts
+	c.parts.Store(&parts)
+	return parts
 }
 
 // notify wakes run, which passes on the changed evidence.
@@ -216,16 +219,21 @@
 		changed := e.evidence.Answered(parts[:min(len(parts), maxRecordedParts)], time.Now())
 		e.mu.Unlock()
 		if changed {
-			e.notify(c.trial)
+			e.notify(c.trial.Load())
 		}
 	}
 }
 
 // markBodyAnswered records a complete response that is not a stream, with a body of at least
-// the given length. Only a success shows that the server has processed the prompt.
+// the given length. Only a success shows that the server has processed the prompt, and a body
+// without a length or chunks only if it is not empty: the server may have ended instead.
 func (c *call) markBodyAnswered(a *attempt, length int) {
-	if a.status/100 == 2 && (length > 0 || !a.closeDelimited()) {
+	switch {
+	case a.status/100 != 2:
+	case length > 0 || !a.closeDelimited():
 		c.markAnswered(a)
+	case len(c.recordableParts()) > 0:
+		c.recordInterruption(a, io.ErrUnexpectedEOF)
 	}
 }
 
@@ -254,7 +262,7 @@
 // blocks is rejectQuarantined for a caller that holds e.mu. A trial that did not run may go
 // to another server.
 func (e *crashEvidence) blocks(c *call, parts []dispatch.PromptPart, now time.Time) bool {
-	if c.trial && !c.mayHaveRun {
+	if c.trial.Load() && !c.mayHaveRun {
 		return false
 	}
 	part, until, blocked := e.evidence.Blocked(parts, e.mayTry, now)
@@ -280,8 +288,8 @@
 	if e.blocks(c, parts, now) {
 		return false
 	}
-	if !c.trial && e.evidence.Sent(parts, now) {
-		c.trial = true
+	if !c.trial.Load() && e.evidence.Sent(parts, now) {
+		c.trial.Store(true)
 		e.gateway.logger.Info("quarantined prompt part tried", slog.String("request", c.request.ID), slog.String("backend", c.service.Name))
 		e.notify(true)
 	}
--- a/gateway/replacement_test.go
+++ b/gateway/replacement_test.go
@@ -55,3 +55,19 @@
 	}
 	require.Equal(t, first, dials())
 }
+
+// Without a retry left, the search must neither open connections nor use permits: it is
+// repeated for as long as the server is silent.
+func TestSearchWithoutRetryBudgetUsesNothing(t *testing.T) {
+	h := newTestGateway(t, 2)
+	h.retryLimits.RetryWindow = time.Millisecond
+	c, silent := h.silentCall()
+	other := h.routing.services["llm"][1]
+	limit := h.limits.getOrAdd(other.incarnation, time.Now())
+	limit.stated = dispatch.StatedLimit{RateLimit: dispatch.RateLimit{Limited: true, PerSecond: 1}}
+	limit.permits.Granted(1, 0, time.Now(), time.Now())
+	other.rateLimit.Store(limit)
+	require.False(t, c.reserveReplacement(context.Background(), silent, time.Now()))
+	require.Zero(t, other.pool.DialCount())
+	require.True(t, h.takePermit(other, time.Now()), "the permit is still there")
+}
