--- a/faults/crashing_part_soak_test.go
+++ b/faults/crashing_part_soak_test.go
@@ -35,6 +35,8 @@
 	// longPart begins the prompts for which servers take longPromptDelay more to begin.
 	longPart        = "long"
 	longPromptDelay = 350 * time.Millisecond
+	// quarantineReason is in the text of responses to requests with a quarantined part.
+	quarantineReason = "quarantine"
 	// sharedPart is the first part of sound requests, and of those that crash servers unless
 	// the crashing part is the first.
 	sharedPart = "shared"
@@ -146,11 +148,14 @@
 	return r
 }
 
+// sound reports whether a request does not have the part.
+func (c *crashSoak) sound(r *clientRequest) bool {
+	return !strings.Contains(r.header["X-Prompt-Prefix"], fmt.Sprintf("%x:", c.part))
+}
+
 // soundGroups are the groups of sound requests that are compared with those before.
 func (c *crashSoak) soundGroups() map[string]func(r *clientRequest) bool {
-	sound := func(r *clientRequest) bool {
-		return r.route == c.route && !strings.Contains(r.header["X-Prompt-Prefix"], fmt.Sprintf("%x:", c.part))
-	}
+	sound := func(r *clientRequest) bool { return r.route == c.route && c.sound(r) }
 	begins := func(r *clientRequest, part string) bool {
 		return strings.HasPrefix(r.header["X-Prompt-Prefix"], fmt.Sprintf("%x:", part))
 	}
@@ -259,12 +264,20 @@
 		c.violation("%d requests with the part reached servers later than %v after crash %d, %d are allowed", counted, contactTime, crashesAllowed, maxCrashingRequests)
 	}
 	c.requireSound("while the part comes", last.Add(soundGrace), time.Now())
+	c.streamSoak.mu.Lock()
+	outcomes := slices.Clone(c.outcomes)
+	c.streamSoak.mu.Unlock()
+	for _, r := range outcomes {
+		if c.sound(r) && strings.Contains(r.reason, quarantineReason) {
+			c.violation("%s at %s: sound prompt %s: %d %s", r.id, c.since(r.sentAt), r.header["X-Prompt-Prefix"], r.status, r.reason)
+		}
+	}
 }
 
 // TestCrashingPartSoak guards against requests with a part that crashes servers that are sent
 // on and on, and against sound requests of the same account or with the same other parts that
 // are rejected with them, or after servers that ended by themselves. Gateways are killed,
-// frozen, stopped and reloaded meanwhile.
+// frozen, stopped and reloaded, servers fall silent and the configuration changes meanwhile.
 func TestCrashingPartSoak(t *testing.T) {
 	t.Parallel()
 	settings := soakSettingsFromEnv(t, crashSoakDuration)
@@ -293,11 +306,17 @@
 			c.runClient(ctx, gateway, 2*interval*time.Duration(settings.gateways), c.crashingRequest)
 		})
 	}
-	for end := time.Now().Add(settings.duration); time.Now().Before(end); time.Sleep(500*time.Millisecond + time.Duration(random.Int64N(int64(2*time.Second)))) {
-		c.inject(random, &faults)
-		if random.IntN(4) == 0 {
+	for end := time.Now().Add(settings.duration); time.Now().Before(end); time.Sleep(300*time.Millisecond + time.Duration(random.Int64N(int64(1500*time.Millisecond)))) {
+		switch random.IntN(6) {
+		case 0:
 			server := c.all[random.IntN(len(c.all))]
 			faults.Go(func() { c.crashServer(server, time.Second) })
+		case 1:
+			c.silence(random)
+		case 2:
+			c.configure(ctx)
+		default:
+			c.inject(random, &faults)
 		}
 	}
 	faults.Wait()
--- a/faults/stream_client_test.go
+++ b/faults/stream_client_test.go
@@ -53,7 +53,9 @@
 	server       string
 	retryAfter   string
 	sealed       bool
-	received     int
+	// reason is the body of a response of the gateway itself.
+	reason   string
+	received int
 	// complete is set if the status line and the whole body or stream were received.
 	complete bool
 	// left is set if the client left because its time, or that for an event, had passed.
@@ -172,6 +174,9 @@
 
 func (r *clientRequest) readBody(body io.Reader) error {
 	content, err := io.ReadAll(body)
+	if !r.sealed {
+		r.reason = strings.TrimSpace(string(content))
+	}
 	if err == nil && r.status == http.StatusOK && string(content) != answerTo(r.id) {
 		r.wrong = fmt.Sprintf("body %q", content)
 	}
--- a/faults/stream_soak_test.go
+++ b/faults/stream_soak_test.go
@@ -616,7 +616,7 @@
 	case r.complete && r.notExecuted() && s.stopping(r):
 		return fmt.Sprint(r.route.name, " ", r.status, " from a stopping gateway"), false
 	case r.complete:
-		return fmt.Sprint(r.route.name, " ", r.status), false
+		return strings.TrimSpace(fmt.Sprint(r.route.name, " ", r.status, " ", r.reason)), false
 	case r.left:
 		return "client left", false
 	case r.wroteAt.IsZero():
