Gateway: a panic in a decision left its service locked

The lock of a service's state was released without defer on the way of a decision: after a panic there, which ends only one request, all later requests of the service waited for good. So it was with extreme rate limits. TestPanicInDecisionLeavesServiceUsable failed before, after 5 s. Decisions on arriving and queued requests and the check for a permit now release their locks in any case.

--- a/gateway/panic_test.go
+++ b/gateway/panic_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/galenaarch/galenaarch/dispatch"
+	"github.com/galenaarch/galenaarch/placement"
 )
 
 // panickingDialect panics on one path.
@@ -54,3 +55,30 @@
 	}
 	require.InDelta(t, 1, counted, 0)
 }
+
+// panickingScorer panics on its first use.
+type panickingScorer struct{ used bool }
+
+// Cost implements placement.Scorer.
+func (s *panickingScorer) Cost(server *placement.Server, job *placement.Job) time.Duration {
+	if !s.used {
+		s.used = true
+		panic("unexpected")
+	}
+	return placement.Cost(server, job)
+}
+
+// A panic in a decision must not leave the service locked for all later requests.
+func TestPanicInDecisionLeavesServiceUsable(t *testing.T) {
+	h := newTestGateway(t, 2)
+	h.scorer = &panickingScorer{}
+	require.Panics(t, func() { h.place(t.Context(), h.call(500)) })
+	placed := make(chan placementResult, 1)
+	go func() { placed <- h.place(t.Context(), h.call(500)) }()
+	select {
+	case result := <-placed:
+		require.NotNil(t, result.backend)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the next request waits for the lock of the service")
+	}
+}
--- a/gateway/rate_limits.go
+++ b/gateway/rate_limits.go
@@ -277,13 +277,18 @@
 	if l == nil || !g.policy.Enabled(dispatch.RateLimits) {
 		return true
 	}
-	l.mu.Lock()
-	allowed := !l.stated.Limited || l.permits.Available(g.fallback(l), now)
-	l.mu.Unlock()
-	if !allowed {
+	if !g.permitAvailable(l, now) {
 		g.permits.notify()
+		return false
 	}
-	return allowed
+	return true
+}
+
+// permitAvailable reports whether a server's rate limit allows a request now.
+func (g *Gateway) permitAvailable(l *serverLimit, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.stated.Limited || l.permits.Available(g.fallback(l), now)
 }
 
 // takePermit uses up a permit for a request to a server; false if there is none.
--- a/gateway/service_state.go
+++ b/gateway/service_state.go
@@ -114,8 +114,24 @@
 
 // placeOnce is place without the wait for a permit.
 func (g *Gateway) placeOnce(ctx context.Context, c *call) placementResult {
+	result, w, results := g.placeOrEnqueue(c)
+	if w == nil {
+		return result
+	}
+	g.metrics.queued.Inc()
+	defer g.metrics.queued.Dec()
+	startedAt := time.Now()
+	result = g.await(ctx, c, w, results)
+	c.waiter, c.queueTime = nil, c.queueTime+time.Since(startedAt)
+	return result
+}
+
+// placeOrEnqueue decides on a request. The waiter is nil unless it was queued; its result
+// is then sent to results.
+func (g *Gateway) placeOrEnqueue(c *call) (placementResult, *dispatch.Waiter, chan placementResult) {
 	s := c.state
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	var claimed map[string]bool
 	if c.prompt != nil {
 		claimed = s.queue.Claimed(c.queuePosition())
@@ -125,18 +141,10 @@
 		result, queued = placementResult{reason: reasonNoCapacity}, false
 	}
 	if !queued {
-		s.mu.Unlock()
-		return result
+		return result, nil, nil
 	}
 	results := make(chan placementResult, 1)
-	w := g.enqueue(c, results)
-	s.mu.Unlock()
-	g.metrics.queued.Inc()
-	defer g.metrics.queued.Dec()
-	startedAt := time.Now()
-	result = g.await(ctx, c, w, results)
-	c.waiter, c.queueTime = nil, c.queueTime+time.Since(startedAt)
-	return result
+	return placementResult{}, g.enqueue(c, results), results
 }
 
 // enqueue queues a prompt. The caller holds the state's lock.
@@ -176,16 +184,21 @@
 			}
 			return placementResult{reason: reasonDeadline}
 		case now := <-recheck.C:
-			s.mu.Lock()
-			if now.Sub(s.lastRecheck) >= queueRecheckInterval/2 {
-				s.lastRecheck = now
-				s.queue.Schedule()
-			}
-			s.mu.Unlock()
+			s.recheck(now)
 		}
 	}
 }
 
+// recheck reconsiders the queued requests unless that was done just now.
+func (s *serviceState) recheck(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(s.lastRecheck) >= queueRecheckInterval/2 {
+		s.lastRecheck = now
+		s.queue.Schedule()
+	}
+}
+
 // undoPlacement removes the load of a request from a server to which it was never
 // sent. The caller holds the state's lock.
 func (g *Gateway) undoPlacement(c *call, b *backend) {
