Weights: a report above the requested version counted as an update

One report of a version that was never requested was recorded as that of its server for the life of the incarnation: the server counted as updated and got no orders for this and the next versions. TestReportAboveRequestedVersionIsNotRecorded failed before. Such a report is now a failed call, and the server is asked again.

--- a/weights/runner.go
+++ b/weights/runner.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/galenaarch/galenaarch/api/fleetv1"
 	"github.com/galenaarch/galenaarch/config/site"
 	"github.com/galenaarch/galenaarch/dispatch"
@@ -280,6 +282,9 @@
 	polledAt := time.Now()
 	report, err := r.engines.Report(ctx, t.Server)
 	r.recordAvailability(t, report.Directives, err)
+	if err == nil {
+		err = checkRequested(report.Versions, requested)
+	}
 	if err != nil {
 		r.recordFailure(t, "look", err)
 		return
@@ -290,6 +295,17 @@
 	}
 }
 
+// checkRequested returns an error if a version is above the requested one: no server can run
+// a version before it is requested.
+func checkRequested(versions, requested map[string]uint64) error {
+	for model, version := range versions {
+		if target := requested[model]; target > 0 && version > target {
+			return eris.Errorf("reported version %d of model %q is above the requested version %d", version, model, target)
+		}
+	}
+	return nil
+}
+
 // recordReport stores a server's report and returns the task that is due for
 // the server now.
 func (r *Runner) recordReport(t Task, report *Report, requested map[string]uint64, polledAt time.Time) Task {
--- a/weights/runner_test.go
+++ b/weights/runner_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/galenaarch/galenaarch/dispatch"
 	"github.com/galenaarch/galenaarch/fleetview"
 )
 
@@ -73,3 +74,32 @@
 	r.sendOrder(context.Background(), Task{Server: Server{ID: "s"}})
 	require.Empty(t, recorder.orders)
 }
+
+// reportingEngine returns one report.
+type reportingEngine struct {
+	orderRecorder
+	report Report
+}
+
+func (e *reportingEngine) Report(context.Context, Server) (*Report, error) { return &e.report, nil }
+
+// A report of a version that was never requested is wrong. It must not count as that of an
+// updated server, which would get no orders any more.
+func TestReportAboveRequestedVersionIsNotRecorded(t *testing.T) {
+	engine := &reportingEngine{report: Report{Versions: map[string]uint64{"m": 9, "other": 5}}}
+	r := newTestRunner(engine, &fakeLeadership{term: 1})
+	var recorded []map[string]uint64
+	r.onVersions = func(_ string, _ int64, versions map[string]uint64) { recorded = append(recorded, versions) }
+	r.onDirectives = func(string, int64, dispatch.Directives) {}
+	server, requested := Server{ID: "s", Versions: map[string]uint64{"m": 1}}, map[string]uint64{"m": 2}
+	tasks := r.plan.DueTasks([]Server{server}, requested, time.Now())
+	require.Equal(t, StepPoll, tasks[0].Step)
+	r.poll(t.Context(), tasks[0], requested)
+	require.Empty(t, recorded)
+	require.Contains(t, r.plan.reloads, "s")
+
+	engine.report.Versions["m"] = 2
+	r.poll(t.Context(), tasks[0], requested)
+	require.Len(t, recorded, 1)
+	require.NotContains(t, r.plan.reloads, "s")
+}
