Streams: a client that resumed one could get its events again

A server that ignored Last-Event-Id had its stream passed on from the first event, and an error event was taken for the continuation. On resumable routes the first event must now have a higher ID than the one that the client names, else another server is tried and at last 502 is given; an empty stream is still passed on, since nothing may be left.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -46,7 +46,8 @@
 	// lastEventAt is when the client was sent the last event; zero before the first.
 	lastEventAt time.Time
 	pending     []byte
-	// resuming is set until the first event of a server that resumes the stream;
+	// resuming is set until the first event of a server that resumes the stream, which
+	// the client or this instance asks for;
 	// unnumbered is set if the last forwarded event has no ID.
 	resuming   bool
 	unnumbered atomic.Bool
@@ -209,7 +210,7 @@
 // relayStream forwards complete events as they arrive. It returns false if the stream
 // broke and is to resume on another server.
 func (c *call) relayStream(r *http.Request, s *stream, a *attempt) bool {
-	s.pending, s.resuming = s.pending[:0], s.headersSent
+	s.pending, s.resuming = s.pending[:0], s.headersSent || (c.route.Resumable && c.request.LastEventID != "")
 	remaining := c.maxStreamBytes()
 	watch := c.startStallWatch(r.Context(), s, a)
 	defer watch.stop()
@@ -233,7 +234,7 @@
 		if errors.Is(err, io.EOF) && !a.answered && a.closeDelimited() {
 			err = io.ErrUnexpectedEOF
 		}
-		if errors.Is(err, io.EOF) && len(s.pending) == 0 && !s.resuming {
+		if errors.Is(err, io.EOF) && len(s.pending) == 0 && !(s.resuming && s.headersSent) {
 			watch.stop()
 			c.markAnswered(a)
 			s.sendHeaders(a)
