Contexts: one malformed event ended the tracking of its holder

A poll with one event that could not be decoded failed as a whole, its holder was discarded, and the next poll began with the same event again, as long as the holder kept it. Both are logged with their number.

--- a/contexts/store.go
+++ b/contexts/store.go
@@ -60,6 +60,8 @@
 	// Gap means that earlier changes are missing from the report.
 	Gap     bool
 	Changes []Change
+	// Malformed is the number of entries that could not be decoded and are missing.
+	Malformed int
 	// Directives are those of an engine.
 	dispatch.Directives
 }
--- a/contexts/watcher.go
+++ b/contexts/watcher.go
@@ -389,6 +389,7 @@
 	if err != nil {
 		return err
 	}
+	w.logMalformed(s, changes)
 	w.mu.Lock()
 	complete := s.ApplyChanges(changes, w.Now())
 	if !complete && s.Engine {
@@ -405,8 +406,16 @@
 	if err != nil {
 		return err
 	}
+	w.logMalformed(s, listing)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s.Replace(listing, w.Now())
 	return nil
 }
+
+// logMalformed logs that a report lacks entries that could not be decoded.
+func (w *Watcher) logMalformed(s *HolderState, c *Changes) {
+	if c.Malformed > 0 {
+		w.logger.Warn("malformed entries of a context holder ignored", slog.String("address", s.Address), slog.Int("entries", c.Malformed), slog.Uint64("next", c.Next))
+	}
+}
