--- a/dispatch/crash_evidence.go
+++ b/dispatch/crash_evidence.go
@@ -27,18 +27,25 @@
 // Suspect is a part of a request that ended with its server.
 type Suspect struct {
 	Part PromptPart
-	// Begun is set if the response had begun, but no event or complete body had been
-	// received.
+	// Begun is set if the response had begun at most BegunWindow before, and no event or
+	// complete body had been received. It incriminates the part more than a request
+	// that waited for its response, or for its first event for long.
 	Begun bool
 }
 
+// BegunWindow is how long before the interruption a response may have begun to count as
+// begun.
+const BegunWindow = 250 * time.Millisecond
+
 // CrashReport describes an incarnation at which requests were interrupted. Until it is
 // known to have ended, the interruptions blame nothing.
 type CrashReport struct {
-	Run      ServerRun
-	Ended    bool
-	Age      time.Duration
-	Suspects []Suspect
+	Run   ServerRun
+	Ended bool
+	// Age is the time since the first interruption that counts. If AliveAge is above
+	// 0, the incarnation was alive so long ago: earlier interruptions do not count.
+	Age, AliveAge time.Duration
+	Suspects      []Suspect
 }
 
 // AnsweredReport states when a server last answered a request with a part.
@@ -78,18 +85,32 @@
 	// quarantineStrength is what a part needs that was not answered recently: three
 	// crashes after the response had begun.
 	quarantineStrength = 3 * begunStrength
-	// answeredPartStrength is what a part needs that was answered within answeredTTL
-	// before the crashes, and what decides between parts with the same crashes.
-	answeredPartStrength = 5 * begunStrength
+	// strongCharge is what a part needs beside more than 1 - minCrashShare of crashes
+	// without it: the servers end for other reasons too.
+	strongCharge  = 5 * begunStrength
+	minCrashShare = 0.5
+	// answeredCharge is what a part needs that was answered within answeredTTL before the
+	// crashes, or that has the same crashes as another part.
+	answeredCharge = 6 * begunStrength
+	// minBegunShare is the part of the crashes under a part that must follow the beginning
+	// of a response if the part was answered before. Long prompts that are nearly always
+	// in flight have a smaller share.
+	minBegunShare = 0.8
+	// answeredMargin is by how much the charge of such a part must exceed that of any
+	// other.
+	answeredMargin = 2 * begunStrength
+	// maxEndedAnswered is the number of servers that may end under a part that was answered
+	// before, until requests with it are no longer repeated.
+	maxEndedAnswered = 3
 	// Crashes within crashGroupTime may have one cause outside the prompts, as the loss
 	// of a failure domain. They blame a part only if it has crashes of other times too.
-	crashGroupTime  = 500 * time.Millisecond
+	crashGroupTime  = 300 * time.Millisecond
 	minCrashGroups  = 3
 	minGroupsOfMany = 2
 	// settleTime is how long a crash waits for the reports of other instances.
-	settleTime = 500 * time.Millisecond
-	// transitAllowance is taken off the time of an answer of which another instance
-	// reports, so that one before a crash does not count as one after it.
+	settleTime = 400 * time.Millisecond
+	// transitAllowance is taken off the times of answers and of signs of life of which
+	// another instance reports, so that one before a crash does not count as one after it.
 	transitAllowance = 300 * time.Millisecond
 )
 
@@ -98,7 +119,7 @@
 	crashTTL        = 10 * time.Minute
 	interruptionTTL = 15 * time.Second // without a confirmed end
 	answeredTTL     = 5 * time.Minute
-	maxCrashes      = 128
+	maxCrashes      = 64
 	maxSuspects     = 128  // of one crash
 	maxAnswered     = 8192 // in each of two generations
 	maxQuarantined  = 1024
@@ -121,9 +142,9 @@
 
 // crash is what is known of an incarnation at which requests were interrupted.
 type crash struct {
-	at       time.Time
-	ended    bool
-	suspects map[PromptPart]bool // begun
+	at, aliveAt time.Time
+	ended       bool
+	suspects    map[PromptPart]bool // begun
 	// explained is set if a quarantined part is the cause; suspects holds only that one.
 	explained bool
 }
@@ -166,19 +187,43 @@
 	}
 }
 
+// Alive records that an incarnation has answered something that was sent to it after the
+// interruptions, so that these were not its end.
+func (e *CrashEvidence) Alive(run ServerRun, now time.Time) {
+	if c := e.crashes[run]; c != nil && !c.ended {
+		c.seenAlive(now)
+	}
+}
+
+// seenAlive drops the interruptions before a time.
+func (c *crash) seenAlive(at time.Time) (changed bool) {
+	if !at.After(c.aliveAt) {
+		return false
+	}
+	c.aliveAt = at
+	if at.Before(c.at) {
+		return false
+	}
+	changed = len(c.suspects) > 0
+	c.suspects, c.explained = make(map[PromptPart]bool), false
+	return changed
+}
+
 // AwaitsEnd reports whether requests were interrupted at an incarnation that is not known
 // to have ended.
 func (e *CrashEvidence) AwaitsEnd(run ServerRun) bool {
 	c := e.crashes[run]
-	return c != nil && !c.ended
+	return c != nil && !c.ended && len(c.suspects) > 0
 }
 
 // Answered records that a server has answered a request with the parts, by an event or a
-// complete body.
-func (e *CrashEvidence) Answered(parts []PromptPart, now time.Time) {
+// complete body. It reports whether that changes what is known of a suspect or quarantined
+// part; others should then be told.
+func (e *CrashEvidence) Answered(parts []PromptPart, now time.Time) (changed bool) {
 	for _, p := range parts {
-		e.answeredAt(p, now)
+		changed = e.answeredAt(p, now) || changed
 	}
+	return changed
 }
 
 // answeredAt records an answer, and reports whether it changes what is known of a suspect
@@ -199,8 +244,8 @@
 		q.lifted, changed = true, true
 	}
 	for _, c := range e.crashes {
-		if _, suspect := c.suspects[p]; suspect && !c.explained && before.Before(c.at) {
-			changed = true
+		if _, suspect := c.suspects[p]; suspect && !c.explained && before.Before(c.at) && (!at.Before(c.at) || c.at.Sub(before) >= answeredTTL) {
+			changed = true // later answers before the same crash are no news
 		}
 	}
 	return changed
@@ -234,7 +279,15 @@
 	for _, q := range r.Quarantined {
 		changed = e.mergeQuarantine(q, now) || changed
 	}
-	return e.judge(now) || changed
+	if changed || e.settled(now) {
+		changed = e.judge(now) || changed
+	}
+	return changed
+}
+
+// settled reports whether a crash has settled since the last judgement.
+func (e *CrashEvidence) settled(now time.Time) bool {
+	return !e.judgeAt.IsZero() && !now.Before(e.judgeAt)
 }
 
 // merge adds what is known of one incarnation.
@@ -254,12 +307,18 @@
 		c = &crash{at: at, suspects: make(map[PromptPart]bool)}
 		e.crashes[r.Run], changed = c, true
 	}
-	if at.Before(c.at) {
-		c.at = at
+	if r.AliveAge > 0 {
+		changed = c.seenAlive(now.Add(-r.AliveAge-transitAllowance)) || changed
 	}
 	if r.Ended && !c.ended {
 		c.ended, changed = true, true
 	}
+	if len(r.Suspects) == 0 || !at.After(c.aliveAt) {
+		return changed
+	}
+	if at.Before(c.at) || len(c.suspects) == 0 {
+		c.at = at
+	}
 	for _, s := range r.Suspects {
 		begun, known := c.suspects[s.Part]
 		if c.explained || (known && (begun || !s.Begun)) || (!known && len(c.suspects) >= maxSuspects) {
@@ -338,9 +397,14 @@
 	suspects := make(map[PromptPart]bool)
 	for run, c := range e.crashes {
 		report := CrashReport{Run: run, Ended: c.ended, Age: max(0, now.Sub(c.at))}
+		if !c.aliveAt.IsZero() {
+			report.AliveAge = max(1, now.Sub(c.aliveAt))
+		}
 		for p, begun := range c.suspects {
-			report.Suspects = append(report.Suspects, Suspect{p, begun})
 			suspects[p] = suspects[p] || !c.explained
+			if c.explained || e.lastAnswer(p).Before(c.at) {
+				report.Suspects = append(report.Suspects, Suspect{p, begun})
+			}
 		}
 		slices.SortFunc(report.Suspects, func(a, b Suspect) int { return a.Part.compare(b.Part) })
 		r.Crashes = append(r.Crashes, report)
@@ -369,7 +433,7 @@
 // a part whose quarantine is over. A request that is sent nevertheless is announced by
 // Sent.
 func (e *CrashEvidence) Blocked(parts []PromptPart, mayTry func(PromptPart) bool, now time.Time) (part PromptPart, until time.Time, blocked bool) {
-	if !e.judgeAt.IsZero() && !now.Before(e.judgeAt) {
+	if e.settled(now) {
 		e.judge(now)
 	}
 	if len(e.quarantined) == 0 {
@@ -410,20 +474,24 @@
 
 // RepeatAllowed reports whether a request that was interrupted at a server may be sent
 // again: not if another server has already ended under one of its parts, of which no
-// request was answered.
+// request was answered recently, or several under one that was answered only before.
 func (e *CrashEvidence) RepeatAllowed(run ServerRun, suspects []Suspect, now time.Time) bool {
 	for _, s := range suspects {
 		if q := e.quarantined[s.Part]; q != nil && !q.lifted {
 			return false
 		}
-		if !s.Begun || now.Sub(e.lastAnswer(s.Part)) < answeredTTL {
+		if !s.Begun {
 			continue
 		}
+		answered, ended := e.lastAnswer(s.Part), 0
 		for other, c := range e.crashes {
-			if other != run && c.ended && !c.explained && c.suspects[s.Part] {
-				return false
+			if other != run && c.ended && !c.explained && c.suspects[s.Part] && answered.Before(c.at) {
+				ended++
 			}
 		}
+		if ended >= maxEndedAnswered || (ended > 0 && now.Sub(answered) >= answeredTTL) {
+			return false
+		}
 	}
 	return true
 }
@@ -453,23 +521,73 @@
 type charge struct {
 	part     PromptPart
 	strength int
+	begun    int // crashes after the response had begun
 	crashes  []time.Time
-	answered bool // recently before the crashes
+	byCrash  map[*crash]int // strength
+	answered bool           // recently before the crashes
 }
 
-// enough reports whether a charge suffices for a quarantine.
-func (c *charge) enough() bool {
+// enough reports whether a charge suffices for a quarantine. all are the times of all
+// unexplained crashes, ascending.
+func (c *charge) enough(all []time.Time) bool {
 	slices.SortFunc(c.crashes, time.Time.Compare)
-	groups, from := 0, time.Time{}
-	for _, at := range c.crashes {
+	first, last := c.crashes[0], c.crashes[len(c.crashes)-1]
+	groups := crashGroups(c.crashes, first, last)
+	rare := float64(groups) < minCrashShare*float64(crashGroups(all, first, last))
+	switch {
+	case c.answered:
+		return !rare && c.mostlyBegun() && begunStrength*c.begun >= answeredCharge && groups >= minCrashGroups
+	case rare:
+		return c.strength >= strongCharge && groups >= minCrashGroups
+	default:
+		return begunStrength*c.begun >= quarantineStrength && groups >= minCrashGroups || c.strength >= strongCharge && groups >= minGroupsOfMany
+	}
+}
+
+// mostlyBegun reports whether the crashes followed the beginning of a response.
+func (c *charge) mostlyBegun() bool {
+	return float64(c.begun) >= minBegunShare*float64(len(c.crashes))
+}
+
+// under reports whether all crashes of c were under another part too, with at least the
+// same strength.
+func (c *charge) under(other *charge) bool {
+	for of, strength := range c.byCrash {
+		if other.byCrash[of] < strength {
+			return false
+		}
+	}
+	return true
+}
+
+// doubtedFor reports whether another part may be the cause instead.
+func (c *charge) doubtedFor(other *charge) bool {
+	switch {
+	case c.answered && other.mostlyBegun() && other.strength > c.strength-answeredMargin && !other.under(c):
+		return true
+	case other.strength < c.strength || !c.under(other) || (other.answered && !other.mostlyBegun()):
+		return false
+	case other.strength > c.strength:
+		return true
+	case other.answered != c.answered:
+		return c.answered
+	default:
+		return c.strength < answeredCharge
+	}
+}
+
+// crashGroups counts the crashes between two times, those within crashGroupTime as one.
+func crashGroups(crashes []time.Time, first, last time.Time) (groups int) {
+	from := time.Time{}
+	for _, at := range crashes {
+		if at.Before(first) || at.After(last) {
+			continue
+		}
 		if groups == 0 || at.Sub(from) >= crashGroupTime {
 			groups, from = groups+1, at
 		}
 	}
-	if c.answered {
-		return c.strength >= answeredPartStrength && groups >= minCrashGroups
-	}
-	return c.strength >= quarantineStrength && groups >= minCrashGroups || c.strength >= answeredPartStrength && groups >= minGroupsOfMany
+	return groups
 }
 
 // judge puts the parts into quarantine that explain the crashes, and reports whether it
@@ -478,8 +596,8 @@
 func (e *CrashEvidence) judge(now time.Time) (changed bool) {
 	e.explain()
 	for {
-		charges := e.charges(now)
-		guilty := chooseGuilty(charges)
+		charges, all := e.charges(now)
+		guilty := chooseGuilty(charges, all)
 		if len(guilty) == 0 {
 			return changed
 		}
@@ -514,8 +632,9 @@
 	}
 }
 
-// charges adds up the unexplained crashes of each part, the strongest charge first.
-func (e *CrashEvidence) charges(now time.Time) []*charge {
+// charges adds up the unexplained crashes of each part, the strongest charge first, and
+// returns the times of all of them.
+func (e *CrashEvidence) charges(now time.Time) (charges []*charge, all []time.Time) {
 	e.judgeAt = time.Time{}
 	byPart := make(map[PromptPart]*charge)
 	for _, c := range e.crashes {
@@ -528,6 +647,7 @@
 			}
 			continue
 		}
+		all = append(all, c.at)
 		for p, begun := range c.suspects {
 			answered := e.lastAnswer(p)
 			if !answered.Before(c.at) {
@@ -535,18 +655,19 @@
 			}
 			of := byPart[p]
 			if of == nil {
-				of = &charge{part: p}
+				of = &charge{part: p, byCrash: make(map[*crash]int)}
 				byPart[p] = of
 			}
 			of.crashes = append(of.crashes, c.at)
 			of.answered = of.answered || c.at.Sub(answered) < answeredTTL
-			of.strength += waitingStrength
+			strength := waitingStrength
 			if begun {
-				of.strength += begunStrength - waitingStrength
+				strength = begunStrength
+				of.begun++
 			}
+			of.byCrash[c], of.strength = strength, of.strength+strength
 		}
 	}
-	charges := make([]*charge, 0, len(byPart))
 	for _, c := range byPart {
 		charges = append(charges, c)
 	}
@@ -556,27 +677,32 @@
 		}
 		return a.part.compare(b.part)
 	})
-	return charges
+	slices.SortFunc(all, time.Time.Compare)
+	return charges, all
 }
 
-// chooseGuilty returns the part whose charge suffices and is stronger than any other's.
-// Parts with equal charges are told apart by further crashes, as long as these are few.
-func chooseGuilty(charges []*charge) []*charge {
-	for i, c := range charges {
-		if !c.enough() {
+// chooseGuilty returns the part whose charge suffices and whose crashes no other part
+// explains as well; several if they have the same crashes, which are many.
+func chooseGuilty(charges []*charge, all []time.Time) (guilty []*charge) {
+	for _, c := range charges {
+		if !c.enough(all) {
 			continue
 		}
-		var equal []*charge
-		for j, other := range charges {
-			if j != i && other.strength >= c.strength && other.answered == c.answered {
-				equal = append(equal, other)
+		guilty = append(guilty[:0], c)
+		for _, other := range charges {
+			if other == c {
+				continue
+			}
+			if c.doubtedFor(other) {
+				guilty = nil
+				break
+			}
+			if other.strength == c.strength && other.answered == c.answered && c.under(other) {
+				guilty = append(guilty, other)
 			}
 		}
-		if len(equal) == 0 {
-			return []*charge{c}
-		}
-		if c.strength >= answeredPartStrength && !c.answered && equal[0].strength == c.strength {
-			return append(slices.DeleteFunc(equal, func(o *charge) bool { return !o.enough() }), c)
+		if len(guilty) > 0 {
+			return guilty
 		}
 	}
 	return nil
