Gateway: signs of life and late ends of responses reach the crash evidence

Any response to a request that was sent after an interruption is a sign of life, except one of another incarnation. Messages carry its age.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -132,6 +132,8 @@
 	c.recordAttempt(a)
 	if err != nil {
 		c.recordBrokenAttempt(a, err)
+	} else {
+		a.recordAlive()
 	}
 	return a
 }
--- a/gateway/interruptions.go
+++ b/gateway/interruptions.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/galenaarch/galenaarch/api/fleetv1"
+	"github.com/galenaarch/galenaarch/dispatch"
 	"github.com/galenaarch/galenaarch/fleetview"
 )
 
@@ -106,7 +107,7 @@
 	stage := a.stage()
 	c.gateway.interruptions.add(a.backend, c, stage, time.Now())
 	if stage != stageAnswering {
-		c.gateway.evidence.interrupted(c, a, stage == stageBegun)
+		c.gateway.evidence.interrupted(c, a, stage == stageBegun && time.Since(a.headersAt) <= dispatch.BegunWindow)
 	}
 }
 
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"maps"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -124,7 +125,7 @@
 }
 
 // interrupted records an attempt whose connection broke before the first event or the
-// complete body.
+// complete body; begun reports whether the response headers had just arrived.
 func (e *crashEvidence) interrupted(c *call, a *attempt, begun bool) {
 	parts := c.recordableParts()
 	if len(parts) == 0 {
@@ -206,6 +207,18 @@
 	}
 }
 
+// recordAlive records that the server has responded to an attempt, so that interruptions
+// before it was sent were not the server's end.
+func (a *attempt) recordAlive() {
+	e := a.gateway.evidence
+	if !e.relevant.Load() || a.err != nil || a.status == http.StatusMisdirectedRequest || (a.response.Server != "" && a.response.Server != a.backend.server) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.evidence.Alive(a.backend.run(), a.startedAt)
+}
+
 // markAnswered records that the server answers the request: with its first complete event,
 // or a complete body.
 func (c *call) markAnswered(a *attempt) {
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -62,7 +62,7 @@
 	interrupt := func(b *backend) *call {
 		c := h.suspectCall(1000)
 		h.evidence.dialed[b.incarnation] = time.Now() // no connection
-		c.recordInterruption(&attempt{gateway: h.Gateway, backend: b, result: responseReceived, status: http.StatusOK}, cut)
+		c.recordInterruption(&attempt{gateway: h.Gateway, backend: b, result: responseReceived, status: http.StatusOK, headersAt: time.Now()}, cut)
 		return c
 	}
 	first, second := h.routing.services["llm"][0], h.routing.services["llm"][1]
@@ -71,6 +71,13 @@
 	h.serverEnded(first.incarnation, endRefused)
 	require.Equal(t, reasonRepeatUnsafe, interrupt(second).repeatBlocked(time.Now()))
 	require.Empty(t, interrupt(first).repeatBlocked(time.Now()), "no other server has ended")
+	require.True(t, h.evidence.evidence.AwaitsEnd(second.run()))
+	(&attempt{gateway: h.Gateway, backend: second, status: http.StatusMisdirectedRequest, startedAt: time.Now()}).recordAlive()
+	require.True(t, h.evidence.evidence.AwaitsEnd(second.run()), "another incarnation responded")
+	(&attempt{gateway: h.Gateway, backend: second, status: http.StatusOK, startedAt: time.Now().Add(-time.Minute)}).recordAlive()
+	require.True(t, h.evidence.evidence.AwaitsEnd(second.run()), "sent before the interruption")
+	(&attempt{gateway: h.Gateway, backend: second, status: http.StatusOK, startedAt: time.Now()}).recordAlive()
+	require.False(t, h.evidence.evidence.AwaitsEnd(second.run()))
 }
 
 // TestEmptyBodyIsNoAnswer guards against a server that ends after the headers of a response
--- a/registry/crash_evidence.go
+++ b/registry/crash_evidence.go
@@ -18,7 +18,7 @@
 		if c.Server.GetServer() == "" {
 			continue
 		}
-		report := dispatch.CrashReport{Run: dispatch.ServerRun{Server: c.Server.Server, StartedMs: c.Server.BornUnixMs}, Ended: c.Ended, Age: decodeAge(c.AgeMs)}
+		report := dispatch.CrashReport{Run: dispatch.ServerRun{Server: c.Server.Server, StartedMs: c.Server.BornUnixMs}, Ended: c.Ended, Age: decodeAge(c.AgeMs), AliveAge: decodeAge(c.AliveAgeMs)}
 		for _, s := range c.Suspects {
 			if s.Part.GetPart() != "" {
 				report.Suspects = append(report.Suspects, dispatch.Suspect{Part: decodePart(s.Part), Begun: s.Begun})
@@ -55,6 +55,9 @@
 			break
 		}
 		run := &fleetv1.CrashedRun{Server: &fleetv1.ServerLife{Server: c.Run.Server, BornUnixMs: c.Run.StartedMs}, Ended: c.Ended, AgeMs: encodeAge(c.Age)}
+		if c.AliveAge > 0 {
+			run.AliveAgeMs = max(1, encodeAge(c.AliveAge))
+		}
 		for _, s := range c.Suspects {
 			run.Suspects = append(run.Suspects, &fleetv1.CrashSuspect{Part: encodePart(s.Part), Begun: s.Begun})
 		}
--- a/registry/crash_evidence_test.go
+++ b/registry/crash_evidence_test.go
@@ -15,7 +15,7 @@
 func testReport() dispatch.EvidenceReport {
 	part := dispatch.PromptPart{Service: "desk", Part: "p"}
 	return dispatch.EvidenceReport{
-		Crashes:     []dispatch.CrashReport{{Run: dispatch.ServerRun{Server: "i-1", StartedMs: 7}, Ended: true, Age: 2 * time.Second, Suspects: []dispatch.Suspect{{Part: part, Begun: true}}}},
+		Crashes:     []dispatch.CrashReport{{Run: dispatch.ServerRun{Server: "i-1", StartedMs: 7}, Ended: true, Age: 2 * time.Second, AliveAge: 4 * time.Second, Suspects: []dispatch.Suspect{{Part: part, Begun: true}}}},
 		Answered:    []dispatch.AnsweredReport{{Part: part, Age: 3 * time.Second}},
 		Quarantined: []dispatch.QuarantineReport{{Part: dispatch.PromptPart{Service: "desk", Part: "q"}, Round: 2, Lifted: true, Age: time.Minute, Remaining: -time.Second}},
 	}
