Emulator: prompts with a part that crashes engines

Fault kind crash: prompts arrive that share a part under which an engine ends as it begins to respond. The engine is back 4 s later; all its unanswered prompts are sent to a second one, if the evidence allows it.

--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -24,6 +24,9 @@
 	// abandoned prompt ends without a first token.
 	onFirstToken func(failed bool)
 	onEnd        func()
+	// onLost is called instead of onEnd when the engine crashes before the first token.
+	onLost  func()
+	request *request
 
 	// prefillLeft is the number of tokens still to be prefilled, generated the number
 	// of output tokens so far. started is set at the first token.
@@ -88,6 +91,7 @@
 		return
 	}
 	respondsAt, slowdown, failureRate := s.conditions(r.now)
+	respondsAt = max(respondsAt, s.downUntil)
 	if respondsAt > r.now {
 		e.stepping = true
 		r.schedule(respondsAt, func() {
@@ -213,6 +217,10 @@
 			prefilled -= n
 			if q.prefillLeft -= n; q.prefillLeft == 0 && !q.started {
 				q.started = true
+				if q.request.crashes {
+					r.crash(s)
+					return
+				}
 				q.onFirstToken(r.random.Float64() < failureRate)
 				q.generated++
 			}
--- a/emulator/entry.go
+++ b/emulator/entry.go
@@ -51,6 +51,10 @@
 	prefillModel   dispatch.PrefillModel
 	estimateErrors []dispatch.EstimateErrors
 	retryScheduled bool
+	// evidence is what the instance knows of parts that crash engines; telling is set
+	// while it is about to tell the others.
+	evidence dispatch.CrashEvidence
+	telling  bool
 	// resetAt is the virtual time when the instance last lost its state.
 	resetAt time.Duration
 }
--- a/emulator/pattern.go
+++ b/emulator/pattern.go
@@ -117,6 +117,9 @@
 //     the fault ends.
 //   - limited: a share of the servers states a rate limit, the magnitude, until the
 //     fault ends.
+//   - crash: prompts arrive, at a rate of the magnitude, that have a part in common
+//     under which engines crash as they begin to respond. They do not count in the
+//     results.
 //   - lost: entry instances lose their state and rediscover the servers one by one
 //     over the duration.
 type Fault struct {
@@ -125,7 +128,7 @@
 	DurationSeconds float64 `json:"for_seconds"`
 	ServerShare     float64 `json:"share"`
 	// Magnitude is the factor of the kinds burst and slow, the probability, from 0 to 1,
-	// of the kind fail, and the requests per second of the kind limited.
+	// of the kind fail, and the requests per second of the kinds limited and crash.
 	Magnitude float64 `json:"x"`
 }
 
@@ -162,9 +165,9 @@
 	}
 	for _, f := range p.Faults {
 		switch f.Kind {
-		case "burst", "dark", "slow", "fail", "leaving", "busy", "limited", "lost":
+		case "burst", "dark", "slow", "fail", "leaving", "busy", "limited", "crash", "lost":
 		default:
-			return eris.Errorf("pattern %s: unknown kind %q in troubles, want burst, dark, slow, fail, leaving, busy, limited or lost", p.Name, f.Kind)
+			return eris.Errorf("pattern %s: unknown kind %q in troubles, want burst, dark, slow, fail, leaving, busy, limited, crash or lost", p.Name, f.Kind)
 		}
 	}
 	return nil
--- a/emulator/recovery_test.go
+++ b/emulator/recovery_test.go
@@ -51,6 +51,7 @@
 		"all paused":                             {Kind: "busy", ServerShare: 1, DurationSeconds: 2},
 		"a third rate-limited":                   {Kind: "limited", ServerShare: 0.34, Magnitude: 4},
 		"a sixth leaving":                        {Kind: "leaving", ServerShare: 0.17},
+		"a part crashes servers":                 {Kind: "crash", Magnitude: 1.5},
 		"all instances lose their state":         {Kind: "lost", DurationSeconds: 1},
 		"all lose their state, slow rediscovery": {Kind: "lost", DurationSeconds: 3},
 	}
@@ -168,3 +169,19 @@
 		})
 	}
 }
+
+// TestPartThatCrashesEnginesIsStopped guards against a part of prompts that ends one engine
+// after the other. Without the mechanism they keep ending.
+func TestPartThatCrashesEnginesIsStopped(t *testing.T) {
+	const maxSentAfter = 3
+	for seed := range uint64(3) {
+		p := patternWithFault(t, "returning", seed+1, Fault{Kind: "crash", Magnitude: 1, DurationSeconds: 16})
+		p.Seconds = faultStartSeconds + 16
+		r, without := Simulate(p, expectedTime), Simulate(p, expectedTimeWithout(t, "part-quarantine"))
+		t.Logf("seed %d: %d crashes, %d sent later, credit %.3f; without %d, %d, %.3f", seed+1, r.Crashes, r.SentAfterCrashes, r.CreditShare(), without.Crashes, without.SentAfterCrashes, without.CreditShare())
+		require.Positive(t, r.Crashes)
+		require.LessOrEqual(t, r.SentAfterCrashes, maxSentAfter)
+		require.Zero(t, r.SoundBlocked)
+		require.Greater(t, without.SentAfterCrashes, maxSentAfter)
+	}
+}
--- a/emulator/result.go
+++ b/emulator/result.go
@@ -19,6 +19,11 @@
 	// in 4 s beyond the users' bound of one and a half times the limit and 5 requests;
 	// windows begin 3 s after the first statement or later. It should be 0.
 	MostAboveLimit int
+	// Crashes is the number of engines that crashed, SentAfterCrashes the number of
+	// requests with the crashing part that were sent later than 3 s after the fifth
+	// crash; at most 3 of these are allowed. SoundBlocked is the number of requests
+	// without the part that were rejected as if they had it. It should be 0.
+	Crashes, SentAfterCrashes, SoundBlocked int
 	// Preemptions is the number of preemptions at all engines.
 	Preemptions int
 }
--- a/emulator/run.go
+++ b/emulator/run.go
@@ -60,6 +60,7 @@
 	storedPrefixes  map[int]bool
 	storeFreeTokens int
 	result          *Result
+	crashesAt       []time.Duration
 }
 
 // Simulate simulates a pattern under a policy. The same pattern and policy always give
@@ -73,6 +74,11 @@
 	for i := range p.Kinds {
 		r.scheduleArrival(i)
 	}
+	for i := range p.Faults {
+		if f := &p.Faults[i]; f.Kind == "crash" {
+			r.scheduleCrashing(f)
+		}
+	}
 	for r.events.Len() > 0 {
 		e := r.events.Pop()
 		r.now = e.at
@@ -128,7 +134,7 @@
 func serverFaults(p *Pattern, index, count int) []Fault {
 	var faults []Fault
 	for _, f := range p.Faults {
-		if f.Kind != "burst" && f.Kind != "lost" && float64(index) < f.ServerShare*float64(count) {
+		if f.Kind != "burst" && f.Kind != "lost" && f.Kind != "crash" && float64(index) < f.ServerShare*float64(count) {
 			faults = append(faults, f)
 		}
 	}
@@ -168,7 +174,9 @@
 
 // request is one client's request.
 type request struct {
-	kind                   int
+	kind int
+	// crashes is set if the request has a part under which engines crash.
+	crashes                bool
 	prefix                 int
 	firstArrival, deadline time.Duration
 	// lastArrival is the virtual time when the client last sent the request to an
@@ -225,7 +233,7 @@
 		if req.waiter != nil {
 			req.instance.queue.Remove(w)
 			req.waiter = nil
-			r.result.recordFailure(req.kind)
+			r.recordFailure(req)
 		}
 	})
 	r.scheduleQueueRetry(req.instance)
@@ -250,6 +258,10 @@
 // tryRoute makes a routing decision and carries it out. It returns false if the
 // request must wait in the queue.
 func (r *simulation) tryRoute(req *request, claimed map[string]bool) bool {
+	if r.blocked(req) {
+		r.refuse(req)
+		return true
+	}
 	s := r.decide(req, claimed)
 	switch req.decision.Action {
 	case dispatch.NoServer, dispatch.Reject:
--- a/emulator/send.go
+++ b/emulator/send.go
@@ -21,6 +21,17 @@
 		s.limitedArrivals = append(s.limitedArrivals, sentAt)
 	}
 	state.Sent(work, toTime(sentAt))
+	if sentAt < s.downUntil {
+		state.StopAwaiting(work)
+		state.Release(work, 0)
+		state.Failed(true, toTime(sentAt))
+		r.resend(req)
+		return
+	}
+	if r.hasCrashes() {
+		r.countCrashing(req)
+		req.instance.evidence.Sent(r.parts(req), toTime(sentAt))
+	}
 	if _, pause := s.signals(r.now); pause > 0 {
 		r.rejectPaused(req, s, work)
 		return
@@ -103,7 +114,7 @@
 // sendPrompt sends a prompt to an engine.
 func (r *simulation) sendPrompt(req *request, s *server, work dispatch.Work) {
 	k, state, e, sentAt := &r.pattern.Kinds[req.kind], req.instance.states[s], req.instance, r.now
-	q := &engineRequest{kind: k, prefix: req.prefix, deadline: req.givesUpAt, rank: k.Rank}
+	q := &engineRequest{request: req, kind: k, prefix: req.prefix, deadline: req.givesUpAt, rank: k.Rank}
 	if work.Deferred {
 		q.rank += deferredRankOffset
 	}
@@ -129,6 +140,7 @@
 		switch {
 		case !failed:
 			state.Succeeded(r.now-sentAt, toTime(r.now))
+			r.recordAnswered(req)
 			r.result.recordResponse(req.kind, req.firstArrival, r.now-req.firstArrival)
 		default:
 			state.Failed(false, toTime(r.now))
@@ -147,11 +159,16 @@
 			if state.UnresponsiveSince(toTime(sentAt), toTime(r.now), &e.prefillModel) {
 				state.Failed(true, toTime(r.now))
 			}
-			r.result.recordFailure(req.kind)
+			r.recordFailure(req)
 		}
 		state.Release(work, r.now-sentAt)
 		e.queue.Schedule()
 	}
+	q.onLost = func() {
+		state.StopAwaiting(work)
+		state.Release(work, r.now-sentAt)
+		state.Failed(true, toTime(r.now))
+	}
 	r.enqueue(s, q)
 }
 
@@ -181,6 +198,9 @@
 // refuse refuses a request. A client with returns left sends it again after the retry
 // delay, unless the deadline comes first.
 func (r *simulation) refuse(req *request) {
+	if req.crashes {
+		return
+	}
 	r.result.recordRefusal(req.kind, req.firstArrival, r.now-req.lastArrival)
 	jitter := r.random.Float64()
 	if !r.policy.Mechanisms.Enabled(dispatch.RetryJitter) {
--- a/emulator/server.go
+++ b/emulator/server.go
@@ -23,6 +23,9 @@
 	// cachedPrefixes is ordered by last use, the least recently used first.
 	cachedPrefixes []cachedPrefix
 	faults         []Fault
+	// An engine that has crashed is down until downUntil; restarts counts its crashes.
+	downUntil time.Duration
+	restarts  int
 	// permitIssuer issues the permits of the server while it states a rate limit;
 	// limitedArrivals are the requests that reach it meanwhile.
 	permitIssuer    dispatch.PermitIssuer
