--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -61,6 +61,10 @@
 // ErrHeaderTooLarge reports response headers that exceed the size limit.
 var ErrHeaderTooLarge = errors.New("response header exceeds the size limit")
 
+// ErrProtocolSwitch reports a server that switches to another protocol, which no request
+// asks for.
+var ErrProtocolSwitch = errors.New("server switches to another protocol")
+
 // Phase is how far a request got.
 type Phase int
 
@@ -317,10 +321,19 @@
 	return &conn{headerLimitedConn: limited, reader: bufio.NewReaderSize(limited, readBufferSize), writer: bufio.NewWriterSize(raw, writeBufferSize), idleTimeout: defaultIdleTimeout, unackedTimeout: unackedTimeout}, nil
 }
 
-// Prepare opens a connection for the next request. It fails if the server does not accept
-// one or the pool may open no further one.
+// Prepare opens a connection for the next request, in place of an idle one if the pool may
+// open no further one: an idle connection does not show that the server accepts requests.
+// It fails if the server accepts no connection or all of the pool are in use.
 func (p *Pool) Prepare(ctx context.Context) error {
 	c, err := p.dial(ctx)
+	if errors.Is(err, ErrConnectionLimit) {
+		idle := p.takeIdle()
+		if idle == nil {
+			return err
+		}
+		p.discard(idle)
+		c, err = p.dial(ctx)
+	}
 	if err != nil {
 		return err
 	}
@@ -400,7 +413,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, ErrProtocolSwitch
+		}
+		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
 	}
@@ -443,7 +459,7 @@
 		return
 	}
 	c := x.conn
-	reusable := x.bodyComplete && !x.writeFailed && !x.Response.Close && x.Response.StatusCode != http.StatusSwitchingProtocols && c.reader.Buffered() == 0
+	reusable := x.bodyComplete && !x.writeFailed && !x.Response.Close && c.reader.Buffered() == 0
 	if !reusable || !x.stop() {
 		x.Abandon()
 		return
