--- a/faults/stream_soak_test.go
+++ b/faults/stream_soak_test.go
@@ -502,7 +502,10 @@
 			c = nil
 		}
 		s.record(r)
-		time.Sleep(r.pause(longestPause))
+		select {
+		case <-ctx.Done():
+		case <-time.After(r.pause(longestPause)):
+		}
 	}
 	if c != nil {
 		c.Close()
