Control: log announcements that are not understood

An odd entry left no trace but the response to its writer. It is logged now with the server that it names and the reason, within bounds: ten lines at once, then one in five seconds, each of bounded length.

--- a/registrar/platform.go
+++ b/registrar/platform.go
@@ -33,6 +33,9 @@
 	// MarkGone records that a server has ended. bornUnixMS identifies its
 	// incarnation by start time; 0 if the server did not give it.
 	MarkGone(server string, bornUnixMS int64)
+	// Rejected records that an announcement, or the report of an end, was not understood.
+	// server is the ID that it names.
+	Rejected(server string, err error)
 	// AcceptingAddresses lists the addresses of entry instances that accept
 	// clients, at most limit, and how long clients may cache the list.
 	AcceptingAddresses(domain string, limit int) (addresses []string, ttl time.Duration)
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -218,6 +218,9 @@
 // MarkGone records that a server has ended.
 func (r *Registrar) MarkGone(server string, bornUnixMS int64) { r.hub.MarkGone(server, bornUnixMS) }
 
+// Rejected records that an announcement, or the report of an end, was not understood.
+func (r *Registrar) Rejected(server string, err error) { r.hub.Rejected(server, err) }
+
 // AcceptingAddresses lists the addresses of entry instances that accept clients,
 // at most limit (0: all), for clients in a failure domain, and how long clients may
 // cache the list.
--- a/registry/hub.go
+++ b/registry/hub.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/twitchtv/twirp"
+	"golang.org/x/time/rate"
 
 	"github.com/galenaarch/galenaarch/api/controlv1"
 	"github.com/galenaarch/galenaarch/api/fleetv1"
@@ -24,6 +25,13 @@
 	// before clients are no longer directed to it.
 	entryPollGrace = 1200 * time.Millisecond
 	expireInterval = 200 * time.Millisecond
+	// rejectedLogRate and rejectedLogBurst bound the log lines for rejected
+	// announcements, per second and at once.
+	rejectedLogRate  = 0.2
+	rejectedLogBurst = 10
+	// maxLoggedIDLength and maxLoggedErrorLength bound their texts, in bytes.
+	maxLoggedIDLength    = 64
+	maxLoggedErrorLength = 256
 )
 
 // DocumentSource provides the published documents and the members of the control
@@ -52,6 +60,8 @@
 	logger    *slog.Logger
 	// feedID changes with each restart; cursors of another feed are not valid.
 	feedID uint64
+	// rejectedLog bounds the log lines for rejected announcements.
+	rejectedLog *rate.Limiter
 
 	// mu guards the fields below.
 	mu    sync.Mutex
@@ -68,7 +78,7 @@
 // subscribers notice a restart.
 func NewHub(interval time.Duration, d DocumentSource, logger *slog.Logger) *Hub {
 	return &Hub{
-		documents: d, logger: logger, feedID: uint64(time.Now().UnixNano()), table: NewTable(interval),
+		documents: d, logger: logger, rejectedLog: rate.NewLimiter(rejectedLogRate, rejectedLogBurst), feedID: uint64(time.Now().UnixNano()), table: NewTable(interval),
 		entries: make(map[string]*entryState), changed: make(chan struct{}),
 	}
 }
@@ -128,6 +138,14 @@
 	}
 }
 
+// Rejected logs that an announcement, or the report of an end, was not understood, up to
+// rejectedLogBurst at once. The server that it names keeps its entry.
+func (h *Hub) Rejected(server string, err error) {
+	if text := err.Error(); h.rejectedLog.Allow() {
+		h.logger.Warn("announcement rejected", slog.String("server", server[:min(len(server), maxLoggedIDLength)]), slog.String("error", text[:min(len(text), maxLoggedErrorLength)]))
+	}
+}
+
 // ObserveWeights records weight versions that were seen at a server.
 func (h *Hub) ObserveWeights(server string, bornUnixMS int64, versions map[string]uint64) {
 	h.mu.Lock()
--- a/registry/hub_test.go
+++ b/registry/hub_test.go
@@ -1,7 +1,9 @@
 package registry
 
 import (
+	"errors"
 	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -39,3 +41,16 @@
 	poll("e-2", 2, false)
 	require.Equal(t, []string{"e-1", "e-2"}, hub.AcceptingAddresses("", 0))
 }
+
+// An entry that is not understood must leave a trace, and a writer that repeats it must not
+// flood the log.
+func TestRejectedAnnouncementsAreLoggedWithinBounds(t *testing.T) {
+	var lines strings.Builder
+	h := NewHub(time.Second, nil, slog.New(slog.NewTextHandler(&lines, nil)))
+	for range 100 {
+		h.Rejected(strings.Repeat("s", 1000), errors.New("port is missing"+strings.Repeat("x", 60000)))
+	}
+	require.Contains(t, lines.String(), "port is missing")
+	require.LessOrEqual(t, strings.Count(lines.String(), "announcement rejected"), rejectedLogBurst+1)
+	require.Less(t, lines.Len(), 500*(rejectedLogBurst+1))
+}
