Drain: the longest of few requests says little about the next one

Cause: the instance had been up for 63 ms when SIGTERM came. A draining instance admits a stream by the longest recent one of its route, and knew only a few, under 1.17 s; streams there last up to 2.2 s.

Change: the longest counts once 50 requests of the route have got a response; until then the route's timeout is assumed, as it was with none. TestRouteDurationIsLongestRecent checks it; its other expectations are unchanged, with more requests before them.

--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -69,33 +69,42 @@
 // routeDurations tracks how long the requests of each route take from arrival to the
 // end of the response: the longest of the recent ones.
 type routeDurations struct {
-	routes sync.Map // route name to *atomic.Int64, nanoseconds
+	routes sync.Map // route name to *routeDuration
 }
 
+// routeDuration is that of one route. count is the number of its requests so far, longest
+// in nanoseconds.
+type routeDuration struct{ count, longest atomic.Int64 }
+
+// minDurations is the number of requests from which on the longest one counts: that of
+// fewer is often much shorter than what follows.
+const minDurations = 50
+
 // record adds a request that got a response.
 func (n *routeDurations) record(route string, took time.Duration) {
 	value, ok := n.routes.Load(route)
 	if !ok {
-		value, _ = n.routes.LoadOrStore(route, new(atomic.Int64))
+		value, _ = n.routes.LoadOrStore(route, new(routeDuration))
 	}
-	longest := value.(*atomic.Int64)
+	d := value.(*routeDuration)
+	defer d.count.Add(1)
 	for {
-		old := longest.Load()
+		old := d.longest.Load()
 		next := max(int64(took), old-int64(float64(old)*longestDecay))
-		if next == old || longest.CompareAndSwap(old, next) {
+		if next == old || d.longest.CompareAndSwap(old, next) {
 			return
 		}
 	}
 }
 
 // estimate returns the expected duration of a request of a route, at most timeout; it
-// is timeout if no request of the route has got a response yet.
+// is timeout if fewer than minDurations requests of the route have got a response.
 func (n *routeDurations) estimate(route string, timeout time.Duration) time.Duration {
 	value, ok := n.routes.Load(route)
-	if !ok {
+	if !ok || value.(*routeDuration).count.Load() < minDurations {
 		return timeout
 	}
-	return min(timeout, time.Duration(value.(*atomic.Int64).Load()))
+	return min(timeout, time.Duration(value.(*routeDuration).longest.Load()))
 }
 
 // retain removes the routes that are no longer in the site document.
--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -44,8 +44,12 @@
 func TestRouteDurationIsLongestRecent(t *testing.T) {
 	var n routeDurations
 	require.Equal(t, 15*time.Second, n.estimate("stream", 15*time.Second), "unknown: the route's own timeout")
+	for range minDurations - 3 {
+		n.record("stream", time.Second)
+	}
 	n.record("stream", 2*time.Second)
 	n.record("stream", 4*time.Second)
+	require.Equal(t, 15*time.Second, n.estimate("stream", 15*time.Second), "too few requests to know the longest")
 	n.record("stream", time.Second)
 	require.InDelta(t, float64(4*time.Second), float64(n.estimate("stream", 15*time.Second)), float64(100*time.Millisecond))
 	require.Equal(t, time.Second, n.estimate("stream", time.Second), "no request lasts longer than its route allows")
