--- a/dispatch/crash_evidence_faults_test.go
+++ b/dispatch/crash_evidence_faults_test.go
@@ -704,7 +704,7 @@
 			t.Parallel()
 			first, seeds := limitSeeds(t, 1)
 			for seed := first; seed < first+uint64(seeds); seed++ {
-				s := runEvidenceSim(t, seed, instances, evidenceCase{badPerSecond: 0.5, faults: true, sparse: true, until: 90 * time.Minute})
+				s := runEvidenceSim(t, seed, instances, evidenceCase{badPerSecond: 0.5, faults: true, sparse: true, until: 75 * time.Minute})
 				t.Logf("seed %d: trials at %v, %d crashes", seed, s.trialsAt, len(s.crashesAt))
 				require.NotEmpty(t, s.trialsAt, "no quarantine ends")
 				require.LessOrEqual(t, s.mostTrials, 1, "trials at the same time")
