--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -115,6 +115,7 @@
 // queued behind it, both kinds earn only half of their credit, less than under prefix
 // affinity.
 func TestShortPromptsAreNotStarvedByLongOnes(t *testing.T) {
+	t.Parallel()
 	r := Simulate(readPattern(t, "burst"), expectedTime)
 	long, short := &r.Kinds[0], &r.Kinds[1]
 	require.Greater(t, short.creditShare(), long.creditShare()-maxUrgencyInversion)
@@ -125,6 +126,7 @@
 // placement ignores the memory of running requests, they accumulate on a few servers
 // and wait for memory there.
 func TestMemoryAwarePlacementGainsCredit(t *testing.T) {
+	t.Parallel()
 	p := readPattern(t, "memory")
 	got := Simulate(p, expectedTime)
 	withoutMemory := Simulate(p, expectedTimeWithout(t, "run-memory"))
@@ -135,6 +137,7 @@
 // If requests are served in order of arrival, each response is late by the queueing
 // delay.
 func TestDeferringLateRequestsGainsCredit(t *testing.T) {
+	t.Parallel()
 	firstComeFirstServed := expectedTimeWithout(t, "behind,turn-away")
 	for _, name := range []string{"burst", "flood"} {
 		p := readPattern(t, name)
@@ -147,6 +150,7 @@
 }
 
 func TestRefusalsAreFastOnFullOrFailingServers(t *testing.T) {
+	t.Parallel()
 	for _, name := range []string{"full", "failing"} {
 		requireFastRefusals(t, name)
 	}
@@ -155,6 +159,7 @@
 // TestRefusalsAreFastUnderOverload checks that requests beyond capacity are refused
 // within their objective.
 func TestRefusalsAreFastUnderOverload(t *testing.T) {
+	t.Parallel()
 	for _, name := range []string{"full", "flood"} {
 		requireFastRefusals(t, name)
 	}
@@ -173,6 +178,7 @@
 }
 
 func TestSimulationIsDeterministic(t *testing.T) {
+	t.Parallel()
 	var first, second bytes.Buffer
 	require.NoError(t, WriteTable(&first, []*Result{Simulate(readPattern(t, "failing"), expectedTime)}))
 	require.NoError(t, WriteTable(&second, []*Result{Simulate(readPattern(t, "failing"), expectedTime)}))
--- a/emulator/recovery_test.go
+++ b/emulator/recovery_test.go
@@ -76,6 +76,7 @@
 // queued at the engines instead of the entry instances, and running requests fill the
 // engines' memory and preempt each other.
 func TestLateBindingGainsCreditInBurst(t *testing.T) {
+	t.Parallel()
 	full, withoutBinding := 0.0, 0.0
 	for seed := range uint64(3) {
 		p := patternWithFault(t, "returning", seed+1, Fault{Kind: "burst", Magnitude: 3})
@@ -88,6 +89,7 @@
 // TestRejectionAndDeferralGainCreditInBurst sends more requests than can be served
 // on time.
 func TestRejectionAndDeferralGainCreditInBurst(t *testing.T) {
+	t.Parallel()
 	for _, name := range []string{"behind,turn-away"} {
 		ours, baseline := 0.0, 0.0
 		for seed := range uint64(3) {
@@ -103,6 +105,7 @@
 // that an instance sends no request to a server that has reported to it that it is
 // leaving, or that has asked it for a pause that has not ended.
 func TestLeavingAndPausedServersReceiveNoRequests(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(6) {
 		p := patternWithFault(t, "returning", seed+1, Fault{Kind: "busy", ServerShare: 0.4, DurationSeconds: 3})
 		p.Faults = append(p.Faults, Fault{Kind: "leaving", ServerShare: 0.2, StartSeconds: 10}, Fault{Kind: "burst", Magnitude: 2, StartSeconds: 9, DurationSeconds: 4})
@@ -173,6 +176,7 @@
 // TestPartThatCrashesEnginesIsStopped guards against a part of prompts that ends one engine
 // after the other. Without the mechanism they keep ending.
 func TestPartThatCrashesEnginesIsStopped(t *testing.T) {
+	t.Parallel()
 	const maxSentAfter = 3
 	for seed := range uint64(3) {
 		p := patternWithFault(t, "returning", seed+1, Fault{Kind: "crash", Magnitude: 1, DurationSeconds: 16})
