--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -15,13 +15,13 @@
 	// finishMargin is added to the expected duration of a request: its response must
 	// be sent before the process exits.
 	finishMargin = 250 * time.Millisecond
-	// maxSilence is how long a sound server may send nothing in the middle of a stream;
-	// clients do not wait longer for the next event. It is reserved for streams, which
-	// can only be cut, up to maxSilenceShare of the grace period.
+	// maxSilence is how long a sound server may send nothing in the middle of a stream:
+	// the shortest time that clients wait for the next event. It is reserved for
+	// streams, which can only be cut, up to maxSilenceShare of the grace period.
 	maxSilence      = 2 * time.Second
 	maxSilenceShare = 0.25
 	// answerTimeout is how long requests without a response get to receive one after
-	// shutdownTimeout; with it, it is below graceMargin.
+	// shutdownTimeout. The sum of both is below graceMargin.
 	answerTimeout = 150 * time.Millisecond
 	// drainRetryAfter is when a client that a draining instance rejects may retry: at
 	// once, since the other instances have capacity.
