--- a/dispatch/crash_evidence_faults_test.go
+++ b/dispatch/crash_evidence_faults_test.go
@@ -676,6 +676,7 @@
 // nearly always in flight, instances that are killed, cut off or started later, servers
 // that end by themselves and connections that are reset.
 func TestPartThatCrashesServersIsStopped(t *testing.T) {
+	t.Parallel()
 	forEachEvidenceSeed(t, func(t *testing.T, seed uint64, instances int) {
 		random := rand.New(rand.NewPCG(seed, 3))
 		c := evidenceCase{badPerSecond: 0.5 + 5*random.Float64(), badFirst: random.IntN(2) == 0, soundBefore: random.IntN(4) == 0, faults: random.IntN(4) > 0, resets: random.IntN(3) == 0, grey: random.IntN(3) == 0, until: evidenceTimeOf(instances)}
@@ -690,6 +691,7 @@
 
 // TestServersThatEndByThemselvesBlameNothing guards against a sound part in quarantine.
 func TestServersThatEndByThemselvesBlameNothing(t *testing.T) {
+	t.Parallel()
 	forEachEvidenceSeed(t, func(t *testing.T, seed uint64, instances int) {
 		random := rand.New(rand.NewPCG(seed, 4))
 		c := evidenceCase{faults: random.IntN(2) == 0, resets: random.IntN(2) == 0, grey: random.IntN(2) == 0, until: evidenceTimeOf(instances)}
@@ -702,6 +704,7 @@
 // TestTrialsOfPartAreFew guards against instances that each try whether a part still
 // crashes servers.
 func TestTrialsOfPartAreFew(t *testing.T) {
+	t.Parallel()
 	for _, instances := range []int{1, 5, 9} {
 		t.Run(fmt.Sprint(instances, " instances"), func(t *testing.T) {
 			t.Parallel()
--- a/dispatch/rate_limit_faults_test.go
+++ b/dispatch/rate_limit_faults_test.go
@@ -609,6 +609,7 @@
 // or cut off, control instances that are lost, and a limit that falls, rises, ends and
 // begins again. At no time do two instances issue permits.
 func TestRateLimitHoldsUnderFaults(t *testing.T) {
+	t.Parallel()
 	for instances, count := range map[int]int{1: 20, 5: 40, 9: 20, 300: 1} {
 		t.Run(fmt.Sprint(instances, " instances"), func(t *testing.T) {
 			t.Parallel()
@@ -627,6 +628,7 @@
 // TestRateLimitIsUsed guards against a limit that is kept by sending much less than the
 // server takes, although clients ask for more.
 func TestRateLimitIsUsed(t *testing.T) {
+	t.Parallel()
 	const minUsedShare = 0.9
 	for _, instances := range []int{1, 5, 9, 300} {
 		for _, demandFactor := range []float64{1.5, 10} {
