--- a/review/rig/cluster.go
+++ b/review/rig/cluster.go
@@ -217,15 +217,6 @@
 	return nil
 }
 
-// signal sends a signal to the process of the machine.
-func (m *machine) signal(s syscall.Signal) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.command != nil {
-		_ = m.command.Process.Signal(s) // it may have ended
-	}
-}
-
 // kill ends the process and waits for its end.
 func (m *machine) kill() {
 	m.mu.Lock()
