--- a/review/rig/clients.go
+++ b/review/rig/clients.go
@@ -135,3 +135,23 @@
 	}
 	return fmt.Sprintf("%d requests; %s", len(c.outcomes), strings.Join(list, ", "))
 }
+
+// prompts sends prompts until ctx ends.
+func (c *clients) prompts(ctx context.Context, perSecond float64) {
+	ticker := time.NewTicker(time.Duration(float64(time.Second) / perSecond))
+	defer ticker.Stop()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for i := 0; ; i++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			c.add(c.request(context.Background(), c.cluster.front[i%len(c.cluster.front)], http.MethodPost, "/ask/"+fmt.Sprint(i), "question", 5*time.Second, promptHeader(i)))
+		}()
+	}
+}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -17,6 +17,7 @@
 var cases = map[string]func(root string, trouble bool, rec *record) (int, error){
 	"endless-head": endlessHeadCase,
 	"wall":         wallCase,
+	"rollout":      rolloutCase,
 }
 
 // Usage: rig CASE FOLDER, in the root of the repository. With TROUBLE=0 the disruption is
