Rollout: a server that restarts frees its reload slot

Cause: the plan kept reloads by server ID. The reload of a former process was not used, but counted against the limit of concurrent reloads, and was replaced only while a slot was free. Ruled out: lost orders (none was due), a change of leader, stale announcements.

Reloads are kept by incarnation; that of a process which is not listed any more is dropped with its slot. Results of calls count for the incarnation that was called. The count of failed calls ends with its reload.

TestRolloutContinuesAfterServersRestart before: never done with 2 servers and one crash. TestReportOfFormerIncarnationIsNotUsed before: the former process's report completes the reload.

--- a/weights/plan.go
+++ b/weights/plan.go
@@ -44,6 +44,9 @@
 	// maxConcurrentShare is the largest share of a service's servers that
 	// reload at the same time.
 	maxConcurrentShare = 0.5
+	// maxConsecutiveFailures is the number of failed calls in a row after which
+	// a server's reload slot is given to another server.
+	maxConsecutiveFailures = 3
 )
 
 // Server is the known state of a backend server that runs models.
@@ -54,6 +57,18 @@
 	Versions map[string]uint64
 }
 
+// incarnation identifies one start of a backend server. A server that restarts keeps
+// its ID, but nothing that was ordered from, or said by, its former incarnation
+// applies to it.
+type incarnation struct {
+	id          string
+	startUnixMs int64
+}
+
+func (s Server) incarnation() incarnation {
+	return incarnation{id: s.ID, startUnixMs: s.StartUnixMs}
+}
+
 // Report is the state that a backend server reports about itself.
 type Report struct {
 	dispatch.Directives
@@ -87,7 +102,7 @@
 	ExpectedSequence uint64
 }
 
-// serverReload is the state of one server's reload.
+// serverReload is the state of the reload of one incarnation of a server.
 type serverReload struct {
 	server    Server
 	report    *Report
@@ -96,13 +111,15 @@
 	notBefore time.Time
 	// startedAt is when the server accepted its first order.
 	startedAt time.Time
+	// failures is the number of failed calls in a row.
+	failures int
 }
 
 // Plan decides which servers reload and when. It reads no clock and is not safe
 // for concurrent use.
 type Plan struct {
 	rolloutLimit time.Duration
-	reloads      map[string]*serverReload
+	reloads      map[incarnation]*serverReload
 	// reloadEstimate is the moving average of reload durations. outdatedSince is
 	// when each service first had a server on an outdated version.
 	reloadEstimate time.Duration
@@ -112,7 +129,7 @@
 // NewPlan returns an empty plan that aims to update all servers within
 // rolloutLimit.
 func NewPlan(rolloutLimit time.Duration) *Plan {
-	return &Plan{rolloutLimit: rolloutLimit, reloads: make(map[string]*serverReload), reloadEstimate: initialReloadEstimate, outdatedSince: make(map[string]time.Time)}
+	return &Plan{rolloutLimit: rolloutLimit, reloads: make(map[incarnation]*serverReload), reloadEstimate: initialReloadEstimate, outdatedSince: make(map[string]time.Time)}
 }
 
 // outdatedModel returns the first model, in name order, whose version on a
@@ -132,12 +149,12 @@
 }
 
 // DueTasks returns the tasks that are due. It discards the reloads of servers that
-// are no longer present.
+// are no longer present or have restarted: these free their slots at once.
 func (p *Plan) DueTasks(servers []Server, requested map[string]uint64, now time.Time) []Task {
-	present := make(map[string]bool, len(servers))
+	present := make(map[incarnation]bool, len(servers))
 	serverCounts, outdatedCounts := make(map[string]int), make(map[string]int)
 	for _, s := range servers {
-		present[s.ID] = true
+		present[s.incarnation()] = true
 		serverCounts[s.Service]++
 		if m, _ := outdatedModel(s.Versions, requested); m != "" {
 			outdatedCounts[s.Service]++
@@ -145,9 +162,9 @@
 	}
 	p.trackOutdated(outdatedCounts, now)
 	active := make(map[string]int)
-	for id, reload := range p.reloads {
-		if !present[id] {
-			delete(p.reloads, id)
+	for key, reload := range p.reloads {
+		if !present[key] {
+			delete(p.reloads, key)
 			continue
 		}
 		active[reload.server.Service]++
@@ -155,17 +172,14 @@
 	servers = interleaveGroups(servers)
 	var tasks []Task
 	for _, s := range servers {
-		reload := p.reloads[s.ID]
-		if reload != nil && reload.server.StartUnixMs != s.StartUnixMs {
-			reload = nil // The server has restarted: orders sent to the previous process no longer apply.
-		}
+		reload := p.reloads[s.incarnation()]
 		if reload == nil {
 			if m, _ := outdatedModel(s.Versions, requested); m == "" || active[s.Service] >= p.concurrencyLimit(s.Service, serverCounts[s.Service], outdatedCounts[s.Service], now) {
 				continue
 			}
 			active[s.Service]++
 			reload = &serverReload{}
-			p.reloads[s.ID] = reload
+			p.reloads[s.incarnation()] = reload
 		}
 		reload.server = s
 		if t := reload.nextTask(requested, now); t.Step != StepNone {
@@ -264,38 +278,38 @@
 	return t
 }
 
-// RecordReport records a report from a poll that started at polledAt. It
+// RecordReport records a server's report from a poll that started at polledAt. It
 // returns true if the reload is complete: the server runs all requested
 // versions and is idle.
-func (p *Plan) RecordReport(id string, report *Report, requested map[string]uint64, polledAt time.Time) bool {
-	reload := p.reloads[id]
+func (p *Plan) RecordReport(s Server, report *Report, requested map[string]uint64, polledAt time.Time) bool {
+	reload := p.reloads[s.incarnation()]
 	if reload == nil {
 		return false
 	}
-	reload.report, reload.polledAt = report, polledAt
+	reload.report, reload.polledAt, reload.failures = report, polledAt, 0
 	if m, _ := outdatedModel(report.Versions, requested); m == "" && !report.Busy {
 		if !reload.startedAt.IsZero() {
 			p.reloadEstimate += time.Duration(reloadEWMAWeight * float64(polledAt.Sub(reload.startedAt)-p.reloadEstimate))
 		}
-		delete(p.reloads, id)
+		delete(p.reloads, s.incarnation())
 		return true
 	}
 	return false
 }
 
 // DueTask returns the task that is due for one server now.
-func (p *Plan) DueTask(id string, requested map[string]uint64, now time.Time) Task {
-	reload := p.reloads[id]
+func (p *Plan) DueTask(s Server, requested map[string]uint64, now time.Time) Task {
+	reload := p.reloads[s.incarnation()]
 	if reload == nil {
 		return Task{}
 	}
 	return reload.nextTask(requested, now)
 }
 
-// RecordOrder records that an order was sent. accepted is false if the server
-// refused it.
-func (p *Plan) RecordOrder(id string, accepted bool, now time.Time) {
-	reload := p.reloads[id]
+// RecordOrder records that an order was sent to a server. accepted is false if the
+// server refused it.
+func (p *Plan) RecordOrder(s Server, accepted bool, now time.Time) {
+	reload := p.reloads[s.incarnation()]
 	if reload == nil {
 		return
 	}
@@ -309,16 +323,19 @@
 	reload.report, reload.notBefore = nil, now.Add(refusalBackoff)
 }
 
-// RecordFailure records that a server could not be reached.
-func (p *Plan) RecordFailure(id string, now time.Time) {
-	if reload := p.reloads[id]; reload != nil {
-		reload.report, reload.notBefore = nil, now.Add(refusalBackoff)
+// RecordFailure records that a server could not be reached. After
+// maxConsecutiveFailures it drops the reload, so that another server can use its slot.
+func (p *Plan) RecordFailure(s Server, now time.Time) {
+	reload := p.reloads[s.incarnation()]
+	if reload == nil {
+		return
+	}
+	reload.report, reload.notBefore = nil, now.Add(refusalBackoff)
+	reload.failures++
+	if reload.failures >= maxConsecutiveFailures {
+		delete(p.reloads, s.incarnation())
 	}
 }
 
-// ReleaseSlot drops the reload of an unreachable server so that another server can
-// use its slot.
-func (p *Plan) ReleaseSlot(id string) { delete(p.reloads, id) }
-
 // groupRank returns the position of a server in the order of placement groups.
 func groupRank(server string) uint64 { return placement.GroupRank(server) }
--- a/weights/plan_test.go
+++ b/weights/plan_test.go
@@ -28,6 +28,12 @@
 	}
 }
 
+// restart ends the engine's process and starts another with the weights it had.
+func (e *fakeEngine) restart() {
+	e.StartUnixMs++
+	e.sequence, e.loadingVersion = 0, 0
+}
+
 func (e *fakeEngine) handleOrder(t Task, now time.Time) (accepted bool) {
 	e.finishLoad(now)
 	if e.loadingVersion != 0 || t.ExpectedSequence != e.sequence {
@@ -80,19 +86,29 @@
 		e := byID[t.Server.ID]
 		switch t.Step {
 		case StepPoll:
-			sim.plan.RecordReport(t.Server.ID, &Report{Versions: map[string]uint64{"m": e.version}, Busy: e.loadingVersion != 0, Sequence: e.sequence}, sim.requested, sim.now)
+			sim.plan.RecordReport(t.Server, &Report{Versions: map[string]uint64{"m": e.version}, Busy: e.loadingVersion != 0, Sequence: e.sequence}, sim.requested, sim.now)
 		case StepSendOrder:
 			if sim.delayOrder() {
 				sim.delayed = append(sim.delayed, func() { e.handleOrder(t, sim.now) })
-				sim.plan.RecordOrder(t.Server.ID, true, sim.now)
+				sim.plan.RecordOrder(t.Server, true, sim.now)
 				continue
 			}
 			accepted := e.handleOrder(t, sim.now)
-			sim.plan.RecordOrder(t.Server.ID, accepted || sim.loseResponse(), sim.now)
+			sim.plan.RecordOrder(t.Server, accepted || sim.loseResponse(), sim.now)
 		}
 	}
 }
 
+// loading returns the number of engines that load weights.
+func (sim *simulation) loading() (n int) {
+	for _, e := range sim.engines {
+		if e.loadingVersion != 0 {
+			n++
+		}
+	}
+	return n
+}
+
 func (sim *simulation) done() bool {
 	for _, e := range sim.engines {
 		if e.version != sim.requested["m"] || e.loadingVersion != 0 {
@@ -135,6 +151,50 @@
 	}
 }
 
+// TestRolloutContinuesAfterServersRestart guards against reloads of servers that crashed
+// and came back under their IDs: they kept their slots, and the rollout stopped. The
+// servers that load at the moment of the crash are the ones that restart.
+func TestRolloutContinuesAfterServersRestart(t *testing.T) {
+	const rolloutLimit = 8 * time.Second
+	for _, n := range []int{2, 3, 5, 12, 72} {
+		for _, crashes := range []int{1, 2, 3} {
+			sim := newSimulation(n, rolloutLimit)
+			start := sim.now
+			for range crashes {
+				for sim.step(); sim.loading() == 0 && !sim.done(); {
+					sim.step()
+				}
+				for _, e := range sim.engines {
+					if e.loadingVersion != 0 {
+						e.restart()
+					}
+				}
+			}
+			restarted := sim.now
+			for !sim.done() && sim.now.Sub(start) < time.Minute {
+				sim.step()
+			}
+			require.True(t, sim.done(), "%d servers, %d crashes", n, crashes)
+			require.Less(t, sim.now.Sub(restarted), rolloutLimit, "%d servers, %d crashes", n, crashes)
+			require.LessOrEqual(t, sim.maxLoading, max(2, n/2))
+		}
+	}
+}
+
+// TestReportOfFormerIncarnationIsNotUsed guards against late results of calls to a
+// process that has ended since: they would be taken for those of its successor.
+func TestReportOfFormerIncarnationIsNotUsed(t *testing.T) {
+	plan, now, requested := NewPlan(8*time.Second), time.Unix(1000, 0), map[string]uint64{"m": 2}
+	former := Server{ID: "s", Service: "x", StartUnixMs: 1, Versions: map[string]uint64{"m": 1}}
+	restarted := former
+	restarted.StartUnixMs = 2
+	require.Len(t, plan.DueTasks([]Server{former}, requested, now), 1)
+	require.Len(t, plan.DueTasks([]Server{restarted}, requested, now), 1)
+	require.False(t, plan.RecordReport(former, &Report{Versions: requested}, requested, now), "the report is of a process that has ended")
+	plan.RecordOrder(former, true, now)
+	require.Equal(t, StepPoll, plan.DueTask(restarted, requested, now).Step, "no order to the restarted server waits for its effect")
+}
+
 func TestVersionRequestedDuringRolloutReplacesEarlierOne(t *testing.T) {
 	sim := newSimulation(6, 8*time.Second)
 	for range 30 {
--- a/weights/runner.go
+++ b/weights/runner.go
@@ -28,9 +28,6 @@
 	// confirmation and may be in flight for as long again.
 	takeoverMargin = 2 * confirmationTTL
 	callTimeout    = 800 * time.Millisecond
-	// maxConsecutiveFailures is the number of failed calls in a row after which
-	// a server's reload slot is given to another server.
-	maxConsecutiveFailures = 3
 )
 
 // Outcome is the result of an order.
@@ -126,7 +123,6 @@
 	mu       sync.Mutex
 	plan     *Plan
 	cleaner  storeCleaner
-	failures map[string]int
 	inFlight map[string]bool
 	// pausedUntil holds, for each server that rejects calls, the time until
 	// which it is not called.
@@ -148,7 +144,7 @@
 	return &Runner{
 		name: name, formerLease: formerLease, engines: engines, leadership: leadership, view: view, onVersions: onVersions, onDirectives: onDirectives, decodeDocument: decodeDocument, logger: logger, pausedUntil: make(map[string]time.Time),
 		cleaner:      storeCleaner{stores: stores, logger: logger},
-		rolloutLimit: rolloutLimit, plan: NewPlan(rolloutLimit), failures: make(map[string]int), inFlight: make(map[string]bool),
+		rolloutLimit: rolloutLimit, plan: NewPlan(rolloutLimit), inFlight: make(map[string]bool),
 	}
 }
 
@@ -261,7 +257,7 @@
 	defer r.mu.Unlock()
 	if r.term != 0 {
 		r.logger.Info("leadership lost", slog.Uint64("term", r.term))
-		r.term, r.plan, r.failures = 0, NewPlan(r.rolloutLimit), make(map[string]int)
+		r.term, r.plan = 0, NewPlan(r.rolloutLimit)
 	}
 }
 
@@ -311,12 +307,11 @@
 func (r *Runner) recordReport(t Task, report *Report, requested map[string]uint64, polledAt time.Time) Task {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.failures, t.Server.ID)
-	if r.plan.RecordReport(t.Server.ID, report, requested, polledAt) {
+	if r.plan.RecordReport(t.Server, report, requested, polledAt) {
 		r.logger.Info("weight reload complete", slog.String("server", t.Server.ID), slog.Any("versions", report.Versions))
 		return Task{}
 	}
-	return r.plan.DueTask(t.Server.ID, requested, time.Now())
+	return r.plan.DueTask(t.Server, requested, time.Now())
 }
 
 // recordAvailability handles what a server says about itself in response to a call, and
@@ -344,12 +339,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.logger.Warn("call to backend server failed", slog.String("step", step), slog.String("server", t.Server.ID), slog.String("address", t.Server.Address), slog.Any("error", err))
-	r.plan.RecordFailure(t.Server.ID, time.Now())
-	r.failures[t.Server.ID]++
-	if r.failures[t.Server.ID] >= maxConsecutiveFailures {
-		delete(r.failures, t.Server.ID)
-		r.plan.ReleaseSlot(t.Server.ID)
-	}
+	r.plan.RecordFailure(t.Server, time.Now())
 }
 
 // errFormerLeaseActive means that orders of the former leader may still be
@@ -398,8 +388,8 @@
 	defer r.mu.Unlock()
 	switch outcome {
 	case OutcomeAccepted, OutcomeUnknown, OutcomeAlreadyApplied:
-		r.plan.RecordOrder(t.Server.ID, true, time.Now())
+		r.plan.RecordOrder(t.Server, true, time.Now())
 	default:
-		r.plan.RecordOrder(t.Server.ID, false, time.Now())
+		r.plan.RecordOrder(t.Server, false, time.Now())
 	}
 }
--- a/weights/runner_test.go
+++ b/weights/runner_test.go
@@ -96,10 +96,10 @@
 	require.Equal(t, StepPoll, tasks[0].Step)
 	r.poll(t.Context(), tasks[0], requested)
 	require.Empty(t, recorded)
-	require.Contains(t, r.plan.reloads, "s")
+	require.Contains(t, r.plan.reloads, server.incarnation())
 
 	engine.report.Versions["m"] = 2
 	r.poll(t.Context(), tasks[0], requested)
 	require.Len(t, recorded, 1)
-	require.NotContains(t, r.plan.reloads, "s")
+	require.NotContains(t, r.plan.reloads, server.incarnation())
 }
