Rollout: a pause or a hanging call ends with the server's process

The runner kept pauses (Retry-After) and calls in progress by server ID. A restarted server got no order before its former process's pause had run out: up to the whole pause, which the server of before asked for. Both are kept by incarnation now.

TestPauseEndsWhenServerRestarts: with pauses kept by ID the restarted server may not be called for the minute that its former process asked for.

--- a/weights/runner.go
+++ b/weights/runner.go
@@ -123,10 +123,10 @@
 	mu       sync.Mutex
 	plan     *Plan
 	cleaner  storeCleaner
-	inFlight map[string]bool
+	inFlight map[incarnation]bool
 	// pausedUntil holds, for each server that rejects calls, the time until
-	// which it is not called.
-	pausedUntil map[string]time.Time
+	// which it is not called. A restart ends the pause.
+	pausedUntil map[incarnation]time.Time
 	term        uint64
 	// termStart is the boot time at which this instance first confirmed the
 	// term.
@@ -142,9 +142,9 @@
 func NewRunner(name string, formerLease, rolloutLimit time.Duration, engines EngineClient, stores StoreClient, leadership Leadership, view *fleetview.View,
 	onVersions func(string, int64, map[string]uint64), onDirectives func(string, int64, dispatch.Directives), decodeDocument func([]byte) (*site.Document, error), logger *slog.Logger) *Runner {
 	return &Runner{
-		name: name, formerLease: formerLease, engines: engines, leadership: leadership, view: view, onVersions: onVersions, onDirectives: onDirectives, decodeDocument: decodeDocument, logger: logger, pausedUntil: make(map[string]time.Time),
+		name: name, formerLease: formerLease, engines: engines, leadership: leadership, view: view, onVersions: onVersions, onDirectives: onDirectives, decodeDocument: decodeDocument, logger: logger, pausedUntil: make(map[incarnation]time.Time),
 		cleaner:      storeCleaner{stores: stores, logger: logger},
-		rolloutLimit: rolloutLimit, plan: NewPlan(rolloutLimit), inFlight: make(map[string]bool),
+		rolloutLimit: rolloutLimit, plan: NewPlan(rolloutLimit), inFlight: make(map[incarnation]bool),
 	}
 }
 
@@ -210,14 +210,20 @@
 	}
 	now := time.Now()
 	for _, t := range r.plan.DueTasks(servers, requested, now) {
-		if r.inFlight[t.Server.ID] || now.Before(r.pausedUntil[t.Server.ID]) {
+		if !r.mayCall(t.Server, now) {
 			continue
 		}
-		r.inFlight[t.Server.ID] = true
+		r.inFlight[t.Server.incarnation()] = true
 		go r.runTask(ctx, t, requested)
 	}
 }
 
+// mayCall reports whether a server may be called now: no other call to it is in progress
+// and it does not reject calls. r.mu must be held.
+func (r *Runner) mayCall(s Server, now time.Time) bool {
+	return !r.inFlight[s.incarnation()] && !now.Before(r.pausedUntil[s.incarnation()])
+}
+
 func (r *Runner) confirmTerm(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -271,7 +277,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.inFlight, t.Server.ID)
+	delete(r.inFlight, t.Server.incarnation())
 }
 
 func (r *Runner) poll(ctx context.Context, t Task, requested map[string]uint64) {
@@ -331,7 +337,7 @@
 			delete(r.pausedUntil, server)
 		}
 	}
-	r.pausedUntil[t.Server.ID] = time.Now().Add(retryAfterErr.Pause())
+	r.pausedUntil[t.Server.incarnation()] = time.Now().Add(retryAfterErr.Pause())
 	r.logger.Info("backend server rejects calls", slog.String("server", t.Server.ID), slog.Duration("for", retryAfterErr.Pause()))
 }
 
--- a/weights/runner_test.go
+++ b/weights/runner_test.go
@@ -103,3 +103,14 @@
 	require.Len(t, recorded, 1)
 	require.NotContains(t, r.plan.reloads, server.incarnation())
 }
+
+// A server that rejects calls for a limited time and restarts meanwhile takes calls again:
+// what its former process asked for does not delay the rollout.
+func TestPauseEndsWhenServerRestarts(t *testing.T) {
+	r := newTestRunner(&orderRecorder{}, &fakeLeadership{term: 1})
+	r.onDirectives = func(string, int64, dispatch.Directives) {}
+	former, restarted := Server{ID: "s", StartUnixMs: 1}, Server{ID: "s", StartUnixMs: 2}
+	r.recordAvailability(Task{Server: former}, dispatch.Directives{}, &dispatch.RetryAfterError{RetryAfter: time.Minute})
+	require.False(t, r.mayCall(former, time.Now()))
+	require.True(t, r.mayCall(restarted, time.Now()))
+}
