Contexts: an account that becomes isolated takes its cache out of reach

Cause: accounts that are not isolated had one cache salt for each weight version, whoever had been among them before. Ruled out: an instance on the older document (both had applied the new one), later requests of the isolated account (own salt).

The common salt contains a digest of the set of isolated accounts, so what is under it was made by accounts outside that set. The newest document decides when a request is sent, also for one that arrived before. Stores are cleaned of contexts that no request can read any more.

--- a/config/site/site_test.go
+++ b/config/site/site_test.go
@@ -69,3 +69,14 @@
 	r.Targets = []Target{{"s1", 0}, {"s2", 5}}
 	require.Equal(t, "s2", r.PickTarget(0))
 }
+
+func TestIsolatedGroupIdentifiesSetOfAccounts(t *testing.T) {
+	group := func(accounts ...Account) string { return Compile(&Document{Accounts: accounts}).IsolatedGroup() }
+	ab := group(Account{Name: "a", Isolated: true}, Account{Name: "b", Isolated: true})
+	require.Empty(t, group(Account{Name: "a"}))
+	require.NotEmpty(t, ab)
+	require.Equal(t, ab, group(Account{Name: "b", Isolated: true}, Account{Name: "c"}, Account{Name: "a", Isolated: true}))
+	for _, other := range []string{group(Account{Name: "a", Isolated: true}), group(Account{Name: "ab", Isolated: true}), group(Account{Name: "1:a1:b", Isolated: true}), ""} {
+		require.NotEqual(t, ab, other)
+	}
+}
--- a/config/site/table.go
+++ b/config/site/table.go
@@ -1,6 +1,9 @@
 package site
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
 	"net"
 	"slices"
 	"strings"
@@ -12,11 +15,13 @@
 	routesByHost  map[string][]*Route
 	services      map[string]*Service
 	accountsByKey map[string]*Account
+	isolated      map[string]bool
+	isolatedGroup string
 }
 
 // Compile builds the routing table of a valid document.
 func Compile(d *Document) *Table {
-	t := &Table{Document: d, routesByHost: make(map[string][]*Route), services: make(map[string]*Service), accountsByKey: make(map[string]*Account)}
+	t := &Table{Document: d, routesByHost: make(map[string][]*Route), services: make(map[string]*Service), accountsByKey: make(map[string]*Account), isolated: make(map[string]bool), isolatedGroup: isolatedGroup(d)}
 	for i := range d.Routes {
 		r := &d.Routes[i]
 		host := strings.ToLower(r.Host)
@@ -29,6 +34,7 @@
 		t.services[d.Services[i].Name] = &d.Services[i]
 	}
 	for i := range d.Accounts {
+		t.isolated[d.Accounts[i].Name] = d.Accounts[i].Isolated
 		for _, k := range d.Accounts[i].Keys {
 			t.accountsByKey[k] = &d.Accounts[i]
 		}
@@ -81,3 +87,36 @@
 	}
 	return r.Targets[len(r.Targets)-1].Service
 }
+
+// Isolated reports whether an account is isolated; listed is false if the document does
+// not name it.
+func (t *Table) Isolated(account string) (isolated, listed bool) {
+	isolated, listed = t.isolated[account]
+	return isolated, listed
+}
+
+// IsolatedGroup identifies the set of isolated accounts; empty if there are none. Equal
+// sets have equal groups, whatever was published between them.
+func (t *Table) IsolatedGroup() string { return t.isolatedGroup }
+
+// groupBytes is the length of the digest that identifies a set of accounts.
+const groupBytes = 8
+
+func isolatedGroup(d *Document) string {
+	var names []string
+	for i := range d.Accounts {
+		if d.Accounts[i].Isolated {
+			names = append(names, d.Accounts[i].Name)
+		}
+	}
+	if len(names) == 0 {
+		return ""
+	}
+	slices.Sort(names)
+	h := sha256.New()
+	for _, name := range names {
+		// The length keeps different sets from having the same input.
+		fmt.Fprintf(h, "%d:%s", len(name), name)
+	}
+	return hex.EncodeToString(h.Sum(nil)[:groupBytes])
+}
--- a/contexts/contexts_test.go
+++ b/contexts/contexts_test.go
@@ -195,16 +195,24 @@
 	require.Equal(t, s.nominal(5000, target.Zone), s.linkFreeAt.Sub(later), "finished transfers do not occupy the link")
 }
 
-func TestSaltSeparatesVersionsAndIsolatedAccounts(t *testing.T) {
-	require.Equal(t, "w3", Salt(3, ""))
-	require.NotEqual(t, Salt(3, "a"), Salt(3, "b"))
-	for _, salt := range []string{Salt(3, ""), Salt(3, "a-b")} {
-		v, ok := SaltVersion(salt)
-		require.True(t, ok)
-		require.Equal(t, uint64(3), v)
+func TestSaltSeparatesVersionsAndScopes(t *testing.T) {
+	require.Equal(t, "w3", Salt(3, Scope{}))
+	seen := make(map[string]bool)
+	for _, scope := range []Scope{{}, {Isolated: "a"}, {Isolated: "b"}, {Isolated: "a-b"}, {Isolated: "a+b"}, {Isolated: "+a"}, {Group: "a"}, {Group: "b"}} {
+		for _, version := range []uint64{3, 31} {
+			salt := Salt(version, scope)
+			require.False(t, seen[salt], salt)
+			seen[salt] = true
+			parsed, parsedScope, ok := ParseSalt(salt)
+			require.True(t, ok)
+			require.Equal(t, version, parsed)
+			require.Equal(t, scope, parsedScope)
+		}
+	}
+	for _, salt := range []string{"unrelated", "", "w", "w-a", "3"} {
+		_, _, ok := ParseSalt(salt)
+		require.False(t, ok, salt)
 	}
-	_, ok := SaltVersion("unrelated")
-	require.False(t, ok)
 }
 
 // TestNeverFetchesAcrossSaltsOrIncompleteParts checks over random states that every
@@ -212,7 +220,7 @@
 // state.
 func TestNeverFetchesAcrossSaltsOrIncompleteParts(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		salts := []string{Salt(1, ""), Salt(2, ""), Salt(2, "a"), Salt(2, "b")}
+		salts := []string{Salt(1, Scope{}), Salt(2, Scope{}), Salt(2, Scope{Isolated: "a"}), Salt(2, Scope{Isolated: "b"}), Salt(2, Scope{Group: "g"})}
 		var stores []*HolderState
 		for i := range 3 {
 			s := store(string(rune('a'+i))+":1", "a", 100_000)
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -316,13 +316,19 @@
 	return c.route.TargetLatency
 }
 
-// contextSalt returns the salt of the request's cached contexts for a weight version.
+// contextSalt returns the salt of the request's cached contexts for a weight version. The
+// newest document decides who shares contexts, also for a request that arrived before it:
+// what this instance sends from then on must not meet contexts made under an older one.
 func (c *call) contextSalt(version uint64) string {
-	isolated := ""
-	if c.account != nil && c.account.Isolated {
-		isolated = c.account.Name
+	table := c.gateway.routing.Load().table
+	scope := contexts.Scope{Group: table.IsolatedGroup()}
+	if c.account != nil {
+		isolated, listed := table.Isolated(c.account.Name)
+		if isolated || (!listed && c.account.Isolated) {
+			scope.Isolated = c.account.Name
+		}
 	}
-	return contexts.Salt(version, isolated)
+	return contexts.Salt(version, scope)
 }
 
 // priority returns the request's priority within its service; 0 is the most urgent.
--- a/weights/plan_test.go
+++ b/weights/plan_test.go
@@ -7,6 +7,9 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"github.com/galenaarch/galenaarch/config/site"
+	"github.com/galenaarch/galenaarch/contexts"
 )
 
 // fakeEngine simulates a backend server. It finishes its running requests, then
@@ -268,9 +271,36 @@
 	requested := map[string]uint64{"m": 2}
 	outdated := []Server{{ID: "a", Versions: map[string]uint64{"m": 1}}}
 	updated := []Server{{ID: "a", Versions: map[string]uint64{"m": 2}}}
-	require.False(t, c.checkDue(requested, outdated, now))
-	require.False(t, c.checkDue(requested, updated, now.Add(storeCleanupDelay-time.Second)), "the delay starts when the last server is updated")
-	require.True(t, c.checkDue(requested, updated, now.Add(storeCleanupDelay)))
-	require.False(t, c.checkDue(requested, updated, now.Add(2*storeCleanupDelay)), "one cleanup per version")
-	require.False(t, c.checkDue(map[string]uint64{"m": 3}, updated, now.Add(2*storeCleanupDelay)))
+	require.False(t, c.checkDue(requested, "", outdated, now))
+	require.False(t, c.checkDue(requested, "", updated, now.Add(storeCleanupDelay-time.Second)), "the delay starts when the last server is updated")
+	require.True(t, c.checkDue(requested, "", updated, now.Add(storeCleanupDelay)))
+	require.False(t, c.checkDue(requested, "", updated, now.Add(2*storeCleanupDelay)), "one cleanup per version")
+	require.False(t, c.checkDue(map[string]uint64{"m": 3}, "", updated, now.Add(2*storeCleanupDelay)))
+}
+
+// TestStoresAreCleanedAfterIsolationChanges guards against stores that stay full of
+// contexts which no request reads since other accounts are isolated.
+func TestStoresAreCleanedAfterIsolationChanges(t *testing.T) {
+	c, now := &storeCleaner{}, time.Unix(1000, 0)
+	servers := []Server{{ID: "a", Versions: map[string]uint64{"m": 1}}}
+	require.False(t, c.checkDue(nil, "", servers, now))
+	require.False(t, c.checkDue(nil, "", servers, now.Add(storeCleanupDelay)), "nothing has changed yet")
+	now = now.Add(time.Minute)
+	require.False(t, c.checkDue(nil, "g", servers, now))
+	require.True(t, c.checkDue(nil, "g", servers, now.Add(storeCleanupDelay)))
+	require.False(t, c.checkDue(nil, "g", servers, now.Add(2*storeCleanupDelay)))
+
+	table := site.Compile(&site.Document{Version: 3, Accounts: []site.Account{{Name: "ward", Isolated: true}, {Name: "guest"}}})
+	for salt, want := range map[string]bool{
+		contexts.Salt(2, contexts.Scope{}):                             true,
+		contexts.Salt(2, contexts.Scope{Group: table.IsolatedGroup()}): false,
+		contexts.Salt(1, contexts.Scope{Group: table.IsolatedGroup()}): true,
+		contexts.Salt(2, contexts.Scope{Group: "other"}):               true,
+		contexts.Salt(2, contexts.Scope{Isolated: "ward"}):             false,
+		contexts.Salt(2, contexts.Scope{Isolated: "guest"}):            true,
+		contexts.Salt(2, contexts.Scope{Isolated: "unknown"}):          false,
+		"unrelated": false,
+	} {
+		require.Equal(t, want, unused(salt, 2, table), salt)
+	}
 }
--- a/weights/runner.go
+++ b/weights/runner.go
@@ -120,10 +120,14 @@
 	decodeDocument func(content []byte) (*site.Document, error)
 	logger         *slog.Logger
 
-	mu       sync.Mutex
-	plan     *Plan
-	cleaner  storeCleaner
-	inFlight map[incarnation]bool
+	mu      sync.Mutex
+	plan    *Plan
+	cleaner storeCleaner
+	// table is the newest site document that could be decoded; tableVersion is the newest
+	// version that was tried.
+	table        *site.Table
+	tableVersion uint64
+	inFlight     map[incarnation]bool
 	// pausedUntil holds, for each server that rejects calls, the time until
 	// which it is not called. A restart ends the pause.
 	pausedUntil map[incarnation]time.Time
@@ -200,15 +204,17 @@
 		go r.confirmTerm(ctx)
 	}
 	requested, servers := r.targetState()
+	now := time.Now()
+	if table := r.siteTable(); table != nil && r.cleaner.checkDue(requested, table.IsolatedGroup(), servers, now) {
+		for i := range table.Services {
+			if store := table.Services[i].Store; store != nil {
+				go r.cleaner.clean(ctx, store.Address, lowestVersion(requested), table)
+			}
+		}
+	}
 	if len(requested) == 0 {
 		return
 	}
-	if r.cleaner.checkDue(requested, servers, time.Now()) {
-		for _, address := range r.storeAddresses() {
-			go r.cleaner.clean(ctx, address, lowestVersion(requested))
-		}
-	}
-	now := time.Now()
 	for _, t := range r.plan.DueTasks(servers, requested, now) {
 		if !r.mayCall(t.Server, now) {
 			continue
@@ -236,25 +242,20 @@
 	r.confirming = false
 }
 
-// storeAddresses returns the addresses of the context stores in the active
-// configuration document.
-func (r *Runner) storeAddresses() []string {
+// siteTable returns the newest site document, nil if there is none. r.mu must be held.
+func (r *Runner) siteTable() *site.Table {
 	d := r.view.Current().Documents[site.DocumentName]
-	if d == nil {
-		return nil
+	if d == nil || d.Version == r.tableVersion {
+		return r.table
 	}
+	r.tableVersion = d.Version
 	document, err := r.decodeDocument(d.Content)
 	if err != nil {
 		r.logger.Error("configuration document not decoded", slog.Uint64("version", d.Version), slog.Any("error", err))
-		return nil
-	}
-	var addresses []string
-	for i := range document.Services {
-		if s := document.Services[i].Store; s != nil {
-			addresses = append(addresses, s.Address)
-		}
+		return r.table
 	}
-	return addresses
+	r.table = site.Compile(document)
+	return r.table
 }
 
 // stepDown discards the term and the plan after leadership is lost.
--- a/weights/store_cleaner.go
+++ b/weights/store_cleaner.go
@@ -5,14 +5,15 @@
 	"log/slog"
 	"time"
 
+	"github.com/galenaarch/galenaarch/config/site"
 	"github.com/galenaarch/galenaarch/contexts"
 )
 
 // Delays and timeouts of the store cleanup.
 const (
 	// storeCleanupDelay is how long all servers must have run the requested
-	// versions before contexts of older versions are freed: by then no instance
-	// reads them and no transfer of them is in progress.
+	// versions, and the same accounts must have been isolated, before other contexts
+	// are freed: by then no instance reads them and no transfer of them is in progress.
 	storeCleanupDelay   = 12 * time.Second
 	storeCleanupTimeout = 3 * time.Second
 )
@@ -25,40 +26,49 @@
 	Free(ctx context.Context, address string, epoch uint64, keys []contexts.Key) error
 }
 
-// storeCleaner frees the contexts of weight versions that no server runs any
-// more. Stores keep such contexts until they receive a request to free them.
+// storeCleaner frees the contexts that no request can read any more: those of weight
+// versions that no server runs, and those shared by accounts before the set of isolated
+// accounts changed. Stores keep such contexts until they receive a request to free them.
 type storeCleaner struct {
 	stores StoreClient
 	logger *slog.Logger
-	// cleanedVersionSum is the versionSum of the last cleanup. convergedAt is
-	// when all servers were first seen on the versions in versionSum.
-	cleanedVersionSum uint64
-	versionSum        uint64
-	convergedAt       time.Time
+	// cleaned is the state for which the stores were last cleaned. stableSince is when all
+	// servers were first seen in the state observed.
+	cleaned     cleanupState
+	observed    cleanupState
+	stableSince time.Time
+}
+
+// cleanupState determines which contexts can be read.
+type cleanupState struct {
+	// versionSum identifies the set of requested versions, since for a fixed set of models
+	// they only increase.
+	versionSum uint64
+	// isolatedGroup identifies the set of isolated accounts.
+	isolatedGroup string
 }
 
 // checkDue reports whether to clean the stores now: once for each set of requested
-// versions, after all servers have run it for storeCleanupDelay. It records what it
-// saw. The sum of the versions identifies the set, since for a fixed set of models
-// they only increase.
-func (c *storeCleaner) checkDue(requested map[string]uint64, servers []Server, now time.Time) bool {
-	sum := uint64(0)
+// versions and of isolated accounts, after it has been in use for storeCleanupDelay. It
+// records what it saw.
+func (c *storeCleaner) checkDue(requested map[string]uint64, isolatedGroup string, servers []Server, now time.Time) bool {
+	state := cleanupState{isolatedGroup: isolatedGroup}
 	for _, v := range requested {
-		sum += v
+		state.versionSum += v
 	}
 	outdated := len(servers) == 0
 	for _, s := range servers {
 		model, _ := outdatedModel(s.Versions, requested)
 		outdated = outdated || model != ""
 	}
-	if sum != c.versionSum || outdated {
-		c.versionSum, c.convergedAt = sum, now
+	if state != c.observed || outdated {
+		c.observed, c.stableSince = state, now
 		return false
 	}
-	if sum == c.cleanedVersionSum || now.Sub(c.convergedAt) < storeCleanupDelay {
+	if state == c.cleaned || now.Sub(c.stableSince) < storeCleanupDelay {
 		return false
 	}
-	c.cleanedVersionSum = sum
+	c.cleaned = state
 	return true
 }
 
@@ -75,15 +85,32 @@
 	return lowest
 }
 
-// clean frees the contexts of versions below minVersion at one store.
-func (c *storeCleaner) clean(ctx context.Context, address string, minVersion uint64) {
+// unused reports whether no request reads contexts under a salt any more.
+func unused(salt string, minVersion uint64, table *site.Table) bool {
+	version, scope, ok := contexts.ParseSalt(salt)
+	if !ok {
+		return false
+	}
+	if version < minVersion {
+		return true
+	}
+	if scope.Isolated != "" {
+		isolated, listed := table.Isolated(scope.Isolated)
+		return listed && !isolated
+	}
+	return scope.Group != table.IsolatedGroup()
+}
+
+// clean frees the contexts at one store that are unused under a site document and the
+// lowest requested version.
+func (c *storeCleaner) clean(ctx context.Context, address string, minVersion uint64, table *site.Table) {
 	ctx, cancel := context.WithTimeout(ctx, storeCleanupTimeout)
 	defer cancel()
 	listing, err := c.stores.List(ctx, address)
 	var keys []contexts.Key
 	if err == nil {
 		for _, change := range listing.Changes {
-			if v, ok := contexts.SaltVersion(change.Salt); ok && v < minVersion {
+			if unused(change.Salt, minVersion, table) {
 				keys = append(keys, change.Key)
 			}
 		}
@@ -91,5 +118,6 @@
 			err = c.stores.Free(ctx, address, listing.Epoch, keys)
 		}
 	}
-	c.logger.Info("context store cleaned up", slog.String("address", address), slog.Uint64("below_version", minVersion), slog.Int("parts", len(keys)), slog.Any("error", err))
+	c.logger.Info("context store cleaned up", slog.String("address", address), slog.Uint64("below_version", minVersion),
+		slog.Uint64("document", table.Version), slog.String("isolated_group", table.IsolatedGroup()), slog.Int("parts", len(keys)), slog.Any("error", err))
 }
