Fleet view: log where versions come from, export the age of documents

The logs could not tell a version that was never reported from one that was reported and not fetched, nor name the control instance.

Each newly reported version, each fetch and each doubling of its failures is logged with the control instance. Gauges give how long a document has been behind a reported version, and the age of what a majority of control has confirmed.

--- a/fleetview/documents.go
+++ b/fleetview/documents.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/bits"
 	"time"
 
 	"github.com/galenaarch/galenaarch/api/controlv1"
@@ -26,6 +27,9 @@
 	version uint64
 	// running is true while a goroutine fetches the document.
 	running bool
+	// behindSince is when a version above the stored one was first reported; zero while
+	// the newest reported version is stored.
+	behindSince time.Time
 }
 
 // checkQuorum records whether a majority of the control instances has responded
@@ -86,6 +90,10 @@
 		return
 	}
 	fetch.version = version
+	if fetch.behindSince.IsZero() {
+		fetch.behindSince = time.Now()
+	}
+	v.logger.Info("document version reported", slog.String("document", name), slog.Uint64("version", version), slog.Uint64("stored", v.documents[name].GetVersion()), slog.String("peer", s.url))
 	if !fetch.running {
 		fetch.running = true
 		go v.fetchDocument(name)
@@ -112,12 +120,15 @@
 			return
 		}
 		attempts[s.url]++
+		startedAt := time.Now()
 		d, err := v.requestDocument(s, name)
 		if err == nil {
+			v.logger.Info("document fetched", slog.String("document", name), slog.Uint64("version", d.Version), slog.String("peer", s.url), slog.Duration("took", time.Since(startedAt)))
 			v.storeDocument(d)
 			failures = 0
-		} else if failures++; failures == 1 {
-			v.logger.Warn("document fetch failed", slog.String("document", name), slog.String("peer", s.url), slog.Any("error", err))
+		} else if failures++; bits.OnesCount(uint(failures)) == 1 {
+			// Each doubling of the number of failures is logged.
+			v.logger.Warn("document fetch failed", slog.String("document", name), slog.String("peer", s.url), slog.Int("failures", failures), slog.Any("error", err))
 		}
 		select {
 		case <-v.ctx.Done():
@@ -178,8 +189,10 @@
 		return
 	}
 	v.documents[d.Name] = d
-	if fetch := v.fetches[d.Name]; d.Version > fetch.version {
-		fetch.version = d.Version
+	fetch := v.fetches[d.Name]
+	fetch.version = max(fetch.version, d.Version)
+	if d.Version == fetch.version {
+		fetch.behindSince = time.Time{}
 	}
 	v.publish()
 }
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -167,6 +167,9 @@
 	}
 	client := peerClient()
 	p.view = fleetview.New(seeds, self, client, p.logger)
+	if err := ctx.Registry.Register(p.view); err != nil {
+		return eris.Wrap(err, "register the metrics of the fleet view")
+	}
 	feed, err := kernel.New[contexts.Feed](kernel.ID("contexts.feed." + p.settings.Dialect))
 	if err != nil {
 		return err
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -126,12 +126,12 @@
 	if r.settings.Platform == "" {
 		return nil
 	}
-	return r.provisionPlatform()
+	return r.provisionPlatform(ctx)
 }
 
 // provisionPlatform creates the platform module and the context server for
 // entry instances.
-func (r *Registrar) provisionPlatform() error {
+func (r *Registrar) provisionPlatform(ctx *kernel.Context) error {
 	var err error
 	if r.platform, err = kernel.New[Platform](kernel.ID("registrar.surface." + r.settings.Platform)); err != nil {
 		return err
@@ -141,6 +141,9 @@
 		return err
 	}
 	r.view = fleetview.New([]string{r.replica.URL()}, nil, r.client, r.logger)
+	if err := ctx.Registry.Register(r.view); err != nil {
+		return eris.Wrap(err, "register the metrics of the fleet view")
+	}
 	r.contextServer = contextrelay.NewServer(r.replica.URL(), feed, r.view, r.platform.DecodeDocument, r.applyDirectives, r.logger)
 	r.replica.Mount(fleetv1.ContextsPathPrefix, fleetv1.NewContextsServer(r.contextServer))
 	return nil
