Fleet view: every control instance reports a version that is not stored

Cause, suspected: a poll told all control instances the newest version that the process had heard of. The instance that had reported it fell silent before the content was fetched; the others, which applied it a moment later, took it for known and never reported it. The process kept the older version until the silent instance returned or was removed (30 s). Ruled out: hanging polls and fetches (about 1 s each), a rejected document, control instances that are behind.

Known to a control instance are the stored version and what it has reported itself. A restart voids its reports. A waiting fetch begins at once when another instance reports the version.

TestVersionIsFetchedThoughItsFirstSourceFallsSilent before: fails within 2 s for groups of 3, 5 and 9 with a lag of 0.9 s.

--- a/fleetview/documents.go
+++ b/fleetview/documents.go
@@ -27,6 +27,9 @@
 	version uint64
 	// running is true while a goroutine fetches the document.
 	running bool
+	// reported wakes the fetch while it waits to try again: another control instance has
+	// reported the newest known version.
+	reported chan struct{}
 	// behindSince is when a version above the stored one was first reported; zero while
 	// the newest reported version is stored.
 	behindSince time.Time
@@ -82,10 +85,16 @@
 func (v *View) noteVersion(s *source, name string, version uint64) {
 	fetch := v.fetches[name]
 	if fetch == nil {
-		fetch = &documentFetch{}
+		fetch = &documentFetch{reported: make(chan struct{}, 1)}
 		v.fetches[name] = fetch
 	}
 	s.reportedVersions[name] = max(s.reportedVersions[name], version)
+	if version >= fetch.version {
+		select {
+		case fetch.reported <- struct{}{}:
+		default: // a wake-up is pending
+		}
+	}
 	if version <= fetch.version {
 		return
 	}
@@ -100,12 +109,15 @@
 	}
 }
 
-// knownVersions returns the newest version of each document that this process
-// has heard of. The caller holds the lock.
-func (v *View) knownVersions() map[string]uint64 {
+// knownVersions returns the versions above which a control instance is to report its
+// documents: those that this process holds, or that the same instance has reported.
+// Invariant: a version that only another instance has reported is not known here. That
+// instance may fall silent before the content is fetched, and without further reports
+// there would be no other source. The caller holds the lock.
+func (v *View) knownVersions(s *source) map[string]uint64 {
 	versions := make(map[string]uint64, len(v.fetches))
-	for name, fetch := range v.fetches {
-		versions[name] = fetch.version
+	for name := range v.fetches {
+		versions[name] = max(v.documents[name].GetVersion(), s.reportedVersions[name])
 	}
 	return versions
 }
@@ -130,10 +142,23 @@
 			// Each doubling of the number of failures is logged.
 			v.logger.Warn("document fetch failed", slog.String("document", name), slog.String("peer", s.url), slog.Int("failures", failures), slog.Any("error", err))
 		}
-		select {
-		case <-v.ctx.Done():
-		case <-time.After(min(fetchInterval<<min(failures, maxBackoffDoublings), maxRetryPause)):
-		}
+		v.awaitRetry(name, failures)
+	}
+}
+
+// awaitRetry waits for the time of the next fetch. After a failure it ends early if another
+// control instance reports the version.
+func (v *View) awaitRetry(name string, failures int) {
+	var reported chan struct{}
+	if failures > 0 {
+		v.mu.Lock()
+		reported = v.fetches[name].reported
+		v.mu.Unlock()
+	}
+	select {
+	case <-v.ctx.Done():
+	case <-reported:
+	case <-time.After(min(fetchInterval<<min(failures, maxBackoffDoublings), maxRetryPause)):
 	}
 }
 
--- a/fleetview/view.go
+++ b/fleetview/view.go
@@ -227,7 +227,7 @@
 	defer cancel()
 	v.mu.Lock()
 	startedAt := time.Now()
-	req := &fleetv1.SyncRequest{Self: v.self, Feed: s.feed, Cursor: s.cursor, Known: v.knownVersions(), Leaving: v.leaving.current(startedAt), Limits: v.limits.current(startedAt), WaitMs: uint32(pollWait.Milliseconds())}
+	req := &fleetv1.SyncRequest{Self: v.self, Feed: s.feed, Cursor: s.cursor, Known: v.knownVersions(s), Leaving: v.leaving.current(startedAt), Limits: v.limits.current(startedAt), WaitMs: uint32(pollWait.Milliseconds())}
 	if s.interrupted {
 		req.WaitMs = 0
 	}
@@ -296,7 +296,9 @@
 	defer v.mu.Unlock()
 	changed := len(r.Announcements) > 0 || r.Feed != s.feed || !sameEntries(s.entries, r.Entries)
 	if r.Feed != s.feed {
+		// The instance has restarted, possibly with an empty disk.
 		s.servers = make(map[string]*fleetv1.Announcement)
+		clear(s.reportedVersions)
 	}
 	if s.unreachable || s.lastResponse.IsZero() {
 		s.unreachable = false
--- a/fleetview/view_test.go
+++ b/fleetview/view_test.go
@@ -145,6 +145,95 @@
 	require.Equal(t, routes(2), v.Current().Documents["site"].Content)
 }
 
+// memberState is the state that one control instance has applied, besides the members of
+// the group.
+type memberState struct {
+	groupState
+	group *groupState
+}
+
+// ControlURLs implements registry.DocumentSource.
+func (s *memberState) ControlURLs() []string { return s.group.members }
+
+// faultyMember is a control instance that stops to respond.
+type faultyMember struct {
+	memberState
+	// keepsContent makes it send no content of documents; silent makes it send nothing.
+	keepsContent, silent atomic.Bool
+}
+
+// serve passes requests on to a feed while the instance responds.
+func (m *faultyMember) serve(feed http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		response := httptest.NewRecorder()
+		feed.ServeHTTP(response, r)
+		if m.silent.Load() || (m.keepsContent.Load() && strings.HasSuffix(r.URL.Path, "/Document")) {
+			<-r.Context().Done()
+			return
+		}
+		w.Header().Set("Content-Type", response.Header().Get("Content-Type"))
+		w.WriteHeader(response.Code)
+		_, _ = w.Write(response.Body.Bytes())
+	})
+}
+
+// startMembers is startGroup for control instances that apply documents at different
+// times.
+func startMembers(t *testing.T, count int) ([]*faultyMember, *View) {
+	t.Helper()
+	logger := slog.New(slog.DiscardHandler)
+	group, members := &groupState{}, make([]*faultyMember, 0, count)
+	for range count {
+		m := &faultyMember{memberState: memberState{groupState: groupState{changed: make(chan struct{})}, group: group}}
+		server := httptest.NewServer(m.serve(fleetv1.NewFleetServer(registry.NewHub(time.Second, m, logger))))
+		t.Cleanup(server.Close)
+		members, group.members = append(members, m), append(group.members, server.URL)
+	}
+	v := New(group.members, nil, &http.Client{}, logger)
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	v.Start(ctx)
+	return members, v
+}
+
+// reportedVersion returns the newest version of the site document that a view has heard of.
+func reportedVersion(v *View) uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.fetches["site"].version
+}
+
+// TestVersionIsFetchedThoughItsFirstSourceFallsSilent guards against a control instance
+// that reports a version and falls silent before its content is fetched: the others, which
+// apply it a moment later, took it for known and never reported it, and the process kept
+// the older version.
+func TestVersionIsFetchedThoughItsFirstSourceFallsSilent(t *testing.T) {
+	// inForceWithin is the smallest bound in use on the time from an acknowledgement
+	// until the change is in force.
+	const inForceWithin = 2 * time.Second
+	for _, count := range []int{3, 5, 9} {
+		for _, lag := range []time.Duration{0, 300 * time.Millisecond, 900 * time.Millisecond} {
+			t.Run(fmt.Sprint(count, " instances, lag ", lag), func(t *testing.T) {
+				t.Parallel()
+				members, v := startMembers(t, count)
+				for _, m := range members {
+					m.publish(1, []byte("one"))
+				}
+				require.Eventually(t, func() bool { return siteVersion(v) == 1 && v.Current().ReachableControls == count }, testWait, testPoll)
+				members[0].keepsContent.Store(true)
+				members[0].publish(2, []byte("two"))
+				require.Eventually(t, func() bool { return reportedVersion(v) == 2 }, testWait, testPoll)
+				members[0].silent.Store(true)
+				time.Sleep(lag)
+				for _, m := range members[1:] {
+					m.publish(2, []byte("two"))
+				}
+				require.Eventually(t, func() bool { return siteVersion(v) == 2 }, inForceWithin, testPoll)
+			})
+		}
+	}
+}
+
 func TestLeavingServerIsReportedDuringDocumentUpdates(t *testing.T) {
 	state, hubs, _, v, _ := startGroup(t, 3)
 	a := &fleetv1.Announcement{Server: "s", BornUnixMs: 1, Sequence: 1, Service: "x", Address: "10.0.0.1:1", State: fleetv1.ServerState_SERVER_STATE_READY}
