Faults: soak of configurations, weight versions and isolation under series of faults

Weight versions and configurations follow each other while control replicas end right after they acknowledged, engines crash while they load and come back under their IDs, event polls are answered without end, and processes are stopped, reloaded, killed and frozen. Clients use their connections until they are closed. Checked: the newest configuration and weights in time, KV cache of isolated accounts, memory of the gateways, and all that the stream soak checks.

--- a/faults/crash_soak_test.go
+++ b/faults/crash_soak_test.go
@@ -99,7 +99,7 @@
 	cause.crashes = append(cause.crashes, causedCrash{id, time.Now()})
 	c.restarts.Go(func() {
 		defer c.end(d)
-		c.restart(server, n, minDowntime+time.Duration(rand.Int64N(int64(maxDowntime-minDowntime))))
+		c.restart(server, server.idOf(n), minDowntime+time.Duration(rand.Int64N(int64(maxDowntime-minDowntime))))
 	})
 }
 
--- a/faults/stream_soak_checks_test.go
+++ b/faults/stream_soak_checks_test.go
@@ -55,6 +55,9 @@
 	routes    map[string]bool
 	otherKey  bool
 	bodyLimit int
+	// version is that of the configuration, isolated are the isolated accounts.
+	version  int
+	isolated map[string]bool
 }
 
 // rejects reports whether the version allows a rejection of a request with a status.
--- a/faults/stream_soak_servers_test.go
+++ b/faults/stream_soak_servers_test.go
@@ -28,6 +28,7 @@
 	// busyUntil is when the responses in progress end, if the server is not silent.
 	busyUntil, silentUntil time.Time
 	ends                   []serverEnd
+	weights                engineWeights
 }
 
 // serverEnd is an end of a server. Its connections end a short time after it.
@@ -52,7 +53,7 @@
 		h := platformtest.Heartbeat{Service: server.service, State: server.state, Born: server.born.UnixMilli(), Sequence: server.sequence}
 		server.mu.Unlock()
 		if isEngine(server.service) {
-			h.Models = []string{soakModel}
+			h.Models, h.Version = []string{soakModel}, server.weights.currentVersion()
 		}
 		if h.State != "" {
 			s.anyControl(func(control string) bool { return server.Announce(ctx, control, h) })
@@ -65,6 +66,11 @@
 // held.
 func (s *streamSoak) respond(server *soakServer, r *platformtest.Request) platformtest.Response {
 	path, _, _ := strings.Cut(r.Target, "?")
+	if s.intercept != nil {
+		if reply, ok := s.intercept(server, path, r); ok {
+			return reply
+		}
+	}
 	switch path {
 	case "/kv-events":
 		return platformtest.Response{Status: http.StatusOK, Body: `{"boot_epoch":1,"next":1,"lost":false,"events":[]}`, Delay: 800 * time.Millisecond}
@@ -147,14 +153,23 @@
 	n := len(server.ends)
 	server.mu.Unlock()
 	server.Crash()
-	s.restart(server, n, downtime)
+	id := server.CurrentID()
+	if !crashed || !s.keepsIDs {
+		id = server.idOf(n)
+	}
+	s.restart(server, id, downtime)
+}
+
+// idOf returns the ID of the incarnation that follows the n-th end of the server.
+func (server *soakServer) idOf(n int) string {
+	base, _, _ := strings.Cut(server.CurrentID(), "~")
+	return fmt.Sprintf("%s~%d", base, n)
 }
 
 // restart starts a server that has ended as a new incarnation.
-func (s *streamSoak) restart(server *soakServer, incarnation int, downtime time.Duration) {
+func (s *streamSoak) restart(server *soakServer, id string, downtime time.Duration) {
 	time.Sleep(downtime)
-	base, _, _ := strings.Cut(server.CurrentID(), "~")
-	id := fmt.Sprintf("%s~%d", base, incarnation)
+	server.weights.restart()
 	for err := server.Restart(id); err != nil; err = server.Restart(id) {
 		s.t.Logf("%s does not restart: %v", id, err)
 		time.Sleep(100 * time.Millisecond)
--- a/faults/stream_soak_test.go
+++ b/faults/stream_soak_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -52,6 +53,13 @@
 	all    []*soakServer
 	// adjust changes the response of a server to a request; it may be nil.
 	adjust func(server *soakServer, r *platformtest.Request, reply *platformtest.Response)
+	// intercept responds to a request in place of a server, if it returns true; it may be nil.
+	intercept func(server *soakServer, path string, r *platformtest.Request) (platformtest.Response, bool)
+	// keepsIDs makes a server that crashed keep its ID.
+	keepsIDs bool
+
+	// lastAck is the control replica that acknowledged the last call.
+	lastAck atomic.Int64
 
 	mu        sync.Mutex
 	startedAt time.Time
@@ -118,6 +126,7 @@
 func (s *streamSoak) anyControl(call func(control string) bool) bool {
 	for _, replica := range rand.Perm(len(s.platformAddresses)) {
 		if call(s.platformAddresses[replica]) {
+			s.lastAck.Store(int64(replica))
 			return true
 		}
 	}
