Fleet view: fetches of documents are spread over all control instances

A fetch begins 0.1 s after the first report and goes to a random one of the instances that have reported the version by then.

--- a/fleetview/documents.go
+++ b/fleetview/documents.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/bits"
+	"math/rand/v2"
 	"time"
 
 	"github.com/galenaarch/galenaarch/api/controlv1"
@@ -14,6 +15,9 @@
 	// fetchInterval is the pause between two fetches of a document: several
 	// versions may be published within a second, and only the newest is needed.
 	fetchInterval = 100 * time.Millisecond
+	// reportWait is the time in which other control instances may report a version before
+	// it is fetched. It spreads the fetches of many processes over all control instances.
+	reportWait = 100 * time.Millisecond
 	// fetchTimeout bounds one fetch.
 	fetchTimeout = time.Second
 	// maxBackoffDoublings limits the exponential backoff after consecutive
@@ -126,6 +130,10 @@
 func (v *View) fetchDocument(name string) {
 	attempts := make(map[string]int)
 	failures := 0
+	select {
+	case <-v.ctx.Done():
+	case <-time.After(reportWait):
+	}
 	for v.ctx.Err() == nil {
 		s := v.pickSource(name, attempts)
 		if s == nil {
@@ -163,32 +171,37 @@
 }
 
 // pickSource selects the control instance to fetch a document from: among those
-// that reported the newest version, the one with the fewest attempts. It
+// that reported the newest version, one with the fewest attempts, at random. It
 // returns nil, which ends the fetch, if that version is stored or no source
 // that reported it is left.
 func (v *View) pickSource(name string, attempts map[string]int) *source {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	fetch := v.fetches[name]
-	var best *source
+	var candidates []*source // equally good ones
 	if stored := v.documents[name]; stored == nil || stored.Version < fetch.version {
 		for _, s := range v.sources {
 			if s.reportedVersions[name] < fetch.version {
 				continue
 			}
-			if best == nil || preferSource(s, best, attempts) {
-				best = s
+			switch {
+			case len(candidates) == 0 || preferSource(s, candidates[0], attempts):
+				candidates = append(candidates[:0], s)
+			case !preferSource(candidates[0], s, attempts):
+				candidates = append(candidates, s)
 			}
 		}
 	}
-	if best == nil {
+	if len(candidates) == 0 {
 		fetch.running = false
 		if stored := v.documents[name]; stored == nil || stored.Version < fetch.version {
 			// The fetch starts again when a source reports the version.
 			fetch.version = stored.GetVersion()
 		}
+		return nil
 	}
-	return best
+	// The iteration order of a small map favors some of its entries.
+	return candidates[rand.IntN(len(candidates))]
 }
 
 // preferSource prefers reachable sources, then those with fewer attempts.
--- a/fleetview/view_test.go
+++ b/fleetview/view_test.go
@@ -160,12 +160,23 @@
 	memberState
 	// keepsContent makes it send no content of documents; silent makes it send nothing.
 	keepsContent, silent atomic.Bool
+	// contentTime is how long it prepares the content of a document, one after another, also
+	// for a process that has given up; fetches counts these.
+	contentTime time.Duration
+	contentMu   sync.Mutex
+	fetches     atomic.Int64
 }
 
 // serve passes requests on to a feed while the instance responds.
 func (m *faultyMember) serve(feed http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		response := httptest.NewRecorder()
+		if strings.HasSuffix(r.URL.Path, "/Document") {
+			m.fetches.Add(1)
+			m.contentMu.Lock()
+			time.Sleep(m.contentTime)
+			m.contentMu.Unlock()
+		}
 		feed.ServeHTTP(response, r)
 		if m.silent.Load() || (m.keepsContent.Load() && strings.HasSuffix(r.URL.Path, "/Document")) {
 			<-r.Context().Done()
@@ -180,20 +191,32 @@
 // startMembers is startGroup for control instances that apply documents at different
 // times.
 func startMembers(t *testing.T, count int) ([]*faultyMember, *View) {
+	t.Helper()
+	members, views := startViews(t, count, 1, 0)
+	return members, views[0]
+}
+
+// startViews is startMembers for several processes that follow the control instances, which
+// take contentTime for the content of a document.
+func startViews(t *testing.T, count, viewCount int, contentTime time.Duration) ([]*faultyMember, []*View) {
 	t.Helper()
 	logger := slog.New(slog.DiscardHandler)
 	group, members := &groupState{}, make([]*faultyMember, 0, count)
 	for range count {
-		m := &faultyMember{memberState: memberState{groupState: groupState{changed: make(chan struct{})}, group: group}}
+		m := &faultyMember{memberState: memberState{groupState: groupState{changed: make(chan struct{})}, group: group}, contentTime: contentTime}
 		server := httptest.NewServer(m.serve(fleetv1.NewFleetServer(registry.NewHub(time.Second, m, logger))))
 		t.Cleanup(server.Close)
 		members, group.members = append(members, m), append(group.members, server.URL)
 	}
-	v := New(group.members, nil, &http.Client{}, logger)
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
-	v.Start(ctx)
-	return members, v
+	var views []*View
+	for range viewCount {
+		v := New(group.members, nil, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}, logger)
+		v.Start(ctx)
+		views = append(views, v)
+	}
+	return members, views
 }
 
 // reportedVersion returns the newest version of the site document that a view has heard of.
@@ -234,6 +257,58 @@
 	}
 }
 
+// TestManyProcessesFetchFromAllSources guards against many processes that all fetch a document
+// from the control instance that reports it first. It could not prepare that many contents
+// before the fetches timed out, and they were repeated there without end.
+func TestManyProcessesFetchFromAllSources(t *testing.T) {
+	const (
+		viewCount, members = 24, 5
+		// contentTime is that of a control instance with a quarter of a core for a document
+		// of 1500 routes, and a margin.
+		contentTime = 40 * time.Millisecond
+		versions    = 6
+		lag         = 20 * time.Millisecond
+		// inForceWithin is the smallest bound in use on the time from an acknowledgement
+		// until the change is in force.
+		inForceWithin = 2 * time.Second
+	)
+	list, views := startViews(t, members, viewCount, contentTime)
+	inForce := func(version uint64) func() bool {
+		return func() bool {
+			for _, v := range views {
+				if siteVersion(v) != version {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	for _, m := range list {
+		m.publish(1, []byte("one"))
+	}
+	require.Eventually(t, inForce(1), testWait, testPoll)
+	for _, m := range list {
+		m.fetches.Store(0)
+	}
+	publish := func(version uint64) {
+		list[0].publish(version, []byte("more"))
+		time.Sleep(lag)
+		for _, m := range list[1:] {
+			m.publish(version, []byte("more"))
+		}
+	}
+	publish(2)
+	require.Eventually(t, inForce(2), inForceWithin, testPoll)
+	for n, m := range list {
+		require.LessOrEqual(t, m.fetches.Load(), int64(viewCount/2), "fetches at control instance %d", n)
+	}
+	for version := uint64(3); version < 3+versions; version++ {
+		publish(version)
+		time.Sleep(lag)
+	}
+	require.Eventually(t, inForce(2+versions), inForceWithin, testPoll)
+}
+
 func TestLeavingServerIsReportedDuringDocumentUpdates(t *testing.T) {
 	state, hubs, _, v, _ := startGroup(t, 3)
 	a := &fleetv1.Announcement{Server: "s", BornUnixMs: 1, Sequence: 1, Service: "x", Address: "10.0.0.1:1", State: fleetv1.ServerState_SERVER_STATE_READY}
