Control: a replica publishes documents only once it has caught up

Cause: a replica that starts has applied only what its durable commit index covers, until a leader confirms the rest. It published that, and entry instances that started at the same time took the answers of a majority for proof that it was the newest: by their logs 76 of 76 applied version 43, and 46 0.4 to 1.0 s later. Ruled out: rejected documents, control instances that are behind, a process without processor time.

A replica publishes documents once it has applied all that was durable when it was started. Entry instances count only instances that have reported documents. The first fetch of a document begins at once; the wait that spreads fetches applies where an older version is held.

--- a/control/group.go
+++ b/control/group.go
@@ -142,6 +142,11 @@
 	return l.stateMachine.changed
 }
 
+// CaughtUp reports whether the local state includes every acknowledged command that this
+// replica held when it was started. Before that, the state may be older than what a
+// majority has acknowledged, even if a majority of the replicas is asked.
+func (l *ReplicatedLog) CaughtUp() bool { return l.group.CaughtUp() }
+
 // LeaderURL implements Log.
 func (l *ReplicatedLog) LeaderURL() string { return l.group.LeaderURL() }
 
--- a/control/group_test.go
+++ b/control/group_test.go
@@ -207,6 +207,45 @@
 	require.EqualValues(t, 1, g.begin("a", "7").Record.Attempt)
 }
 
+// TestRestartedReplicaHasNotCaughtUpWithoutLeader guards against a replica that publishes what
+// it has applied after a restart: entries that it acknowledged may be missing until a
+// leader confirms them.
+func TestRestartedReplicaHasNotCaughtUpWithoutLeader(t *testing.T) {
+	g := newTestGroup(t, 3)
+	const published = 20
+	for version := uint64(1); version <= published; version++ {
+		_, err := g.client.Publish(g.context(), &controlv1.PublishRequest{Document: &controlv1.PublishedDocument{Name: "site", Version: version, Content: []byte("x")}})
+		require.NoError(t, err)
+	}
+	newest := func(name string) (version uint64) {
+		g.running[name].Log().ReadLocal(func(st *state.State) { version = st.Published("site").GetVersion() })
+		return version
+	}
+	for _, name := range g.names {
+		require.Eventually(t, func() bool { return newest(name) == published }, testTimeout, 5*time.Millisecond)
+	}
+	for _, name := range g.names {
+		g.crash(name)
+	}
+	behind := 0
+	for _, name := range g.names {
+		g.start(name)
+		if newest(name) < published {
+			behind++
+		}
+		for end := time.Now().Add(50 * time.Millisecond); time.Now().Before(end); time.Sleep(time.Millisecond) {
+			if caughtUp := g.running[name].Log().CaughtUp(); caughtUp {
+				require.EqualValues(t, published, newest(name), "%s has caught up with an older state", name)
+			}
+		}
+	}
+	require.NotZero(t, behind, "a replica starts with a state that is older than what it holds")
+	for _, name := range g.names {
+		require.Eventually(t, func() bool { return g.running[name].Log().CaughtUp() }, testTimeout, 5*time.Millisecond)
+		require.EqualValues(t, published, newest(name))
+	}
+}
+
 // TestStaleDataDirIsRejected guards against a replica that starts on a data
 // directory restored from an older copy, which lacks entries that the replica
 // has acknowledged.
--- a/control/replog/apply.go
+++ b/control/replog/apply.go
@@ -58,10 +58,15 @@
 func (a *applier) execute(task applyTask) error {
 	if task.restore != nil {
 		a.entries, a.bytes = 0, 0
-		return eris.Wrapf(a.machine.Restore(task.restore.state), "restore state of entry %d", task.restore.index)
+		if err := a.machine.Restore(task.restore.state); err != nil {
+			return eris.Wrapf(err, "restore state of entry %d", task.restore.index)
+		}
+		a.appliedIndex.Store(task.restore.index)
+		return nil
 	}
 	for _, e := range task.entries {
 		a.applyEntry(e, task)
+		a.appliedIndex.Store(e.Index)
 	}
 	for _, r := range task.reads {
 		r <- nil
--- a/control/replog/group.go
+++ b/control/replog/group.go
@@ -62,6 +62,11 @@
 	queues
 	counters
 
+	// openedAt is the index of the last entry that was durable when the log was opened;
+	// appliedIndex is that of the last entry that the state machine has applied.
+	openedAt     uint64
+	appliedIndex atomic.Uint64
+
 	termClock atomic.Pointer[termClock]
 	shared    atomic.Pointer[sharedStatus]
 	failure   atomic.Pointer[error]
@@ -138,9 +143,20 @@
 	}
 	g.node = node
 	g.publishStatus(nil)
+	g.openedAt = g.Status().LastIndex
+	g.appliedIndex.Store(g.Status().SnapshotIndex)
 	return nil
 }
 
+// CaughtUp reports whether the state machine includes every committed entry that was
+// durable here when the log was opened. Entries behind the durable commit index are
+// applied only once a leader has confirmed them, and until then the state may be older
+// than what this replica has acknowledged.
+func (g *Group) CaughtUp() bool {
+	// A log that is shorter now was truncated: the entries removed were never committed.
+	return g.appliedIndex.Load() >= min(g.openedAt, g.Status().LastIndex)
+}
+
 // Start starts to join the group in the background. The replica runs until ctx ends or
 // Stop or Kill is called. It always returns nil; if joining fails, Err returns the
 // reason.
--- a/fleetview/documents.go
+++ b/fleetview/documents.go
@@ -16,7 +16,8 @@
 	// versions may be published within a second, and only the newest is needed.
 	fetchInterval = 100 * time.Millisecond
 	// reportWait is the time in which other control instances may report a version before
-	// it is fetched. It spreads the fetches of many processes over all control instances.
+	// it is fetched in place of an older one. It spreads the fetches of many processes over
+	// all control instances.
 	reportWait = 100 * time.Millisecond
 	// fetchTimeout bounds one fetch.
 	fetchTimeout = time.Second
@@ -39,8 +40,9 @@
 	behindSince time.Time
 }
 
-// checkQuorum records whether a majority of the control instances has responded
-// since this process started, and reports whether that has just become true.
+// checkQuorum records whether a majority of the control instances has reported
+// documents since this process started, and reports whether that has just become true.
+// One that has reported none may not have caught up with what it holds.
 // Invariant: before that, no document is released. An acknowledged document is
 // held by a majority, but a single instance may be far behind: a process that
 // starts and reaches that instance first would apply an older document, with
@@ -52,7 +54,7 @@
 	}
 	responded := 0
 	for url := range v.members {
-		if s := v.sources[url]; s != nil && !s.lastResponse.IsZero() {
+		if s := v.sources[url]; s != nil && len(s.reportedVersions) > 0 {
 			responded++
 		}
 	}
@@ -117,11 +119,15 @@
 // documents: those that this process holds, or that the same instance has reported.
 // Invariant: a version that only another instance has reported is not known here. That
 // instance may fall silent before the content is fetched, and without further reports
-// there would be no other source. The caller holds the lock.
+// there would be no other source. Until a majority has reported, each instance is to report
+// also what is held already. The caller holds the lock.
 func (v *View) knownVersions(s *source) map[string]uint64 {
 	versions := make(map[string]uint64, len(v.fetches))
 	for name := range v.fetches {
-		versions[name] = max(v.documents[name].GetVersion(), s.reportedVersions[name])
+		versions[name] = s.reportedVersions[name]
+		if v.quorumReached {
+			versions[name] = max(versions[name], v.documents[name].GetVersion())
+		}
 	}
 	return versions
 }
@@ -130,9 +136,8 @@
 func (v *View) fetchDocument(name string) {
 	attempts := make(map[string]int)
 	failures := 0
-	select {
-	case <-v.ctx.Done():
-	case <-time.After(reportWait):
+	if v.holds(name) {
+		sleep(v.ctx, reportWait)
 	}
 	for v.ctx.Err() == nil {
 		s := v.pickSource(name, attempts)
@@ -154,6 +159,20 @@
 	}
 }
 
+// holds reports whether some version of a document is stored.
+func (v *View) holds(name string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.documents[name] != nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 // awaitRetry waits for the time of the next fetch. After a failure it ends early if another
 // control instance reports the version.
 func (v *View) awaitRetry(name string, failures int) {
--- a/fleetview/view_test.go
+++ b/fleetview/view_test.go
@@ -366,6 +366,38 @@
 	require.Equal(t, uint64(2), siteVersion(v), "the older version is never released")
 }
 
+// TestDocumentIsReleasedWhenLateSourcesHoldTheSameVersion guards against a process that waits
+// for the reports of a majority, while the others do not report what it already holds.
+func TestDocumentIsReleasedWhenLateSourcesHoldTheSameVersion(t *testing.T) {
+	members, v := startMembers(t, 3)
+	for _, m := range members[1:] {
+		m.silent.Store(true)
+	}
+	for _, m := range members {
+		m.publish(1, []byte("one"))
+	}
+	held := func() bool {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		return v.documents["site"] != nil
+	}
+	require.Eventually(t, held, testWait, testPoll)
+	require.Zero(t, siteVersion(v), "one of three has reported")
+	members[1].silent.Store(false)
+	require.Eventually(t, func() bool { return siteVersion(v) == 1 }, testWait, testPoll)
+}
+
+// TestInstancesWithoutDocumentsAreNoMajority guards against control instances that have
+// restarted and not caught up: their responses do not show that a document is the newest.
+func TestInstancesWithoutDocumentsAreNoMajority(t *testing.T) {
+	members, v := startMembers(t, 3)
+	require.Eventually(t, func() bool { return v.Current().ReachableControls == 3 }, testWait, testPoll)
+	members[0].publish(1, []byte("one"))
+	require.Never(t, func() bool { return siteVersion(v) != 0 }, time.Second, testPoll)
+	members[1].publish(2, []byte("two"))
+	require.Eventually(t, func() bool { return siteVersion(v) == 2 }, testWait, testPoll)
+}
+
 // One control instance holds the entry of another writer under the ID of a server, another
 // one those of the server itself.
 func TestSilentEntryOfOtherServiceHidesNoServer(t *testing.T) {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -321,10 +321,17 @@
 // state.
 type documents struct{ replica *control.Replica }
 
-// Published lists the newest versions of all documents.
+// catchUpInterval is how often a replica that has just started checks whether its state
+// may be published.
+const catchUpInterval = 50 * time.Millisecond
+
+// Published lists the newest versions of all documents: none before the replica has caught
+// up with what it held when it was started. An entry instance that starts at the same time
+// would otherwise apply older versions, since a majority holds the newest ones but none
+// has applied them.
 func (d documents) Published() []*controlv1.PublishedDocument {
 	var list []*controlv1.PublishedDocument
-	if log := d.replica.Log(); log != nil {
+	if log := d.replica.Log(); log != nil && log.CaughtUp() {
 		log.ReadLocal(func(st *state.State) { list = st.PublishedWithPrefix("") })
 	}
 	return list
@@ -332,10 +339,16 @@
 
 // Changed returns a channel that is closed at the next change.
 func (d documents) Changed() <-chan struct{} {
-	if log := d.replica.Log(); log != nil {
-		return log.ConfigChanged()
+	log := d.replica.Log()
+	if log == nil {
+		return nil
 	}
-	return nil
+	if !log.CaughtUp() {
+		check := make(chan struct{})
+		time.AfterFunc(catchUpInterval, func() { close(check) })
+		return check
+	}
+	return log.ConfigChanged()
 }
 
 // ControlURLs lists the base URLs of the control instances.
