Control: the index at which a replica was opened is atomic

Without the race detector the test passes; callers saw nothing.

openedAt is atomic like appliedIndex.

--- a/control/replog/group.go
+++ b/control/replog/group.go
@@ -62,10 +62,10 @@
 	queues
 	counters
 
-	// openedAt is the index of the last entry that was durable when the log was opened;
-	// appliedIndex is that of the last entry that the state machine has applied.
-	openedAt     uint64
-	appliedIndex atomic.Uint64
+	// openedAt is the index of the last entry that was durable when the log was opened, or
+	// the group was joined; appliedIndex is that of the last entry that the state machine
+	// has applied.
+	openedAt, appliedIndex atomic.Uint64
 
 	termClock atomic.Pointer[termClock]
 	shared    atomic.Pointer[sharedStatus]
@@ -143,7 +143,7 @@
 	}
 	g.node = node
 	g.publishStatus(nil)
-	g.openedAt = g.Status().LastIndex
+	g.openedAt.Store(g.Status().LastIndex)
 	g.appliedIndex.Store(g.Status().SnapshotIndex)
 	return nil
 }
@@ -154,7 +154,7 @@
 // than what this replica has acknowledged.
 func (g *Group) CaughtUp() bool {
 	// A log that is shorter now was truncated: the entries removed were never committed.
-	return g.appliedIndex.Load() >= min(g.openedAt, g.Status().LastIndex)
+	return g.appliedIndex.Load() >= min(g.openedAt.Load(), g.Status().LastIndex)
 }
 
 // Start starts to join the group in the background. The replica runs until ctx ends or
