Dispatch: rate limit simulations rank each list of instances once

Cause: processor time. The simulated instances ranked the accepting instances again at each change of the lists, 300 instances each, for a result that depends on the list and on one name. And one test that takes 53 s with the race detector ran alone.

Ruled out: tests that wait; the simulations run in virtual time.

Change, in test files only: a list is ranked once, by the same function, and TestEvidenceIsBoundedAndExpires runs beside the others.

--- a/dispatch/crash_evidence_test.go
+++ b/dispatch/crash_evidence_test.go
@@ -197,6 +197,7 @@
 
 // TestEvidenceIsBoundedAndExpires guards against clients that invent parts.
 func TestEvidenceIsBoundedAndExpires(t *testing.T) {
+	t.Parallel()
 	var e CrashEvidence
 	for n := range 3 * maxAnswered {
 		e.Answered(parts(fmt.Sprint("invented-", n)), at(0))
--- a/dispatch/rate_limit_faults_test.go
+++ b/dispatch/rate_limit_faults_test.go
@@ -54,6 +54,21 @@
 type simList struct {
 	listed, accepting map[string]bool
 	names             []string
+	// first is the first issuer among names, and second the first without it.
+	first, second string
+	ranked        bool
+}
+
+// firstWithout returns the first issuer among the accepting instances other than name.
+func (l *simList) firstWithout(name string) string {
+	if !l.ranked {
+		l.first, l.ranked = FirstIssuer("server", l.names), true
+		l.second = FirstIssuer("server", slices.DeleteFunc(slices.Clone(l.names), func(n string) bool { return n == l.first }))
+	}
+	if l.first == name {
+		return l.second
+	}
+	return l.first
 }
 
 // respond lists the entry instances.
@@ -234,7 +249,7 @@
 		// The first of all is the first among the first of each list.
 		var candidates []string
 		for _, list := range current {
-			candidates = append(candidates, FirstIssuer("server", slices.DeleteFunc(slices.Clone(list.names), func(name string) bool { return name == e.name })))
+			candidates = append(candidates, list.firstWithout(e.name))
 		}
 		e.first, e.ranked = FirstIssuer("server", slices.DeleteFunc(candidates, func(name string) bool { return name == "" })), current
 	}
