--- a/internal/loopback/loopback.go
+++ b/internal/loopback/loopback.go
@@ -35,6 +35,8 @@
 	base   int
 	// next is the port that is tried next, as an offset from base+1.
 	next int
+	// held contains the ports that Reserve has returned and that were not released.
+	held map[int]bool
 }
 
 // FreeAddress returns a loopback host:port that no process listens on now. It is not
@@ -43,20 +45,54 @@
 func FreeAddress() (string, error) {
 	portBlock.Lock()
 	defer portBlock.Unlock()
-	if err := reserveBlock(); err != nil {
+	port, err := freePort()
+	if err != nil {
 		return "", err
 	}
+	return address(port), nil
+}
+
+// Reserve is FreeAddress for an address that is listened on repeatedly, with gaps: it is not
+// returned again until release is called.
+func Reserve() (reserved string, release func(), err error) {
+	portBlock.Lock()
+	defer portBlock.Unlock()
+	port, err := freePort()
+	if err != nil {
+		return "", nil, err
+	}
+	if portBlock.held == nil {
+		portBlock.held = make(map[int]bool)
+	}
+	portBlock.held[port] = true
+	return address(port), func() {
+		portBlock.Lock()
+		defer portBlock.Unlock()
+		delete(portBlock.held, port)
+	}, nil
+}
+
+// freePort returns a port that is neither in use nor held. The caller must hold portBlock.
+func freePort() (int, error) {
+	if err := reserveBlock(); err != nil {
+		return 0, err
+	}
 	for range portsPerBlock - 1 {
 		port := portBlock.base + 1 + portBlock.next
 		portBlock.next = (portBlock.next + 1) % (portsPerBlock - 1)
+		if portBlock.held[port] {
+			continue
+		}
 		if listener, err := listen(port); err == nil {
 			listener.Close()
-			return fmt.Sprintf("127.0.0.1:%d", port), nil
+			return port, nil
 		}
 	}
-	return "", eris.Errorf("no free loopback port between %d and %d", portBlock.base+1, portBlock.base+portsPerBlock-1)
+	return 0, eris.Errorf("no free loopback port between %d and %d", portBlock.base+1, portBlock.base+portsPerBlock-1)
 }
 
+func address(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
+
 // reserveBlock reserves a block for this process if it has none. The caller must
 // hold portBlock.
 func reserveBlock() error {
@@ -74,5 +110,5 @@
 }
 
 func listen(port int) (net.Listener, error) {
-	return net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+	return net.Listen("tcp", address(port))
 }
--- a/internal/loopback/loopback_test.go
+++ b/internal/loopback/loopback_test.go
@@ -39,6 +39,26 @@
 	}
 }
 
+// TestReservedAddressesAreSkipped guards against a server that cannot restart at its address
+// because another one has taken it since.
+func TestReservedAddressesAreSkipped(t *testing.T) {
+	reserved, release, err := Reserve()
+	require.NoError(t, err)
+	taken := func() bool {
+		for range 2 * portsPerBlock {
+			address, err := FreeAddress()
+			require.NoError(t, err)
+			if address == reserved {
+				return true
+			}
+		}
+		return false
+	}
+	require.False(t, taken())
+	release()
+	require.True(t, taken(), "after the release")
+}
+
 func TestPortBlockIsExclusiveToProcess(t *testing.T) {
 	_, err := FreeAddress()
 	require.NoError(t, err)
