loopback: a reserved port is kept by a socket, not by a list

Ruled out: a second use of a reserved port; those are skipped, and the port belonged to FreeAddress.

Change: Reserve binds a socket to a port that the kernel chooses and keeps it without listening. The kernel gives such a port to no outgoing connection.

Test: TestReservedAddressIsKeptBetweenListeners, an outgoing connection from the port fails while it is reserved.

--- a/internal/loopback/loopback.go
+++ b/internal/loopback/loopback.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
 
 	"github.com/rotisserie/eris"
 )
@@ -35,8 +36,6 @@
 	base   int
 	// next is the port that is tried next, as an offset from base+1.
 	next int
-	// held contains the ports that Reserve has returned and that were not released.
-	held map[int]bool
 }
 
 // FreeAddress returns a loopback host:port that no process listens on now. It is not
@@ -45,53 +44,47 @@
 func FreeAddress() (string, error) {
 	portBlock.Lock()
 	defer portBlock.Unlock()
-	port, err := freePort()
-	if err != nil {
-		return "", err
-	}
-	return address(port), nil
-}
-
-// Reserve is FreeAddress for an address that is listened on repeatedly, with gaps: it is not
-// returned again until release is called.
-func Reserve() (reserved string, release func(), err error) {
-	portBlock.Lock()
-	defer portBlock.Unlock()
-	port, err := freePort()
-	if err != nil {
-		return "", nil, err
-	}
-	if portBlock.held == nil {
-		portBlock.held = make(map[int]bool)
-	}
-	portBlock.held[port] = true
-	return address(port), func() {
-		portBlock.Lock()
-		defer portBlock.Unlock()
-		delete(portBlock.held, port)
-	}, nil
-}
-
-// freePort returns a port that is neither in use nor held. The caller must hold portBlock.
-func freePort() (int, error) {
 	if err := reserveBlock(); err != nil {
-		return 0, err
+		return "", err
 	}
 	for range portsPerBlock - 1 {
 		port := portBlock.base + 1 + portBlock.next
 		portBlock.next = (portBlock.next + 1) % (portsPerBlock - 1)
-		if portBlock.held[port] {
-			continue
-		}
 		if listener, err := listen(port); err == nil {
 			listener.Close()
-			return port, nil
+			return fmt.Sprintf("127.0.0.1:%d", port), nil
 		}
 	}
-	return 0, eris.Errorf("no free loopback port between %d and %d", portBlock.base+1, portBlock.base+portsPerBlock-1)
+	return "", eris.Errorf("no free loopback port between %d and %d", portBlock.base+1, portBlock.base+portsPerBlock-1)
 }
 
-func address(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
+// Reserve returns a loopback host:port for a listener that is closed and opened again. Until
+// release is called the kernel chooses the port for no other listener and for no outgoing
+// connection. It returns an error if no socket can be bound.
+func Reserve() (address string, release func(), err error) {
+	// A bound socket that does not listen keeps the port. With SO_REUSEADDR, which package
+	// net sets as well, one socket may listen beside it.
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		return "", nil, eris.Wrap(err, "open a socket")
+	}
+	syscall.CloseOnExec(fd)
+	release = sync.OnceFunc(func() { _ = syscall.Close(fd) }) // the port is free in any case
+	if err := syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
+		release()
+		return "", nil, eris.Wrap(err, "set SO_REUSEADDR")
+	}
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		release()
+		return "", nil, eris.Wrap(err, "bind a loopback port")
+	}
+	bound, err := syscall.Getsockname(fd)
+	if err != nil {
+		release()
+		return "", nil, eris.Wrap(err, "read the bound port")
+	}
+	return fmt.Sprintf("127.0.0.1:%d", bound.(*syscall.SockaddrInet4).Port), release, nil
+}
 
 // reserveBlock reserves a block for this process if it has none. The caller must
 // hold portBlock.
@@ -110,5 +103,5 @@
 }
 
 func listen(port int) (net.Listener, error) {
-	return net.Listen("tcp", address(port))
+	return net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 }
--- a/internal/loopback/loopback_test.go
+++ b/internal/loopback/loopback_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"strconv"
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -39,24 +40,31 @@
 	}
 }
 
-// TestReservedAddressesAreSkipped guards against a server that cannot restart at its address
-// because another one has taken it since.
-func TestReservedAddressesAreSkipped(t *testing.T) {
+// TestReservedAddressIsKeptBetweenListeners guards against a server that cannot restart at its
+// address because an outgoing connection was given the port meanwhile.
+func TestReservedAddressIsKeptBetweenListeners(t *testing.T) {
+	other, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer other.Close()
 	reserved, release, err := Reserve()
 	require.NoError(t, err)
-	taken := func() bool {
-		for range 2 * portsPerBlock {
-			address, err := FreeAddress()
-			require.NoError(t, err)
-			if address == reserved {
-				return true
-			}
+	local, err := net.ResolveTCPAddr("tcp4", reserved)
+	require.NoError(t, err)
+	connect := func() error {
+		c, err := (&net.Dialer{LocalAddr: local}).Dial("tcp4", other.Addr().String())
+		if err == nil {
+			c.Close()
 		}
-		return false
+		return err
+	}
+	for range 3 {
+		listener, err := net.Listen("tcp4", reserved)
+		require.NoError(t, err)
+		require.NoError(t, listener.Close())
+		require.ErrorIs(t, connect(), syscall.EADDRINUSE)
 	}
-	require.False(t, taken())
 	release()
-	require.True(t, taken(), "after the release")
+	require.NoError(t, connect(), "after the release")
 }
 
 func TestPortBlockIsExclusiveToProcess(t *testing.T) {
