State soak: how servers respond is set before they start

The race detector found that the test sets the soak's responder while servers already read it.

Change: the soak is created and started in two steps. What is checked is the same.

--- a/faults/state_soak_test.go
+++ b/faults/state_soak_test.go
@@ -471,9 +471,11 @@
 	defer stop()
 	var workers, clients, faults, state sync.WaitGroup
 	s := &stateSoak{endless: make(map[*soakServer]string)}
-	s.streamSoak = startStreamSoak(ctx, t, c, soakRoutes, streamSoakServers, &workers)
+	s.streamSoak = newStreamSoak(t, c, soakRoutes)
+	s.intercept, s.adjust, s.keepsIDs = s.respond, s.runOnWeights, true
+	s.start(ctx, streamSoakServers, &workers)
 	defer s.summary(c.seed)
-	s.intercept, s.adjust, s.keepsIDs, s.document, s.inSeries = s.respond, s.runOnWeights, true, stateDocument, true
+	s.document, s.inSeries = stateDocument, true
 	s.configure(ctx)
 	for gateway := range c.gateways {
 		clients.Go(func() { s.probe(ctx, gateway) })
--- a/faults/stream_soak_test.go
+++ b/faults/stream_soak_test.go
@@ -100,11 +100,24 @@
 
 // startStreamSoak starts the processes and servers, and waits until they serve.
 func startStreamSoak(ctx context.Context, t *testing.T, settings soakSettings, routes []*soakRoute, servers map[string]int, workers *sync.WaitGroup) *streamSoak {
+	s := newStreamSoak(t, settings, routes)
+	s.start(ctx, servers, workers)
+	return s
+}
+
+// newStreamSoak starts control replicas and gateways, without servers.
+func newStreamSoak(t *testing.T, settings soakSettings, routes []*soakRoute) *streamSoak {
 	s := &streamSoak{
 		document: soakDocument, processFaults: &processFaults{soak: startSoakWith(t, settings.seed, settings.gateways, append([]string{"-grace", gracePeriod.String()}, settings.flags...)...)},
 		random: rand.New(rand.NewPCG(settings.seed, 3)), routes: routes, sent: make(map[string]*clientRequest), arrivals: make(map[string][]arrival), counts: make(map[string]int), startedAt: time.Now(),
 	}
 	s.observe = s.observeFault()
+	return s
+}
+
+// start starts servers and publishes the first configuration. How servers respond is not
+// changed from here on.
+func (s *streamSoak) start(ctx context.Context, servers map[string]int, workers *sync.WaitGroup) {
 	for service, n := range servers {
 		for range n {
 			s.all = append(s.all, s.newServer(service))
@@ -119,7 +132,6 @@
 		g.waitReady()
 	}
 	time.Sleep(4 * announceInterval)
-	return s
 }
 
 // anyControl calls control replicas in random order until one acknowledges.
