--- a/internal/loopback/loopback.go
+++ b/internal/loopback/loopback.go
@@ -11,7 +11,6 @@
 	"fmt"
 	"net"
 	"sync"
-	"syscall"
 
 	"github.com/rotisserie/eris"
 )
@@ -58,34 +57,6 @@
 	return "", eris.Errorf("no free loopback port between %d and %d", portBlock.base+1, portBlock.base+portsPerBlock-1)
 }
 
-// Reserve returns a loopback host:port for a listener that is closed and opened again. Until
-// release is called the kernel chooses the port for no other listener and for no outgoing
-// connection. It returns an error if no socket can be bound.
-func Reserve() (address string, release func(), err error) {
-	// A bound socket that does not listen keeps the port. With SO_REUSEADDR, which package
-	// net sets as well, one socket may listen beside it.
-	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
-	if err != nil {
-		return "", nil, eris.Wrap(err, "open a socket")
-	}
-	syscall.CloseOnExec(fd)
-	release = sync.OnceFunc(func() { _ = syscall.Close(fd) }) // the port is free in any case
-	if err := syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
-		release()
-		return "", nil, eris.Wrap(err, "set SO_REUSEADDR")
-	}
-	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
-		release()
-		return "", nil, eris.Wrap(err, "bind a loopback port")
-	}
-	bound, err := syscall.Getsockname(fd)
-	if err != nil {
-		release()
-		return "", nil, eris.Wrap(err, "read the bound port")
-	}
-	return fmt.Sprintf("127.0.0.1:%d", bound.(*syscall.SockaddrInet4).Port), release, nil
-}
-
 // reserveBlock reserves a block for this process if it has none. The caller must
 // hold portBlock.
 func reserveBlock() error {
