Control: say why no leader serves, why a read was refused, how long a start took

The record (a configuration that is not read back) fits three causes, and nothing that control instances logged tells them apart: a lost majority, a majority without a leader that serves, replicas that cannot store.

- 'no leader serves' after 1, 2, 4 ... s: role, term, indexes, and the voters that respond, refuse or are silent; 'leader serves again' ends it.
'leader changed' has the previous leader and how long it led.
- 'replica start stage' for open, join, election, commit and first read.
- Errors of reads say what was waited for; the operator's line names the peer asked.

No decision changes.

--- a/consensus/ready.go
+++ b/consensus/ready.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 
 	"google.golang.org/protobuf/proto"
 
@@ -101,6 +102,12 @@
 	// ChangePending reports whether a membership change would be rejected because
 	// the previous change or an entry of the current term is uncommitted.
 	ChangePending bool
+	// CommittedInTerm reports whether the last committed entry is of the current term.
+	// Before that a leader serves no reads.
+	CommittedInTerm bool
+	// Votes holds the responses of the voters to a candidate or pre-candidate, its own
+	// vote included: true if granted. It is nil in other roles.
+	Votes map[string]bool
 }
 
 // Status returns a copy of the replica's state. The per-replica fields are set on a
@@ -111,7 +118,11 @@
 		FirstIndex: n.log.base.index + 1, LastIndex: n.log.last().index,
 		CommitIndex: n.log.commit, AppliedIndex: n.log.applied, SnapshotIndex: n.log.snapshot.Index,
 		Membership: n.Membership(), TransferTarget: n.transferTarget,
-		ChangePending: n.log.latestMembership().index > n.log.commit || !n.hasCommittedInTerm(),
+		CommittedInTerm: n.hasCommittedInTerm(),
+	}
+	s.ChangePending = n.log.latestMembership().index > n.log.commit || !s.CommittedInTerm
+	if n.role == RoleCandidate || n.role == RolePreCandidate {
+		s.Votes = maps.Clone(n.votes)
 	}
 	if n.role != RoleLeader {
 		return s
--- a/control/replog/group.go
+++ b/control/replog/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"sync"
@@ -61,6 +62,9 @@
 
 	queues
 	counters
+	stages       *startStages
+	outage       outage
+	refusedReads refusals
 
 	// openedAt is the index of the last entry that was durable when the log was opened, or
 	// the group was joined; appliedIndex is that of the last entry that the state machine
@@ -92,14 +96,13 @@
 	if s.Files == nil {
 		s.Files = storage.OSFiles{}
 	}
+	logger := s.Logger.With(slog.String("group", s.Group))
+	stages := newStartStages(logger)
 	store, durable, err := storage.OpenStoreOn(s.Files, s.Dir)
 	if err != nil {
 		return nil, eris.Wrapf(err, "open log of group %s", s.Group)
 	}
-	g := &Group{
-		settings: s, machine: machine, logger: s.Logger.With(slog.String("group", s.Group)), store: store,
-		queues: newQueues(),
-	}
+	g := &Group{settings: s, machine: machine, logger: logger, store: store, queues: newQueues(), stages: stages}
 	if durable.LeftoversError != nil {
 		g.logger.Warn("unfinished files remain", slog.Any("error", durable.LeftoversError))
 	}
@@ -116,6 +119,7 @@
 		store.Close()
 		return nil, err
 	}
+	stages.reach(StageOpen)
 	return g, nil
 }
 
@@ -171,7 +175,8 @@
 			g.Fail(err)
 			return
 		}
-		l := &loop{Group: g, ctx: ctx, peerTerms: make(map[string]uint64), pendingReads: make(map[consensus.ReadID][]chan error), peerURLs: make(map[string]string)}
+		g.stages.reach(StageJoin)
+		l := &loop{Group: g, ctx: ctx, peerTerms: make(map[string]uint64), pendingReads: make(map[consensus.ReadID][]chan error), peerURLs: make(map[string]string), leaderChangedAt: time.Now()}
 		l.run(ctx)
 	}()
 	return nil
@@ -246,7 +251,7 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return nil, ctx.Err()
+			return nil, eris.Wrap(ctx.Err(), "wait for the leader to commit an entry of its term")
 		}
 	}
 }
@@ -280,20 +285,50 @@
 // before the call. This replica must be the leader and confirms that with a
 // quorum.
 func (g *Group) Barrier(ctx context.Context) error {
-	if _, err := g.awaitLeadership(ctx); err != nil {
+	reason, err := g.barrier(ctx)
+	if err != nil {
+		g.refusedReads.add(reason)
 		return err
 	}
+	g.stages.reachRead()
+	return nil
+}
+
+// barrier is Barrier with the reason of a failure.
+func (g *Group) barrier(ctx context.Context) (RefusalReason, error) {
+	if _, err := g.awaitLeadership(ctx); err != nil {
+		return refusalReason(err), err
+	}
 	done := make(chan error, 1)
 	select {
 	case g.reads <- done:
 	case <-ctx.Done():
-		return ctx.Err()
+		return RefusedUnconfirmed, errUnconfirmed(ctx)
 	}
 	select {
 	case err := <-done:
-		return err
+		return refusalReason(err), err
 	case <-ctx.Done():
-		return ctx.Err()
+		return RefusedUnconfirmed, errUnconfirmed(ctx)
+	}
+}
+
+func errUnconfirmed(ctx context.Context) error {
+	return eris.Wrap(ctx.Err(), "wait for a majority to confirm the leader")
+}
+
+// refusalReason classifies an error of awaitLeadership or of a read.
+func refusalReason(err error) RefusalReason {
+	var notLeader *NotLeaderError
+	switch {
+	case errors.As(err, &notLeader) && notLeader.LeaderURL == "":
+		return RefusedNoLeader
+	case errors.As(err, &notLeader):
+		return RefusedNotLeader
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
+		return RefusedUncommitted
+	default:
+		return RefusedFailed
 	}
 }
 
--- a/control/replog/loop.go
+++ b/control/replog/loop.go
@@ -30,6 +30,7 @@
 	peerURLs        map[string]string
 	wasLeader       bool
 	lastLeader      string
+	leaderChangedAt time.Time
 	writingSnapshot bool
 	ticks           int
 }
@@ -82,6 +83,13 @@
 		l.updateMembership()
 	}
 	l.publishStatus(l.peerTerms)
+	l.observeOutage(l.Status())
+	if l.lastLeader != "" {
+		l.stages.reach(StageElection)
+		if l.CaughtUp() {
+			l.stages.reach(StageCommit)
+		}
+	}
 }
 
 // step handles a message and up to queueLength others that are already queued.
@@ -218,8 +226,10 @@
 		l.pendingProposals.failAll(ErrOutcomeUnknown)
 		l.failReads(&NotLeaderError{})
 	}
-	l.wasLeader, l.lastLeader = isLeader, l.node.Leader()
-	l.logger.Info("leader changed", slog.String("replica", l.lastLeader), slog.Uint64("term", l.node.Term()))
+	lasted := time.Since(l.leaderChangedAt)
+	l.logger.Info("leader changed", slog.String("replica", l.node.Leader()), slog.Uint64("term", l.node.Term()),
+		slog.String("previous", l.lastLeader), slog.Duration("after", lasted))
+	l.wasLeader, l.lastLeader, l.leaderChangedAt = isLeader, l.node.Leader(), time.Now()
 	l.publishStatus(l.peerTerms)
 	l.leaderChanged.notify()
 }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -277,11 +277,12 @@
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
 	var zero R
-	for {
+	for attempts := 1; ; attempts++ {
 		response, err := method(r.replica.LocalService(), ctx, request)
 		if err == nil {
 			return response, nil
 		}
+		peer := "this replica"
 		if url := leaderURL(err); url != "" {
 			attempt, stop := context.WithTimeout(ctx, leaderTimeout)
 			response, err = method(r.leaderClient(url), attempt, request)
@@ -289,10 +290,11 @@
 			if err == nil {
 				return response, nil
 			}
+			peer = url
 		}
 		select {
 		case <-ctx.Done():
-			return zero, eris.Wrap(errors.Join(ErrUnavailable, err), "ask the leader")
+			return zero, eris.Wrapf(errors.Join(ErrUnavailable, err), "ask the leader, attempt %d at %s", attempts, peer)
 		case <-time.After(leaderRetryInterval):
 		}
 	}
