Known red: two disks lost after the first acknowledgement (CONFIG, read back)

A group of nine replicas is founded by its three seeds and acknowledges a change with three voters; the site says that the loss of two disks is to be borne. Once any two of the seeds have lost theirs, no leader is elected and nothing is read: 'Condition never satisfied' after 20 s in three of three cases.

--- a/control/replog/membership_test.go
+++ b/control/replog/membership_test.go
@@ -213,6 +213,12 @@
 
 // restart reopens a member's data directory at the same address.
 func (g *dynamicGroup) restart(m *member, server *httptest.Server, p *peerService) *member {
+	g.t.Helper()
+	return g.restartIn(m, m.dir, server, p)
+}
+
+// restartIn restarts a member with another data directory at the same address.
+func (g *dynamicGroup) restartIn(m *member, dir string, server *httptest.Server, p *peerService) *member {
 	g.t.Helper()
 	address := m.server.Listener.Addr().String()
 	server.Listener.Close()
@@ -223,7 +229,54 @@
 		}
 		return err == nil
 	}, 5*time.Second, 10*time.Millisecond)
-	return g.start(replicaName(m.ID()), m.dir, server, p, false)
+	return g.start(replicaName(m.ID()), dir, server, p, false)
 }
 
 func listenAt(address string) (net.Listener, error) { return net.Listen("tcp4", address) }
+
+// startAll starts count replicas that all may bootstrap, of which the first three are seeds.
+func (g *dynamicGroup) startAll(count int) []*member {
+	g.t.Helper()
+	servers, handlers := make([]*httptest.Server, count), make([]*peerService, count)
+	for i := range count {
+		servers[i], handlers[i] = g.listen()
+	}
+	for i := range min(3, count) {
+		g.seeds = append(g.seeds, Peer{URL: "http://" + servers[i].Listener.Addr().String()})
+	}
+	members := make([]*member, count)
+	for i := range count {
+		members[i] = g.start(fmt.Sprint("c", i), g.t.TempDir(), servers[i], handlers[i], true)
+	}
+	g.t.Cleanup(func() {
+		for _, m := range members {
+			m.stop()
+		}
+	})
+	return members
+}
+
+// loseDisk restarts the member at an index with an empty data directory.
+func (g *dynamicGroup) loseDisk(members []*member, index int) {
+	g.t.Helper()
+	members[index].stop()
+	server, p := g.listen()
+	members[index] = g.restartIn(members[index], g.t.TempDir(), server, p)
+}
+
+// TestFirstAcknowledgementSurvivesLossOfTwoDisks guards against a group that acknowledges a
+// change while it has fewer voters than the loss of two disks requires: without a majority
+// it serves neither reads nor changes from then on.
+func TestFirstAcknowledgementSurvivesLossOfTwoDisks(t *testing.T) {
+	for _, lost := range [][]int{{0, 1}, {0, 2}, {1, 2}} {
+		t.Run(fmt.Sprint(lost), func(t *testing.T) {
+			g := &dynamicGroup{t: t}
+			members := g.startAll(9)
+			require.Equal(t, uint64(7), g.add(members, 7))
+			for _, index := range lost {
+				g.loseDisk(members, index)
+			}
+			require.Equal(t, uint64(7), g.add(members, 0))
+		})
+	}
+}
