Control: the group is founded with enough voters for the losses to be borne

Cause: the group was founded with its three seeds as voters and acknowledged with two of them, where the loss of two disks is to be borne; nobody can be elected after that.

Change: -tolerated-losses f, from tolerate.machines. The founding replica waits for 2f+1 replicas, at most 3 s, and takes all that it has heard of as voters; silent voters are removed down to 2f+1. So that the first acknowledgement is not later: replicas announce themselves at once and each 0.2 s until they are in a group, the founder campaigns at once, and membership changes follow each other after 0.15 instead of 0.75 s.

Two cases more in TestSilentReplicaRemoval.

--- a/consensus/election.go
+++ b/consensus/election.go
@@ -46,10 +46,17 @@
 	n.countVotes()
 }
 
+// Campaign starts an election at once if this replica is a voter and does not lead.
+func (n *Node) Campaign() {
+	if n.role == RoleFollower {
+		n.campaign(RolePreCandidate, false)
+	}
+}
+
 // CampaignIfOnlyVoter starts an election at once if this replica is the only voter.
 func (n *Node) CampaignIfOnlyVoter() {
 	if voters := n.voters(); len(voters) == 1 && voters[0] == n.cfg.ID {
-		n.campaign(RolePreCandidate, false)
+		n.Campaign()
 	}
 }
 
--- a/control/process.go
+++ b/control/process.go
@@ -50,6 +50,9 @@
 	PeerPort int
 	// MayBootstrap allows the first seed to bootstrap the group.
 	MayBootstrap bool
+	// ToleratedLosses is the number of control instances that may lose their disks at
+	// the same time.
+	ToleratedLosses int
 	// TrustDataDir asserts that the data directory is never rolled back to an
 	// older copy: after a restart it is either unchanged or empty.
 	TrustDataDir bool
@@ -74,6 +77,7 @@
 	fs.StringVar(&s.Seeds, "seeds", "", "comma-separated IP:port of a few control instances, in the same order on every replica; replaces -replicas")
 	fs.IntVar(&s.PeerPort, "peer-port", 0, "internal port that replaces the one in -seeds; 0 keeps the given port")
 	fs.BoolVar(&s.MayBootstrap, "found", false, "allow the first of -seeds to bootstrap the group; set only for the very first start")
+	fs.IntVar(&s.ToleratedLosses, "tolerated-losses", 1, "control instances that may lose their disks at the same time; with -seeds the group has at least twice as many voters and one")
 	fs.BoolVar(&s.TrustDataDir, "trust-folder", false, "the data directory is never restored from an older copy")
 	fs.Uint64Var(&s.SnapshotThreshold, "compact-entries", 0, "log entries between two snapshots; 0 selects the default of 50,000")
 	fs.DurationVar(&s.CallRetention, "call-retention", DefaultCallRetention, "how long the record of a finished call is kept; must exceed the time for which any client retries")
@@ -88,6 +92,9 @@
 	s.TLS.Check(c, []string{s.Listen}, nil)
 	c.WritableDir("data-dir", s.DataDir)
 	settings.Positive(c, "call-retention", s.CallRetention, "duration")
+	if s.ToleratedLosses < 0 {
+		c.Add("tolerated-losses", "must be at least 0")
+	}
 	if s.Seeds != "" {
 		if s.Replicas != "" {
 			c.Add("seeds", "excludes -replicas")
@@ -155,6 +162,7 @@
 	r := replog.Settings{
 		Group: group, Name: s.Instance, Dir: filepath.Join(s.DataDir, group), Replicas: s.initialPeers(),
 		SnapshotThreshold: s.SnapshotThreshold, Files: s.Files, DynamicMembership: s.Seeds != "", MayBootstrap: s.MayBootstrap,
+		ToleratedLosses: s.ToleratedLosses,
 	}
 	if r.DynamicMembership {
 		r.URL = "http://" + s.Listen
--- a/control/replog/group.go
+++ b/control/replog/group.go
@@ -62,6 +62,9 @@
 
 	queues
 	counters
+	newcomers newcomers
+	// bootstrapped is set by the replica that bootstrapped the group, before its loop starts.
+	bootstrapped bool
 	stages       *startStages
 	outage       outage
 	refusedReads refusals
--- a/control/replog/join.go
+++ b/control/replog/join.go
@@ -9,6 +9,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -22,6 +23,9 @@
 	identifyTimeout  = 2 * time.Second
 	identifyInterval = 200 * time.Millisecond
 	announceInterval = time.Second
+	// foundingWait is how long the replica that bootstraps a group waits for as many
+	// voters as the tolerated losses require, once all seeds have responded.
+	foundingWait = 3 * time.Second
 	// leaderWait is how long a starting replica waits for a response from the
 	// leader, or from all other voters, before a majority suffices.
 	leaderWait = 10 * time.Second
@@ -98,6 +102,7 @@
 		g.startAnnouncing(ctx)
 		return nil
 	}
+	var waitingSince time.Time
 	for ctx.Err() == nil {
 		responses := g.identifyPeers(ctx, g.settings.Replicas)
 		for _, r := range responses {
@@ -107,19 +112,114 @@
 			}
 		}
 		if len(responses) == len(g.settings.Replicas)-1 {
-			if err := g.bootstrap(responses); err != nil {
-				return err
+			if waitingSince.IsZero() {
+				waitingSince = time.Now()
 			}
-			if g.settings.DynamicMembership {
-				g.startAnnouncing(ctx)
+			founders := g.founders(responses)
+			if len(founders) >= g.requiredVoters() || time.Since(waitingSince) >= foundingWait {
+				return g.found(ctx, founders)
 			}
-			return nil
 		}
 		sleepContext(ctx, identifyInterval)
 	}
 	return ctx.Err()
 }
 
+// found bootstraps the group with the founders as its voters.
+func (g *Group) found(ctx context.Context, founders []*consensusv1.Member) error {
+	if len(founders) < g.requiredVoters() {
+		g.logger.Warn("group is bootstrapped with fewer voters than the tolerated losses require",
+			slog.Int("voters", len(founders)), slog.Int("required", g.requiredVoters()))
+	}
+	if err := g.bootstrap(founders); err != nil {
+		return err
+	}
+	if g.settings.DynamicMembership {
+		g.startAnnouncing(ctx)
+	}
+	return nil
+}
+
+// requiredVoters is the number of voters with which the group survives the tolerated losses.
+// Without dynamic membership, the settings list the voters.
+func (g *Group) requiredVoters() int {
+	if !g.settings.DynamicMembership {
+		return len(g.settings.Replicas)
+	}
+	return max(len(g.settings.Replicas), 2*g.settings.ToleratedLosses+1)
+}
+
+// founders lists this replica, the other seeds and, with dynamic membership, all replicas
+// with an empty data directory that have identified themselves of late.
+func (g *Group) founders(responses map[string]*consensusv1.IdentifyResponse) []*consensusv1.Member {
+	members := []*consensusv1.Member{{Id: g.id, Url: g.ownURL()}}
+	for _, p := range g.settings.Replicas {
+		if r := responses[p.key()]; r != nil {
+			members = append(members, &consensusv1.Member{Id: r.Id, Url: p.URL})
+		}
+	}
+	if !g.settings.DynamicMembership {
+		return members
+	}
+	for _, c := range g.newcomers.recent(time.Now()) {
+		if !slices.ContainsFunc(members, func(m *consensusv1.Member) bool { return m.Url == c.url }) {
+			members = append(members, &consensusv1.Member{Id: c.id, Url: c.url})
+		}
+	}
+	return members
+}
+
+// newcomer is a replica with an empty data directory that has identified itself.
+type newcomer struct {
+	id, url string
+	seenAt  time.Time
+}
+
+// newcomers holds the newcomers by URL.
+type newcomers struct {
+	// mu guards byURL.
+	mu    sync.Mutex
+	byURL map[string]newcomer
+}
+
+const (
+	// newcomerMaxAge is the age from which a newcomer counts as gone.
+	newcomerMaxAge = time.Second
+	// maxNewcomers bounds the newcomers that are remembered.
+	maxNewcomers = 64
+)
+
+// observe records that a replica has identified itself.
+func (n *newcomers) observe(r *consensusv1.IdentifyRequest) {
+	if r.Id == "" || r.Url == "" || r.LastIndex > 0 {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.byURL == nil {
+		n.byURL = make(map[string]newcomer)
+	}
+	if _, known := n.byURL[r.Url]; !known && len(n.byURL) >= maxNewcomers {
+		return
+	}
+	n.byURL[r.Url] = newcomer{id: r.Id, url: r.Url, seenAt: time.Now()}
+}
+
+// recent lists the newcomers that were seen within newcomerMaxAge, by URL.
+func (n *newcomers) recent(now time.Time) []newcomer {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var list []newcomer
+	for _, url := range slices.Sorted(maps.Keys(n.byURL)) {
+		if now.Sub(n.byURL[url].seenAt) > newcomerMaxAge {
+			delete(n.byURL, url)
+			continue
+		}
+		list = append(list, n.byURL[url])
+	}
+	return list
+}
+
 // startAnnouncing runs announce in the background.
 func (g *Group) startAnnouncing(ctx context.Context) {
 	g.wg.Add(1)
@@ -166,11 +266,8 @@
 // bootstrap writes the initial membership of a new group. Invariant: a single
 // replica does this once, and only after all other configured replicas
 // responded that they know of no group.
-func (g *Group) bootstrap(responses map[string]*consensusv1.IdentifyResponse) error {
-	m := &consensusv1.Membership{Members: []*consensusv1.Member{{Id: g.id, Url: g.ownURL()}}}
-	for _, p := range g.settings.Replicas[1:] {
-		m.Members = append(m.Members, &consensusv1.Member{Id: responses[p.key()].Id, Url: p.URL})
-	}
+func (g *Group) bootstrap(founders []*consensusv1.Member) error {
+	m := &consensusv1.Membership{Members: founders}
 	if err := g.machine.Restore(nil); err != nil {
 		return eris.Wrap(err, "initial state")
 	}
@@ -191,6 +288,7 @@
 	}
 	g.durable = consensus.DurableState{Snapshot: meta}
 	g.logger.Info("group bootstrapped", slog.Any("replicas", m.Members))
+	g.bootstrapped = true
 	return g.createNode()
 }
 
@@ -258,15 +356,15 @@
 }
 
 // announce periodically asks the other replicas to admit this one until it is a
-// member. With dynamic membership it continues as long as the replica runs, so
+// member, or to found a group with it. With dynamic membership it continues as long as the replica runs, so
 // that one that was removed after a long silence is admitted again.
 func (g *Group) announce(ctx context.Context) {
 	defer g.wg.Done()
 	learnedPeers := make(map[string]Peer)
-	for ctx.Err() == nil {
-		sleepContext(ctx, announceInterval)
+	for interval := identifyInterval; ctx.Err() == nil; sleepContext(ctx, interval) {
 		s := g.Status()
 		if len(s.Membership.Members) > 0 {
+			interval = announceInterval
 			if !g.settings.DynamicMembership {
 				return
 			}
@@ -314,6 +412,7 @@
 	if r.Id != "" && r.Url != "" {
 		g.addresses.Store(r.Id, r.Url)
 	}
+	g.newcomers.observe(r)
 	if s.Role == consensus.RoleLeader {
 		g.admit(ctx, r)
 	}
--- a/control/replog/loop.go
+++ b/control/replog/loop.go
@@ -40,6 +40,9 @@
 	ticker := time.NewTicker(TickInterval)
 	defer ticker.Stop()
 	defer l.failReads(ErrStopped)
+	if l.bootstrapped {
+		l.node.Campaign() // no other replica has a log
+	}
 	l.node.CampaignIfOnlyVoter()
 	for {
 		if err := l.processReady(); err != nil {
@@ -74,12 +77,12 @@
 	}
 }
 
-// tick advances the node's clock and publishes the status. Every electionTicks it also
+// tick advances the node's clock and publishes the status. Every heartbeatTicks it also
 // calls updateMembership.
 func (l *loop) tick() {
 	l.node.Tick()
 	l.ticks++
-	if l.ticks%electionTicks == 0 {
+	if l.ticks%heartbeatTicks == 0 {
 		l.updateMembership()
 	}
 	l.publishStatus(l.peerTerms)
--- a/control/replog/membership.go
+++ b/control/replog/membership.go
@@ -127,8 +127,8 @@
 const (
 	// maxSilentTicks, 10 s, exceeds a restart or a typical network partition.
 	maxSilentTicks = int(10 * time.Second / TickInterval)
-	// minVoters voters always remain: with fewer, one more failure would cost
-	// the group its quorum.
+	// minVoters voters always remain, and more if more losses are to be tolerated: with
+	// fewer, one more failure would cost the group its quorum.
 	minVoters = 3
 )
 
@@ -140,7 +140,8 @@
 	if !l.settings.DynamicMembership {
 		return false
 	}
-	longest := longestSilentReplica(m, l.id, l.node.Status().TicksSinceContact)
+	keep := max(minVoters, 2*l.settings.ToleratedLosses+1)
+	longest := longestSilentReplica(m, l.id, l.node.Status().TicksSinceContact, keep)
 	if longest == "" {
 		return false
 	}
@@ -149,8 +150,8 @@
 }
 
 // longestSilentReplica returns the ID of the replica to remove, or an empty
-// string.
-func longestSilentReplica(m *consensusv1.Membership, self string, silentTicks map[string]int) string {
+// string. At least keep voters remain.
+func longestSilentReplica(m *consensusv1.Membership, self string, silentTicks map[string]int, keep int) string {
 	voters, longest := 0, ""
 	for _, r := range m.Members {
 		if !r.Learner {
@@ -158,7 +159,7 @@
 		}
 	}
 	for _, r := range m.Members {
-		if r.Id == self || silentTicks[r.Id] < maxSilentTicks || (!r.Learner && voters <= minVoters) {
+		if r.Id == self || silentTicks[r.Id] < maxSilentTicks || (!r.Learner && voters <= keep) {
 			continue
 		}
 		if longest == "" || silentTicks[r.Id] > silentTicks[longest] {
--- a/control/replog/membership_test.go
+++ b/control/replog/membership_test.go
@@ -30,18 +30,21 @@
 		name        string
 		members     *consensusv1.Membership
 		silentTicks map[string]int
+		keep        int
 		want        string
 	}{
-		{"none silent for too long", members(5, 0), map[string]int{"r1": tolerated}, ""},
-		{"one", members(5, 0), map[string]int{"r1": expired}, "r1"},
-		{"several replaced machines, the longest silent first", members(8, 0), map[string]int{"r1": expired, "r2": expired + 50, "r3": expired + 5}, "r2"},
-		{"three voters always remain", members(3, 0), map[string]int{"r1": expired}, ""},
-		{"a learner that never responded", members(3, 1), map[string]int{"r3": expired}, "r3"},
-		{"never itself", members(5, 0), map[string]int{"r0": expired}, ""},
+		{"none silent for too long", members(5, 0), map[string]int{"r1": tolerated}, 3, ""},
+		{"one", members(5, 0), map[string]int{"r1": expired}, 3, "r1"},
+		{"several replaced machines, the longest silent first", members(8, 0), map[string]int{"r1": expired, "r2": expired + 50, "r3": expired + 5}, 3, "r2"},
+		{"three voters always remain", members(3, 0), map[string]int{"r1": expired}, 3, ""},
+		{"five voters remain where two losses are tolerated", members(5, 0), map[string]int{"r1": expired}, 5, ""},
+		{"a replaced machine where two losses are tolerated", members(6, 0), map[string]int{"r1": expired}, 5, "r1"},
+		{"a learner that never responded", members(3, 1), map[string]int{"r3": expired}, 3, "r3"},
+		{"never itself", members(5, 0), map[string]int{"r0": expired}, 3, ""},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			require.Equal(t, tt.want, longestSilentReplica(tt.members, "r0", tt.silentTicks))
+			require.Equal(t, tt.want, longestSilentReplica(tt.members, "r0", tt.silentTicks, tt.keep))
 		})
 	}
 }
@@ -73,6 +76,8 @@
 type dynamicGroup struct {
 	t     *testing.T
 	seeds []Peer
+	// toleratedLosses applies to the members that are started from now on.
+	toleratedLosses int
 }
 
 // peerService serves the consensus API of a replica; group must be set before
@@ -113,7 +118,7 @@
 	g.t.Helper()
 	group, err := Open(Settings{
 		Group: "main", Name: name, Dir: dir, URL: "http://" + server.Listener.Addr().String(), Replicas: g.seeds, DynamicMembership: true, MayBootstrap: mayBootstrap,
-		LeaderWait: -1, Logger: slog.New(slog.DiscardHandler), Client: &http.Client{Timeout: 2 * time.Second},
+		ToleratedLosses: g.toleratedLosses, LeaderWait: -1, Logger: slog.New(slog.DiscardHandler), Client: &http.Client{Timeout: 2 * time.Second},
 	}, &sum{})
 	require.NoError(g.t, err)
 	p.group = group
@@ -270,7 +275,7 @@
 func TestFirstAcknowledgementSurvivesLossOfTwoDisks(t *testing.T) {
 	for _, lost := range [][]int{{0, 1}, {0, 2}, {1, 2}} {
 		t.Run(fmt.Sprint(lost), func(t *testing.T) {
-			g := &dynamicGroup{t: t}
+			g := &dynamicGroup{t: t, toleratedLosses: 2}
 			members := g.startAll(9)
 			require.Equal(t, uint64(7), g.add(members, 7))
 			for _, index := range lost {
--- a/control/replog/replog.go
+++ b/control/replog/replog.go
@@ -54,6 +54,11 @@
 	// false once the group exists, since a seed with an emptied data directory
 	// might otherwise bootstrap a second group.
 	MayBootstrap bool
+	// ToleratedLosses is the number of replicas that may lose their disks at the same
+	// time without a loss of committed entries or of the quorum. With dynamic membership
+	// the group is founded with at least 2*ToleratedLosses+1 voters, and removes no silent
+	// replica below that number.
+	ToleratedLosses int
 	// LeaderWait is how long a starting replica that has a log waits for a
 	// response from the leader or from all voters before a majority suffices.
 	// 0 selects the default. A negative value skips the check, for data
