Control: silent voters are removed before the next loss is to be borne

What callers would see: no configuration read or changed any more, though a majority of the machines runs. Cause: a leader removed a voter after 10 s of silence under itself, while the users count a replaced machine as lost for catch_up_s (4 to 6 s) after its successor has started. With replacements and leaders that change, the voters that are gone for good outnumber the others.

Change: -catch-up, from bounds.catch_up_s, is the silence after which a voter is removed; the floor of 2f+1 voters stays.

--- a/control/process.go
+++ b/control/process.go
@@ -53,6 +53,8 @@
 	// ToleratedLosses is the number of control instances that may lose their disks at
 	// the same time.
 	ToleratedLosses int
+	// CatchUpTime is how long after its return a control instance still counts as lost.
+	CatchUpTime time.Duration
 	// TrustDataDir asserts that the data directory is never rolled back to an
 	// older copy: after a restart it is either unchanged or empty.
 	TrustDataDir bool
@@ -78,6 +80,7 @@
 	fs.IntVar(&s.PeerPort, "peer-port", 0, "internal port that replaces the one in -seeds; 0 keeps the given port")
 	fs.BoolVar(&s.MayBootstrap, "found", false, "allow the first of -seeds to bootstrap the group; set only for the very first start")
 	fs.IntVar(&s.ToleratedLosses, "tolerated-losses", 1, "control instances that may lose their disks at the same time; with -seeds the group has at least twice as many voters and one")
+	fs.DurationVar(&s.CatchUpTime, "catch-up", 10*time.Second, "how long after its return a control instance still counts as lost; with -seeds, one that is silent for as long is removed from the group until it returns")
 	fs.BoolVar(&s.TrustDataDir, "trust-folder", false, "the data directory is never restored from an older copy")
 	fs.Uint64Var(&s.SnapshotThreshold, "compact-entries", 0, "log entries between two snapshots; 0 selects the default of 50,000")
 	fs.DurationVar(&s.CallRetention, "call-retention", DefaultCallRetention, "how long the record of a finished call is kept; must exceed the time for which any client retries")
@@ -92,6 +95,9 @@
 	s.TLS.Check(c, []string{s.Listen}, nil)
 	c.WritableDir("data-dir", s.DataDir)
 	settings.Positive(c, "call-retention", s.CallRetention, "duration")
+	if s.CatchUpTime < 0 {
+		c.Add("catch-up", "must be at least 0")
+	}
 	if s.ToleratedLosses < 0 {
 		c.Add("tolerated-losses", "must be at least 0")
 	}
@@ -162,7 +168,7 @@
 	r := replog.Settings{
 		Group: group, Name: s.Instance, Dir: filepath.Join(s.DataDir, group), Replicas: s.initialPeers(),
 		SnapshotThreshold: s.SnapshotThreshold, Files: s.Files, DynamicMembership: s.Seeds != "", MayBootstrap: s.MayBootstrap,
-		ToleratedLosses: s.ToleratedLosses,
+		ToleratedLosses: s.ToleratedLosses, CatchUpTime: s.CatchUpTime,
 	}
 	if r.DynamicMembership {
 		r.URL = "http://" + s.Listen
--- a/control/replog/membership.go
+++ b/control/replog/membership.go
@@ -125,8 +125,8 @@
 
 // Limits on removing silent replicas with dynamic membership.
 const (
-	// maxSilentTicks, 10 s, exceeds a restart or a typical network partition.
-	maxSilentTicks = int(10 * time.Second / TickInterval)
+	// defaultCatchUpTime exceeds a restart or a typical network partition.
+	defaultCatchUpTime = 10 * time.Second
 	// minVoters voters always remain, and more if more losses are to be tolerated: with
 	// fewer, one more failure would cost the group its quorum.
 	minVoters = 3
@@ -141,7 +141,7 @@
 		return false
 	}
 	keep := max(minVoters, 2*l.settings.ToleratedLosses+1)
-	longest := longestSilentReplica(m, l.id, l.node.Status().TicksSinceContact, keep)
+	longest := longestSilentReplica(m, l.id, l.node.Status().TicksSinceContact, l.settings.maxSilentTicks(), keep)
 	if longest == "" {
 		return false
 	}
@@ -149,9 +149,20 @@
 	return removeMember(m, longest) == nil
 }
 
+// maxSilentTicks is the silence after which a replica is removed. Invariant: it is at most
+// CatchUpTime. From then on the replica no longer counts as lost, so another one may be lost,
+// and each voter that is gone for good makes the majority that the others need larger.
+func (s *Settings) maxSilentTicks() int {
+	catchUp := s.CatchUpTime
+	if catchUp == 0 {
+		catchUp = defaultCatchUpTime
+	}
+	return int(catchUp / TickInterval)
+}
+
 // longestSilentReplica returns the ID of the replica to remove, or an empty
 // string. At least keep voters remain.
-func longestSilentReplica(m *consensusv1.Membership, self string, silentTicks map[string]int, keep int) string {
+func longestSilentReplica(m *consensusv1.Membership, self string, silentTicks map[string]int, maxTicks, keep int) string {
 	voters, longest := 0, ""
 	for _, r := range m.Members {
 		if !r.Learner {
@@ -159,7 +170,7 @@
 		}
 	}
 	for _, r := range m.Members {
-		if r.Id == self || silentTicks[r.Id] < maxSilentTicks || (!r.Learner && voters <= keep) {
+		if r.Id == self || silentTicks[r.Id] < maxTicks || (!r.Learner && voters <= keep) {
 			continue
 		}
 		if longest == "" || silentTicks[r.Id] > silentTicks[longest] {
--- a/control/replog/membership_test.go
+++ b/control/replog/membership_test.go
@@ -18,7 +18,9 @@
 )
 
 func TestSilentReplicaRemoval(t *testing.T) {
-	const expired, tolerated = maxSilentTicks, maxSilentTicks - 1
+	const expired, tolerated = 200, 199
+	require.Equal(t, expired, (&Settings{}).maxSilentTicks())
+	require.Equal(t, 80, (&Settings{CatchUpTime: 4 * time.Second}).maxSilentTicks())
 	members := func(voters, learners int) *consensusv1.Membership {
 		m := &consensusv1.Membership{}
 		for i := range voters + learners {
@@ -44,7 +46,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			require.Equal(t, tt.want, longestSilentReplica(tt.members, "r0", tt.silentTicks, tt.keep))
+			require.Equal(t, tt.want, longestSilentReplica(tt.members, "r0", tt.silentTicks, expired, tt.keep))
 		})
 	}
 }
--- a/control/replog/replog.go
+++ b/control/replog/replog.go
@@ -59,6 +59,9 @@
 	// the group is founded with at least 2*ToleratedLosses+1 voters, and removes no silent
 	// replica below that number.
 	ToleratedLosses int
+	// CatchUpTime is how long after its return a replica still counts as lost. Voters that
+	// are silent for as long are removed. 0 selects the default of 10 s.
+	CatchUpTime time.Duration
 	// LeaderWait is how long a starting replica that has a log waits for a
 	// response from the leader or from all voters before a majority suffices.
 	// 0 selects the default. A negative value skips the check, for data
