Control: at most one silent connection delays the group's messages, by half a second

What callers would see: no configuration read or changed for longer than contact_ms after connections fell silent for good while new ones work, and sound replicas that are removed. Cause: messages to a replica go one request at a time, with a timeout of 2 s above the election timeout, over a pool that all queues and identify requests share; each idle connection in it may be silent.

Change: a client of its own for each queue, 0.5 s for small batches (2 s for 64 KiB and more). The same elsewhere: operators' requests that are passed on to the leader use new connections.

--- a/control/group.go
+++ b/control/group.go
@@ -45,10 +45,11 @@
 )
 
 // OpenReplicatedLog opens this replica's log of the named group.
-func OpenReplicatedLog(name string, s Settings, client *http.Client, logger *slog.Logger) (*ReplicatedLog, error) {
+// newPeerClient returns a client with connections of its own.
+func OpenReplicatedLog(name string, s Settings, newPeerClient func() *http.Client, logger *slog.Logger) (*ReplicatedLog, error) {
 	m := newStateMachine()
 	logSettings := s.replogSettings(name)
-	logSettings.Logger, logSettings.Client = logger, client
+	logSettings.Logger, logSettings.Client, logSettings.NewPeerClient = logger, newPeerClient(), newPeerClient
 	group, err := replog.Open(logSettings, m)
 	if err != nil {
 		return nil, err
@@ -60,7 +61,7 @@
 // waits until it serves requests.
 func OpenSingleReplicaLog(name, dataDir string) (*ReplicatedLog, error) {
 	s := Settings{Instance: name, Listen: "127.0.0.1:0", DataDir: dataDir, CallRetention: DefaultCallRetention}
-	l, err := OpenReplicatedLog(MainGroup, s, &http.Client{}, slog.New(slog.DiscardHandler))
+	l, err := OpenReplicatedLog(MainGroup, s, func() *http.Client { return &http.Client{} }, slog.New(slog.DiscardHandler))
 	if err != nil {
 		return nil, err
 	}
--- a/control/multigroup_test.go
+++ b/control/multigroup_test.go
@@ -37,7 +37,7 @@
 		s := Settings{Instance: fmt.Sprintf("control-%d", i+1), DataDir: t.TempDir(), Replicas: strings.Join(replicas, ","), CallRetention: time.Hour}
 		var processLogs []*ReplicatedLog
 		for _, name := range groups {
-			l, err := OpenReplicatedLog(name, s, &http.Client{}, slog.New(slog.DiscardHandler))
+			l, err := OpenReplicatedLog(name, s, func() *http.Client { return &http.Client{} }, slog.New(slog.DiscardHandler))
 			require.NoError(t, err)
 			logs[name] = append(logs[name], l)
 			processLogs = append(processLogs, l)
--- a/control/process.go
+++ b/control/process.go
@@ -241,7 +241,10 @@
 
 // openLog opens this replica's log.
 func (r *Replica) openLog() error {
-	log, err := OpenReplicatedLog(MainGroup, r.settings, &http.Client{Transport: httpclient.Bound(r.tlsTransport.HTTPTransport(), httpclient.PeerLimits)}, r.logger)
+	newPeerClient := func() *http.Client {
+		return &http.Client{Transport: httpclient.Bound(r.tlsTransport.HTTPTransport(), httpclient.PeerLimits)}
+	}
+	log, err := OpenReplicatedLog(MainGroup, r.settings, newPeerClient, r.logger)
 	if err != nil {
 		return eris.Wrapf(err, "open state in %s", r.settings.DataDir)
 	}
--- a/control/replog/group.go
+++ b/control/replog/group.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -169,7 +170,11 @@
 // reason.
 func (g *Group) Start(ctx context.Context) error {
 	ctx, g.stop = context.WithCancel(ctx)
-	g.net = newTransport(ctx, g.settings.Client)
+	newClient := g.settings.NewPeerClient
+	if newClient == nil {
+		newClient = func() *http.Client { return g.settings.Client }
+	}
+	g.net = newTransport(ctx, newClient)
 	g.wg.Add(2)
 	go g.apply(ctx)
 	go func() {
--- a/control/replog/liveness_soak_test.go
+++ b/control/replog/liveness_soak_test.go
@@ -666,3 +666,31 @@
 		})
 	}
 }
+
+// TestGroupServesSoonAfterConnectionsFallSilent guards against messages that wait behind connections
+// whose packets are lost for good, one after the other, while new connections work.
+func TestGroupServesSoonAfterConnectionsFallSilent(t *testing.T) {
+	for _, site := range livenessSites {
+		t.Run(fmt.Sprint(site.nodes), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newLivenessGroup(t, 1, site)
+				defer g.close()
+				if !g.calm(site.start) {
+					return
+				}
+				for range 40 {
+					livenessFaults["kill all"](g)
+					g.wg.Wait()
+					time.Sleep(g.between(site.catchUp, 2*site.catchUp))
+					for range 3 {
+						g.net.silenceConnections(1)
+						time.Sleep(g.between(0, time.Second))
+					}
+					if !g.calm(site.serve) {
+						return
+					}
+				}
+			})
+		})
+	}
+}
--- a/control/replog/replog.go
+++ b/control/replog/replog.go
@@ -73,7 +73,12 @@
 	// Files is the file system of Dir; nil for that of the operating system.
 	Files  storage.FileSystem
 	Logger *slog.Logger
+	// Client sends the requests to identify replicas.
 	Client *http.Client
+	// NewPeerClient returns a client for the messages to one replica. Invariant: it shares no
+	// connections with other clients, so that at most one connection that has fallen silent
+	// is tried. nil selects Client.
+	NewPeerClient func() *http.Client
 }
 
 // Time constants of a replica.
--- a/control/replog/simnet_test.go
+++ b/control/replog/simnet_test.go
@@ -42,6 +42,12 @@
 // simPair is a direction between two URLs.
 type simPair struct{ from, to string }
 
+// simPool is the pool of idle connections of one client to one URL.
+type simPool struct {
+	client *simTransport
+	to     string
+}
+
 // simConn is an idle or used connection. It is dead once its packets are lost for good
 // although new connections work, and stale once the process at its other end has restarted.
 type simConn struct {
@@ -55,13 +61,13 @@
 	random *rand.Rand
 	nodes  map[string]*simNode
 	cuts   map[simPair]int
-	pools  map[simPair][]*simConn
+	pools  map[simPool][]*simConn
 	// loss is the share of packets that are lost.
 	loss float64
 }
 
 func newSimNet(seed uint64) *simNet {
-	return &simNet{random: rand.New(rand.NewPCG(seed, 1)), nodes: make(map[string]*simNode), cuts: make(map[simPair]int), pools: make(map[simPair][]*simConn)}
+	return &simNet{random: rand.New(rand.NewPCG(seed, 1)), nodes: make(map[string]*simNode), cuts: make(map[simPair]int), pools: make(map[simPool][]*simConn)}
 }
 
 // setCut cuts a direction, or heals one cut of it.
@@ -107,7 +113,7 @@
 }
 
 // take returns an idle connection, nil if there is none.
-func (n *simNet) take(p simPair) *simConn {
+func (n *simNet) take(p simPool) *simConn {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	pool := n.pools[p]
@@ -118,7 +124,7 @@
 	return pool[len(pool)-1]
 }
 
-func (n *simNet) put(p simPair, c *simConn) {
+func (n *simNet) put(p simPool, c *simConn) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.pools[p] = append(n.pools[p], c)
@@ -130,7 +136,7 @@
 	return n.nodes[url]
 }
 
-// simTransport sends the requests of one node.
+// simTransport sends the requests of one client of a node.
 type simTransport struct {
 	net  *simNet
 	from string
@@ -145,7 +151,8 @@
 	}
 	pair := simPair{t.from, "http://" + r.URL.Host}
 	to := t.net.node(pair.to)
-	connection := t.net.take(pair)
+	pool := simPool{t, pair.to}
+	connection := t.net.take(pool)
 	if connection == nil {
 		if to == nil || to.off() || !t.net.passes(pair.from, pair.to) {
 			return nil, errors.Join(errSimTimeout, sleepOrDone(ctx, simDialTimeout))
@@ -184,7 +191,7 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	t.net.put(pair, connection)
+	t.net.put(pool, connection)
 	return recorder.Result(), nil
 }
 
@@ -276,7 +283,8 @@
 // start starts the process. A replica that fails is reopened, as by the control process.
 func (n *simNode) start(s Settings) {
 	s.Name, s.URL, s.Dir, s.Files = n.name, n.url, n.dir, n.disk
-	s.Client = &http.Client{Transport: &simTransport{net: n.net, from: n.url}}
+	newClient := func() *http.Client { return &http.Client{Transport: &simTransport{net: n.net, from: n.url}} }
+	s.Client, s.NewPeerClient = newClient(), newClient
 	ctx, cancel := context.WithCancel(context.Background())
 	stopped, graceful := make(chan struct{}), false
 	go func() {
--- a/control/replog/transport.go
+++ b/control/replog/transport.go
@@ -13,30 +13,36 @@
 const (
 	peerQueueLength = 4096
 	maxBatchBytes   = 1 << 20
-	sendTimeout     = 2 * time.Second
+	// sendTimeout bounds a request with a small batch. It is below the election timeout: a
+	// connection that has fallen silent delays heartbeats and votes by one such time.
+	sendTimeout = 500 * time.Millisecond
+	// largeSendTimeout bounds a request of at least largeBatchBytes.
+	largeSendTimeout = 2 * time.Second
+	largeBatchBytes  = 64 << 10
 )
 
 // peerQueue sends messages to one peer, one request at a time. A full queue
 // drops messages: the consensus node resends what is not acknowledged.
 type peerQueue struct {
-	client   consensusv1.Consensus
-	messages chan *consensusv1.Message
+	connections *http.Client
+	client      consensusv1.Consensus
+	messages    chan *consensusv1.Message
 }
 
 // transport sends messages over twirp. Snapshot chunks have separate queues, so
 // that they do not delay heartbeats.
 type transport struct {
-	ctx    context.Context
-	client *http.Client
-	wg     sync.WaitGroup
+	ctx       context.Context
+	newClient func() *http.Client
+	wg        sync.WaitGroup
 
 	// mu guards queues.
 	mu     sync.Mutex
 	queues map[string]*peerQueue
 }
 
-func newTransport(ctx context.Context, client *http.Client) *transport {
-	return &transport{ctx: ctx, client: client, queues: make(map[string]*peerQueue)}
+func newTransport(ctx context.Context, newClient func() *http.Client) *transport {
+	return &transport{ctx: ctx, newClient: newClient, queues: make(map[string]*peerQueue)}
 }
 
 func (t *transport) send(url string, m *consensusv1.Message) {
@@ -47,7 +53,8 @@
 	t.mu.Lock()
 	q, ok := t.queues[key]
 	if !ok {
-		q = &peerQueue{client: consensusv1.NewConsensusProtobufClient(url, t.client), messages: make(chan *consensusv1.Message, peerQueueLength)}
+		connections := t.newClient()
+		q = &peerQueue{connections: connections, client: consensusv1.NewConsensusProtobufClient(url, connections), messages: make(chan *consensusv1.Message, peerQueueLength)}
 		t.queues[key] = q
 		t.wg.Add(1)
 		go t.run(q)
@@ -61,32 +68,38 @@
 
 func (t *transport) run(q *peerQueue) {
 	defer t.wg.Done()
+	defer q.connections.CloseIdleConnections()
 	for {
 		select {
 		case <-t.ctx.Done():
 			return
 		case m := <-q.messages:
-			ctx, cancel := context.WithTimeout(t.ctx, sendTimeout)
-			_, _ = q.client.Send(ctx, q.batch(m)) // the consensus node resends lost messages
+			batch, bytes := q.batch(m)
+			timeout := sendTimeout
+			if bytes >= largeBatchBytes {
+				timeout = largeSendTimeout
+			}
+			ctx, cancel := context.WithTimeout(t.ctx, timeout)
+			_, _ = q.client.Send(ctx, batch) // the consensus node resends lost messages
 			cancel()
 		}
 	}
 }
 
 // batch returns a request with the first message and further queued ones, up to
-// maxBatchBytes of payload.
-func (q *peerQueue) batch(first *consensusv1.Message) *consensusv1.SendRequest {
-	req := &consensusv1.SendRequest{Messages: []*consensusv1.Message{first}}
-	for bytes := payloadSize(first); bytes < maxBatchBytes; {
+// maxBatchBytes of payload, and the size of its payload.
+func (q *peerQueue) batch(first *consensusv1.Message) (req *consensusv1.SendRequest, bytes int) {
+	req = &consensusv1.SendRequest{Messages: []*consensusv1.Message{first}}
+	for bytes = payloadSize(first); bytes < maxBatchBytes; {
 		select {
 		case m := <-q.messages:
 			req.Messages = append(req.Messages, m)
 			bytes += payloadSize(m)
 		default:
-			return req
+			return req, bytes
 		}
 	}
-	return req
+	return req, bytes
 }
 
 func payloadSize(m *consensusv1.Message) int {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -108,12 +108,15 @@
 
 // New returns the registrar of a replica. It must be started after the replica.
 func New(s Settings, r *control.Replica) *Registrar {
-	return &Registrar{settings: s, replica: r, leaderClients: make(map[string]controlv1.Control), client: &http.Client{
-		Transport: httpclient.Bound(&http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			MaxIdleConnsPerHost: 8, IdleConnTimeout: 10 * time.Second,
-		}, httpclient.PeerLimits),
-	}}
+	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
+	return &Registrar{
+		settings: s, replica: r, leaderClients: make(map[string]controlv1.Control),
+		client: &http.Client{Transport: httpclient.Bound(&http.Transport{
+			DialContext: dial, MaxIdleConnsPerHost: 8, IdleConnTimeout: 10 * time.Second,
+		}, httpclient.PeerLimits)},
+		// A kept connection may have fallen silent, and operators wait for a second only.
+		leaderConnections: &http.Client{Transport: httpclient.Bound(&http.Transport{DialContext: dial, DisableKeepAlives: true}, httpclient.PeerLimits)},
+	}
 }
 
 // Name implements kernel.Component.
@@ -313,7 +316,7 @@
 	defer r.mu.Unlock()
 	client := r.leaderClients[url]
 	if client == nil {
-		client = controlv1.NewControlProtobufClient(url, r.client)
+		client = controlv1.NewControlProtobufClient(url, r.leaderConnections)
 		r.leaderClients[url] = client
 	}
 	return client
