--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -101,6 +101,8 @@
 	listeners     []net.Listener
 	requests      httpserver.Requests
 	client        *http.Client
+	// leaderConnections is the client for operators' requests that are passed on.
+	leaderConnections *http.Client
 
 	mu            sync.Mutex
 	leaderClients map[string]controlv1.Control
