Control: the first seed may found the group after a restart, too

What callers would see: no configuration is ever accepted, if the process of the first seed ends within the first second of the first start. Cause: the permission to found the group was a setting of that process, and settings grant it at the first start only. Change: the first seed records it on its disk; a disk that was lost has no record, so no second group can be founded.

--- a/control/replog/group.go
+++ b/control/replog/group.go
@@ -64,6 +64,8 @@
 	queues
 	counters
 	newcomers newcomers
+	// founder is true if this replica may bootstrap the group.
+	founder bool
 	// bootstrapped is set by the replica that bootstrapped the group, before its loop starts.
 	bootstrapped bool
 	stages       *startStages
--- a/control/replog/join.go
+++ b/control/replog/join.go
@@ -54,6 +54,11 @@
 		if len(g.durable.Entries) > 0 || g.durable.Snapshot != nil {
 			return eris.Errorf("%s holds a log without an identity", g.settings.Dir)
 		}
+		if g.settings.DynamicMembership && g.settings.MayBootstrap && g.isFirstSeed() {
+			if err := g.store.MarkFounder(); err != nil {
+				return err
+			}
+		}
 		var random [idRandomBytes]byte
 		if _, err := rand.Read(random[:]); err != nil {
 			return eris.Wrap(err, "generate replica ID")
@@ -67,7 +72,13 @@
 		return eris.Errorf("%s belongs to replica %s", g.settings.Dir, replicaName(id))
 	}
 	g.id = id
-	return nil
+	g.founder, err = g.store.IsFounder()
+	return err
+}
+
+// isFirstSeed reports whether this replica is the first of the seeds.
+func (g *Group) isFirstSeed() bool {
+	return len(g.settings.Replicas) > 0 && g.settings.Replicas[0].URL == g.ownURL()
 }
 
 // ID returns the ID of this replica, which is unique to its data directory.
@@ -234,10 +245,12 @@
 	return g.settings.LeaderWait
 }
 
-// mayBootstrap reports whether this replica may bootstrap the group.
+// mayBootstrap reports whether this replica may bootstrap the group. With dynamic membership
+// that is the first seed of the first start, as long as it keeps its disk: also if it
+// restarts before it has done so, when its settings no longer say so.
 func (g *Group) mayBootstrap() bool {
 	if g.settings.DynamicMembership {
-		return g.settings.MayBootstrap && len(g.settings.Replicas) > 0 && g.settings.Replicas[0].URL == g.ownURL()
+		return g.founder
 	}
 	return g.settings.Replicas[0].Name == g.settings.Name
 }
--- a/control/replog/liveness_soak_test.go
+++ b/control/replog/liveness_soak_test.go
@@ -694,3 +694,27 @@
 		})
 	}
 }
+
+// TestGroupIsFoundedThoughReplicasRestart guards against a group that is never founded: settings allow
+// that at the first start only, and the process of the founding replica, or of any other, ends
+// before it is done.
+func TestGroupIsFoundedThoughReplicasRestart(t *testing.T) {
+	const firstStartTime = 500 * time.Millisecond
+	for _, site := range livenessSites {
+		for seed := range uint64(20) {
+			t.Run(fmt.Sprintf("%d nodes, seed %d", site.nodes, seed), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					g := newLivenessGroup(t, seed, site)
+					defer g.close()
+					for range 3 {
+						time.Sleep(g.between(0, firstStartTime))
+						g.lose(seed%2 == 0, g.members()[0], g.pick())
+					}
+					g.awaitFaults()
+					g.calm(site.start)
+				})
+			})
+		}
+	}
+}
--- a/control/replog/replog.go
+++ b/control/replog/replog.go
@@ -50,9 +50,9 @@
 	// DynamicMembership allows replicas that Replicas does not list to join, and
 	// removes replicas that are silent for too long.
 	DynamicMembership bool
-	// MayBootstrap allows the first of the seeds to bootstrap the group. It must be
-	// false once the group exists, since a seed with an emptied data directory
-	// might otherwise bootstrap a second group.
+	// MayBootstrap allows the first of the seeds to bootstrap the group. It counts at the
+	// first start of a data directory, and must be false once the group exists, since a seed
+	// with an emptied data directory might otherwise bootstrap a second group.
 	MayBootstrap bool
 	// ToleratedLosses is the number of replicas that may lose their disks at the same
 	// time without a loss of committed entries or of the quorum. With dynamic membership
--- a/control/replog/transport_test.go
+++ b/control/replog/transport_test.go
@@ -22,7 +22,9 @@
 		receiver := &Group{queues: newQueues()}
 		node.service.group.Store(receiver)
 		ctx, cancel := context.WithCancel(t.Context())
-		newClient := func() *http.Client { return &http.Client{Transport: &simTransport{net: net, from: "http://10.0.0.1:7700"}} }
+		newClient := func() *http.Client {
+			return &http.Client{Transport: &simTransport{net: net, from: "http://10.0.0.1:7700"}}
+		}
 		transport := newTransport(ctx, newClient)
 		defer transport.wg.Wait()
 		defer cancel()
--- a/storage/store.go
+++ b/storage/store.go
@@ -17,6 +17,7 @@
 
 const (
 	identityFile    = "identity"
+	founderFile     = "founder"
 	segmentPattern  = "log-%020d"
 	segmentTempFile = "log.tmp"
 )
@@ -216,6 +217,23 @@
 	return SyncDir(s.dir)
 }
 
+// MarkFounder records that the replica may bootstrap its group.
+func (s *Store) MarkFounder() error {
+	if err := renameio.WriteFile(filepath.Join(s.dir, founderFile), nil, 0o600); err != nil {
+		return eris.Wrap(err, "write founder mark")
+	}
+	return SyncDir(s.dir)
+}
+
+// IsFounder reports whether MarkFounder was called on this directory.
+func (s *Store) IsFounder() (bool, error) {
+	_, err := os.Stat(filepath.Join(s.dir, founderFile))
+	if errors.Is(err, fs.ErrNotExist) {
+		return false, nil
+	}
+	return err == nil, eris.Wrap(err, "read founder mark")
+}
+
 // Append makes entries and the hard state durable with a single sync. Either may
 // be empty.
 func (s *Store) Append(entries []*consensusv1.Entry, hardState *consensusv1.HardState) error {
