--- a/storage/store.go
+++ b/storage/store.go
@@ -38,10 +38,13 @@
 // the replica, the log segments and the snapshots. It is not safe for concurrent
 // use, except that a SnapshotWriter may be created and written concurrently.
 type Store struct {
-	dir              string
-	files            FileSystem
-	activeSegment    *Log
-	segmentNumber    uint64
+	dir           string
+	files         FileSystem
+	activeSegment *Log
+	segmentNumber uint64
+	// firstSegment is the number of the first segment that is needed: it begins with the
+	// newest snapshot's metadata.
+	firstSegment     uint64
 	hardState        *consensusv1.HardState
 	snapshotReader   *SnapshotReader
 	incomingSnapshot *SnapshotWriter
@@ -118,9 +121,16 @@
 	if len(numbers) == 0 {
 		numbers = []uint64{1}
 	}
+	s.firstSegment = numbers[0]
 	for i, number := range numbers {
 		s.segmentNumber = number
-		log, err := openLog(s.files, s.segmentPath(number), func(record []byte) error { return recovered.replayBatch(record) })
+		log, err := openLog(s.files, s.segmentPath(number), func(record []byte) error {
+			replaced, err := recovered.replayBatch(record)
+			if replaced {
+				s.firstSegment = number
+			}
+			return err
+		})
 		if err != nil {
 			return err
 		}
@@ -135,11 +145,12 @@
 	return recovered.trimToSnapshot()
 }
 
-// replayBatch applies one batch of log records to the recovered state.
-func (r *RecoveredState) replayBatch(record []byte) error {
+// replayBatch applies one batch of log records to the recovered state, and reports whether
+// it replaced all earlier entries by a snapshot.
+func (r *RecoveredState) replayBatch(record []byte) (replaced bool, err error) {
 	var batch consensusv1.LogBatch
 	if err := proto.Unmarshal(record, &batch); err != nil {
-		return eris.Wrap(err, "decode batch of log records")
+		return false, eris.Wrap(err, "decode batch of log records")
 	}
 	for _, rec := range batch.Records {
 		switch body := rec.Body.(type) {
@@ -148,10 +159,11 @@
 		case *consensusv1.LogRecord_HardState:
 			r.HardState = body.HardState
 		case *consensusv1.LogRecord_Snapshot:
-			r.Entries = nil
+			// The snapshot's file was durable before this record.
+			r.Entries, replaced = nil, true
 		}
 	}
-	return nil
+	return replaced, nil
 }
 
 // putEntry appends an entry and removes the entries with the same or a higher index.
@@ -299,7 +311,7 @@
 
 // Compact commits a snapshot, starts a new segment with the entries after it, and
 // then removes older snapshots and segments. A crash in between leaves old and new
-// files, from which OpenStore recovers the same state.
+// files, from which OpenStore recovers the same state and removes the old ones.
 func (s *Store) Compact(w *SnapshotWriter, entries []*consensusv1.Entry) error {
 	if err := w.commit(s.dir); err != nil {
 		w.Abort()
@@ -348,37 +360,45 @@
 	}
 	next.path = path
 	s.segmentNumber++
+	s.firstSegment = s.segmentNumber
 	s.activeSegment.Close()
 	s.activeSegment = next
 	return nil
 }
 
-// removeObsolete removes the segments and snapshots before the current ones.
+// removeObsolete removes the segments and snapshots before the current ones. Invariant:
+// their removal is durable when it returns, or a loss of power brings them back, beside
+// those that are written next.
 func (s *Store) removeObsolete() error {
-	segments, err := s.fileNumbers(segmentPattern)
-	if err != nil {
-		return err
+	var removed int
+	remove := func(path string) error {
+		removed++
+		return s.files.Remove(path)
 	}
-	snapshots, err := s.fileNumbers(snapshotPattern)
+	segments, err := s.fileNumbers(segmentPattern)
 	if err != nil {
 		return err
 	}
 	for _, n := range segments {
-		if n < s.segmentNumber {
-			err = errors.Join(err, s.files.Remove(s.segmentPath(n)))
+		if n < s.firstSegment {
+			err = errors.Join(err, remove(s.segmentPath(n)))
 		}
 	}
+	snapshots, listErr := s.fileNumbers(snapshotPattern)
+	err = errors.Join(err, listErr)
 	for _, n := range snapshots {
-		if n < s.snapshotReader.Meta.Index {
-			err = errors.Join(err, s.files.Remove(snapshotPath(s.dir, n)))
+		if s.snapshotReader != nil && n < s.snapshotReader.Meta.Index {
+			err = errors.Join(err, remove(snapshotPath(s.dir, n)))
 		}
 	}
+	if removed > 0 {
+		err = errors.Join(err, s.files.SyncDir(s.dir))
+	}
 	return eris.Wrap(err, "remove old files")
 }
 
-// removeLeftovers removes what a failed compaction or transfer left: unfinished files and
-// older snapshots. They may be what keeps a disk full. Segments stay until the next
-// compaction.
+// removeLeftovers removes what a failed compaction or transfer, or a loss of power, left:
+// unfinished files, older segments and snapshots. They may be what keeps a disk full.
 func (s *Store) removeLeftovers() error {
 	var err error
 	for _, name := range []string{segmentTempFile, outgoingTempFile, incomingTempFile} {
@@ -386,23 +406,16 @@
 			err = errors.Join(err, e)
 		}
 	}
-	if s.snapshotReader == nil {
-		return eris.Wrap(err, "remove unfinished files")
-	}
-	snapshots, listErr := s.fileNumbers(snapshotPattern)
-	err = errors.Join(err, listErr)
-	for _, n := range snapshots {
-		if n < s.snapshotReader.Meta.Index {
-			err = errors.Join(err, s.files.Remove(snapshotPath(s.dir, n)))
-		}
-	}
-	return eris.Wrap(err, "remove unfinished files")
+	return errors.Join(eris.Wrap(err, "remove unfinished files"), s.removeObsolete())
 }
 
 // LatestSnapshot returns the newest snapshot, or nil if there is none. The store owns
 // the reader; Compact and Close close it.
 func (s *Store) LatestSnapshot() *SnapshotReader { return s.snapshotReader }
 
+// LogBytes returns the size of the segment that is written.
+func (s *Store) LogBytes() int64 { return s.activeSegment.Size() }
+
 // Close closes all files and removes an incompletely received snapshot.
 func (s *Store) Close() {
 	if s.activeSegment != nil {
--- a/storage/store_test.go
+++ b/storage/store_test.go
@@ -234,7 +234,7 @@
 	f.Add(batch)
 	f.Fuzz(func(t *testing.T, data []byte) {
 		r := &RecoveredState{Snapshot: &consensusv1.SnapshotMeta{Index: 1, Term: 1}}
-		if r.replayBatch(data) != nil || r.trimToSnapshot() != nil {
+		if _, err := r.replayBatch(data); err != nil || r.trimToSnapshot() != nil {
 			return
 		}
 		for i, e := range r.Entries {
