Control: a full disk ends no process, and the log is bounded by the size of the disk

A process on a full disk ended at its settings ('cannot write to the directory') or when it could not open its log, before the store could remove what is not needed; it was only started again.

--- a/control/full_disk_test.go
+++ b/control/full_disk_test.go
@@ -283,3 +283,15 @@
 	f.disk.open--
 	return f.File.Close()
 }
+
+// TestProcessStartsOnceItsDiskHasRoom guards against a control process that ends at each start
+// while its disk is full, instead of waiting for room.
+func TestProcessStartsOnceItsDiskHasRoom(t *testing.T) {
+	disk := &fullDisk{random: rand.New(rand.NewPCG(1, 1)), failShare: 1, full: true}
+	const fullFor = 300 * time.Millisecond
+	time.AfterFunc(fullFor, func() { disk.setFull(false) })
+	began := time.Now()
+	g := newTestGroupOn(t, 1, 0, func(string) storage.FileSystem { return disk })
+	require.GreaterOrEqual(t, time.Since(began), fullFor)
+	g.begin("a", "1")
+}
--- a/control/process.go
+++ b/control/process.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -61,6 +62,8 @@
 	// SnapshotThreshold is the number of entries applied between two snapshots; 0
 	// selects the default.
 	SnapshotThreshold uint64
+	// DiskMB is the room for DataDir in MB; 0 if it is not known.
+	DiskMB int64
 	// Files is the file system of DataDir; nil for that of the operating system.
 	Files storage.FileSystem
 	// TLS configures the connections between the system's processes.
@@ -83,6 +86,7 @@
 	fs.DurationVar(&s.CatchUpTime, "catch-up", 10*time.Second, "how long after its return a control instance still counts as lost; with -seeds, one that is silent for as long is removed from the group until it returns")
 	fs.BoolVar(&s.TrustDataDir, "trust-folder", false, "the data directory is never restored from an older copy")
 	fs.Uint64Var(&s.SnapshotThreshold, "compact-entries", 0, "log entries between two snapshots; 0 selects the default of 50,000")
+	fs.Int64Var(&s.DiskMB, "disk-mb", 0, "room for -data-dir in MB; the log is compacted once it takes an eighth of it, 64 MiB at most. 0: not known")
 	fs.DurationVar(&s.CallRetention, "call-retention", DefaultCallRetention, "how long the record of a finished call is kept; must exceed the time for which any client retries")
 }
 
@@ -95,6 +99,9 @@
 	s.TLS.Check(c, []string{s.Listen}, nil)
 	c.WritableDir("data-dir", s.DataDir)
 	settings.Positive(c, "call-retention", s.CallRetention, "duration")
+	if s.DiskMB < 0 {
+		c.Add("disk-mb", "must be at least 0")
+	}
 	if s.CatchUpTime < 0 {
 		c.Add("catch-up", "must be at least 0")
 	}
@@ -168,7 +175,7 @@
 	r := replog.Settings{
 		Group: group, Name: s.Instance, Dir: filepath.Join(s.DataDir, group), Replicas: s.initialPeers(),
 		SnapshotThreshold: s.SnapshotThreshold, Files: s.Files, DynamicMembership: s.Seeds != "", MayBootstrap: s.MayBootstrap,
-		ToleratedLosses: s.ToleratedLosses, CatchUpTime: s.CatchUpTime,
+		ToleratedLosses: s.ToleratedLosses, CatchUpTime: s.CatchUpTime, DiskBytes: s.DiskMB * 1e6,
 	}
 	if r.DynamicMembership {
 		r.URL = "http://" + s.Listen
@@ -217,7 +224,7 @@
 // Start implements kernel.Starter. It does not wait for the other replicas.
 func (r *Replica) Start(ctx context.Context) error {
 	go r.tlsTransport.Run(ctx)
-	if err := r.openLog(); err != nil {
+	if err := r.awaitRoom(ctx); err != nil {
 		return err
 	}
 	listener, err := r.tlsTransport.Listen(r.settings.Listen)
@@ -239,6 +246,23 @@
 	return nil
 }
 
+// awaitRoom opens this replica's log, and tries again while the disk is full: a process that
+// ends is only started again.
+func (r *Replica) awaitRoom(ctx context.Context) error {
+	for {
+		err := r.openLog()
+		if !errors.Is(err, syscall.ENOSPC) {
+			return err
+		}
+		r.logger.Error("cannot open the state on a full disk", slog.Any("error", err))
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(r.reopenInterval):
+		}
+	}
+}
+
 // openLog opens this replica's log.
 func (r *Replica) openLog() error {
 	newPeerClient := func() *http.Client {
--- a/control/replog/apply.go
+++ b/control/replog/apply.go
@@ -71,7 +71,7 @@
 	for _, r := range task.reads {
 		r <- nil
 	}
-	if len(task.entries) == 0 || (a.entries < a.settings.SnapshotThreshold && a.bytes < snapshotBytes) {
+	if len(task.entries) == 0 || (a.entries < a.settings.SnapshotThreshold && a.bytes < a.settings.snapshotBytes()) {
 		return nil
 	}
 	state, err := a.machine.Snapshot()
--- a/control/replog/loop.go
+++ b/control/replog/loop.go
@@ -350,7 +350,8 @@
 		return // the next encoded state will be used
 	}
 	s := l.node.Status()
-	if l.node.IsSendingSnapshot() && s.LastIndex-s.SnapshotIndex < maxDelayedCompactions*l.settings.SnapshotThreshold {
+	if l.node.IsSendingSnapshot() && s.LastIndex-s.SnapshotIndex < maxDelayedCompactions*l.settings.SnapshotThreshold &&
+		uint64(l.store.LogBytes()) < maxDelayedCompactions*l.settings.snapshotBytes() {
 		return
 	}
 	w, err := l.store.NewSnapshotWriter(meta)
--- a/control/replog/replog.go
+++ b/control/replog/replog.go
@@ -67,6 +67,9 @@
 	// 0 selects the default. A negative value skips the check, for data
 	// directories that are never rolled back to an older copy.
 	LeaderWait time.Duration
+	// DiskBytes is the room for Dir; 0 if it is not known. The log is compacted once it
+	// takes an eighth of it.
+	DiskBytes int64
 	// SnapshotThreshold is the number of entries applied between two snapshots; 0
 	// selects the default.
 	SnapshotThreshold uint64
@@ -81,6 +84,14 @@
 	NewPeerClient func() *http.Client
 }
 
+// snapshotBytes is the size of applied entries after which a snapshot is taken.
+func (s *Settings) snapshotBytes() uint64 {
+	if s.DiskBytes == 0 {
+		return snapshotBytes
+	}
+	return min(snapshotBytes, uint64(s.DiskBytes)/diskShare)
+}
+
 // Time constants of a replica.
 const (
 	// TickInterval is the duration of one consensus clock tick.
@@ -107,14 +118,16 @@
 	maxBatch            = 1024
 	queueLength         = 4096
 	applyQueueLength    = 1024
-	// A snapshot is taken once snapshotEntries entries or snapshotBytes bytes
+	// A snapshot is taken once snapshotEntries entries or snapshotBytes bytes, at most
+	// the share 1/diskShare of the disk,
 	// were applied since the last one; retainedEntries entries before it stay
 	// in memory for lagging replicas.
 	snapshotEntries = 50_000
 	snapshotBytes   = 64 << 20
+	diskShare       = 8
 	retainedEntries = 5_000
 	// maxDelayedCompactions bounds the log growth while a replica receives a
-	// snapshot, in multiples of the snapshot threshold. Beyond it the log is
+	// snapshot, in multiples of the thresholds of entries and of bytes. Beyond it the log is
 	// compacted and the transfer restarts with a newer snapshot.
 	maxDelayedCompactions = 4
 )
--- a/kernel/settings/settings.go
+++ b/kernel/settings/settings.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 
 	"github.com/peterbourgon/ff/v3"
 )
@@ -85,7 +86,8 @@
 }
 
 // WritableDir checks that a directory is writable. It creates the directory if
-// it does not exist.
+// it does not exist. A full disk is no invalid setting: what is stored there may be
+// removed by the program.
 func (c *Checker) WritableDir(flagName, value string) {
 	if value == "" {
 		c.Add(flagName, "is required: expected a directory")
@@ -97,7 +99,7 @@
 	}
 	probe := filepath.Join(value, ".writable")
 	if err := os.WriteFile(probe, nil, 0o600); err != nil {
-		c.Add(flagName, "cannot write to the directory: %v", err)
+		c.addUnwritable(flagName, err)
 		return
 	}
 	if err := os.Remove(probe); err != nil {
@@ -105,6 +107,13 @@
 	}
 }
 
+// addUnwritable records that a directory is not writable, unless only its disk is full.
+func (c *Checker) addUnwritable(flagName string, err error) {
+	if !errors.Is(err, syscall.ENOSPC) {
+		c.Add(flagName, "cannot write to the directory: %v", err)
+	}
+}
+
 // SplitList splits a comma-separated setting, trims spaces and drops empty parts.
 func SplitList(value string) []string {
 	var parts []string
--- a/kernel/settings/settings_test.go
+++ b/kernel/settings/settings_test.go
@@ -3,8 +3,10 @@
 import (
 	"flag"
 	"io"
+	"io/fs"
 	"os"
 	"path/filepath"
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -68,3 +70,13 @@
 	require.NoError(t, Parse("sample", nil, io.Discard, &s))
 	require.Equal(t, 7, s.count)
 }
+
+// TestFullDiskIsNoInvalidSetting guards against a program that ends at each start on a full disk,
+// though it would remove what is no longer needed there.
+func TestFullDiskIsNoInvalidSetting(t *testing.T) {
+	for reason, valid := range map[error]bool{syscall.ENOSPC: true, syscall.EROFS: false, syscall.EACCES: false} {
+		var c Checker
+		c.addUnwritable("data-dir", &fs.PathError{Op: "open", Path: "d", Err: reason})
+		require.Equal(t, valid, c.Err() == nil, reason)
+	}
+}
