--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -102,20 +102,26 @@
 	if len(suspects) == 0 {
 		return
 	}
-	id, now := a.backend.incarnation, time.Now()
+	id := a.backend.incarnation
 	c.interruptedAt, c.suspects = id.run(), suspects
+	if confirm := e.recordInterrupted(id, suspects, time.Now()); confirm {
+		go e.confirmEnd(a.backend)
+	}
+}
+
+// recordInterrupted records the suspects of an interruption, and reports whether it is to be
+// found out whether the server has ended.
+func (e *crashEvidence) recordInterrupted(id incarnation, suspects []dispatch.Suspect, now time.Time) (confirm bool) {
 	e.mu.Lock()
 	e.evidence.Interrupted(id.run(), suspects, now)
 	e.relevant.Store(true)
 	if now.Sub(e.refused[id]) < confirmInterval {
 		e.evidence.Ended(id.run(), now)
 	}
-	confirm := e.evidence.AwaitsEnd(id.run()) && now.Sub(e.dialed[id]) >= confirmInterval && remember(e.dialed, id, now)
+	confirm = e.evidence.AwaitsEnd(id.run()) && now.Sub(e.dialed[id]) >= confirmInterval && remember(e.dialed, id, now)
 	e.mu.Unlock()
 	e.notify(true)
-	if confirm {
-		go e.confirmEnd(a.backend)
-	}
+	return confirm
 }
 
 // remember records the time of an event at an incarnation and forgets old ones. It returns
