--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -127,7 +127,7 @@
 // Provision implements kernel.Provisioner.
 func (r *Registrar) Provision(ctx *kernel.Context) error {
 	r.logger = ctx.Logger
-	r.hub = registry.NewHub(r.settings.AnnounceInterval, documents{r.replica}, r.logger)
+	r.hub = registry.NewHub(r.settings.AnnounceInterval, &documents{replica: r.replica}, r.logger)
 	r.replica.Mount(fleetv1.FleetPathPrefix, httpserver.GzipHandler(fleetv1.NewFleetServer(r.hub)))
 	if r.settings.Platform == "" {
 		return nil
@@ -326,17 +326,16 @@
 
 // documents gives the hub access to the documents and members in this replica's
 // state.
-type documents struct{ replica *control.Replica }
-
-// catchUpInterval is how often a replica that has just started checks whether its state
-// may be published.
-const catchUpInterval = 50 * time.Millisecond
+type documents struct {
+	replica *control.Replica
+	catchUp catchUpSignal
+}
 
 // Published lists the newest versions of all documents: none before the replica has caught
 // up with what it held when it was started. An entry instance that starts at the same time
 // would otherwise apply older versions, since a majority holds the newest ones but none
 // has applied them.
-func (d documents) Published() []*controlv1.PublishedDocument {
+func (d *documents) Published() []*controlv1.PublishedDocument {
 	var list []*controlv1.PublishedDocument
 	if log := d.replica.Log(); log != nil && log.CaughtUp() {
 		log.ReadLocal(func(st *state.State) { list = st.PublishedWithPrefix("") })
@@ -345,21 +344,50 @@
 }
 
 // Changed returns a channel that is closed at the next change.
-func (d documents) Changed() <-chan struct{} {
+func (d *documents) Changed() <-chan struct{} {
 	log := d.replica.Log()
 	if log == nil {
 		return nil
 	}
 	if !log.CaughtUp() {
-		check := make(chan struct{})
-		time.AfterFunc(catchUpInterval, func() { close(check) })
-		return check
+		return d.catchUp.wait(func() bool { return log.CaughtUp() || d.replica.Log() != log })
 	}
 	return log.ConfigChanged()
 }
 
+// catchUpInterval is how often a replica that has just started checks whether its state
+// may be published.
+const catchUpInterval = 50 * time.Millisecond
+
+// catchUpSignal notifies all that wait for a replica to catch up, once it has.
+type catchUpSignal struct {
+	mu     sync.Mutex
+	signal chan struct{}
+}
+
+// wait returns a channel that is closed once the condition of the first caller is met.
+func (s *catchUpSignal) wait(met func() bool) <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.signal != nil {
+		return s.signal
+	}
+	signal := make(chan struct{})
+	s.signal = signal
+	go func() {
+		for !met() {
+			time.Sleep(catchUpInterval)
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.signal = nil
+		close(signal)
+	}()
+	return signal
+}
+
 // ControlURLs lists the base URLs of the control instances.
-func (d documents) ControlURLs() []string {
+func (d *documents) ControlURLs() []string {
 	if log := d.replica.Log(); log != nil {
 		return log.MemberURLs()
 	}
