Hub: changes end the polls of entry instances at a bounded rate

The work of a control instance grew with the product of changes and entry instances, and its replica shares the processor. Now changes are shown in rounds, the first at once and the next 4 ms for each entry instance later (20 to 300 ms); a poll that knows what was shown waits.

Test: TestChangesEndPollsAtABoundedRate, 1,000 changes a second for 2 s: 76 entry instances polled 152,000 times before, 608 are allowed; every change reaches every entry instance.

--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -342,7 +342,7 @@
 		case <-ctx.Done():
 			return
 		case <-e.wake:
-			interval := registry.EvidenceInterval(len(e.gateway.view.Current().Entries))
+			interval := registry.PollInterval(len(e.gateway.view.Current().Entries))
 			select {
 			case <-ctx.Done():
 				return
--- a/registry/crash_evidence.go
+++ b/registry/crash_evidence.go
@@ -129,10 +129,6 @@
 	encoded                       *fleetv1.CrashEvidence
 	encodedSince, encodedRevision uint64
 	encodedAt                     time.Time
-	// wokenAt is when the waiting polls were last woken for a change, wakePending is set
-	// while a timer will wake them.
-	wokenAt     time.Time
-	wakePending bool
 }
 
 // merge adds a report and tells whether it is news.
@@ -157,22 +153,6 @@
 	return s.encoded
 }
 
-// Changes of the evidence wake the waiting polls at most every EvidenceInterval.
-const (
-	// evidenceTimePerEntry bounds the polls that end for changed evidence to 250 a second.
-	evidenceTimePerEntry = 4 * time.Millisecond
-	minEvidenceInterval  = 20 * time.Millisecond
-	// maxEvidenceInterval is a tenth of the time in which all instances are to know of a
-	// crash.
-	maxEvidenceInterval = 300 * time.Millisecond
-)
-
-// EvidenceInterval is the least time between two exchanges of changed evidence between a
-// control instance and the given number of entry instances.
-func EvidenceInterval(entries int) time.Duration {
-	return min(max(time.Duration(entries)*evidenceTimePerEntry, minEvidenceInterval), maxEvidenceInterval)
-}
-
 // MergeCrashEvidence adds the crash evidence that an entry instance reports.
 func (h *Hub) MergeCrashEvidence(r dispatch.EvidenceReport, from string) {
 	h.mu.Lock()
@@ -182,25 +162,6 @@
 		return
 	}
 	h.logger.Info("crash evidence changed", slog.Int("crashes", len(r.Crashes)), slog.Int("quarantined", len(r.Quarantined)), slog.Uint64("revision", h.evidence.log.Last()), slog.String("reported_by", from))
-	if h.evidence.wakePending {
-		return
-	}
-	wait := h.evidence.wokenAt.Add(EvidenceInterval(len(h.entries))).Sub(now)
-	if wait <= 0 {
-		h.wakeForEvidence(now)
-		return
-	}
-	h.evidence.wakePending = true
-	time.AfterFunc(wait, func() {
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		h.wakeForEvidence(time.Now())
-	})
-}
-
-// wakeForEvidence wakes the waiting polls. mu must be held.
-func (h *Hub) wakeForEvidence(now time.Time) {
-	h.evidence.wokenAt, h.evidence.wakePending = now, false
 	h.notifyChanged()
 }
 
@@ -214,8 +175,8 @@
 	if req.Feed != h.feedID {
 		known = 0
 	}
-	response.EvidenceRevision = h.evidence.log.Last()
-	if known != response.EvidenceRevision {
-		response.Evidence = h.evidence.since(known, time.Now())
+	response.EvidenceRevision = known
+	if known < h.shownEvidence {
+		response.EvidenceRevision, response.Evidence = h.evidence.log.Last(), h.evidence.since(known, time.Now())
 	}
 }
--- a/registry/hub.go
+++ b/registry/hub.go
@@ -32,6 +32,11 @@
 	// maxLoggedIDLength and maxLoggedErrorLength bound their texts, in bytes.
 	maxLoggedIDLength    = 64
 	maxLoggedErrorLength = 256
+	// timePerEntry bounds the polls that end because of changes to 250 a second.
+	timePerEntry    = 4 * time.Millisecond
+	minPollInterval = 20 * time.Millisecond
+	// maxPollInterval is a tenth of the time in which all instances are to know of a change.
+	maxPollInterval = 300 * time.Millisecond
 )
 
 // DocumentSource provides the published documents and the members of the control
@@ -70,8 +75,13 @@
 	entries map[string]*entryState
 	// evidence is what the entry instances know of crashes of servers.
 	evidence evidenceStore
-	// changed is closed and replaced at each change of the table or the evidence.
-	changed chan struct{}
+	// changed is closed and replaced when changes of the table or the evidence are shown, at
+	// wokenAt for the last time; wakePending is set while a timer will do so. shownCursor and
+	// shownEvidence are what was shown: a poll that knows as much waits.
+	changed                    chan struct{}
+	wokenAt                    time.Time
+	wakePending                bool
+	shownCursor, shownEvidence uint64
 }
 
 // NewHub returns a hub. Its feed ID is derived from the current time, so that
@@ -106,8 +116,38 @@
 	}
 }
 
-// notifyChanged wakes the waiting polls. mu must be held.
+// PollInterval is the least time between two rounds of polls that end because of changes, with
+// the given number of polling entry instances.
+func PollInterval(entries int) time.Duration {
+	return min(max(time.Duration(entries)*timePerEntry, minPollInterval), maxPollInterval)
+}
+
+// notifyChanged shows a change of the table or the evidence to the waiting polls, at once or
+// with further changes PollInterval after those before. mu must be held.
+//
+// Invariant: the rate of polls is bounded, however often something changes. The replica of
+// this process needs its share of the processor to keep its leader.
 func (h *Hub) notifyChanged() {
+	if h.wakePending {
+		return
+	}
+	wait := time.Until(h.wokenAt.Add(PollInterval(len(h.entries))))
+	if wait <= 0 {
+		h.showChanges()
+		return
+	}
+	h.wakePending = true
+	time.AfterFunc(wait, func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.showChanges()
+	})
+}
+
+// showChanges wakes the waiting polls. mu must be held.
+func (h *Hub) showChanges() {
+	h.wokenAt, h.wakePending = time.Now(), false
+	h.shownCursor, h.shownEvidence = h.table.Cursor(), h.evidence.log.Last()
 	close(h.changed)
 	h.changed = make(chan struct{})
 }
@@ -324,8 +364,10 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	response.Cursor = h.table.Cursor()
-	response.Announcements = h.table.ChangesSince(cursor)
+	response.Cursor = cursor
+	if req.Feed != h.feedID || cursor < h.shownCursor {
+		response.Cursor, response.Announcements = h.table.Cursor(), h.table.ChangesSince(cursor)
+	}
 	response.Entries = h.liveEntries()
 	h.addEvidence(req, response)
 	return response, h.changed
--- a/registry/hub_test.go
+++ b/registry/hub_test.go
@@ -1,10 +1,15 @@
 package registry
 
 import (
+	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -54,3 +59,56 @@
 	require.LessOrEqual(t, strings.Count(lines.String(), "announcement rejected"), rejectedLogBurst+1)
 	require.Less(t, lines.Len(), 500*(rejectedLogBurst+1))
 }
+
+// TestChangesEndPollsAtABoundedRate guards against changes in quick succession that end the polls of
+// all entry instances each time: the replica of the same process then has no processor time left.
+func TestChangesEndPollsAtABoundedRate(t *testing.T) {
+	const (
+		changeInterval = time.Millisecond
+		duration       = 2 * time.Second
+		pollWait       = 600 * time.Millisecond
+		// roundTrip is the least time between two polls of one entry instance.
+		roundTrip = time.Millisecond
+	)
+	for _, entries := range []int{1, 5, 76} {
+		t.Run(fmt.Sprint(entries), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				hub := NewHub(time.Second, noDocuments{}, slog.New(slog.DiscardHandler))
+				ctx, cancel := context.WithCancel(t.Context())
+				var polls atomic.Int64
+				var running sync.WaitGroup
+				// known counts the servers that each entry instance knows.
+				known := make([]int, entries)
+				for n := range entries {
+					running.Go(func() {
+						var feed, cursor uint64
+						for ctx.Err() == nil {
+							response, err := hub.Sync(ctx, &fleetv1.SyncRequest{Self: &fleetv1.EntryInstance{Name: fmt.Sprint("e-", n), StartedUnixMs: 1}, Feed: feed, Cursor: cursor, WaitMs: uint32(pollWait.Milliseconds())})
+							if err != nil {
+								return
+							}
+							polls.Add(1)
+							known[n] += len(response.Announcements)
+							feed, cursor = response.Feed, response.Cursor
+							time.Sleep(roundTrip)
+						}
+					})
+				}
+				time.Sleep(pollWait)
+				polls.Store(0)
+				changes := int(duration / changeInterval)
+				for n := range changes {
+					hub.Announce(&fleetv1.Announcement{Server: fmt.Sprint("i-", n), BornUnixMs: 1, Sequence: 1, Service: "s", Address: fmt.Sprint("10.0.0.1:", n+1)})
+					time.Sleep(changeInterval)
+				}
+				require.LessOrEqual(t, int(polls.Load()), entries*(int(duration/PollInterval(entries))+2))
+				time.Sleep(2 * maxPollInterval)
+				cancel()
+				running.Wait()
+				for n := range entries {
+					require.Equal(t, changes, known[n], "entry %d", n)
+				}
+			})
+		})
+	}
+}
