Fleet view: reports interrupt the polls at a bounded rate

The same class, on the other side: each server that leaves, each rate limit and each urgent observation ended the polls of all control instances at once; with many of them at the same time the polls grow with the product of reports, entry and control instances. The first report still goes at once, the next ones together after registry.PollInterval.

Test: TestReportsInterruptPollsAtABoundedRate, 400 servers that leave within 2 s beside 76 entry instances: 800 requests to one control instance before, 40 are allowed; all 400 are reported.

--- a/fleetview/view.go
+++ b/fleetview/view.go
@@ -123,8 +123,12 @@
 	leaving       leavingServers
 	limits        limitReports
 	evidence      evidenceExchange
-	wake          chan struct{}
-	changed       chan struct{}
+	// wake is closed and replaced when the waiting polls are ended, at interruptedAt for the
+	// last time; interruptPending is set while a timer will end them.
+	wake             chan struct{}
+	interruptedAt    time.Time
+	interruptPending bool
+	changed          chan struct{}
 }
 
 // New returns a view that starts with the control instances at the base URLs in
@@ -172,9 +176,29 @@
 	v.interruptPolls()
 }
 
-// interruptPolls ends the waiting polls, so that the next ones carry the
-// updated state. The caller holds the lock.
+// interruptPolls ends the waiting polls, so that the next ones carry the updated state: at
+// once, or together with further changes registry.PollInterval after the last time. The
+// caller holds the lock.
 func (v *View) interruptPolls() {
+	if v.interruptPending {
+		return
+	}
+	wait := time.Until(v.interruptedAt.Add(registry.PollInterval(len(v.Current().Entries))))
+	if wait <= 0 {
+		v.endPolls()
+		return
+	}
+	v.interruptPending = true
+	time.AfterFunc(wait, func() {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		v.endPolls()
+	})
+}
+
+// endPolls ends the waiting polls. The caller holds the lock.
+func (v *View) endPolls() {
+	v.interruptedAt, v.interruptPending = time.Now(), false
 	close(v.wake)
 	v.wake = make(chan struct{})
 }
