Control: -catch-up-seconds, so that a missing value selects the default

A field that a platform does not have must not keep a process from its start; an empty variable is no setting, a number in seconds can be empty.

Test: TestEmptyEnvironmentVariableIsNoSetting.

--- a/control/process.go
+++ b/control/process.go
@@ -54,8 +54,8 @@
 	// ToleratedLosses is the number of control instances that may lose their disks at
 	// the same time.
 	ToleratedLosses int
-	// CatchUpTime is how long after its return a control instance still counts as lost.
-	CatchUpTime time.Duration
+	// CatchUpSeconds is how long after its return a control instance still counts as lost.
+	CatchUpSeconds float64
 	// TrustDataDir asserts that the data directory is never rolled back to an
 	// older copy: after a restart it is either unchanged or empty.
 	TrustDataDir bool
@@ -83,7 +83,7 @@
 	fs.IntVar(&s.PeerPort, "peer-port", 0, "internal port that replaces the one in -seeds; 0 keeps the given port")
 	fs.BoolVar(&s.MayBootstrap, "found", false, "allow the first of -seeds to bootstrap the group; set only for the very first start")
 	fs.IntVar(&s.ToleratedLosses, "tolerated-losses", 1, "control instances that may lose their disks at the same time; with -seeds the group has at least twice as many voters and one")
-	fs.DurationVar(&s.CatchUpTime, "catch-up", 10*time.Second, "how long after its return a control instance still counts as lost; with -seeds, one that is silent for as long is removed from the group until it returns")
+	fs.Float64Var(&s.CatchUpSeconds, "catch-up-seconds", 10, "how long after its return a control instance still counts as lost; with -seeds, one that is silent for as long is removed from the group until it returns")
 	fs.BoolVar(&s.TrustDataDir, "trust-folder", false, "the data directory is never restored from an older copy")
 	fs.Uint64Var(&s.SnapshotThreshold, "compact-entries", 0, "log entries between two snapshots; 0 selects the default of 50,000")
 	fs.Int64Var(&s.DiskMB, "disk-mb", 0, "room for -data-dir in MB; the log is compacted once it takes an eighth of it, 64 MiB at most. 0: not known")
@@ -102,8 +102,8 @@
 	if s.DiskMB < 0 {
 		c.Add("disk-mb", "must be at least 0")
 	}
-	if s.CatchUpTime < 0 {
-		c.Add("catch-up", "must be at least 0")
+	if s.CatchUpSeconds < 0 {
+		c.Add("catch-up-seconds", "must be at least 0")
 	}
 	if s.ToleratedLosses < 0 {
 		c.Add("tolerated-losses", "must be at least 0")
@@ -175,7 +175,7 @@
 	r := replog.Settings{
 		Group: group, Name: s.Instance, Dir: filepath.Join(s.DataDir, group), Replicas: s.initialPeers(),
 		SnapshotThreshold: s.SnapshotThreshold, Files: s.Files, DynamicMembership: s.Seeds != "", MayBootstrap: s.MayBootstrap,
-		ToleratedLosses: s.ToleratedLosses, CatchUpTime: s.CatchUpTime, DiskBytes: s.DiskMB * 1e6,
+		ToleratedLosses: s.ToleratedLosses, CatchUpTime: time.Duration(s.CatchUpSeconds * float64(time.Second)), DiskBytes: s.DiskMB * 1e6,
 	}
 	if r.DynamicMembership {
 		r.URL = "http://" + s.Listen
--- a/kernel/settings/settings_test.go
+++ b/kernel/settings/settings_test.go
@@ -80,3 +80,13 @@
 		require.Equal(t, valid, c.Err() == nil, reason)
 	}
 }
+
+// TestEmptyEnvironmentVariableIsNoSetting guards against a process that does not start where the
+// platform has no value for a setting of the deploy file.
+func TestEmptyEnvironmentVariableIsNoSetting(t *testing.T) {
+	t.Setenv("GALENA_DATA_DIR", t.TempDir())
+	t.Setenv("GALENA_COUNT", "")
+	var s sampleSettings
+	require.NoError(t, Parse("sample", nil, io.Discard, &s))
+	require.Equal(t, 1, s.count)
+}
