--- a/gateway/evidence_traffic_test.go
+++ b/gateway/evidence_traffic_test.go
@@ -59,6 +59,13 @@
 	n.requests[process]++
 }
 
+// handle registers the handler of a process. Requests may be passed meanwhile.
+func (n *meteredNet) handle(process string, handler http.Handler) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.handlers[process] = handler
+}
+
 // traffic returns the bytes of a process so far, in both directions, and its requests.
 func (n *meteredNet) traffic(process string) (bytes, requests int) {
 	n.mu.Lock()
@@ -121,7 +128,7 @@
 		hub := registry.NewHub(time.Second, members, logger)
 		go hub.Run(ctx)
 		s.controls[url[len("http://"):]] = true
-		s.net.handlers[url[len("http://"):]] = httpserver.GzipHandler(fleetv1.NewFleetServer(hub))
+		s.net.handle(url[len("http://"):], httpserver.GzipHandler(fleetv1.NewFleetServer(hub)))
 	}
 	for n := range entries {
 		address := fmt.Sprintf("10.0.1.%d:1", n+1)
@@ -135,7 +142,7 @@
 		g.evidence.exchange(view, p)
 		mux := http.NewServeMux()
 		mux.Handle(fleetv1.EntriesPathPrefix, fleetv1.NewEntriesServer(p))
-		s.net.handlers[address] = mux
+		s.net.handle(address, mux)
 		view.Start(ctx)
 		go p.run(ctx, view)
 		go g.evidence.run(ctx)
