Test of evidence traffic: one processor, as the race detector crashes otherwise

Cause: with -race two of six runs ended in SIGSEGV in __tsan::SlotLock, called from (*timer).maybeRunChan. In race mode the runtime runs all timers of a synctest bubble with one race context (time.go, unlockAndRun: bubble.timers), without a lock on it, so two threads that run timers at the same moment use one state of the detector. Ruled out: the product (the faulting frame is the runtime's, for any select on a timer that is due) and the architecture (the code is the same on x86-64, so the detector isn't turned off on arm64 alone). Change: the test runs with one processor. The race detector stays on, on both machines; checks, sizes and bounds are as before.

--- a/gateway/evidence_traffic_test.go
+++ b/gateway/evidence_traffic_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -206,6 +207,9 @@
 // the processor time and the links of all instances after many servers crashed at once: control
 // instances then lose their leader.
 func TestCrashOfManyServersCausesLittleTraffic(t *testing.T) {
+	// The race detector crashes when goroutines of a bubble run timers on several threads at once:
+	// the runtime uses one race context for all timers of the bubble.
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		random := rand.New(rand.NewPCG(1, 1))
