--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -102,6 +102,7 @@
 
 // send sends the request to the chosen server and waits for the response headers.
 func (c *call) send(ctx context.Context, r *http.Request, b *backend, lastEventID string, timeout time.Duration) *attempt {
+	c.stage, c.lastServer = stageSent, b.server
 	a := &attempt{gateway: c.gateway, backend: b, startedAt: time.Now(), work: c.work}
 	ctx, a.cancel = context.WithCancelCause(ctx)
 	d := &OutboundRequest{Server: b.server, TimeLeft: time.Until(c.deadline), Priority: c.enginePriority(), LastEventID: lastEventID}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -77,6 +77,7 @@
 	// rateLimited are the servers that the last decision left out because this instance
 	// has no permit for them.
 	rateLimited []*backend
+	progress
 	crashState
 }
 
@@ -118,7 +119,7 @@
 // readBody buffers the whole request body so that it can be resent. On failure it
 // responds to the client and returns false.
 func (c *call) readBody(rw http.ResponseWriter, r *http.Request) bool {
-	c.method, c.target = r.Method, rawTarget(r)
+	c.method, c.target, c.stage = r.Method, rawTarget(r), stageBody
 	limit := int64(c.routing.table.Limits.MaxBodyBytes)
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -85,6 +85,8 @@
 	lastArrival      atomic.Int64
 	promptMix        placement.LengthMix
 	accessLogLimiter *rate.Limiter
+	// unansweredLogLimiter limits the lines for requests that end without a response.
+	unansweredLogLimiter *rate.Limiter
 
 	mu           sync.Mutex
 	retryBudgets map[string]*retry.Window
@@ -106,7 +108,7 @@
 	g := &Gateway{
 		dialect: deps.Dialect, view: deps.View, stores: deps.Stores, follower: deps.Follower, peers: deps.peers, scorer: deps.Scorer, policy: deps.Policy,
 		instance: s.Instance, zone: s.FailureDomain, retryLimits: s.RetryLimits, announceInterval: s.AnnounceInterval, weightRolloutTime: s.WeightRolloutTime,
-		logger: logger, metrics: m, started: time.Now(), accessLogLimiter: rate.NewLimiter(accessLogRate, accessLogBurst), retryBudgets: make(map[string]*retry.Window),
+		logger: logger, metrics: m, started: time.Now(), accessLogLimiter: rate.NewLimiter(accessLogRate, accessLogBurst), unansweredLogLimiter: newUnansweredLogLimiter(), retryBudgets: make(map[string]*retry.Window),
 	}
 	g.stopping, g.stopRequests = context.WithCancel(context.Background())
 	g.permits, g.evidence = newPermitClient(g), newCrashEvidence(g)
@@ -176,19 +178,20 @@
 func (g *Gateway) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	g.inflight.Add(1)
 	defer g.inflight.Add(-1)
-	defer g.recoverPanic(rw, r)
 	now := time.Now()
+	rs := g.routing.Load()
+	c := &call{gateway: g, routing: rs, request: &Request{}, startedAt: now, receivedAt: now, progress: progress{stage: stageHead}, triedServers: make(map[string]bool), ranServers: make(map[string]bool)}
+	defer g.recoverPanic(rw, r, c)
 	g.lastArrival.Store(now.UnixNano())
 	if g.drain.started() {
 		rw.Header().Set("Connection", "close")
 	}
-	rs := g.routing.Load()
 	req, err := g.dialect.DecodeRequest(r)
 	if err != nil {
-		g.reject(rw, &call{startedAt: now, request: &Request{}}, http.StatusBadRequest, "malformed", 0, err)
+		g.reject(rw, c, http.StatusBadRequest, "malformed", 0, err)
 		return
 	}
-	c := &call{gateway: g, routing: rs, request: req, startedAt: now, receivedAt: now, prompt: req.Prompt, triedServers: make(map[string]bool), ranServers: make(map[string]bool)}
+	c.request, c.prompt = req, req.Prompt
 	if len(req.IgnoredHeaders) > 0 {
 		g.logger.Info("unparsable headers ignored", slog.String("request", req.ID), slog.Any("headers", req.IgnoredHeaders))
 	}
@@ -223,7 +226,7 @@
 // process goes on. It must be deferred directly, or it recovers nothing. After any panic
 // it panics again with http.ErrAbortHandler, which net/http does not log.
 // The connection of an HTTP/1.0 client is reset.
-func (g *Gateway) recoverPanic(rw http.ResponseWriter, r *http.Request) {
+func (g *Gateway) recoverPanic(rw http.ResponseWriter, r *http.Request, c *call) {
 	recovered := recover()
 	if recovered == nil {
 		return
@@ -232,6 +235,9 @@
 		g.metrics.panics.Inc()
 		g.logger.Error("panic while handling a request", slog.String("path", rawPath(r)), slog.Any("fault", recovered), slog.String("stack", string(debug.Stack())))
 	}
+	if !c.responded {
+		c.recordUnanswered(r, recovered)
+	}
 	if !r.ProtoAtLeast(1, 1) {
 		resetConnection(rw)
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -20,8 +20,10 @@
 	permitsIssued  prometheus.Counter
 	permitRequests *prometheus.CounterVec
 	// aborted counts streams that ended early, by why they left their server.
-	aborted      *prometheus.CounterVec
-	interrupted  *prometheus.CounterVec
+	aborted     *prometheus.CounterVec
+	interrupted *prometheus.CounterVec
+	// unanswered counts requests whose connection was closed before the response headers.
+	unanswered   *prometheus.CounterVec
 	serversEnded prometheus.Counter
 	// quarantined counts what is quarantined by kind of cause.
 	quarantined *prometheus.GaugeVec
@@ -64,10 +66,11 @@
 	m.permitsIssued = prometheus.NewCounter(prometheus.CounterOpts{Name: "galena_gateway_permits_issued_total", Help: "Permits for rate-limited servers that this instance issued to itself and others."})
 	m.permitRequests = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_permit_requests_total", Help: "Requests for permits to other instances, by server and outcome."}, []string{"outcome"})
 	m.aborted = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_streams_aborted_total", Help: "Streams that had begun and ended early, by why they left their server."}, []string{"cause"})
+	m.unanswered = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_unanswered_requests_total", Help: "Requests that ended without a response, by cause and by how far they had got."}, []string{"cause", "stage"})
 	m.interrupted = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_interrupted_requests_total", Help: "Requests whose connection to the server broke, by cause and by how far the response had got."}, []string{"cause", "stage"})
 	m.serversEnded = prometheus.NewCounter(prometheus.CounterOpts{Name: "galena_gateway_servers_ended_under_requests_total", Help: "Incarnations of backend servers that ended while requests of this instance were in progress."})
 	m.quarantined = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "galena_gateway_quarantined", Help: "Parts of prompts, and requests, that are sent to no server because servers crash under them, by kind."}, []string{"kind"})
-	r.MustRegister(m.aborted, m.quarantined, m.interrupted, m.serversEnded, m.directives, m.rateLimits, m.permitsIssued, m.permitRequests, m.outcomes, m.failedAttempts, m.firstByte, m.unlogged, m.panics, m.queued, m.estimateErrors)
+	r.MustRegister(m.aborted, m.unanswered, m.quarantined, m.interrupted, m.serversEnded, m.directives, m.rateLimits, m.permitsIssued, m.permitRequests, m.outcomes, m.failedAttempts, m.firstByte, m.unlogged, m.panics, m.queued, m.estimateErrors)
 	return m
 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -80,6 +80,7 @@
 // relay forwards a server's response. It returns false if the request is to continue
 // on another server.
 func (c *call) relay(rw http.ResponseWriter, r *http.Request, s *stream, a *attempt) bool {
+	c.stage = stageReading
 	header := a.exchange.Response.Header
 	if c.route.Kind == site.KindStream && a.status == http.StatusOK && isEventStream(header) && (!s.headersSent || continuesAsEventStream(header, rw.Header())) {
 		return c.relayStream(r, s, a)
@@ -134,6 +135,7 @@
 	if r.Method != http.MethodHead {
 		rw.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
+	c.responded = true
 	rw.WriteHeader(a.status)
 	_, _ = rw.Write(body) // the client may have left
 	c.recordServed(a)
@@ -145,6 +147,7 @@
 	if n := a.exchange.Response.ContentLength; n >= 0 {
 		rw.Header().Set("Content-Length", strconv.FormatInt(n, 10))
 	}
+	c.responded = true
 	rw.WriteHeader(a.status)
 	_, err := rw.Write(prefix)
 	if err == nil {
@@ -268,7 +271,7 @@
 	if s.headersSent {
 		return
 	}
-	s.headersSent = true
+	s.headersSent, s.call.responded = true, true
 	s.begun.Store(true)
 	s.call.gateway.dialect.CopyResponseHeader(s.rw.Header(), a.exchange.Response.Header)
 	s.rw.WriteHeader(a.status)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -89,6 +89,7 @@
 // the reason when the request is given up.
 func (c *call) nextResponse(ctx context.Context, r *http.Request, s *stream) (*attempt, rejectReason) {
 	for {
+		c.stage = stageChoosing
 		if err := ctx.Err(); err != nil {
 			if r.Context().Err() != nil {
 				return nil, reasonClientLeft
@@ -279,6 +280,7 @@
 		slog.String("reason", reason), slog.Int("sends", c.attemptsSent), slog.Bool("may_have_run", c.mayHaveRun), slog.Int("servers_known", servers), slog.Int("prompt_tokens", tokens),
 		slog.String("quarantined_part", loggedPart(c.quarantined)), slog.String("quarantined_request", shortDigest(c.quarantined.Request)), slog.Uint64("document", document), slog.Duration("come_back", after), slog.Duration("in_turn", c.decision.Estimate.ArrivalOrderWait), slog.Duration("behind", c.decision.Estimate.DeferredWait), slog.Duration("held", c.queueTime), slog.Duration("patience", c.timeBudget()),
 		slog.Duration("took", time.Since(c.startedAt)), slog.Any("error", err))
+	c.responded = true
 	g.dialect.SetErrorHeader(rw.Header(), c.request.ID, after)
 	rw.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	rw.WriteHeader(status)
