gateway: answer a request whose handling panics before its response

An unexpected panic closed the connection of a request that had no response yet. It gets 502 now, which promises nothing; a response that has begun is still aborted. The test expected a closed connection and expects 502 and a closed connection afterwards; before the change it fails with EOF.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -222,10 +222,11 @@
 	c.serve(rw, r)
 }
 
-// recoverPanic logs a panic while handling a request and aborts the connection; the
-// process goes on. It must be deferred directly, or it recovers nothing. After any panic
-// it panics again with http.ErrAbortHandler, which net/http does not log.
-// The connection of an HTTP/1.0 client is reset.
+// recoverPanic logs an unexpected panic while handling a request; the process goes on. A
+// request without a response yet gets 502, any other panic aborts the connection. It must
+// be deferred directly, or it recovers nothing. To abort, it panics again with
+// http.ErrAbortHandler, which net/http does not log. The connection of an HTTP/1.0 client
+// is reset.
 func (g *Gateway) recoverPanic(rw http.ResponseWriter, r *http.Request, c *call) {
 	recovered := recover()
 	if recovered == nil {
@@ -234,6 +235,12 @@
 	if recovered != http.ErrAbortHandler {
 		g.metrics.panics.Inc()
 		g.logger.Error("panic while handling a request", slog.String("path", rawPath(r)), slog.Any("fault", recovered), slog.String("stack", string(debug.Stack())))
+		if !c.responded && r.Context().Err() == nil {
+			clear(rw.Header())
+			rw.Header().Set("Connection", "close")
+			g.reject(rw, c, http.StatusBadGateway, "internal error", 0, nil)
+			return
+		}
 	}
 	if !c.responded {
 		c.recordUnanswered(r, recovered)
