kernel: a repeated SIGTERM does not abort the drain

A second SIGTERM aborted the drain of a process: a gateway cut its streams in progress about 0.35 s later, and requests that had been passed on. Supervisors and overlapping rolling stops repeat the signal, and the requirements grant the grace period from the first one. Only SIGINT aborts a drain now.

The stream soak counts a repeated SIGTERM as planned work (it was a fault that excused losses).

--- a/faults/process_faults_test.go
+++ b/faults/process_faults_test.go
@@ -14,7 +14,7 @@
 const (
 	faultKill faultKind = iota
 	faultStop
-	// faultStopTwice sends a second SIGTERM while the process stops.
+	// faultStopTwice sends a second SIGTERM while the process stops, which changes nothing.
 	faultStopTwice
 	faultFreeze
 	faultReload
--- a/faults/stream_soak_test.go
+++ b/faults/stream_soak_test.go
@@ -180,7 +180,7 @@
 		}
 		d := disturbance{name: kind.String() + " of " + s.process(index).name, gateway: gateway, control: !ok, window: contactTime}
 		switch kind {
-		case faultStop:
+		case faultStop, faultStopTwice:
 			d.planned, d.window = true, stopWindow
 		case faultReload:
 			d.planned = true
@@ -252,7 +252,7 @@
 }
 
 // plannedKinds are the disturbances of processes that no request may be lost by.
-var plannedKinds = []faultKind{faultStop, faultReload}
+var plannedKinds = []faultKind{faultStop, faultStopTwice, faultReload}
 
 // runDisturbances disturbs the system for a time, at first by planned work and silences only.
 func (s *streamSoak) runDisturbances(ctx context.Context, random *rand.Rand, duration time.Duration, faults *sync.WaitGroup) {
--- a/kernel/app.go
+++ b/kernel/app.go
@@ -221,9 +221,26 @@
 	}
 }
 
+// repeatedStopMessage is logged for a SIGTERM that arrives during a drain.
+const repeatedStopMessage = "stop signal repeated, the drain goes on"
+
+// abortDrain cancels the drain on SIGINT.
+//
+// Invariant: a repeated SIGTERM does not shorten the drain. Supervisors repeat it, and
+// responses in progress would be cut.
+func (a *App) abortDrain(signals <-chan os.Signal, cancel context.CancelFunc) {
+	for s := range signals {
+		if s == syscall.SIGINT {
+			cancel()
+			return
+		}
+		a.ctx.Logger.Info(repeatedStopMessage, slog.String("signal", s.String()))
+	}
+}
+
 // Run starts the App, waits for SIGTERM or SIGINT, then drains and stops it.
-// drainTimeout bounds the drain; zero or less means no bound. A second signal
-// aborts the drain immediately.
+// drainTimeout bounds the drain; zero or less means no bound. SIGINT aborts the
+// drain immediately, a further SIGTERM does not.
 func (a *App) Run(drainTimeout time.Duration) error {
 	// Before Start: a SIGHUP that nobody receives ends the process.
 	reloadSignals := make(chan os.Signal, 1)
@@ -249,10 +266,7 @@
 		ctx, cancel = context.WithTimeout(ctx, drainTimeout)
 		defer cancel()
 	}
-	go func() {
-		<-signals
-		cancel()
-	}()
+	go a.abortDrain(signals, cancel)
 	err := a.Drain(ctx)
 	a.Stop(context.Background())
 	return err
