--- a/faults/stream_client_test.go
+++ b/faults/stream_client_test.go
@@ -47,6 +47,9 @@
 	// bodyDelay is the time between the request's header and its body.
 	bodyDelay time.Duration
 	timeout   time.Duration
+	// after is the number of events that the client had before it took up the stream.
+	// leaveAfter is the number of events after which it leaves, 0 for none.
+	after, leaveAfter int
 	// cause is set for a request that crashes servers.
 	cause *crashCause
 
@@ -152,10 +155,13 @@
 	return b
 }
 
+// errLeft ends a stream that its client leaves on purpose.
+var errLeft = errors.New("the client leaves")
+
 // fail records that the connection ended, or that the client has left.
 func (r *clientRequest) fail(err error) {
 	r.err = err
-	r.left = errors.Is(err, os.ErrDeadlineExceeded)
+	r.left = errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, errLeft)
 }
 
 func (c *connection) write(r *clientRequest) error {
@@ -209,8 +215,8 @@
 			r.wrong = fmt.Sprintf("the stream ends within an event: %q", append(lines, line))
 			return nil
 		case errors.Is(err, io.EOF):
-			if r.received != r.events {
-				r.wrong = fmt.Sprintf("the stream ends as complete after %d of %d events", r.received, r.events)
+			if r.after+r.received != r.events {
+				r.wrong = fmt.Sprintf("the stream ends as complete after %d of %d events", r.after+r.received, r.events)
 			}
 			return nil
 		case err != nil:
@@ -223,10 +229,13 @@
 			r.firstEventAt = time.Now()
 		}
 		r.received++
-		if want := fmt.Sprintf("id: %d\ndata: %s %d\n", r.received, r.id, r.received); strings.Join(lines, "") != want && r.wrong == "" {
+		if want := fmt.Sprintf("id: %d\ndata: %s %d\n", r.after+r.received, r.id, r.after+r.received); strings.Join(lines, "") != want && r.wrong == "" {
 			r.wrong = fmt.Sprintf("event %q, expected %q", lines, want)
 		}
 		lines = lines[:0]
+		if r.received == r.leaveAfter {
+			return errLeft
+		}
 		await()
 	}
 }
