Software versions of backend servers in announcements and logs

Attempts that fail, responses that are interrupted and served requests are logged with the version of their server. Nothing depends on it yet.

--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -23,6 +23,7 @@
 	incarnation
 	address, zone string
 	service       *site.Service
+	software      dispatch.Software
 	pool          *upstream.Pool
 	// state is that of the service. Its lock guards tracker and weights, and those of the
 	// service's other servers: a decision needs a consistent view of all of them.
@@ -45,7 +46,7 @@
 		}
 	}
 	return &backend{
-		incarnation: incarnation{a.Server, a.BornUnixMs}, address: a.Address, zone: a.Zone, service: s, state: state,
+		incarnation: incarnation{a.Server, a.BornUnixMs}, address: a.Address, zone: a.Zone, service: s, software: dispatch.Software{Service: s.Name, Version: a.Software}, state: state,
 		pool: upstream.NewPool(a.Address, connections), tracker: dispatch.NewBackendState(announced, now), weights: make(map[string]uint64),
 	}
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -176,7 +176,7 @@
 		return
 	}
 	attributes := []slog.Attr{
-		slog.String("request", c.request.ID), slog.String("route", c.route.Name), slog.String("server", a.backend.server), slog.Int("status", a.status),
+		slog.String("request", c.request.ID), slog.String("route", c.route.Name), slog.String("server", a.backend.server), slog.String("software", a.backend.software.Version), slog.Int("status", a.status),
 		slog.Int("sends", c.attemptsSent), slog.Duration("head", a.headersAt.Sub(c.startedAt)), slog.Duration("took", time.Since(c.startedAt)), slog.Uint64("document", c.routing.table.Version),
 	}
 	if c.prompt != nil {
@@ -192,7 +192,7 @@
 func (c *call) logInterrupted(a *attempt, err error) {
 	c.recordInterruption(a, err)
 	c.gateway.logger.Info("response interrupted", slog.String("request", c.request.ID), slog.String("route", c.route.Name),
-		slog.String("server", a.backend.server), slog.Int("status", a.status), slog.Duration("took", time.Since(a.startedAt)), slog.Any("error", err))
+		slog.String("server", a.backend.server), slog.String("software", a.backend.software.Version), slog.Int("status", a.status), slog.Duration("took", time.Since(a.startedAt)), slog.Any("error", err))
 }
 
 // respondInterrupted responds to the client when the server's response cannot be
--- a/registry/hub.go
+++ b/registry/hub.go
@@ -165,7 +165,7 @@
 	}
 	h.notifyChanged()
 	h.logger.Info("server announced", slog.String("server", a.Server), slog.String("backend", a.Service),
-		slog.String("address", a.Address), slog.String("state", a.State.String()), slog.Uint64("sequence", a.Sequence))
+		slog.String("address", a.Address), slog.String("software", a.Software), slog.String("state", a.State.String()), slog.Uint64("sequence", a.Sequence))
 }
 
 // MarkGone records that a server has ended. bornUnixMS identifies its incarnation
