fleetview: a stopping instance is not listed as accepting again

The gateway decides that it accepts clients when it applies its first document, and reports that afterwards; SIGTERM between the two withdrew the instance before, and the listing stayed until the process ended. StopAccepting is final.

--- a/fleetview/view.go
+++ b/fleetview/view.go
@@ -120,9 +120,11 @@
 	quorumReached bool
 	released      map[string]bool
 	self          *fleetv1.EntryInstance
-	leaving       leavingServers
-	limits        limitReports
-	evidence      evidenceExchange
+	// stopsAccepting is set by StopAccepting.
+	stopsAccepting bool
+	leaving        leavingServers
+	limits         limitReports
+	evidence       evidenceExchange
 	// wake is closed and replaced when the waiting polls are ended, at interruptedAt for the
 	// last time; interruptPending is set while a timer will end them.
 	wake             chan struct{}
@@ -166,6 +168,20 @@
 func (v *View) SetAccepting(accepting bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.setAccepting(accepting && !v.stopsAccepting)
+}
+
+// StopAccepting is SetAccepting(false) for good: a stopping instance is not listed again by a
+// caller that decided just before that it accepts clients.
+func (v *View) StopAccepting() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.stopsAccepting = true
+	v.setAccepting(false)
+}
+
+// setAccepting is SetAccepting for a caller that holds v.mu.
+func (v *View) setAccepting(accepting bool) {
 	if v.self == nil || v.self.Accepting == accepting {
 		return
 	}
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -299,7 +299,7 @@
 	startedAt := time.Now()
 	p.gateway.drain.start(startedAt, p.settings.GracePeriod)
 	p.gateway.permits.drainStartedAt.CompareAndSwap(nil, &startedAt)
-	p.view.SetAccepting(false)
+	p.view.StopAccepting()
 	ticker := time.NewTicker(50 * time.Millisecond)
 	defer ticker.Stop()
 	for {
