--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -36,6 +36,7 @@
 			if c.awaitServer(ctx, s, reason) {
 				continue
 			}
+			c.holdStream(ctx, s, reason)
 			c.giveUp(rw, r, s, reason)
 			return
 		}
@@ -133,6 +134,7 @@
 		switch a.result {
 		case responseReceived:
 			if !c.shouldRetry(a) {
+				c.refundSpareRetry()
 				return a, ""
 			}
 		case clientCanceled:
@@ -191,7 +193,7 @@
 		c.retryGranted = false
 		return ""
 	}
-	if c.attemptsSent > 0 && !c.gateway.retryBudget(c.service.Name).TryRetry(now) {
+	if c.attemptsSent > 0 && !c.takeSpareRetry() && !c.gateway.retryBudget(c.service.Name).TryRetry(now) {
 		return reasonNoBudget
 	}
 	return ""
