Gateway: resumed streams stay at their service when a route is moved or split

A document that moves a route to another service, while each has one software version, let a stream that its client resumed at another instance go on at the new service (200 instead of 503), and one of a route with several services was rejected there (503 instead of 200): "one version only" was asked of the service that the route names now. Records are sent, and asked for, also while a route has several services or has changed them within the time in which a client may return. Left: an instance that starts after the change does not know of it.

--- a/gateway/continuation.go
+++ b/gateway/continuation.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/galenaarch/galenaarch/config/site"
@@ -78,10 +79,8 @@
 			return software, softwareOwnRecord
 		}
 	}
-	if len(c.route.Targets) == 1 {
-		if version, ok := g.view.Current().Software.Only(c.service.Name, resumeTime(c.route), time.Now()); ok {
-			return &dispatch.Software{Service: c.service.Name, Version: version}, softwareOnly
-		}
+	if version, ok := c.onlyVersion(time.Now()); ok {
+		return &dispatch.Software{Service: c.service.Name, Version: version}, softwareOnly
 	}
 	if c.request.BeganAs != "" {
 		if software = g.streams.lookUp(ctx, digest); software != nil {
@@ -91,6 +90,52 @@
 	return nil, softwareUnknown
 }
 
+// onlyVersion returns the software version that began each stream of the route which a client may
+// still resume. ok is false if there may be several, or several services.
+func (c *call) onlyVersion(now time.Time) (version string, ok bool) {
+	g := c.gateway
+	if len(c.route.Targets) != 1 || now.Sub(g.routing.Load().movedRoutes[c.route.Name]) < resumeTime(c.route) {
+		return "", false
+	}
+	return g.view.Current().Software.Only(c.service.Name, resumeTime(c.route), now)
+}
+
+// noteMovedRoutes records the routes of streams that lead to other services than before, and
+// reports whether there are any. Streams that began before may still be resumed.
+func (rs *routingState) noteMovedRoutes(old *routingState, now time.Time) (moved bool) {
+	rs.movedRoutes = make(map[string]time.Time)
+	if old == nil || old.table == nil {
+		return false
+	}
+	for name, at := range old.movedRoutes {
+		if now.Sub(at) < maxResumeTime {
+			rs.movedRoutes[name] = at
+		}
+	}
+	if rs.table == old.table {
+		return false
+	}
+	for i := range rs.table.Routes {
+		r := &rs.table.Routes[i]
+		before := old.table.Route(r.Host, r.PathPrefix)
+		if r.Kind == site.KindStream && before != nil && !slices.Equal(targetServices(r), targetServices(before)) {
+			rs.movedRoutes[r.Name], moved = now, true
+		}
+	}
+	return moved
+}
+
+// targetServices returns the services to which a route leads, in order.
+func targetServices(r *site.Route) (services []string) {
+	for _, target := range r.Targets {
+		if target.Weight > 0 {
+			services = append(services, target.Service)
+		}
+	}
+	slices.Sort(services)
+	return services
+}
+
 // rebindService replaces the service of a resumed stream by the one that began it. It returns
 // the reason if the route no longer leads there.
 func (c *call) rebindService(name string) rejectReason {
@@ -114,7 +159,8 @@
 	}
 	software := b.runs()
 	c.software.Store(software)
-	c.gateway.streams.add(c.streamDigest(c.request.ID), software, resumeTime(c.route))
+	_, only := c.onlyVersion(time.Now())
+	c.gateway.streams.add(c.streamDigest(c.request.ID), software, resumeTime(c.route), !only)
 	c.gateway.metrics.begun.WithLabelValues(software.Service, software.Version).Inc()
 }
 
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -36,6 +36,9 @@
 	weightRolloutTime time.Duration
 	// entryCount is the number of entry instances, including lost ones.
 	entryCount int
+	// movedRoutes is when the services to which a route of streams leads last changed, within
+	// maxResumeTime.
+	movedRoutes map[string]time.Time
 }
 
 // rebuild derives the routing state from a fleet snapshot. Backends keep what was
@@ -50,13 +53,18 @@
 			next.setTargetVersion(old, model, d.Version)
 		}
 	}
+	moved := false
 	if next.table != nil {
+		moved = next.noteMovedRoutes(old, time.Now())
 		g.applyReports(s)
 		g.listBackends(s, old, next)
 		g.chooseCells(s, next)
 		g.followContexts(ctx, s, next)
 	}
 	g.routing.Store(next)
+	if moved {
+		g.streams.sendOlder(time.Now(), true)
+	}
 	g.attachRateLimits(next)
 	g.closeRemoved(old, next)
 	g.recordAnnouncedEnds(s)
--- a/gateway/stream_records.go
+++ b/gateway/stream_records.go
@@ -55,7 +55,7 @@
 }
 
 // streamRecords hold which software began the streams that this instance relays. While a
-// service may have more than one version, the records are also sent to control instances, so
+// service may have more than one version, or a route more than one service, the records are also sent to control instances, so
 // that other instances, and this one after a restart, can go on with the streams.
 type streamRecords struct {
 	view   *fleetview.View
@@ -85,21 +85,21 @@
 }
 
 // add records that software began a stream, which its client may resume for lifetime. The
-// newest record of a stream counts.
-func (s *streamRecords) add(digest registry.StreamDigest, software *dispatch.Software, lifetime time.Duration) {
-	now, snapshot := time.Now(), s.view.Current()
-	_, only := snapshot.Software.Only(software.Service, lifetime, now)
+// newest record of a stream counts. It is sent to control instances at once, or once there may
+// be other software.
+func (s *streamRecords) add(digest registry.StreamDigest, software *dispatch.Software, lifetime time.Duration, send bool) {
+	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.rotate(now)
 	s.counted[*software] = true
 	if len(s.current) >= maxStreamRecords {
 		s.dropped++
-	} else if s.current[digest] = (streamRecord{software: software, until: now.Add(lifetime), sent: !only}); only {
+	} else if s.current[digest] = (streamRecord{software: software, until: now.Add(lifetime), sent: send}); !send {
 		s.unsent[software.Service]++
 	}
-	if !only {
-		s.enqueue(digest, software, snapshot.ReachableURLs)
+	if send {
+		s.enqueue(digest, software, s.view.Current().ReachableURLs)
 	}
 }
 
@@ -190,7 +190,7 @@
 		case <-ctx.Done():
 			return
 		case <-changed:
-			s.sendOlder(time.Now())
+			s.sendOlder(time.Now(), false)
 			continue
 		case <-s.wake:
 		}
@@ -211,14 +211,14 @@
 }
 
 // sendOlder enqueues the records of streams that began while their service had one version only,
-// once it may have several.
-func (s *streamRecords) sendOlder(now time.Time) {
+// once it may have several, or of all.
+func (s *streamRecords) sendOlder(now time.Time, all bool) {
 	snapshot := s.view.Current()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	due := make(map[string]bool)
 	for service, count := range s.unsent {
-		if _, only := snapshot.Software.Only(service, minResumeTime, now); !only && count > 0 {
+		if _, only := snapshot.Software.Only(service, minResumeTime, now); (all || !only) && count > 0 {
 			due[service] = true
 			delete(s.unsent, service)
 		}
--- a/gateway/stream_records_test.go
+++ b/gateway/stream_records_test.go
@@ -53,7 +53,7 @@
 	s := newTestRecords()
 	v1 := &dispatch.Software{Service: "s", Version: "v1"}
 	for n := range maxStreamRecords + 1 {
-		s.add(streamDigestOf(n), v1, maxResumeTime)
+		s.add(streamDigestOf(n), v1, maxResumeTime, true)
 	}
 	now := time.Now()
 	require.Len(t, s.current, maxStreamRecords)
@@ -78,7 +78,7 @@
 func TestForgottenVersionsLoseTheirMetric(t *testing.T) {
 	s := newTestRecords()
 	for n := range 3 {
-		s.add(streamDigestOf(n), &dispatch.Software{Service: "s", Version: fmt.Sprint("v", n)}, maxResumeTime)
+		s.add(streamDigestOf(n), &dispatch.Software{Service: "s", Version: fmt.Sprint("v", n)}, maxResumeTime, true)
 	}
 	require.Len(t, s.forgotten(), 3)
 	require.Empty(t, s.forgotten())
