httpserver: a drain that ends answers the requests in progress

A stopping control instance closed its connections a second after SIGTERM. A request that arrived later than 0.1 s into the drain, and had no leader to ask, waited 0.9 s for one: an operator's read or change of the configuration ended with its connection and got neither a response nor a rejection, up to 0.9 s after its last byte.

--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -81,10 +82,19 @@
 	draining atomic.Bool
 	// activeAt is when the last request arrived or was handled, in nanoseconds of Unix time.
 	activeAt atomic.Int64
+
+	mu sync.Mutex
+	// cancels end the requests in progress.
+	cancels map[*context.CancelFunc]struct{}
+	expired bool
 }
 
-// drainPollInterval is how often Drain checks for requests.
-const drainPollInterval = 5 * time.Millisecond
+const (
+	// drainPollInterval is how often Drain checks for requests.
+	drainPollInterval = 5 * time.Millisecond
+	// answerTimeout is how long requests that a drain ends get for their responses.
+	answerTimeout = 150 * time.Millisecond
+)
 
 // Track returns a handler that tracks the requests to next. During a drain responses end
 // their connections.
@@ -99,12 +109,54 @@
 		if t.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
-		next.ServeHTTP(w, r)
+		ctx, cancel := context.WithCancel(r.Context())
+		defer t.endable(&cancel)()
+		next.ServeHTTP(w, r.WithContext(ctx))
 	})
 }
 
+// endable registers the function that ends a request, and returns that which cancels it and
+// removes it again.
+func (t *Requests) endable(cancel *context.CancelFunc) (remove func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.expired {
+		(*cancel)()
+	}
+	if t.cancels == nil {
+		t.cancels = make(map[*context.CancelFunc]struct{})
+	}
+	t.cancels[cancel] = struct{}{}
+	return func() {
+		(*cancel)()
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		delete(t.cancels, cancel)
+	}
+}
+
+// expire ends the requests in progress and those that follow, so that they get a response.
+func (t *Requests) expire() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expired = true
+	for cancel := range t.cancels {
+		(*cancel)()
+	}
+}
+
+// awaitEnd waits until no request is in progress, at most answerTimeout.
+func (t *Requests) awaitEnd(ticks <-chan time.Time) {
+	for end := time.Now().Add(answerTimeout); t.open.Load() > 0 && time.Now().Before(end); {
+		<-ticks
+	}
+}
+
 // Drain closes the listeners and waits until no request has been in progress for the time
-// quiet, or ctx is done.
+// quiet, or ctx is done. The contexts of the requests in progress then end, and they have
+// answerTimeout to respond.
+//
+// Invariant: a request that was read gets a response if its handler respects its context.
 func (t *Requests) Drain(ctx context.Context, quiet time.Duration, listeners ...net.Listener) error {
 	t.draining.Store(true)
 	var errs []error
@@ -117,7 +169,12 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return errors.Join(append(errs, ctx.Err())...)
+			t.expire()
+			t.awaitEnd(ticker.C)
+			if t.open.Load() > 0 {
+				errs = append(errs, ctx.Err())
+			}
+			return errors.Join(errs...)
 		case now := <-ticker.C:
 			if t.open.Load() == 0 && now.Sub(time.Unix(0, t.activeAt.Load())) >= quiet {
 				return errors.Join(errs...)
