gateway: reject a request whose body is being read at the exit

As a process is about to exit it sets the read deadline of connections whose request body it reads, in order to answer 503, which tells the client that the request has not run. net/http ends the request's context with any failed read, so that the check for a client that has left took each of them for one, and closed the connection. A body that is whole in the socket's buffer is lost the same way, and one whose last byte is read just before the deadline is set was given up as left by its client. Whether the exit has begun is now asked of the watch itself.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -126,10 +126,10 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	defer context.AfterFunc(c.gateway.stopping, func() {
+	endWatch := context.AfterFunc(c.gateway.stopping, func() {
 		// A connection without deadlines is closed when the process exits.
 		_ = http.NewResponseController(rw).SetReadDeadline(time.Now())
-	})()
+	})
 	body := http.MaxBytesReader(rw, r.Body, limit)
 	var err error
 	if r.ContentLength > 0 && r.ContentLength <= limit {
@@ -138,7 +138,9 @@
 	} else {
 		c.body, err = io.ReadAll(body)
 	}
-	if err == nil {
+	// The read deadline also ends r.Context, even if the body has just been read whole.
+	stopping := !endWatch()
+	if err == nil && !stopping {
 		return true
 	}
 	var tooLarge *http.MaxBytesError
@@ -146,7 +148,8 @@
 		c.gateway.reject(rw, c, http.StatusRequestEntityTooLarge, "body too large", 0, nil)
 		return false
 	}
-	if c.gateway.stopping.Err() != nil && r.Context().Err() == nil {
+	if stopping {
+		rw.Header().Set("Connection", "close")
 		c.gateway.reject(rw, c, http.StatusServiceUnavailable, string(reasonStopping), drainRetryAfter, err)
 		return false
 	}
