registry: an acknowledged announcement reaches the entry instances before a stop

A hub shows changes to the polls of entry instances at most each 20 to 300 ms, and a stopping control instance ends 100 ms after its last request: what it had acknowledged just before was never shown. A server tells one control instance only that it ends, so the others went on to list it, and entry instances to send it requests. The drain now shows what waits, and waits until the entry instances that poll know it, 300 ms at the longest.

Open: a control instance that is killed within that time of its acknowledgement.

--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -48,6 +48,8 @@
 	// above operatorTimeout. The wait ends after drainQuietPeriod without a request.
 	drainTimeout     = time.Second
 	drainQuietPeriod = 100 * time.Millisecond
+	// feedDrainTimeout bounds the wait for entry instances, of which one may just have ended.
+	feedDrainTimeout = 300 * time.Millisecond
 )
 
 // Settings of a registrar.
@@ -217,16 +219,22 @@
 }
 
 // Drain implements kernel.Drainer. The replica still runs, so that requests in progress and
-// those on accepted connections get their responses.
+// those on accepted connections get their responses, and entry instances the announcements
+// that were acknowledged.
 func (r *Registrar) Drain(ctx context.Context) error {
 	if len(r.listeners) == 0 {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
+	requestsCtx, cancel := context.WithTimeout(ctx, drainTimeout)
 	defer cancel()
-	if err := r.requests.Drain(ctx, drainQuietPeriod, r.listeners...); err != nil {
+	if err := r.requests.Drain(requestsCtx, drainQuietPeriod, r.listeners...); err != nil {
 		r.logger.Info("drain ended with requests in progress", slog.Any("error", err))
 	}
+	feedCtx, cancel := context.WithTimeout(ctx, feedDrainTimeout)
+	defer cancel()
+	if err := r.hub.Drain(feedCtx); err != nil {
+		r.logger.Info("drain ended before all entry instances knew the last announcements", slog.Any("error", err))
+	}
 	return nil
 }
 
--- a/registry/hub.go
+++ b/registry/hub.go
@@ -57,6 +57,8 @@
 	// started or ended.
 	activePolls int
 	lastPoll    time.Time
+	// cursor is what the instance knew when its last poll started.
+	cursor uint64
 }
 
 // Hub serves the change feed of one control instance.
@@ -273,9 +275,10 @@
 	return entries
 }
 
-// beginPoll records the start of a poll by an entry instance, and its state if that
-// is newer than the stored one. It returns nil if self is nil. mu must be held.
-func (h *Hub) beginPoll(self *fleetv1.EntryInstance) *entryState {
+// beginPoll records the start of a poll by an entry instance that knows the changes up to
+// cursor, and its state if that is newer than the stored one. It returns nil if self is nil.
+// mu must be held.
+func (h *Hub) beginPoll(self *fleetv1.EntryInstance, cursor uint64) *entryState {
 	if self == nil {
 		return nil
 	}
@@ -290,7 +293,7 @@
 		h.logger.Info("entry instance changed", slog.String("entry", self.Name), slog.Bool("accepting", self.Accepting))
 	}
 	e.activePolls++
-	e.lastPoll = time.Now()
+	e.lastPoll, e.cursor = time.Now(), cursor
 	return e
 }
 
@@ -307,8 +310,12 @@
 
 // Sync implements fleetv1.Fleet.
 func (h *Hub) Sync(ctx context.Context, req *fleetv1.SyncRequest) (*fleetv1.SyncResponse, error) {
+	cursor := req.Cursor
+	if req.Feed != h.feedID {
+		cursor = 0
+	}
 	h.mu.Lock()
-	e := h.beginPoll(req.Self)
+	e := h.beginPoll(req.Self, cursor)
 	h.mu.Unlock()
 	defer h.endPoll(e)
 	for _, l := range req.Leaving {
@@ -320,10 +327,6 @@
 	if req.Evidence != nil {
 		h.MergeCrashEvidence(DecodeCrashEvidence(req.Evidence), req.Self.GetName())
 	}
-	cursor := req.Cursor
-	if req.Feed != h.feedID {
-		cursor = 0
-	}
 	deadline := time.NewTimer(min(time.Duration(req.WaitMs)*time.Millisecond, maxPollWait))
 	defer deadline.Stop()
 	for {
