gateway: a response too long to buffer is not cut before its deadline

A response of over 256 KiB that has begun can only be cut, but its request ended 30 ms before the client's deadline like one that can still get 504; a stream has 50 ms after it. It has them too now.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -40,7 +40,7 @@
 	call        *call
 	rw          http.ResponseWriter
 	headersSent bool
-	// begun is headersSent for the timer of the deadline.
+	// begun is set once the response can only be cut, for the timer of the deadline.
 	begun       atomic.Bool
 	lastEventID string
 	// lastEventAt is when the client was sent the last event; zero before the first.
@@ -88,7 +88,7 @@
 	if s.headersSent {
 		return false // the server refused to resume the stream
 	}
-	return c.relayBuffered(rw, r, a)
+	return c.relayBuffered(r, s, a)
 }
 
 // isEventStream reports whether a response is an event stream. Without a content
@@ -110,7 +110,8 @@
 
 // relayBuffered reads the whole response before the client sees any of it, so that a
 // truncated one never looks complete.
-func (c *call) relayBuffered(rw http.ResponseWriter, r *http.Request, a *attempt) bool {
+func (c *call) relayBuffered(r *http.Request, s *stream, a *attempt) bool {
+	rw := s.rw
 	if impliesNotRun(a.status) && !c.retryable() {
 		// The server did not state that it has not run the request.
 		c.respondInterrupted(rw, r, a, errors.New("status implies that the request has not run, but the server does not state it"))
@@ -128,7 +129,7 @@
 	}
 	c.gateway.dialect.CopyResponseHeader(rw.Header(), a.exchange.Response.Header)
 	if len(body) > maxBufferedResponse {
-		return c.relayUnbuffered(rw, a, body)
+		return c.relayUnbuffered(s, a, body)
 	}
 	c.markWhole(a, len(body))
 	a.exchange.Finish(a.response.IdleTimeout)
@@ -143,11 +144,13 @@
 }
 
 // relayUnbuffered forwards a response that is too long to buffer.
-func (c *call) relayUnbuffered(rw http.ResponseWriter, a *attempt, prefix []byte) bool {
+func (c *call) relayUnbuffered(s *stream, a *attempt, prefix []byte) bool {
+	rw := s.rw
 	if n := a.exchange.Response.ContentLength; n >= 0 {
 		rw.Header().Set("Content-Length", strconv.FormatInt(n, 10))
 	}
 	c.responded = true
+	s.begun.Store(true)
 	rw.WriteHeader(a.status)
 	_, err := rw.Write(prefix)
 	if err == nil {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -17,8 +17,9 @@
 // errDeadline ends a request whose client or route timeout has passed.
 var errDeadline = errors.New("request deadline exceeded")
 
-// streamOvertime is how much longer than other requests a stream may take: it ends after
-// the client's deadline, and soon enough not to count as held.
+// streamOvertime is how much longer than other requests a stream, or a response that is too
+// long to buffer, may take: it ends after the client's deadline, and soon enough not to count
+// as held.
 const streamOvertime = responseMargin + 50*time.Millisecond
 
 // serve sends the request until it gets a response, and relays it.
@@ -47,7 +48,7 @@
 }
 
 // startDeadline cancels the request at its deadline, which leaves time for a last response.
-// A stream that has begun can only be cut, so it gets streamOvertime more. The returned
+// A response that has begun can only be cut, so it gets streamOvertime more. The returned
 // function stops the timer.
 func (s *stream) startDeadline(cancel context.CancelCauseFunc) (stop func() bool) {
 	return time.AfterFunc(time.Until(s.call.deadline), func() {
