fleetview: the end of a server outlives the control instance that it told

A server reports that it drains, or ends, to one control instance only; another one, to which it sent heartbeats before, goes on to list it as ready. When the first one restarted, or could not be reached for 15 s, entry instances dropped what it had reported, and sent requests to the server again, which may serve for many seconds after it was acknowledged.

Open: an entry instance that starts after the restart does not know of it.

--- a/fleetview/view.go
+++ b/fleetview/view.go
@@ -122,9 +122,11 @@
 	self          *fleetv1.EntryInstance
 	// stopsAccepting is set by StopAccepting.
 	stopsAccepting bool
-	leaving        leavingServers
-	limits         limitReports
-	evidence       evidenceExchange
+	// ended are the servers kept by keepEnded.
+	ended    map[string]endedServer
+	leaving  leavingServers
+	limits   limitReports
+	evidence evidenceExchange
 	// wake is closed and replaced when the waiting polls are ended, at interruptedAt for the
 	// last time; interruptPending is set while a timer will end them.
 	wake             chan struct{}
@@ -138,7 +140,7 @@
 func New(seeds []string, self *fleetv1.EntryInstance, client *http.Client, logger *slog.Logger) *View {
 	v := &View{
 		client: client, logger: logger, seeds: seeds, sources: make(map[string]*source), self: self,
-		members: make(map[string]bool), released: make(map[string]bool),
+		members: make(map[string]bool), released: make(map[string]bool), ended: make(map[string]endedServer),
 		documents: make(map[string]*controlv1.PublishedDocument), fetches: make(map[string]*documentFetch), wake: make(chan struct{}), changed: make(chan struct{}),
 	}
 	v.current.Store(&Snapshot{})
@@ -317,12 +319,14 @@
 		v.publish()
 	}
 	if len(s.servers) > 0 && now.Sub(s.lastResponse) > staleTimeout {
+		v.keepEnded(s, now)
 		s.servers, s.feed, s.cursor = make(map[string]*fleetv1.Announcement), 0, 0
 		v.publish()
 	}
 	if now.Sub(s.lastListed) < removeTimeout || slices.Contains(v.seeds, s.url) {
 		return false
 	}
+	v.keepEnded(s, now)
 	delete(v.sources, s.url)
 	s.cancel()
 	v.publish()
@@ -337,6 +341,7 @@
 	changed := len(r.Announcements) > 0 || r.Feed != s.feed || !sameEntries(s.entries, r.Entries)
 	if r.Feed != s.feed {
 		// The instance has restarted, possibly with an empty disk.
+		v.keepEnded(s, time.Now())
 		s.servers = make(map[string]*fleetv1.Announcement)
 		clear(s.reportedVersions)
 	}
@@ -389,6 +394,7 @@
 			}
 		}
 	}
+	v.mergeEnded(next.Servers, time.Now())
 	slices.Sort(next.ControlURLs)
 	v.current.Store(next)
 	close(v.changed)
