Gateway: look-ups of resumed streams are bounded

A client that names attempts which never were made an entry instance ask control instances up to six times each; their processor time keeps the group's leader. All instances together now ask for 1000 streams a second at most, each for 64 at once; what is above is rejected.

--- a/gateway/continuation.go
+++ b/gateway/continuation.go
@@ -94,7 +94,7 @@
 // still resume. ok is false if there may be several, or several services.
 func (c *call) onlyVersion(now time.Time) (version string, ok bool) {
 	g := c.gateway
-	if len(c.route.Targets) != 1 || now.Sub(g.routing.Load().movedRoutes[c.route.Name]) < resumeTime(c.route) {
+	if len(targetServices(c.route)) != 1 || now.Sub(g.routing.Load().movedRoutes[c.route.Name]) < resumeTime(c.route) {
 		return "", false
 	}
 	return g.view.Current().Software.Only(c.service.Name, resumeTime(c.route), now)
--- a/gateway/stream_records.go
+++ b/gateway/stream_records.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/galenaarch/galenaarch/api/fleetv1"
 	"github.com/galenaarch/galenaarch/dispatch"
 	"github.com/galenaarch/galenaarch/fleetview"
@@ -30,6 +32,11 @@
 	minRecordDelay      = 50 * time.Millisecond
 	recordDelayPerEntry = 2 * time.Millisecond
 	maxRecordDelay      = 300 * time.Millisecond
+	// lookUpRate bounds the look-ups a second of all instances together, each of at most
+	// 2*lookUpAttempts questions: clients may name attempts that never were. lookUpBurst bounds
+	// those of one instance at once; after a restart of all, many streams are resumed.
+	lookUpRate  = 1000
+	lookUpBurst = 64
 	// recordGeneration is the least time for which this instance keeps a record; it keeps it
 	// for at most twice as long.
 	recordGeneration = maxResumeTime
@@ -62,6 +69,7 @@
 	logger *slog.Logger
 	// wake has an element while records wait to be sent, urgent while they must not wait.
 	wake, urgent chan struct{}
+	lookUps      *rate.Limiter
 
 	mu                sync.Mutex
 	current, previous map[registry.StreamDigest]streamRecord
@@ -79,7 +87,7 @@
 
 func newStreamRecords(view *fleetview.View, logger *slog.Logger) *streamRecords {
 	return &streamRecords{
-		view: view, logger: logger, wake: make(chan struct{}, 1), urgent: make(chan struct{}, 1), current: make(map[registry.StreamDigest]streamRecord), generationStart: time.Now(),
+		view: view, logger: logger, wake: make(chan struct{}, 1), urgent: make(chan struct{}, 1), lookUps: rate.NewLimiter(lookUpRate, lookUpBurst), current: make(map[registry.StreamDigest]streamRecord), generationStart: time.Now(),
 		pending: make(map[string]*recordBatch), failing: make(map[string]bool), unsent: make(map[string]int), counted: make(map[dispatch.Software]bool),
 	}
 }
@@ -277,9 +285,14 @@
 	}
 }
 
-// lookUp asks control instances which software began a stream; nil if none knows. A record may
+// lookUp asks control instances which software began a stream; nil if none knows, or if there
+// are too many look-ups. A record may
 // be on its way: without one, they are asked once more after the time that takes.
 func (s *streamRecords) lookUp(ctx context.Context, digest registry.StreamDigest) *dispatch.Software {
+	s.lookUps.SetLimit(rate.Limit(lookUpRate / float64(max(1, len(s.view.Current().Entries)))))
+	if !s.lookUps.Allow() {
+		return nil
+	}
 	if software := s.askHolders(ctx, digest); software != nil {
 		return software
 	}
--- a/gateway/stream_records_test.go
+++ b/gateway/stream_records_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -83,3 +84,15 @@
 	require.Len(t, s.forgotten(), 3)
 	require.Empty(t, s.forgotten())
 }
+
+// Guards against clients that make the control instances busy by resuming streams that never were.
+func TestLookUpsOfUnknownStreamsAreBounded(t *testing.T) {
+	s := newTestRecords()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel() // nobody is asked
+	for n := range 10 * lookUpBurst {
+		require.Nil(t, s.lookUp(ctx, streamDigestOf(n)))
+	}
+	require.Less(t, s.lookUps.Tokens(), float64(lookUpBurst)/2)
+	require.False(t, s.lookUps.AllowN(time.Now(), lookUpBurst))
+}
