gateway: a panic in a timer of a request does not end the process

The search for a replacement runs in timers that no handler recovers: a panic there ended the process and all of its requests. The request goes on without the timer; its deadline stays in force. The test panicked before.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -214,6 +214,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.timer = time.AfterFunc(d, func() {
+		defer c.gateway.recoverTimer(c)
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		if t.ended {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -251,6 +251,15 @@
 	panic(http.ErrAbortHandler)
 }
 
+// recoverTimer logs a panic in a timer that serves a request; the request goes on without
+// it. It must be deferred directly, or it recovers nothing.
+func (g *Gateway) recoverTimer(c *call) {
+	if recovered := recover(); recovered != nil {
+		g.metrics.panics.Inc()
+		g.logger.Error("panic in a timer of a request", slog.String("request", c.request.ID), slog.Any("fault", recovered), slog.String("stack", string(debug.Stack())))
+	}
+}
+
 // resetConnection resets the connection to a client. A response to an HTTP/1.0 client has
 // no chunks and may have no length, so that a closed connection would end it as complete.
 func resetConnection(rw http.ResponseWriter) {
--- a/gateway/panic_test.go
+++ b/gateway/panic_test.go
@@ -85,3 +85,16 @@
 		t.Fatal("the next request waits for the lock of the service")
 	}
 }
+
+// A panic in a timer of a request, which no handler recovers, must not end the process.
+func TestPanicInTimerOfRequestDoesNotEndProcess(t *testing.T) {
+	h := newTestGateway(t, 2)
+	h.setRetries(4)
+	scorer := &panickingScorer{}
+	h.scorer = scorer
+	c, silent := h.silentCall()
+	w := &stallWatch{call: c, stream: &stream{call: c}, attempt: &attempt{gateway: h.Gateway, backend: silent}, ctx: t.Context()}
+	w.lastEventAt.Store(time.Now().Add(-w.fraction(failoverShare)).UnixNano())
+	require.NotPanics(t, w.check)
+	require.True(t, scorer.used)
+}
--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -114,6 +114,7 @@
 
 // check cancels the stream if it has stalled, or schedules the next check.
 func (w *stallWatch) check() {
+	defer w.call.gateway.recoverTimer(w.call)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.ended {
