entry: refuse a request whose handling panics before its response

It is refused with outcome_unknown now; a response that has begun is still aborted.

TestPanicBeforeResponseIsAnswered: EOF before.

--- a/entry/routes.go
+++ b/entry/routes.go
@@ -76,6 +76,9 @@
 		info := requestInfo{requestID: id, view: e.config.View()}
 		w.Header().Set(headerRequestID, info.requestID)
 		r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
+		begun := &begunWriter{ResponseWriter: w}
+		w = begun
+		defer e.answerPanic(begun, kind, id)
 		refused := e.countOpenRequest()
 		defer e.openRequests.Add(-1)
 		if refused == nil {
