gateway: continue no stream at a server that announces nothing

A server that every control instance reports as silent is now asked no more. For a server whose connection broke the time is four intervals, since silence is reported after three and takes a moment to arrive.

--- a/dispatch/backend_state.go
+++ b/dispatch/backend_state.go
@@ -210,6 +210,9 @@
 // SetUnreported records whether every control instance has stopped reporting the server.
 func (b *BackendState) SetUnreported(unreported bool) { b.unreported = unreported }
 
+// Unreported reports whether every control instance has stopped reporting the server.
+func (b *BackendState) Unreported() bool { return b.unreported }
+
 // Succeeded records a normal response and its duration.
 func (b *BackendState) Succeeded(elapsed time.Duration, now time.Time) {
 	b.consecutiveFailures, b.probing = 0, false
--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -54,6 +54,14 @@
 	}
 }
 
+// mayHaveRestarted reports whether the server may have restarted under its ID with other
+// software than it announced: that is known only once it has announced itself again. It is
+// unsure for a time after a connection to the server broke, and while no control instance hears
+// of it. The caller holds the state's lock.
+func (b *backend) mayHaveRestarted(reannounced time.Duration, now time.Time) bool {
+	return b.tracker.Unreported() || now.Sub(time.Unix(0, b.brokenAt.Load())) < reannounced
+}
+
 // runs returns the software of the server; it must not be modified.
 func (b *backend) runs() *dispatch.Software { return &b.software }
 
--- a/gateway/continuation.go
+++ b/gateway/continuation.go
@@ -17,9 +17,10 @@
 	resumeTimeFactor = 2
 	minResumeTime    = 10 * time.Second
 	maxResumeTime    = time.Minute
-	// reannounceIntervals is after how many announcement intervals a server that restarted
-	// under its ID is known to have done so.
-	reannounceIntervals = 3
+	// reannounceIntervals is after how many announcement intervals a server whose connection
+	// broke is known to go on, to have restarted under its ID, or to announce nothing: the three
+	// after which it is reported as silent, and one for the report to arrive.
+	reannounceIntervals = 4
 )
 
 // resumeTime returns how long after its start a stream of the route may be resumed.
@@ -167,9 +168,8 @@
 // mayContinueAt reports whether a request may be sent to a server: a stream that has begun only
 // to one that surely runs the same software. The caller holds the state's lock.
 //
-// A server may restart under its ID with other software, which is known only once it has
-// announced itself: until then it is unsure whether a server whose connection broke still
-// runs what it announced. That does not matter while the service has one version only.
+// That it may run other software than it announced does not matter while the service has one
+// version only.
 func (c *call) mayContinueAt(b *backend, now time.Time) bool {
 	software := c.software.Load()
 	if software == nil {
@@ -178,7 +178,7 @@
 	if *b.runs() != *software {
 		return false
 	}
-	if now.Sub(time.Unix(0, b.brokenAt.Load())) >= reannounceIntervals*c.gateway.announceInterval {
+	if !b.mayHaveRestarted(reannounceIntervals*c.gateway.announceInterval, now) {
 		return true
 	}
 	_, only := c.gateway.view.Current().Software.Only(software.Service, resumeTime(c.route), now)
--- a/gateway/continuation_test.go
+++ b/gateway/continuation_test.go
@@ -1,12 +1,17 @@
 package gateway
 
 import (
+	"log/slog"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/galenaarch/galenaarch/api/fleetv1"
 	"github.com/galenaarch/galenaarch/config/site"
+	"github.com/galenaarch/galenaarch/dispatch"
+	"github.com/galenaarch/galenaarch/fleetview"
 )
 
 // Guards against streams that are refused, or joined, because the time in which their client may
@@ -20,3 +25,39 @@
 		require.Equal(t, want, resumeTime(&site.Route{Timeout: timeout}))
 	}
 }
+
+// boundCall returns a request that continues a stream of the software of the first server of a
+// service with two versions, and that server.
+func (h *testGateway) boundCall() (*call, *backend) {
+	h.view = fleetview.New(nil, &fleetv1.EntryInstance{Name: "e"}, http.DefaultClient, slog.New(slog.DiscardHandler))
+	b := h.routing.services["llm"][0]
+	b.software = dispatch.Software{Service: "llm", Version: "v1"}
+	c := h.call(500)
+	c.software.Store(&dispatch.Software{Service: "llm", Version: "v1"})
+	return c, b
+}
+
+// Guards against streams that are joined at a server that has ended and started again under its
+// ID with other software: an instance that had no connection to it sees nothing break, and its
+// new announcement may be late, but the old ones end.
+func TestStreamDoesNotGoOnAtServerThatAnnouncesNothing(t *testing.T) {
+	h := newTestGateway(t, 1)
+	c, b := h.boundCall()
+	now := time.Now()
+	require.True(t, c.mayContinueAt(b, now))
+	b.tracker.SetUnreported(true)
+	require.False(t, c.mayContinueAt(b, now))
+	b.tracker.SetUnreported(false)
+	require.True(t, c.mayContinueAt(b, now))
+}
+
+// Guards against streams that are joined at a server whose connection broke before it is known
+// whether it has started again.
+func TestStreamDoesNotGoOnAtServerSoonAfterItsConnectionBroke(t *testing.T) {
+	h := newTestGateway(t, 1)
+	c, b := h.boundCall()
+	now := time.Now()
+	b.recordBroken(now)
+	require.False(t, c.mayContinueAt(b, now.Add(reannounceIntervals*h.announceInterval-time.Millisecond)))
+	require.True(t, c.mayContinueAt(b, now.Add(reannounceIntervals*h.announceInterval)))
+}
