gateway: bind streams of a server that announces nothing to no known software

A server that ended and started again under its ID with other software began streams before its announcement had arrived. While every control instance reports a server as silent, and the service may have more than one version, its streams are bound to no known version. A broken connection alone is no reason: most servers go on, and their streams could not.

--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -62,6 +62,13 @@
 	return b.tracker.Unreported() || now.Sub(time.Unix(0, b.brokenAt.Load())) < reannounced
 }
 
+// unreported reports whether no control instance hears of the server.
+func (b *backend) unreported() bool {
+	b.state.mu.Lock()
+	defer b.state.mu.Unlock()
+	return b.tracker.Unreported()
+}
+
 // runs returns the software of the server; it must not be modified.
 func (b *backend) runs() *dispatch.Software { return &b.software }
 
--- a/gateway/continuation.go
+++ b/gateway/continuation.go
@@ -153,11 +153,17 @@
 }
 
 // noteBegin binds a stream to the software of the server whose first event is passed on, and
-// records it for the client's further attempts.
+// records it for the client's further attempts. While no control instance hears of the server, it
+// may have started again with other software: its streams are bound to no known one, so that
+// they go on nowhere. A broken connection alone is no reason for that: most servers go on.
 func (c *call) noteBegin(b *backend) {
 	if !c.route.Resumable || c.software.Load() != nil {
 		return
 	}
+	if b.unreported() && !c.onlyVersion(b.service.Name, time.Now()) {
+		c.software.Store(&dispatch.Software{Service: b.service.Name})
+		return
+	}
 	software := b.runs()
 	c.software.Store(software)
 	_, only := c.onlyVersion(time.Now())
@@ -165,6 +171,13 @@
 	c.gateway.metrics.begun.WithLabelValues(software.Service, software.Version).Inc()
 }
 
+// onlyVersion reports whether no version of a service but one may have begun a stream that is
+// resumed.
+func (c *call) onlyVersion(service string, now time.Time) bool {
+	_, only := c.gateway.view.Current().Software.Only(service, resumeTime(c.route), now)
+	return only
+}
+
 // mayContinueAt reports whether a request may be sent to a server: a stream that has begun only
 // to one that surely runs the same software. The caller holds the state's lock.
 //
@@ -178,11 +191,7 @@
 	if *b.runs() != *software {
 		return false
 	}
-	if !b.mayHaveRestarted(reannounceIntervals*c.gateway.announceInterval, now) {
-		return true
-	}
-	_, only := c.gateway.view.Current().Software.Only(software.Service, resumeTime(c.route), now)
-	return only
+	return !b.mayHaveRestarted(reannounceIntervals*c.gateway.announceInterval, now) || c.onlyVersion(software.Service, now)
 }
 
 // boundElsewhere reports whether servers of the service exist, but none that runs the software
--- a/gateway/continuation_test.go
+++ b/gateway/continuation_test.go
@@ -61,3 +61,27 @@
 	require.False(t, c.mayContinueAt(b, now.Add(reannounceIntervals*h.announceInterval-time.Millisecond)))
 	require.True(t, c.mayContinueAt(b, now.Add(reannounceIntervals*h.announceInterval)))
 }
+
+// Guards against streams that are recorded as begun by the software that their server announced
+// before it ended and started again, and joined when they go on there.
+func TestStreamOfServerThatAnnouncesNothingIsBoundToNoKnownSoftware(t *testing.T) {
+	h := newTestGateway(t, 2)
+	c, b := h.boundCall()
+	h.streams = newStreamRecords(h.view, slog.New(slog.DiscardHandler))
+	other := h.routing.services["llm"][1]
+	other.software = b.software
+	begin := func(id string) *call {
+		c := h.call(500)
+		c.route.Resumable, c.request.ID = true, id
+		c.noteBegin(b)
+		return c
+	}
+	b.tracker.SetUnreported(true)
+	unsure := begin("r-1")
+	require.False(t, unsure.mayContinueAt(other, time.Now()))
+	require.Nil(t, h.streams.get(c.streamDigest("r-1"), time.Now()))
+	b.tracker.SetUnreported(false)
+	sure := begin("r-2")
+	require.True(t, sure.mayContinueAt(other, time.Now()))
+	require.Equal(t, &b.software, h.streams.get(c.streamDigest("r-2"), time.Now()))
+}
