Gateway: records of streams exist wherever another instance asks for them

An instance took records for dispensable by the time in which the route's streams may be resumed, at the moment of their begin; documents change that time, a control instance that restarts forgets, and an instance that starts then asks. The time is now one for all routes, the longest; records are sent while an instance that starts could know less than this one (a control instance has just started, or does not respond), and older ones follow when that becomes so.

The other way round: an instance that is cut off from the majority of the control instances learns of no new version, and no longer takes the one that it knows for the only one. TestRecordsAreNeededWhileNewcomersWouldKnowLess, TestOneKnownVersionIsNoProofWithoutHistory (extended), TestResumeTimeFollowsLongestRoute (in place of the one by route: the rule has changed).

--- a/dispatch/software.go
+++ b/dispatch/software.go
@@ -77,8 +77,9 @@
 type SoftwareView struct {
 	// Versions lists the versions by service.
 	Versions map[string][]SoftwareVersion
-	// KnownSince is the time since which no version is missing.
-	KnownSince time.Time
+	// KnownSince is the time since which no version is missing. An instance that starts may
+	// not know of versions before NewcomersKnowSince. Either is zero if it is not known.
+	KnownSince, NewcomersKnowSince time.Time
 }
 
 // NewSoftwareView returns the view of a history and of the versions that servers run now.
@@ -114,6 +115,13 @@
 	return version, ok
 }
 
+// MayDiffer reports whether another instance may not know which one version of a service's
+// software may have begun a stream within the time before now.
+func (v *SoftwareView) MayDiffer(service string, within time.Duration, now time.Time) bool {
+	_, only := v.Only(service, within, now)
+	return !only || v.NewcomersKnowSince.IsZero() || now.Sub(v.NewcomersKnowSince) < within
+}
+
 // Lists reports whether a version is listed.
 func (v *SoftwareView) Lists(software Software) bool {
 	return v != nil && slices.ContainsFunc(v.Versions[software.Service], func(s SoftwareVersion) bool { return s.Version == software.Version })
--- a/fleetview/software.go
+++ b/fleetview/software.go
@@ -29,10 +29,14 @@
 		age := time.Duration(min(known.AgeMs, uint64(softwareRetention.Milliseconds()))) * time.Millisecond
 		v.software.Seen(dispatch.Software{Service: known.Service, Version: known.Software}, now.Add(-age))
 	}
+	if r.SoftwareHistoryMs == 0 && len(r.Software) == 0 {
+		return // not stated in this response
+	}
+	s.softwareHistorySince = startedAt.Add(-time.Duration(min(r.SoftwareHistoryMs, uint64(softwareRetention.Milliseconds()))) * time.Millisecond)
 	if s.softwareKnownSince.IsZero() {
 		// Later ones are of no account: from the first response on, this process knows what
 		// the instance knows.
-		s.softwareKnownSince = startedAt.Add(-time.Duration(min(r.SoftwareHistoryMs, uint64(softwareRetention.Milliseconds()))) * time.Millisecond)
+		s.softwareKnownSince = s.softwareHistorySince
 	}
 }
 
@@ -60,14 +64,48 @@
 		v.software.Seen(software, now)
 	}
 	v.software.Forget(now.Add(-softwareRetention))
-	return dispatch.NewSoftwareView(&v.software, serving, v.softwareKnownSince())
+	listed := v.listedSources(now)
+	view := dispatch.NewSoftwareView(&v.software, serving, softwareKnownSince(listed))
+	view.NewcomersKnowSince = newcomersKnowSince(listed)
+	return view
+}
+
+// listedSources returns the control instances that were members of the group not long ago. A seed
+// that has left it is polled for ever. The caller holds the lock.
+func (v *View) listedSources(now time.Time) (listed []*source) {
+	for _, s := range v.sources {
+		if now.Sub(s.lastListed) < removeTimeout {
+			listed = append(listed, s)
+		}
+	}
+	return listed
+}
+
+// newcomersKnowSince returns the time since which an instance that starts now would know the
+// software of all servers: a control instance that has restarted has forgotten. It is zero, for
+// not known, while one does not respond.
+func newcomersKnowSince(listed []*source) (since time.Time) {
+	for _, s := range listed {
+		if s.unreachable || s.softwareHistorySince.IsZero() {
+			return time.Time{}
+		}
+		if s.softwareHistorySince.After(since) {
+			since = s.softwareHistorySince
+		}
+	}
+	return since
 }
 
 // softwareKnownSince returns the time since which no software version is missing: that of the
 // control instance that knows the least. One that has not responded counts from when its
-// servers were announced elsewhere. The caller holds the lock.
-func (v *View) softwareKnownSince() (since time.Time) {
-	for _, s := range v.sources {
+// servers were announced elsewhere. It is zero, for not known, unless a majority of the control
+// instances responds: servers may announce to others what this process does not learn.
+func softwareKnownSince(listed []*source) (since time.Time) {
+	responding := 0
+	for _, s := range listed {
+		if !s.unreachable && !s.lastResponse.IsZero() {
+			responding++
+		}
 		known := s.softwareKnownSince
 		if known.IsZero() {
 			known = s.addedAt.Add(relocationTime)
@@ -76,6 +114,9 @@
 			since = known
 		}
 	}
+	if 2*responding <= len(listed) {
+		return time.Time{}
+	}
 	return since
 }
 
--- a/fleetview/software_test.go
+++ b/fleetview/software_test.go
@@ -60,11 +60,38 @@
 	reportSoftware(v, "a", 1, time.Hour, serverOf("v1", 1, readyState), &fleetv1.SoftwareVersion{Service: "desk", Software: "v0", AgeMs: 1000})
 	require.False(t, only(v), "v0 ended a second before")
 
-	v = newSoftwareView("a", "down")
+	v = newSoftwareView("a", "b", "down")
 	reportSoftware(v, "a", 1, time.Hour, serverOf("v1", 1, readyState))
+	reportSoftware(v, "b", 1, time.Hour, nil)
+	require.False(t, only(v), "an instance has not responded")
 	v.sources["down"].addedAt = time.Now().Add(-resumeRange - relocationTime) // later
 	reportSoftware(v, "a", 1, time.Hour, serverOf("v1", 1, readyState))
 	require.True(t, only(v), "the servers of an instance that does not respond are announced elsewhere")
+	v.handleFailure(v.sources["b"], errors.New("unreachable"))
+	require.False(t, only(v), "cut off from the majority: a new version may serve")
+	reportSoftware(v, "b", 1, time.Hour, nil)
+	require.True(t, only(v))
+}
+
+// Guards against streams that are refused at an instance that starts, because the others took their
+// records for dispensable: a control instance has restarted, or does not respond.
+func TestRecordsAreNeededWhileNewcomersWouldKnowLess(t *testing.T) {
+	needed := func(v *View) bool {
+		return v.Current().Software.MayDiffer("desk", resumeRange, time.Now())
+	}
+	v := newSoftwareView("a", "b", "c")
+	for _, url := range []string{"a", "b", "c"} {
+		reportSoftware(v, url, 1, time.Hour, serverOf("v1", 1, readyState))
+	}
+	require.False(t, needed(v))
+	reportSoftware(v, "b", 2, time.Second, serverOf("v1", 1, readyState))
+	_, only := v.Current().Software.Only("desk", resumeRange, time.Now())
+	require.True(t, only, "this instance knew before")
+	require.True(t, needed(v), "b has restarted")
+	reportSoftware(v, "b", 2, resumeRange, serverOf("v1", 1, readyState))
+	require.False(t, needed(v), "b has run for long enough")
+	v.handleFailure(v.sources["c"], errors.New("unreachable"))
+	require.True(t, needed(v), "c does not respond")
 }
 
 // Guards against streams that are joined because a version is forgotten with the server, or with
--- a/fleetview/view.go
+++ b/fleetview/view.go
@@ -105,6 +105,8 @@
 	// addedAt is when this process first polled it, softwareKnownSince the time since which
 	// it knew the software of all servers when it first responded.
 	addedAt, softwareKnownSince time.Time
+	// softwareHistorySince is the time since which it knows the software of all servers itself.
+	softwareHistorySince time.Time
 }
 
 // View follows the control instances until its context ends.
--- a/gateway/continuation.go
+++ b/gateway/continuation.go
@@ -12,8 +12,8 @@
 
 const (
 	// resumeTimeFactor, minResumeTime and maxResumeTime determine how long after its start a
-	// client may resume a stream, over several attempts: a multiple of the route's timeout for
-	// one attempt, within bounds.
+	// client may resume a stream, over several attempts: a multiple of the longest timeout of
+	// the routes of streams for one attempt, within bounds.
 	resumeTimeFactor = 2
 	minResumeTime    = 10 * time.Second
 	maxResumeTime    = time.Minute
@@ -23,9 +23,16 @@
 	reannounceIntervals = 4
 )
 
-// resumeTime returns how long after its start a stream of the route may be resumed.
-func resumeTime(r *site.Route) time.Duration {
-	return min(max(resumeTimeFactor*r.Timeout, minResumeTime), maxResumeTime)
+// longestResumeTime returns how long after its start a stream may be resumed. It is the same for
+// all routes: instances that use different ones would not find what others have recorded.
+func longestResumeTime(routes []site.Route) time.Duration {
+	longest := minResumeTime
+	for i := range routes {
+		if r := &routes[i]; r.Kind == site.KindStream && r.Resumable {
+			longest = max(longest, resumeTimeFactor*r.Timeout)
+		}
+	}
+	return min(longest, maxResumeTime)
 }
 
 // resumed reports whether the client resumes a stream. A newer document may have withdrawn
@@ -94,17 +101,24 @@
 // onlyVersion returns the software version that began each stream of the route which a client may
 // still resume. ok is false if there may be several, or several services.
 func (c *call) onlyVersion(now time.Time) (version string, ok bool) {
-	g := c.gateway
-	if len(targetServices(c.route)) != 1 || now.Sub(g.routing.Load().movedRoutes[c.route.Name]) < resumeTime(c.route) {
+	rs := c.gateway.routing.Load()
+	if len(targetServices(c.route)) != 1 || now.Sub(rs.movedRoutes[c.route.Name]) < rs.resumeTime {
 		return "", false
 	}
-	return g.view.Current().Software.Only(c.service.Name, resumeTime(c.route), now)
+	return c.gateway.view.Current().Software.Only(c.service.Name, rs.resumeTime, now)
+}
+
+// mayBeAskedFor reports whether another instance, or one that starts, may have to ask for the
+// record of a stream that begins now.
+func (c *call) mayBeAskedFor(now time.Time) bool {
+	_, only := c.onlyVersion(now)
+	return !only || c.gateway.view.Current().Software.MayDiffer(c.service.Name, c.gateway.routing.Load().resumeTime, now)
 }
 
 // noteMovedRoutes records the routes of streams that lead to other services than before, and
 // reports whether there are any. Streams that began before may still be resumed.
 func (rs *routingState) noteMovedRoutes(old *routingState, now time.Time) (moved bool) {
-	rs.movedRoutes = make(map[string]time.Time)
+	rs.resumeTime, rs.movedRoutes = longestResumeTime(rs.table.Routes), make(map[string]time.Time)
 	if old == nil || old.table == nil {
 		return false
 	}
@@ -160,21 +174,20 @@
 	if !c.route.Resumable || c.software.Load() != nil {
 		return
 	}
-	if b.unreported() && !c.onlyVersion(b.service.Name, time.Now()) {
+	if b.unreported() && !c.onlyVersionOf(b.service.Name, time.Now()) {
 		c.software.Store(&dispatch.Software{Service: b.service.Name})
 		return
 	}
 	software := b.runs()
 	c.software.Store(software)
-	_, only := c.onlyVersion(time.Now())
-	c.gateway.streams.add(c.streamDigest(c.request.ID), software, resumeTime(c.route), !only)
+	c.gateway.streams.add(c.streamDigest(c.request.ID), software, c.gateway.routing.Load().resumeTime, c.mayBeAskedFor(time.Now()))
 	c.gateway.metrics.begun.WithLabelValues(software.Service, software.Version).Inc()
 }
 
-// onlyVersion reports whether no version of a service but one may have begun a stream that is
+// onlyVersionOf reports whether no version of a service but one may have begun a stream that is
 // resumed.
-func (c *call) onlyVersion(service string, now time.Time) bool {
-	_, only := c.gateway.view.Current().Software.Only(service, resumeTime(c.route), now)
+func (c *call) onlyVersionOf(service string, now time.Time) bool {
+	_, only := c.gateway.view.Current().Software.Only(service, c.gateway.routing.Load().resumeTime, now)
 	return only
 }
 
@@ -191,7 +204,7 @@
 	if *b.runs() != *software {
 		return false
 	}
-	return !b.mayHaveRestarted(reannounceIntervals*c.gateway.announceInterval, now) || c.onlyVersion(software.Service, now)
+	return !b.mayHaveRestarted(reannounceIntervals*c.gateway.announceInterval, now) || c.onlyVersionOf(software.Service, now)
 }
 
 // boundElsewhere reports whether servers of the service exist, but none that runs the software
--- a/gateway/continuation_test.go
+++ b/gateway/continuation_test.go
@@ -15,14 +15,23 @@
 )
 
 // Guards against streams that are refused, or joined, because the time in which their client may
-// return is taken for shorter or longer than it is.
-func TestResumeTimeFollowsRoute(t *testing.T) {
-	for timeout, want := range map[time.Duration]time.Duration{
-		time.Second:      minResumeTime,
-		10 * time.Second: 20 * time.Second,
-		time.Hour:        maxResumeTime,
+// return is taken for shorter or longer than it is, or for another one than elsewhere.
+func TestResumeTimeFollowsLongestRoute(t *testing.T) {
+	stream := func(timeout time.Duration, resumable bool) site.Route {
+		return site.Route{Kind: site.KindStream, Resumable: resumable, Timeout: timeout}
+	}
+	for name, tt := range map[string]struct {
+		routes []site.Route
+		want   time.Duration
+	}{
+		"no route":               {nil, minResumeTime},
+		"short":                  {[]site.Route{stream(time.Second, true)}, minResumeTime},
+		"longest of several":     {[]site.Route{stream(5*time.Second, true), stream(10*time.Second, true)}, 20 * time.Second},
+		"not resumable":          {[]site.Route{stream(5*time.Second, true), stream(20*time.Second, false)}, 10 * time.Second},
+		"no stream":              {[]site.Route{{Kind: site.KindIdempotent, Timeout: 20 * time.Second}}, minResumeTime},
+		"longer than is bounded": {[]site.Route{stream(time.Hour, true)}, maxResumeTime},
 	} {
-		require.Equal(t, want, resumeTime(&site.Route{Timeout: timeout}))
+		t.Run(name, func(t *testing.T) { require.Equal(t, tt.want, longestResumeTime(tt.routes)) })
 	}
 }
 
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -39,6 +39,8 @@
 	// movedRoutes is when the services to which a route of streams leads last changed, within
 	// maxResumeTime.
 	movedRoutes map[string]time.Time
+	// resumeTime is how long after its start a stream may be resumed.
+	resumeTime time.Duration
 }
 
 // rebuild derives the routing state from a fleet snapshot. Backends keep what was
@@ -62,9 +64,7 @@
 		g.followContexts(ctx, s, next)
 	}
 	g.routing.Store(next)
-	if moved {
-		g.streams.sendOlder(time.Now(), true)
-	}
+	g.streams.sendOlder(time.Now(), next.resumeTime, moved)
 	g.attachRateLimits(next)
 	g.closeRemoved(old, next)
 	g.recordAnnouncedEnds(s)
--- a/gateway/stream_records.go
+++ b/gateway/stream_records.go
@@ -27,8 +27,8 @@
 	recordTimeout = 500 * time.Millisecond
 	lookUpTimeout = 150 * time.Millisecond
 	// minRecordDelay is how long records are batched at least, recordDelayPerEntry what each
-	// entry instance adds, up to maxRecordDelay: with n instances the control instances
-	// get at most recordCopies/recordDelayPerEntry = 1000 messages a second in all.
+	// entry instance adds, up to maxRecordDelay: a control instance gets at most
+	// 1/recordDelayPerEntry = 500 messages a second, above 150 entry instances n/maxRecordDelay.
 	minRecordDelay      = 50 * time.Millisecond
 	recordDelayPerEntry = 2 * time.Millisecond
 	maxRecordDelay      = 300 * time.Millisecond
@@ -193,13 +193,9 @@
 // run sends records until the context ends.
 func (s *streamRecords) run(ctx context.Context) {
 	for {
-		changed := s.view.Changed()
 		select {
 		case <-ctx.Done():
 			return
-		case <-changed:
-			s.sendOlder(time.Now(), false)
-			continue
 		case <-s.wake:
 		}
 		select {
@@ -218,15 +214,17 @@
 	return min(max(time.Duration(entries)*recordDelayPerEntry, minRecordDelay), maxRecordDelay)
 }
 
-// sendOlder enqueues the records of streams that began while their service had one version only,
-// once it may have several, or of all.
-func (s *streamRecords) sendOlder(now time.Time, all bool) {
+// sendOlder enqueues the records of streams that began while no other instance had to ask for
+// them, once one may have to: within the time for which a stream may be resumed, their service
+// may have had several versions, or all records are due. It is called with each change of the
+// fleet or of the document.
+func (s *streamRecords) sendOlder(now time.Time, resumeTime time.Duration, all bool) {
 	snapshot := s.view.Current()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	due := make(map[string]bool)
 	for service, count := range s.unsent {
-		if _, only := snapshot.Software.Only(service, minResumeTime, now); (all || !only) && count > 0 {
+		if count > 0 && (all || snapshot.Software.MayDiffer(service, resumeTime, now)) {
 			due[service] = true
 			delete(s.unsent, service)
 		}
