Gateway: a server that closed all connections may have restarted under its ID

A pool now tells when its server has closed all connections, one before its idle timeout, and streams go on there only once the server has been announced again. An instance without any connection still sees nothing until the server is reported as silent. Look-ups have one bound for all questions about a stream.

--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -59,7 +59,7 @@
 // unsure for a time after a connection to the server broke, and while no control instance hears
 // of it. The caller holds the state's lock.
 func (b *backend) mayHaveRestarted(reannounced time.Duration, now time.Time) bool {
-	return b.tracker.Unreported() || now.Sub(time.Unix(0, b.brokenAt.Load())) < reannounced
+	return b.tracker.Unreported() || now.Sub(time.Unix(0, b.brokenAt.Load())) < reannounced || now.Sub(b.pool.LostAt()) < reannounced
 }
 
 // unreported reports whether no control instance hears of the server.
--- a/gateway/continuation.go
+++ b/gateway/continuation.go
@@ -204,7 +204,7 @@
 	if *b.runs() != *software {
 		return false
 	}
-	return !b.mayHaveRestarted(reannounceIntervals*c.gateway.announceInterval, now) || c.onlyVersionOf(software.Service, now)
+	return c.onlyVersionOf(software.Service, now) || !b.mayHaveRestarted(reannounceIntervals*c.gateway.announceInterval, now)
 }
 
 // boundElsewhere reports whether servers of the service exist, but none that runs the software
--- a/gateway/stream_records.go
+++ b/gateway/stream_records.go
@@ -23,9 +23,11 @@
 	// respond.
 	recordCopies   = 2
 	lookUpAttempts = recordCopies + 1
-	// recordTimeout bounds one call to a control instance, lookUpTimeout a question.
-	recordTimeout = 500 * time.Millisecond
-	lookUpTimeout = 150 * time.Millisecond
+	// recordTimeout bounds one call to a control instance, questionTimeout a question, and
+	// lookUpTimeout all questions about a stream.
+	recordTimeout   = 500 * time.Millisecond
+	questionTimeout = 250 * time.Millisecond
+	lookUpTimeout   = 900 * time.Millisecond
 	// minRecordDelay is how long records are batched at least, recordDelayPerEntry what each
 	// entry instance adds, up to maxRecordDelay: a control instance gets at most
 	// 1/recordDelayPerEntry = 500 messages a second, above 150 entry instances n/maxRecordDelay.
@@ -291,6 +293,8 @@
 	if !s.lookUps.Allow() {
 		return nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, lookUpTimeout)
+	defer cancel()
 	if software := s.askHolders(ctx, digest); software != nil {
 		return software
 	}
@@ -305,7 +309,7 @@
 // askHolders asks the control instances that may hold a record, one after the other.
 func (s *streamRecords) askHolders(ctx context.Context, digest registry.StreamDigest) *dispatch.Software {
 	for _, url := range recordHolders(digest, s.view.Current().ReachableURLs, lookUpAttempts) {
-		attempt, cancel := context.WithTimeout(ctx, lookUpTimeout)
+		attempt, cancel := context.WithTimeout(ctx, questionTimeout)
 		software, err := s.view.LookUpStream(attempt, url, digest[:])
 		cancel()
 		if software != nil {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -155,6 +155,8 @@
 	open    int
 	maxOpen int
 	closed  bool
+	// lostAt is described at LostAt.
+	lostAt time.Time
 	// dials counts the connections opened; opening one is expensive at some servers.
 	dials uint64
 }
@@ -241,23 +243,54 @@
 
 // takeIdle returns a live idle connection, the most recently used first.
 func (p *Pool) takeIdle() *conn {
+	closed := false
 	for {
 		p.mu.Lock()
 		n := len(p.idle)
 		if n == 0 {
+			p.noteLost(closed)
 			p.mu.Unlock()
 			return nil
 		}
 		c := p.idle[n-1]
 		p.idle = p.idle[:n-1]
 		p.mu.Unlock()
-		if time.Since(c.idleSince) < c.idleTimeout && c.reusable() {
+		expired := c.expired()
+		if !expired && c.reusable() {
 			return c
 		}
+		closed = closed || !expired
 		p.discard(c)
 	}
 }
 
+// LostAt returns when the server had last closed all connections of the pool, at least one of them
+// before its idle timeout: it may have ended then. It is zero if that was not seen.
+func (p *Pool) LostAt() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	closed := false
+	for n := len(p.idle); n > 0 && !p.idle[n-1].reusable(); n = len(p.idle) {
+		c := p.idle[n-1]
+		closed = closed || !c.expired()
+		p.idle = p.idle[:n-1]
+		c.Close()
+		p.open--
+	}
+	p.noteLost(closed)
+	return p.lostAt
+}
+
+// noteLost records that no connection is left if the server has closed one. mu must be held.
+func (p *Pool) noteLost(closed bool) {
+	if closed && p.open == 0 {
+		p.lostAt = time.Now()
+	}
+}
+
+// expired reports whether the connection has been idle for too long to be used.
+func (c *conn) expired() bool { return time.Since(c.idleSince) >= c.idleTimeout }
+
 // reusable reports whether the peer has neither closed the connection nor sent
 // unsolicited bytes, which would be mistaken for the next response.
 func (c *conn) reusable() bool {
