--- a/faults/rate_limit_soak_test.go
+++ b/faults/rate_limit_soak_test.go
@@ -299,7 +299,7 @@
 
 // startLimitSoak starts the processes and waits until they serve.
 func startLimitSoak(ctx context.Context, t *testing.T, seed uint64, gateways int, workers *sync.WaitGroup) *limitSoak {
-	l := &limitSoak{processFaults: &processFaults{soak: startSoakWith(t, seed, gateways)}, passedOn: make([][]passedOn, gateways), excused: make([][]time.Time, gateways)}
+	l := &limitSoak{processFaults: &processFaults{soak: startSoakOf(t, seed, soakControls, gateways)}, passedOn: make([][]passedOn, gateways), excused: make([][]time.Time, gateways)}
 	l.observe = func(index int, kind faultKind, _ bool) {
 		if gateway, ok := l.gatewayIndex(index); ok && kind != faultReload {
 			l.excuse(gateway)
--- a/faults/soak_test.go
+++ b/faults/soak_test.go
@@ -68,17 +68,17 @@
 // startSoak starts the processes. The flags are added to those of the gateways.
 func startSoak(t *testing.T, seed uint64, flags ...string) *soak {
 	t.Helper()
-	return startSoakWith(t, seed, soakGateways, flags...)
+	return startSoakOf(t, seed, soakControls, soakGateways, flags...)
 }
 
-// startSoakWith is startSoak with a number of gateways.
-func startSoakWith(t *testing.T, seed uint64, gateways int, flags ...string) *soak {
+// startSoakOf is startSoak with a number of control replicas and of gateways.
+func startSoakOf(t *testing.T, seed uint64, controls, gateways int, flags ...string) *soak {
 	t.Helper()
 	dir, err := buildBinaries()
 	require.NoError(t, err, dir)
 	s := &soak{t: t, random: rand.New(rand.NewPCG(seed, 1)), executions: make(map[string]int)}
 	var controlAddresses []string
-	for range soakControls {
+	for range controls {
 		controlAddresses = append(controlAddresses, freeAddress(t))
 	}
 	seeds, data := strings.Join(controlAddresses, ","), t.TempDir()
--- a/faults/state_soak_test.go
+++ b/faults/state_soak_test.go
@@ -472,7 +472,7 @@
 	var workers, clients, faults, state sync.WaitGroup
 	s := &stateSoak{endless: make(map[*soakServer]string)}
 	s.streamSoak = newStreamSoak(t, c, soakRoutes)
-	s.intercept, s.adjust, s.keepsIDs = s.respond, s.runOnWeights, true
+	s.intercept, s.adjust, s.keepsID = s.respond, s.runOnWeights, func() bool { return true }
 	s.start(ctx, streamSoakServers, &workers)
 	defer s.summary(c.seed)
 	s.document, s.inSeries = stateDocument, true
--- a/faults/stream_client_test.go
+++ b/faults/stream_client_test.go
@@ -50,6 +50,11 @@
 	// after is the number of events that the client had before it took up the stream.
 	// leaveAfter is the number of events after which it leaves, 0 for none.
 	after, leaveAfter int
+	// writer is the server software that wrote the stream, by the events of all attempts; nil
+	// if events do not name it.
+	writer *streamWriter
+	// joined is set if another software wrote an event than the one that wrote the first.
+	joined bool
 	// cause is set for a request that crashes servers.
 	cause *crashCause
 
@@ -229,9 +234,7 @@
 			r.firstEventAt = time.Now()
 		}
 		r.received++
-		if want := fmt.Sprintf("id: %d\ndata: %s %d\n", r.after+r.received, r.id, r.after+r.received); strings.Join(lines, "") != want && r.wrong == "" {
-			r.wrong = fmt.Sprintf("event %q, expected %q", lines, want)
-		}
+		r.checkEvent(strings.Join(lines, ""))
 		lines = lines[:0]
 		if r.received == r.leaveAfter {
 			return errLeft
@@ -240,6 +243,19 @@
 	}
 }
 
+// checkEvent checks the event that was received last: it is the next one of the request, and
+// written by the software that wrote those before, if it names that.
+func (r *clientRequest) checkEvent(event string) {
+	n, data := r.after+r.received, r.id
+	if r.writer != nil {
+		data += " " + r.writer.of(event)
+		r.joined = r.joined || !strings.Contains(event, data)
+	}
+	if want := fmt.Sprintf("id: %d\ndata: %s %d\n", n, data, n); event != want && r.wrong == "" {
+		r.wrong = fmt.Sprintf("event %q, expected %q", event, want)
+	}
+}
+
 // pause returns how long the client waits before its next request.
 func (r *clientRequest) pause(longest time.Duration) time.Duration {
 	after := time.Duration(0)
--- a/faults/stream_soak_checks_test.go
+++ b/faults/stream_soak_checks_test.go
@@ -161,7 +161,7 @@
 func (s *streamSoak) judge(r *clientRequest) (verdict string, violates bool) {
 	switch {
 	case r.wrong != "":
-		return "wrong: " + r.wrong, true
+		return "wrong: " + r.wrong, s.tolerates == nil || !s.tolerates(r)
 	case r.complete && r.status/100 == 2 && !r.sealed:
 		return "success without a seal", true
 	case r.complete && r.status == http.StatusNotFound && r.route == extraRoute:
--- a/faults/stream_soak_servers_test.go
+++ b/faults/stream_soak_servers_test.go
@@ -12,6 +12,9 @@
 	"github.com/galenaarch/galenaarch/platform/platformtest"
 )
 
+// firstSoftware is the software version that servers run at first.
+const firstSoftware = "v1"
+
 // soakServer is a backend server that falls silent, drains, ends and restarts.
 type soakServer struct {
 	*platformtest.Server
@@ -19,6 +22,7 @@
 
 	mu       sync.Mutex
 	id       string
+	software string
 	born     time.Time
 	sequence int
 	// state is announced; a server without one has ended. leaving is set while the server
@@ -40,7 +44,7 @@
 // newServer starts a server.
 func (s *streamSoak) newServer(service string) *soakServer {
 	id := fmt.Sprintf("i-%s-%d", service, len(s.all))
-	server := &soakServer{Server: platformtest.New(s.t, id), service: service, id: id, born: time.Now(), state: "ready"}
+	server := &soakServer{Server: platformtest.New(s.t, id), service: service, id: id, software: firstSoftware, born: time.Now(), state: "ready"}
 	server.SetHandler(func(r *platformtest.Request) platformtest.Response { return s.respond(server, r) })
 	return server
 }
@@ -50,7 +54,7 @@
 	for ctx.Err() == nil {
 		server.mu.Lock()
 		server.sequence++
-		h := platformtest.Heartbeat{Service: server.service, State: server.state, Born: server.born.UnixMilli(), Sequence: server.sequence}
+		h := platformtest.Heartbeat{Service: server.service, ID: server.id, Software: server.software, State: server.state, Born: server.born.UnixMilli(), Sequence: server.sequence}
 		server.mu.Unlock()
 		if isEngine(server.service) {
 			h.Models, h.Version = []string{soakModel}, server.weights.currentVersion()
@@ -154,7 +158,7 @@
 	server.mu.Unlock()
 	server.Crash()
 	id := server.CurrentID()
-	if !crashed || !s.keepsIDs {
+	if !crashed || s.keepsID == nil || !s.keepsID() {
 		id = server.idOf(n)
 	}
 	s.restart(server, id, downtime)
@@ -168,6 +172,13 @@
 
 // restart starts a server that has ended as a new incarnation.
 func (s *streamSoak) restart(server *soakServer, id string, downtime time.Duration) {
+	if s.nextSoftware != nil {
+		software, least := s.nextSoftware(server, id)
+		server.mu.Lock()
+		server.software = software
+		server.mu.Unlock()
+		downtime = max(downtime, least)
+	}
 	time.Sleep(downtime)
 	server.weights.restart()
 	for err := server.Restart(id); err != nil; err = server.Restart(id) {
--- a/faults/stream_soak_test.go
+++ b/faults/stream_soak_test.go
@@ -20,8 +20,9 @@
 )
 
 // Parameters of the stream soak. GALENA_SOAK sets its duration, GALENA_SOAK_SEED its random
-// seed, GALENA_SOAK_GATEWAYS the number of gateways, GALENA_SOAK_CLIENTS that of clients of
-// each, and GALENA_SOAK_MEMORY_MB the memory of each.
+// seed, GALENA_SOAK_CONTROLS the number of control replicas, GALENA_SOAK_GATEWAYS that of
+// gateways, GALENA_SOAK_CLIENTS that of clients of each, and GALENA_SOAK_MEMORY_MB the memory of
+// each.
 const (
 	streamSoakDuration = 24 * time.Second
 	streamSoakGateways = 4
@@ -55,8 +56,15 @@
 	adjust func(server *soakServer, r *platformtest.Request, reply *platformtest.Response)
 	// intercept responds to a request in place of a server, if it returns true; it may be nil.
 	intercept func(server *soakServer, path string, r *platformtest.Request) (platformtest.Response, bool)
-	// keepsIDs makes a server that crashed keep its ID.
-	keepsIDs bool
+	// keepsID decides whether a server that crashed keeps its ID; nil for never.
+	keepsID func() bool
+	// tolerates decides whether a wrong response is no violation; nil for never. The caller
+	// holds mu.
+	tolerates func(r *clientRequest) bool
+	// nextSoftware returns the software version of a server's next incarnation, which has an
+	// ID, and the least time until that starts; nil for the same version. It is called when the
+	// server has ended.
+	nextSoftware func(server *soakServer, id string) (software string, downtime time.Duration)
 
 	// lastAck is the control replica that acknowledged the last call.
 	lastAck atomic.Int64
@@ -108,7 +116,7 @@
 // newStreamSoak starts control replicas and gateways, without servers.
 func newStreamSoak(t *testing.T, settings soakSettings, routes []*soakRoute) *streamSoak {
 	s := &streamSoak{
-		document: soakDocument, processFaults: &processFaults{soak: startSoakWith(t, settings.seed, settings.gateways, append([]string{"-grace", gracePeriod.String()}, settings.flags...)...)},
+		document: soakDocument, processFaults: &processFaults{soak: startSoakOf(t, settings.seed, settings.controls, settings.gateways, append([]string{"-grace", gracePeriod.String()}, settings.flags...)...)},
 		random: rand.New(rand.NewPCG(settings.seed, 3)), routes: routes, sent: make(map[string]*clientRequest), arrivals: make(map[string][]arrival), counts: make(map[string]int), startedAt: time.Now(),
 	}
 	s.observe = s.observeFault()
@@ -308,15 +316,15 @@
 
 // soakSettings are the settings of a soak from the environment.
 type soakSettings struct {
-	duration          time.Duration
-	seed              uint64
-	gateways, clients int
-	flags             []string
+	duration                    time.Duration
+	seed                        uint64
+	controls, gateways, clients int
+	flags                       []string
 }
 
 func soakSettingsFromEnv(t *testing.T, duration time.Duration) soakSettings {
 	t.Helper()
-	c := soakSettings{duration: duration, seed: 1, gateways: streamSoakGateways, clients: streamSoakClients}
+	c := soakSettings{duration: duration, seed: 1, controls: soakControls, gateways: streamSoakGateways, clients: streamSoakClients}
 	number := func(name string, use func(n int)) {
 		if v := os.Getenv(name); v != "" {
 			n, err := strconv.Atoi(v)
@@ -330,6 +338,7 @@
 		require.NoError(t, err)
 	}
 	number("GALENA_SOAK_SEED", func(n int) { c.seed = uint64(n) })
+	number("GALENA_SOAK_CONTROLS", func(n int) { c.controls = n })
 	number("GALENA_SOAK_GATEWAYS", func(n int) { c.gateways = n })
 	number("GALENA_SOAK_CLIENTS", func(n int) { c.clients = n })
 	number("GALENA_SOAK_MEMORY_MB", func(n int) { c.flags = append(c.flags, "-memory-mb", strconv.Itoa(n)) })
--- a/faults/unanswered_soak_test.go
+++ b/faults/unanswered_soak_test.go
@@ -65,20 +65,24 @@
 				break
 			}
 			time.Sleep(time.Duration(rand.Int64N(int64(maxReturnPause))))
-			r = r.takeUp(tries)
+			r = r.takeUp(r.gateway, tries)
 		}
 	}
 }
 
-// takeUp returns the request by which a client takes up a stream.
-func (r *clientRequest) takeUp(tries int) *clientRequest {
-	next := newClientRequest(r.route, r.gateway, tries)
-	next.timeout, next.events, next.interval, next.after = r.timeout, r.events, r.interval, r.after+r.received
+// takeUp returns the request by which a client takes up a stream at a gateway. It names the
+// attempt that brought the first event.
+func (r *clientRequest) takeUp(gateway, tries int) *clientRequest {
+	next := newClientRequest(r.route, gateway, tries)
+	next.timeout, next.events, next.interval, next.after, next.writer = r.timeout, r.events, r.interval, r.after+r.received, r.writer
 	next.header = make(map[string]string)
 	for name, value := range r.header {
 		next.header[name] = value
 	}
-	next.header["Last-Event-Id"], next.header["Resumes"] = fmt.Sprint(next.after), r.id
+	next.header["Last-Event-Id"] = fmt.Sprint(next.after)
+	if r.after == 0 {
+		next.header["Resumes"] = r.id
+	}
 	return next
 }
 
