--- a/gateway/stream_records_bench_test.go
+++ b/gateway/stream_records_bench_test.go
@@ -43,7 +43,7 @@
 		n++
 		var digest registry.StreamDigest
 		streamDigester.sum(digest[:], []string{"account-1", fmt.Sprint("request-", n)}, nil)
-		s.add(digest, software, maxResumeTime)
+		s.add(digest, software, maxResumeTime, true)
 		s.mu.Lock()
 		s.enqueue(digest, software, urls)
 		s.mu.Unlock()
