--- a/faults/stream_soak_servers_test.go
+++ b/faults/stream_soak_servers_test.go
@@ -187,6 +187,7 @@
 	if !taken {
 		server.state = "draining"
 	}
+	ends := len(server.ends)
 	server.mu.Unlock()
 	if taken {
 		return
@@ -197,10 +198,25 @@
 	wait := time.Until(server.busyUntil) + 2*silenceBreak
 	server.mu.Unlock()
 	time.Sleep(max(0, wait))
+	if !server.endDrain(ends) {
+		return
+	}
 	s.anyControl(func(control string) bool { return server.Withdraw(ctx, control) })
 	s.finish(server, false, minFaultDuration)
 }
 
+// endDrain ends the announcements of a server that drains. It reports false if the server has
+// crashed under a request meanwhile, so that it is restarted already.
+func (server *soakServer) endDrain(endsBefore int) bool {
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	if len(server.ends) != endsBefore {
+		return false
+	}
+	server.state = ""
+	return true
+}
+
 // crashServer ends a server without an announcement.
 func (s *streamSoak) crashServer(server *soakServer, downtime time.Duration) {
 	server.mu.Lock()
