--- a/gateway/call.go
+++ b/gateway/call.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/galenaarch/galenaarch/admission"
@@ -79,6 +80,11 @@
 	// rateLimited are the servers that the last decision left out because this instance
 	// has no permit for them.
 	rateLimited []*backend
+	// withheld are the servers that the last decision left out because of their software.
+	withheld []*backend
+	// software is what the request's stream is bound to once its first event has been passed
+	// on, or if its client resumes it; nil before.
+	software atomic.Pointer[dispatch.Software]
 	progress
 	crashState
 }
@@ -126,10 +132,10 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	defer context.AfterFunc(c.gateway.stopping, func() {
+	endWatch := context.AfterFunc(c.gateway.stopping, func() {
 		// A connection without deadlines is closed when the process exits.
 		_ = http.NewResponseController(rw).SetReadDeadline(time.Now())
-	})()
+	})
 	body := http.MaxBytesReader(rw, r.Body, limit)
 	var err error
 	if r.ContentLength > 0 && r.ContentLength <= limit {
@@ -138,7 +144,9 @@
 	} else {
 		c.body, err = io.ReadAll(body)
 	}
-	if err == nil {
+	// The read deadline also ends r.Context, even if the body has just been read whole.
+	stopping := !endWatch()
+	if err == nil && !stopping {
 		return true
 	}
 	var tooLarge *http.MaxBytesError
@@ -146,7 +154,8 @@
 		c.gateway.reject(rw, c, http.StatusRequestEntityTooLarge, "body too large", 0, nil)
 		return false
 	}
-	if c.gateway.stopping.Err() != nil && r.Context().Err() == nil {
+	if stopping {
+		rw.Header().Set("Connection", "close")
 		c.gateway.reject(rw, c, http.StatusServiceUnavailable, string(reasonStopping), drainRetryAfter, err)
 		return false
 	}
--- a/registry/hub.go
+++ b/registry/hub.go
@@ -57,6 +57,8 @@
 	// started or ended.
 	activePolls int
 	lastPoll    time.Time
+	// cursor is what the instance knew when its last poll started.
+	cursor uint64
 }
 
 // Hub serves the change feed of one control instance.
@@ -75,6 +77,8 @@
 	entries map[string]*entryState
 	// evidence is what the entry instances know of crashes of servers.
 	evidence evidenceStore
+	// softwareKnownSince is the time since which the software of all servers is known.
+	softwareKnownSince time.Time
 	// changed is closed and replaced when changes of the table or the evidence are shown, at
 	// wokenAt for the last time; wakePending is set while a timer will do so. shownCursor and
 	// shownEvidence are what was shown: a poll that knows as much waits.
@@ -82,6 +86,9 @@
 	wokenAt                    time.Time
 	wakePending                bool
 	shownCursor, shownEvidence uint64
+
+	// streams has its own lock.
+	streams streamRecords
 }
 
 // NewHub returns a hub. Its feed ID is derived from the current time, so that
@@ -89,7 +96,7 @@
 func NewHub(interval time.Duration, d DocumentSource, logger *slog.Logger) *Hub {
 	h := &Hub{
 		documents: d, logger: logger, rejectedLog: rate.NewLimiter(rejectedLogRate, rejectedLogBurst), feedID: uint64(time.Now().UnixNano()), table: NewTable(interval),
-		entries: make(map[string]*entryState), changed: make(chan struct{}),
+		entries: make(map[string]*entryState), changed: make(chan struct{}), softwareKnownSince: time.Now(),
 	}
 	h.evidence.evidence.CollectNews(true)
 	return h
@@ -165,7 +172,7 @@
 	}
 	h.notifyChanged()
 	h.logger.Info("server announced", slog.String("server", a.Server), slog.String("backend", a.Service),
-		slog.String("address", a.Address), slog.String("state", a.State.String()), slog.Uint64("sequence", a.Sequence))
+		slog.String("address", a.Address), slog.String("software", a.Software), slog.String("state", a.State.String()), slog.Uint64("sequence", a.Sequence))
 }
 
 // MarkGone records that a server has ended. bornUnixMS identifies its incarnation
@@ -273,9 +280,10 @@
 	return entries
 }
 
-// beginPoll records the start of a poll by an entry instance, and its state if that
-// is newer than the stored one. It returns nil if self is nil. mu must be held.
-func (h *Hub) beginPoll(self *fleetv1.EntryInstance) *entryState {
+// beginPoll records the start of a poll by an entry instance that knows the changes up to
+// cursor, and its state if that is newer than the stored one. It returns nil if self is nil.
+// mu must be held.
+func (h *Hub) beginPoll(self *fleetv1.EntryInstance, cursor uint64) *entryState {
 	if self == nil {
 		return nil
 	}
@@ -290,7 +298,7 @@
 		h.logger.Info("entry instance changed", slog.String("entry", self.Name), slog.Bool("accepting", self.Accepting))
 	}
 	e.activePolls++
-	e.lastPoll = time.Now()
+	e.lastPoll, e.cursor = time.Now(), cursor
 	return e
 }
 
@@ -307,8 +315,12 @@
 
 // Sync implements fleetv1.Fleet.
 func (h *Hub) Sync(ctx context.Context, req *fleetv1.SyncRequest) (*fleetv1.SyncResponse, error) {
+	cursor := req.Cursor
+	if req.Feed != h.feedID {
+		cursor = 0
+	}
 	h.mu.Lock()
-	e := h.beginPoll(req.Self)
+	e := h.beginPoll(req.Self, cursor)
 	h.mu.Unlock()
 	defer h.endPoll(e)
 	for _, l := range req.Leaving {
@@ -320,10 +332,6 @@
 	if req.Evidence != nil {
 		h.MergeCrashEvidence(DecodeCrashEvidence(req.Evidence), req.Self.GetName())
 	}
-	cursor := req.Cursor
-	if req.Feed != h.feedID {
-		cursor = 0
-	}
 	deadline := time.NewTimer(min(time.Duration(req.WaitMs)*time.Millisecond, maxPollWait))
 	defer deadline.Stop()
 	for {
@@ -368,6 +376,9 @@
 	if req.Feed != h.feedID || cursor < h.shownCursor {
 		response.Cursor, response.Announcements = h.table.Cursor(), h.table.ChangesSince(cursor)
 	}
+	if req.Feed != h.feedID || len(response.Announcements) > 0 {
+		h.addSoftware(response, time.Now())
+	}
 	response.Entries = h.liveEntries()
 	h.addEvidence(req, response)
 	return response, h.changed
