gateway: a late check does not end a stream

The check of a stream ran as soon as the process ran again after it had stood still, before events that had arrived meanwhile were read: a sound server counted as silent, and a stream that may not run again was cut. A check that comes over 100 ms late now waits for another 100 ms.

--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -46,6 +46,8 @@
 
 	mu    sync.Mutex
 	timer *time.Timer
+	// dueAt is when the timer ends; zero without one.
+	dueAt time.Time
 	// ended is set by stop, and when check cancels the stream: no check follows.
 	ended bool
 	// stalled is set when check cancels the stream for a pause, so that the failed read
@@ -64,10 +66,23 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.dueAt = time.Now().Add(w.fraction(failoverShare))
 	w.timer = time.AfterFunc(w.fraction(failoverShare), w.check)
 	return w
 }
 
+// schedule sets the time of the next check. The caller holds w.mu.
+func (w *stallWatch) schedule(wait time.Duration) {
+	w.dueAt = time.Now().Add(wait)
+	w.timer.Reset(wait)
+}
+
+// late reports whether a check comes so late that this process must have stood still. Events
+// that have arrived meanwhile are not read yet: they must not count as silence of the server.
+func (w *stallWatch) late(now time.Time) bool {
+	return !w.dueAt.IsZero() && now.Sub(w.dueAt) > recheckInterval
+}
+
 // fraction returns a share of the route's client timeout.
 func (w *stallWatch) fraction(share float64) time.Duration {
 	return time.Duration(share * float64(w.call.route.ClientTimeout))
@@ -126,15 +141,15 @@
 	lastEventAt := time.Unix(0, w.lastEventAt.Load())
 	sinceEvent := now.Sub(lastEventAt)
 	switch {
-	case forwarding:
-		w.timer.Reset(recheckInterval)
+	case forwarding, w.late(now):
+		w.schedule(recheckInterval)
 	case sinceEvent >= w.fraction(abortShare), sinceEvent >= w.fraction(failoverShare) && w.tryFailOver(lastEventAt, now):
 		w.ended, w.stalled = true, true
 		w.attempt.cancel(&upstream.Error{Phase: upstream.PhaseReadBody, Address: w.attempt.backend.address, Err: errStalled})
 	case sinceEvent >= w.fraction(failoverShare):
-		w.timer.Reset(min(recheckInterval, w.fraction(abortShare)-sinceEvent))
+		w.schedule(min(recheckInterval, w.fraction(abortShare)-sinceEvent))
 	default:
-		w.timer.Reset(w.fraction(failoverShare) - sinceEvent)
+		w.schedule(w.fraction(failoverShare) - sinceEvent)
 	}
 }
 
