--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -295,13 +295,13 @@
 // reject sends a response that the gateway generates itself.
 func (g *Gateway) reject(rw http.ResponseWriter, c *call, status int, reason string, after time.Duration, err error) {
 	g.metrics.recordOutcome(c, reason)
-	route, servers, document, tokens := "", 0, uint64(0), 0
+	rs := g.routing.Load()
+	route, servers, document, tokens := "", 0, rs.documentVersion(), 0
 	if c.route != nil {
 		route = c.route.Name
 	}
 	if c.service != nil {
-		rs := g.routing.Load()
-		servers, document = len(rs.services[c.service.Name]), rs.table.Version
+		servers = len(rs.services[c.service.Name])
 	}
 	if c.prompt != nil {
 		tokens = c.prompt.Tokens
