entry: refuse the requests in progress when the time for a drain is over

With -drain-limit, or SIGINT, galena-entry closed the connections of requests in progress without a response. Their contexts end first now, and they have 150 ms to be refused: with outcome_unknown if a server may have run them. A stream that has begun ends with an error event.

Open: a service call that has been sent waits for its server as before, and is cut.

--- a/entry/drain.go
+++ b/entry/drain.go
@@ -23,6 +23,9 @@
 	// lingerTime is how long connections are served after the listener has closed and after
 	// their last request, so that requests which are on their way get a response.
 	lingerTime = 100 * time.Millisecond
+	// refuseTimeout is how long the requests in progress get for their refusals when the
+	// time for a drain is over.
+	refuseTimeout = 150 * time.Millisecond
 )
 
 // Phases of a graceful shutdown.
@@ -40,6 +43,9 @@
 type requestTracker struct {
 	phase    atomic.Int32
 	inFlight atomic.Int64
+	// stopping ends the contexts of the requests in progress.
+	stopping context.Context
+	stop     context.CancelFunc
 
 	mu sync.Mutex
 	// idleSince is when each idle connection became idle.
@@ -48,7 +54,9 @@
 }
 
 func newRequestTracker() *requestTracker {
-	return &requestTracker{idleSince: make(map[net.Conn]time.Time), active: make(map[net.Conn]bool)}
+	t := &requestTracker{idleSince: make(map[net.Conn]time.Time), active: make(map[net.Conn]bool)}
+	t.stopping, t.stop = context.WithCancel(context.Background())
+	return t
 }
 
 // trackConn implements the http.Server.ConnState hook.
@@ -82,8 +90,11 @@
 	return true
 }
 
-// wrap counts requests. During a drain it also tells clients to close their
-// connection after the response.
+// errDrainEnded ends the requests that are in progress when the time for a drain is over.
+var errDrainEnded = errors.New("the time for the drain is over")
+
+// wrap counts requests, and ends them when the time for a drain is over. During a drain it
+// also tells clients to close their connection after the response.
 func (t *requestTracker) wrap(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		t.inFlight.Add(1)
@@ -91,10 +102,23 @@
 		if t.phase.Load() != phaseServing {
 			w.Header().Set("Connection", "close")
 		}
-		next.ServeHTTP(w, r)
+		ctx, cancel := context.WithCancelCause(r.Context())
+		defer cancel(nil)
+		defer context.AfterFunc(t.stopping, func() { cancel(errDrainEnded) })()
+		next.ServeHTTP(w, r.WithContext(ctx))
 	})
 }
 
+// endRequests ends the requests in progress and waits until they have been refused, at most
+// refuseTimeout.
+func (t *requestTracker) endRequests() {
+	t.phase.Store(phaseRejecting)
+	t.stop()
+	for end := time.Now().Add(refuseTimeout); t.inFlight.Load() > 0 && time.Now().Before(end); {
+		time.Sleep(drainPollInterval)
+	}
+}
+
 // rejectIfDraining rejects new requests in the last phase of a drain.
 func (e *Entry) rejectIfDraining() *refusal.Error {
 	if e.tracker.phase.Load() != phaseRejecting {
@@ -105,8 +129,19 @@
 
 // Drain implements kernel.Drainer. It removes the entry from the directory,
 // accepts requests until cached directory responses have expired, waits for all
-// requests to finish and closes the listener. Only ctx bounds its duration.
+// requests to finish and closes the listener. Only ctx bounds its duration: requests that
+// are then in progress are refused.
 func (e *Entry) Drain(ctx context.Context) error {
+	err := e.drain(ctx)
+	if err != nil {
+		e.logger.Info("drain ended with requests in progress", slog.Int64("requests", e.tracker.inFlight.Load()), slog.Any("error", err))
+		e.tracker.endRequests()
+	}
+	return err
+}
+
+// drain is Drain without the end of the requests in progress.
+func (e *Entry) drain(ctx context.Context) error {
 	const step = "drain requests"
 	ttl := e.directoryTTL()
 	e.tracker.phase.Store(phaseUnlisted)
--- a/entry/run.go
+++ b/entry/run.go
@@ -177,6 +177,9 @@
 // handleFailure decides how to proceed after a failed attempt.
 func (r *run) handleFailure(ctx context.Context, server *fleet.Server, err error) (again bool, refused *refusal.Error) {
 	const step = "run prompt"
+	if errors.Is(context.Cause(ctx), errDrainEnded) {
+		return false, refusal.New(refusal.CodeOutcomeUnknown, step, "this entry is shutting down").WithPeer(server.Server)
+	}
 	if ctx.Err() != nil || r.out.writeFailed {
 		return false, refusal.New(refusal.CodeClientDisconnected, step, "the caller is gone").WithPeer(server.Server)
 	}
