--- a/entry/drain_end_test.go
+++ b/entry/drain_end_test.go
@@ -31,8 +31,14 @@
 	request, _ := completionRequest(pathCompletions, true)
 	result := make(chan *testResponse, 1)
 	go func() {
-		defer close(result) // also if the request fails
-		result <- target.do(t, request)
+		defer close(result)           // also if the request fails
+		for engine.runs.Load() == 0 { // until control has confirmed the routing
+			got := target.do(t, request)
+			if engine.runs.Load() > 0 {
+				result <- got
+				return
+			}
+		}
 	}()
 	require.Eventually(t, func() bool { return engine.runs.Load() == 1 }, testWait, testPoll)
 	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
