--- a/faults/stream_soak_test.go
+++ b/faults/stream_soak_test.go
@@ -127,6 +127,7 @@
 	for _, server := range s.all {
 		workers.Go(func() { s.announce(ctx, server) })
 	}
+	workers.Go(func() { s.logPauses(ctx) })
 	s.configure(ctx)
 	for _, g := range s.gateways {
 		g.waitReady()
@@ -134,6 +135,23 @@
 	time.Sleep(4 * announceInterval)
 }
 
+// logPauses logs when this process, which holds the servers and clients, has stood still for
+// longer than maxTestPause. On an overloaded machine servers are then silent for longer than
+// sound ones may be.
+func (s *streamSoak) logPauses(ctx context.Context) {
+	const interval = 50 * time.Millisecond
+	for ctx.Err() == nil {
+		began := time.Now()
+		time.Sleep(interval)
+		if late := time.Since(began) - interval; late > maxTestPause {
+			s.t.Logf("the test process stood still for %v until %s", late.Round(time.Millisecond), s.since(time.Now()))
+		}
+	}
+}
+
+// maxTestPause is the shortest standstill of the test process that is logged.
+const maxTestPause = 300 * time.Millisecond
+
 // anyControl calls control replicas in random order until one acknowledges.
 func (s *streamSoak) anyControl(call func(control string) bool) bool {
 	for _, replica := range rand.Perm(len(s.platformAddresses)) {
