gateway: answer requests that arrive while the last responses finish

Process.Stop began net/http's shutdown first, and waited up to 0.25 s for responses in progress. A request that arrived on an accepted connection meanwhile was read and its connection closed without a response. Stop now rejects what arrives until the responses have finished or their time is over, and shuts the servers down then, with 50 ms to write the last responses.

--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -21,7 +21,8 @@
 	maxSilence      = 2 * time.Second
 	maxSilenceShare = 0.25
 	// answerTimeout is how long requests without a response get to receive one after
-	// lingerTime and shutdownTimeout. The sum of the three is below graceMargin.
+	// lingerTime and shutdownTimeout. The sum of the three, and flushTimeout, is below
+	// graceMargin.
 	answerTimeout = 150 * time.Millisecond
 	// drainRetryAfter is when a client that a draining instance rejects may retry: at
 	// once, since the other instances have capacity.
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -41,6 +41,11 @@
 	lingerTime = 100 * time.Millisecond
 	// shutdownTimeout is how long responses in progress get at the very end.
 	shutdownTimeout = 100 * time.Millisecond
+	// flushTimeout is how long the last responses get to be written before the connections
+	// are closed.
+	flushTimeout = 50 * time.Millisecond
+	// responsePollInterval is the time between checks for requests in progress at the end.
+	responsePollInterval = 5 * time.Millisecond
 	// drainQuietPeriod without a request ends a drain early.
 	drainQuietPeriod     = 600 * time.Millisecond
 	clientUnackedTimeout = 5 * time.Second
@@ -349,23 +354,27 @@
 }
 
 // Stop implements kernel.Stopper. Responses in progress may finish; requests without a
-// response get one.
+// response get one, and those that still arrive are rejected.
+//
+// Invariant: net/http shuts down only when the time for responses is over, since it closes
+// the connections whose request it reads afterwards.
 func (p *Process) Stop(ctx context.Context) error {
 	defer p.gateway.stopRequests()
 	if p.cancel != nil {
 		p.cancel()
 	}
-	stopCtx := ctx
-	ctx, cancel := context.WithTimeout(ctx, shutdownTimeout)
+	p.gateway.drain.end()
+	if !p.awaitResponses(ctx, shutdownTimeout) {
+		p.gateway.stopRequests()
+		p.awaitResponses(ctx, answerTimeout)
+	}
+	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
 	defer cancel()
 	for _, s := range []*http.Server{p.clientServer, p.readyServer, p.peerServer} {
 		if s == nil {
 			continue
 		}
 		if err := s.Shutdown(ctx); err != nil {
-			if s == p.clientServer {
-				p.answerOpenRequests(stopCtx)
-			}
 			p.logger.Info("open connections closed", slog.String("reason", "grace period expired"), slog.Int64("open", p.gateway.inflight.Load()), slog.Any("error", err))
 			_ = s.Close() // the grace period of open connections has expired
 		}
@@ -373,12 +382,19 @@
 	return nil
 }
 
-// answerOpenRequests ends the requests in progress, so that those without a response get
-// one before their connections are closed.
-func (p *Process) answerOpenRequests(ctx context.Context) {
-	p.gateway.stopRequests()
-	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+// awaitResponses waits until no request is in progress, at most for the given time, and
+// reports whether none is.
+func (p *Process) awaitResponses(ctx context.Context, wait time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	// Shutdown returns an error if the time is not enough, which the caller logs.
-	_ = p.clientServer.Shutdown(ctx)
+	ticker := time.NewTicker(responsePollInterval)
+	defer ticker.Stop()
+	for p.gateway.inflight.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-ticker.C:
+		}
+	}
+	return true
 }
