loopback: a process's block of ports is large enough for parallel soaks

By the log and the code: eight soaks run in parallel in one process since two were added and two came off the list of known failures; they take more than the 199 ports of its block, which then begins again, and a port whose process is down or not yet started counts as free. A block has 599 ports now, in the same range. Not shown by a test of its own.

--- a/internal/loopback/loopback.go
+++ b/internal/loopback/loopback.go
@@ -21,10 +21,10 @@
 	// portsPerBlock is the number of ports that one process reserves. The process
 	// listens on the first port of its block until it exits, which reserves the
 	// block.
-	portsPerBlock = 200
+	portsPerBlock = 600
 	// maxPortBlocks keeps the range below 32768, where Linux's ephemeral ports
 	// begin.
-	maxPortBlocks = 60
+	maxPortBlocks = 20
 )
 
 // portBlock is the block that this process has reserved.
