Metrics tell which stage holds a configuration back at an entry instance

An instance with an older configuration in force could not be told from its metrics: a version may not have been reported to it, or reported and not stored, or stored and not in force.

The log line of a fetch says since when a newer version was known. No change of behavior.

--- a/fleetview/documents.go
+++ b/fleetview/documents.go
@@ -150,8 +150,8 @@
 		startedAt := time.Now()
 		d, err := v.requestDocument(s, name)
 		if err == nil {
-			v.logger.Info("document fetched", slog.String("document", name), slog.Uint64("version", d.Version), slog.String("peer", s.url), slog.Duration("took", time.Since(startedAt)))
-			v.storeDocument(d)
+			behind := v.storeDocument(d)
+			v.logger.Info("document fetched", slog.String("document", name), slog.Uint64("version", d.Version), slog.String("peer", s.url), slog.Duration("took", time.Since(startedAt)), slog.Duration("behind", behind))
 			failures = 0
 		} else if failures++; bits.OnesCount(uint(failures)) == 1 {
 			// Each doubling of the number of failures is logged.
@@ -243,22 +243,43 @@
 func (v *View) requestDocument(s *source, name string) (*controlv1.PublishedDocument, error) {
 	ctx, cancel := context.WithTimeout(v.ctx, fetchTimeout)
 	defer cancel()
-	return s.client.Document(ctx, &fleetv1.DocumentRequest{Name: name})
+	d, err := s.client.Document(ctx, &fleetv1.DocumentRequest{Name: name})
+	if err != nil {
+		v.countFailedFetch(ctx.Err() != nil)
+	}
+	return d, err
 }
 
-// storeDocument stores a document. Invariant: while this process runs, a
-// document never reverts to an older version.
-func (v *View) storeDocument(d *controlv1.PublishedDocument) {
+// countFailedFetch counts a fetch without a document.
+func (v *View) countFailedFetch(timedOut bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if stored := v.documents[d.Name]; stored != nil && d.Version <= stored.Version {
+	if timedOut {
+		v.fetchOutcomes[fetchTimedOut]++
 		return
 	}
-	v.documents[d.Name] = d
+	v.fetchOutcomes[fetchFailed]++
+}
+
+// storeDocument stores a document and returns since when a newer one than was stored had been
+// known. Invariant: while this process runs, a document never reverts to an older version.
+func (v *View) storeDocument(d *controlv1.PublishedDocument) (behind time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
 	fetch := v.fetches[d.Name]
+	if !fetch.behindSince.IsZero() {
+		behind = time.Since(fetch.behindSince)
+	}
+	if stored := v.documents[d.Name]; stored != nil && d.Version <= stored.Version {
+		v.fetchOutcomes[fetchNotNewer]++
+		return behind
+	}
+	v.fetchOutcomes[fetchStored]++
+	v.documents[d.Name] = d
 	fetch.version = max(fetch.version, d.Version)
 	if d.Version == fetch.version {
 		fetch.behindSince = time.Time{}
 	}
 	v.publish()
+	return behind
 }
--- a/fleetview/view.go
+++ b/fleetview/view.go
@@ -122,6 +122,8 @@
 	sources   map[string]*source
 	documents map[string]*controlv1.PublishedDocument
 	fetches   map[string]*documentFetch
+	// fetchOutcomes counts fetches by outcome.
+	fetchOutcomes map[string]uint64
 	// members holds all control instances listed in any response. quorumReached
 	// is true once a majority of them has responded; see checkQuorum. released
 	// holds the names of the documents that may be applied.
@@ -151,7 +153,7 @@
 	v := &View{
 		client: client, logger: logger, seeds: seeds, sources: make(map[string]*source), self: self,
 		members: make(map[string]bool), released: make(map[string]bool), ended: make(map[string]endedServer),
-		documents: make(map[string]*controlv1.PublishedDocument), fetches: make(map[string]*documentFetch), wake: make(chan struct{}), changed: make(chan struct{}),
+		documents: make(map[string]*controlv1.PublishedDocument), fetches: make(map[string]*documentFetch), fetchOutcomes: make(map[string]uint64), wake: make(chan struct{}), changed: make(chan struct{}),
 	}
 	v.current.Store(&Snapshot{})
 	return v
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -64,6 +64,7 @@
 		g.followContexts(ctx, s, next)
 	}
 	g.routing.Store(next)
+	g.metrics.document.Set(float64(next.documentVersion()))
 	g.streams.sendOlder(time.Now(), next.resumeTime, moved)
 	g.attachRateLimits(next)
 	g.closeRemoved(old, next)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -14,6 +14,8 @@
 	unlogged       prometheus.Counter
 	panics         prometheus.Counter
 	queued         prometheus.Gauge
+	// document is the version of the site document in force.
+	document       prometheus.Gauge
 	estimateErrors *prometheus.HistogramVec
 	directives     *prometheus.CounterVec
 	rateLimits     *prometheus.GaugeVec
@@ -66,6 +68,7 @@
 		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "galena_gateway_first_byte_seconds", Help: "Time from a request's arrival to the server's first byte.",
 			Buckets: []float64{.005, .01, .025, .05, .1, .2, .3, .5, .8, 1.5, 3, 10}}, []string{"kind"}),
 	}
+	m.document = prometheus.NewGauge(prometheus.GaugeOpts{Name: "galena_gateway_document_version", Help: "Version of the site document by which requests are routed; 0 before the first."})
 	m.directives = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_server_directives_total", Help: "Responses by which a server directs how it is used, by directive."}, []string{"directive"})
 	m.rateLimits = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "galena_gateway_server_rate_limit", Help: "Requests a second that a server takes from all instances together, while it states a limit."}, []string{"server"})
 	m.permitsIssued = prometheus.NewCounter(prometheus.CounterOpts{Name: "galena_gateway_permits_issued_total", Help: "Permits for rate-limited servers that this instance issued to itself and others."})
@@ -75,7 +78,7 @@
 	m.interrupted = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_interrupted_requests_total", Help: "Requests whose connection to the server broke, by cause and by how far the response had got."}, []string{"cause", "stage"})
 	m.serversEnded = prometheus.NewCounter(prometheus.CounterOpts{Name: "galena_gateway_servers_ended_under_requests_total", Help: "Incarnations of backend servers that ended while requests of this instance were in progress."})
 	m.quarantined = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "galena_gateway_quarantined", Help: "Parts of prompts, and requests, that are sent to no server because servers crash under them, by kind."}, []string{"kind"})
-	r.MustRegister(m.begun, m.resumed, m.aborted, m.unanswered, m.quarantined, m.interrupted, m.serversEnded, m.directives, m.rateLimits, m.permitsIssued, m.permitRequests, m.outcomes, m.failedAttempts, m.firstByte, m.unlogged, m.panics, m.queued, m.estimateErrors)
+	r.MustRegister(m.begun, m.resumed, m.aborted, m.unanswered, m.quarantined, m.interrupted, m.serversEnded, m.directives, m.rateLimits, m.permitsIssued, m.permitRequests, m.outcomes, m.failedAttempts, m.firstByte, m.unlogged, m.panics, m.queued, m.estimateErrors, m.document)
 	return m
 }
 
