--- a/fleetview/documents.go
+++ b/fleetview/documents.go
@@ -1,30 +1,16 @@
 package fleetview
 
 import (
-	"context"
 	"log/slog"
-	"math/bits"
-	"math/rand/v2"
 	"time"
 
 	"github.com/galenaarch/galenaarch/api/controlv1"
-	"github.com/galenaarch/galenaarch/api/fleetv1"
 )
 
-const (
-	// fetchInterval is the pause between two fetches of a document: several
-	// versions may be published within a second, and only the newest is needed.
-	fetchInterval = 100 * time.Millisecond
-	// reportWait is the time in which other control instances may report a version before
-	// it is fetched in place of an older one. It spreads the fetches of many processes over
-	// all control instances.
-	reportWait = 100 * time.Millisecond
-	// fetchTimeout bounds one fetch.
-	fetchTimeout = time.Second
-	// maxBackoffDoublings limits the exponential backoff after consecutive
-	// failed fetches.
-	maxBackoffDoublings = 4
-)
+// reportWait is the time in which other control instances may report a version before
+// it is fetched in place of an older one. It spreads the fetches of many processes over
+// all control instances.
+const reportWait = 100 * time.Millisecond
 
 // documentFetch tracks the newest known version of a document and the fetch
 // that brings it.
@@ -34,8 +20,8 @@
 	reportedAt time.Time
 	// running is true while a goroutine fetches the document.
 	running bool
-	// reported wakes the fetch while it waits to try again: another control instance has
-	// reported the newest known version.
+	// reported wakes the fetch: another control instance has reported the newest known
+	// version.
 	reported chan struct{}
 	// behindSince is when a version above the stored one was first reported; zero while
 	// the newest reported version is stored.
@@ -134,133 +120,6 @@
 	return versions
 }
 
-// fetchDocument fetches a document until its newest known version is stored.
-func (v *View) fetchDocument(name string) {
-	attempts := make(map[string]int)
-	failures := 0
-	for v.ctx.Err() == nil {
-		if failures == 0 {
-			sleep(v.ctx, v.reportWaitLeft(name))
-		}
-		s := v.pickSource(name, attempts)
-		if s == nil {
-			return
-		}
-		attempts[s.url]++
-		startedAt := time.Now()
-		d, err := v.requestDocument(s, name)
-		if err == nil {
-			behind := v.storeDocument(d)
-			v.logger.Info("document fetched", slog.String("document", name), slog.Uint64("version", d.Version), slog.String("peer", s.url), slog.Duration("took", time.Since(startedAt)), slog.Duration("behind", behind))
-			failures = 0
-		} else if failures++; bits.OnesCount(uint(failures)) == 1 {
-			// Each doubling of the number of failures is logged.
-			v.logger.Warn("document fetch failed", slog.String("document", name), slog.String("peer", s.url), slog.Int("failures", failures), slog.Any("error", err))
-		}
-		v.awaitRetry(name, failures)
-	}
-}
-
-// reportWaitLeft returns how long other control instances may still report the newest known
-// version before it is fetched; 0 if no version is stored.
-func (v *View) reportWaitLeft(name string) time.Duration {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if v.documents[name] == nil {
-		return 0
-	}
-	return reportWait - time.Since(v.fetches[name].reportedAt)
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
-// awaitRetry waits for the time of the next fetch. After a failure it ends early if another
-// control instance reports the version.
-func (v *View) awaitRetry(name string, failures int) {
-	var reported chan struct{}
-	if failures > 0 {
-		v.mu.Lock()
-		reported = v.fetches[name].reported
-		v.mu.Unlock()
-	}
-	select {
-	case <-v.ctx.Done():
-	case <-reported:
-	case <-time.After(min(fetchInterval<<min(failures, maxBackoffDoublings), maxRetryPause)):
-	}
-}
-
-// pickSource selects the control instance to fetch a document from: among those
-// that reported the newest version, one with the fewest attempts, at random. It
-// returns nil, which ends the fetch, if that version is stored or no source
-// that reported it is left.
-func (v *View) pickSource(name string, attempts map[string]int) *source {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	fetch := v.fetches[name]
-	var candidates []*source // equally good ones
-	if stored := v.documents[name]; stored == nil || stored.Version < fetch.version {
-		for _, s := range v.sources {
-			if s.reportedVersions[name] < fetch.version {
-				continue
-			}
-			switch {
-			case len(candidates) == 0 || preferSource(s, candidates[0], attempts):
-				candidates = append(candidates[:0], s)
-			case !preferSource(candidates[0], s, attempts):
-				candidates = append(candidates, s)
-			}
-		}
-	}
-	if len(candidates) == 0 {
-		fetch.running = false
-		if stored := v.documents[name]; stored == nil || stored.Version < fetch.version {
-			// The fetch starts again when a source reports the version.
-			fetch.version = stored.GetVersion()
-		}
-		return nil
-	}
-	// The iteration order of a small map favors some of its entries.
-	return candidates[rand.IntN(len(candidates))]
-}
-
-// preferSource prefers reachable sources, then those with fewer attempts.
-func preferSource(s, best *source, attempts map[string]int) bool {
-	if s.unreachable != best.unreachable {
-		return !s.unreachable
-	}
-	return attempts[s.url] < attempts[best.url]
-}
-
-func (v *View) requestDocument(s *source, name string) (*controlv1.PublishedDocument, error) {
-	ctx, cancel := context.WithTimeout(v.ctx, fetchTimeout)
-	defer cancel()
-	d, err := s.client.Document(ctx, &fleetv1.DocumentRequest{Name: name})
-	if err != nil {
-		v.countFailedFetch(ctx.Err() != nil)
-	}
-	return d, err
-}
-
-// countFailedFetch counts a fetch without a document.
-func (v *View) countFailedFetch(timedOut bool) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if timedOut {
-		v.fetchOutcomes[fetchTimedOut]++
-		return
-	}
-	v.fetchOutcomes[fetchFailed]++
-}
-
 // storeDocument stores a document and returns since when a newer one than was stored had been
 // known. Invariant: while this process runs, a document never reverts to an older version.
 func (v *View) storeDocument(d *controlv1.PublishedDocument) (behind time.Duration) {
--- a/fleetview/view.go
+++ b/fleetview/view.go
@@ -102,6 +102,10 @@
 	// evidence is the exchange of crash evidence with it.
 	evidence    sourceEvidence
 	unreachable bool
+	// contentLimit is the limit on the time of its documents; until avoidUntil others are
+	// preferred as sources of documents.
+	contentLimit responseLimit
+	avoidUntil   time.Time
 	// addedAt is when this process first polled it, softwareKnownSince the time since which
 	// it knew the software of all servers when it first responded.
 	addedAt, softwareKnownSince time.Time
