An entry instance whose exchanges take long hears of new configurations

Callers: requests to one entry instance are handled by an older configuration for as long as its exchanges with all control instances take longer than 1.1 s, because it, its link or they are short of processor time.

Cause: a poll that took 1.1 s was given up and sent again, held up by up to 0.6 s on purpose. The next one took as long. All nine control instances went on to work for polls that were given up.

Change: the limit doubles with each poll that exceeds it, up to 4.4 s, and returns as responses come in time. A poll after a failure is not held up. Kept connections are closed when a limit passes, since they may have fallen silent: the longer limit then applies to a new connection.

A control instance that is slow and then falls silent is noticed after up to 4.4 s instead of 1.1 s.

--- a/fleetview/simfleet_test.go
+++ b/fleetview/simfleet_test.go
@@ -46,8 +46,11 @@
 	slowUntil                 time.Time
 }
 
-// simConn is a kept connection to an incarnation of a control instance.
-type simConn struct{ incarnation int }
+// simConn is a kept connection; it is dead once its packets are lost for good.
+type simConn struct {
+	dead        bool
+	incarnation int
+}
 
 // simFleet holds control instances and processes that follow them.
 type simFleet struct {
@@ -70,6 +73,8 @@
 
 	// mu of the fleet guards the fields below.
 	idle map[string][]*simConn
+	// open holds the kept connections and those in use.
+	open map[*simConn]bool
 	// cutUntil is until when it is cut off from control instances, by URL.
 	cutUntil map[string]time.Time
 	// exchangeTime is added to each of its exchanges until slowUntil.
@@ -94,7 +99,7 @@
 
 // start starts a process.
 func (f *simFleet) start(ctx context.Context, name string) *simProcess {
-	p := &simProcess{fleet: f, startedAt: time.Now(), idle: make(map[string][]*simConn), cutUntil: make(map[string]time.Time)}
+	p := &simProcess{fleet: f, startedAt: time.Now(), idle: make(map[string][]*simConn), open: make(map[*simConn]bool), cutUntil: make(map[string]time.Time)}
 	ctx, p.stop = context.WithCancel(ctx)
 	self := &fleetv1.EntryInstance{Name: name, StartedUnixMs: time.Now().UnixMilli(), Accepting: true}
 	p.view = New(f.group.members[:3], self, &http.Client{Transport: p}, f.logger)
@@ -157,6 +162,27 @@
 	f.applyLater(ctx, c, catchUp+time.Millisecond)
 }
 
+// silence makes all open connections of a process dead.
+func (p *simProcess) silence() {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	for c := range p.open {
+		c.dead = true
+	}
+}
+
+// CloseIdleConnections closes the kept connections, for http.Client.
+func (p *simProcess) CloseIdleConnections() {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	for _, list := range p.idle {
+		for _, c := range list {
+			delete(p.open, c)
+		}
+	}
+	clear(p.idle)
+}
+
 // version returns the version in force.
 func (p *simProcess) version() uint64 { return siteVersion(p.view) }
 
@@ -173,6 +199,14 @@
 	if err != nil {
 		return nil, err
 	}
+	kept := false
+	defer func() {
+		if !kept {
+			p.fleet.mu.Lock()
+			defer p.fleet.mu.Unlock()
+			delete(p.open, conn)
+		}
+	}()
 	if err := p.transmit(ctx, c, conn); err != nil {
 		return nil, err
 	}
@@ -188,10 +222,10 @@
 		return nil, err
 	}
 	p.fleet.mu.Lock()
-	defer p.fleet.mu.Unlock()
 	if list := p.idle[c.url]; len(list) < simIdleConns {
-		p.idle[c.url] = append(list, conn)
+		p.idle[c.url], kept = append(list, conn), true
 	}
+	p.fleet.mu.Unlock()
 	return recorder.Result(), nil
 }
 
@@ -207,6 +241,7 @@
 			f.mu.Unlock()
 			return conn, nil
 		}
+		delete(p.open, conn)
 	}
 	now := time.Now()
 	cut, down, incarnation := now.Before(p.cutUntil[c.url]), now.Before(c.downUntil), c.incarnation
@@ -219,7 +254,11 @@
 	if down {
 		return nil, errSimRefused
 	}
-	return &simConn{incarnation: incarnation}, ctx.Err()
+	conn := &simConn{incarnation: incarnation}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p.open[conn] = true
+	return conn, ctx.Err()
 }
 
 // transmit waits until bytes have passed the network.
@@ -235,12 +274,12 @@
 	sleep(ctx, extra)
 	for ctx.Err() == nil {
 		f.mu.Lock()
-		cut, reset := time.Now().Before(p.cutUntil[c.url]), conn.incarnation != c.incarnation
+		passes, reset := !conn.dead && !time.Now().Before(p.cutUntil[c.url]), conn.incarnation != c.incarnation
 		f.mu.Unlock()
-		if !cut && reset {
+		if passes && reset {
 			return errSimReset
 		}
-		if !cut {
+		if passes {
 			return nil
 		}
 		sleep(ctx, simStep)
--- a/fleetview/view.go
+++ b/fleetview/view.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net/http"
 	"slices"
@@ -25,9 +26,9 @@
 	// changes. It is also the longest interval at which it learns that this
 	// process is alive.
 	pollWait = 600 * time.Millisecond
-	// pollTimeout ends a poll whose connection stalled without a reset. It is
-	// well below the time within which a draining server must stop receiving
-	// requests.
+	// pollTimeout ends a poll whose connection stalled without a reset; see
+	// responseLimit. It is well below the time within which a draining server must
+	// stop receiving requests.
 	pollTimeout   = pollWait + 500*time.Millisecond
 	minRetryPause = 150 * time.Millisecond
 	maxRetryPause = time.Second
@@ -93,7 +94,8 @@
 	// instance lists this process.
 	confirmedAt time.Time
 	// interrupted is set when the last poll was interrupted. The next one does not
-	// wait, so that a poll completes however often they are interrupted.
+	// wait, so that a poll completes however often they are interrupted; neither does
+	// the one after a failure.
 	interrupted bool
 	// lastListed is when a member list last contained the instance.
 	lastListed time.Time
@@ -102,10 +104,10 @@
 	// evidence is the exchange of crash evidence with it.
 	evidence    sourceEvidence
 	unreachable bool
-	// contentLimit is the limit on the time of its documents; until avoidUntil others are
-	// preferred as sources of documents.
-	contentLimit responseLimit
-	avoidUntil   time.Time
+	// pollLimit and contentLimit are the limits on the times of its responses to polls and of
+	// its documents; until avoidUntil others are preferred as sources of documents.
+	pollLimit, contentLimit responseLimit
+	avoidUntil              time.Time
 	// addedAt is when this process first polled it, softwareKnownSince the time since which
 	// it knew the software of all servers when it first responded.
 	addedAt, softwareKnownSince time.Time
@@ -281,12 +283,12 @@
 // poll sends one poll. A change of the state that this process reports
 // interrupts it, so that the next poll carries the change.
 func (v *View) poll(ctx context.Context, s *source) error {
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
-	defer cancel()
 	v.mu.Lock()
+	ctx, cancel := context.WithTimeout(ctx, s.pollLimit.of(pollTimeout))
+	defer cancel()
 	startedAt := time.Now()
 	req := &fleetv1.SyncRequest{Self: v.self, Feed: s.feed, Cursor: s.cursor, Known: v.knownVersions(s), Leaving: v.leaving.current(startedAt), Limits: v.limits.current(startedAt), WaitMs: uint32(pollWait.Milliseconds())}
-	if s.interrupted {
+	if s.interrupted || s.unreachable {
 		req.WaitMs = 0
 	}
 	wake := v.wake
@@ -315,6 +317,7 @@
 	if err != nil && interrupted.Load() {
 		return nil
 	}
+	v.notePollTime(s, time.Since(startedAt)-time.Duration(req.WaitMs)*time.Millisecond, errors.Is(ctx.Err(), context.DeadlineExceeded))
 	if err != nil {
 		return err
 	}
@@ -323,6 +326,19 @@
 	return nil
 }
 
+// notePollTime records how long a control instance took for a poll, besides its wait.
+func (v *View) notePollTime(s *source, took time.Duration, timedOut bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !timedOut {
+		s.pollLimit.met(took, pollTimeout)
+		return
+	}
+	s.pollLimit.exceeded()
+	// Kept connections may have fallen silent, and the limit of the next poll is longer.
+	v.client.CloseIdleConnections()
+}
+
 // handleFailure records a failed poll and reports whether the source was
 // removed.
 func (v *View) handleFailure(s *source, err error) bool {
