gateway: instances that restart within one window exceed the retry limits together

Servers got more retries than the deployment allows when several entry instances restarted while retries were used to the full, as when servers fail during a rolling restart.

Cause: a process does not know what the one before it has sent. It had 0.8 of the ratio for its requests at once, and the constant part grew with its age to the full share before the window with its predecessor's retries had passed. Each restart within a window added up to one more share of 1/N to the 0.8.

A process that is younger than the window now uses 0.2 of the limits, the rest of the 0.8 that older ones use, so that its retries and its predecessor's fit into one share whenever it restarts. The constant part grows within these 0.2, for processes that restart in series.

--- a/gateway/retry_budget.go
+++ b/gateway/retry_budget.go
@@ -16,8 +16,12 @@
 	RetryWindow              time.Duration
 }
 
-// retryBudgetShare is the share of the retry limit that is used; the rest covers
-// restarted instances, which do not know what they spent before.
+// retryBudgetShare is the share of the retry limits that processes older than RetryWindow use;
+// the rest is for younger ones.
+//
+// Invariant: within any window, the retries of the processes that an instance runs one after the
+// other sum up to no more than its share of the limits. A process does not know what the one
+// before it has sent, and instances may restart together.
 const retryBudgetShare = 0.8
 
 // retryBudget is this instance's share of the retries to one service.
@@ -33,34 +37,40 @@
 	defer g.mu.Unlock()
 	b := g.retryBudgets[service]
 	if b == nil {
-		b = &retryBudget{Window: retry.NewWindow(g.retryLimits.RetryWindow, retryBudgetShare*g.retryLimits.RetryRatio, g.retryAllowance(time.Now()))}
+		ratio, slack := g.retryShare(time.Now())
+		b = &retryBudget{Window: retry.NewWindow(g.retryLimits.RetryWindow, ratio, slack)}
 		g.retryBudgets[service] = b
 	}
 	return b
 }
 
-// retryAllowance returns this instance's share of the constant part of the limit. It
-// grows with the age of the process, because the process that ran here before a restart
-// may just have spent the whole share.
-func (g *Gateway) retryAllowance(now time.Time) float64 {
-	growth := min(1, float64(now.Sub(g.started))/float64(g.retryLimits.RetryWindow))
-	return retryBudgetShare * g.retryLimits.ExtraRetries * growth / float64(g.routing.Load().entryCount)
+// retryShare returns the limits of this process: its part of the constant, and the ratio for
+// the requests that it receives. Those of a young process are a share of the limits for all the
+// processes that start within one window, so the constant part grows with age: a process that
+// restarts in series gets the share once.
+func (g *Gateway) retryShare(now time.Time) (ratio, slack float64) {
+	age, share := now.Sub(g.started), retryBudgetShare
+	if age < g.retryLimits.RetryWindow {
+		share = 1 - retryBudgetShare
+	}
+	growth := min(1, float64(age)/float64(g.retryLimits.RetryWindow))
+	return share * g.retryLimits.RetryRatio, share * growth * g.retryLimits.ExtraRetries / float64(g.routing.Load().entryCount)
 }
 
-// updateRetryBudgets sets the constant part of all services' retry budgets to the current
-// allowance, and reports the budgets that have refused retries since the last time.
+// updateRetryBudgets sets the limits of all services' retry budgets to those of now, and reports
+// the budgets that have refused retries since the last time.
 func (g *Gateway) updateRetryBudgets(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	slack := g.retryAllowance(now)
+	ratio, slack := g.retryShare(now)
 	for service, b := range g.retryBudgets {
-		b.SetSlack(slack)
+		b.SetLimits(ratio, slack)
 		u := b.Usage(now)
 		g.metrics.retryBudget.WithLabelValues(service, "allowed").Set(u.Allowed)
 		g.metrics.retryBudget.WithLabelValues(service, "counted").Set(float64(u.Retries))
 		if refused := b.refused.Swap(0); refused > 0 {
 			g.logger.Info("retry budget used up", slog.String("service", service), slog.Int64("refused", refused), slog.Int("requests", u.Requests), slog.Int("retries", u.Retries),
-				slog.Float64("allowed", u.Allowed), slog.Float64("constant", slack), slog.Int("instances", g.routing.Load().entryCount), slog.Duration("age", now.Sub(g.started)))
+				slog.Float64("allowed", u.Allowed), slog.Float64("ratio", ratio), slog.Float64("constant", slack), slog.Int("instances", g.routing.Load().entryCount), slog.Duration("age", now.Sub(g.started)))
 		}
 	}
 }
--- a/gateway/retry_budget_test.go
+++ b/gateway/retry_budget_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"fmt"
 	"log/slog"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -51,3 +53,85 @@
 	h.updateRetryBudgets(time.Now())
 	require.Empty(t, log.String())
 }
+
+// retryTraffic is the traffic of all instances to one service, as its servers see it.
+type retryTraffic struct {
+	requests, retries []time.Time
+}
+
+// requireBound checks every span that ends with a retry: the requests of the span, of the one
+// before it or of the one half a span earlier count.
+func (r *retryTraffic) requireBound(t *testing.T, l RetryLimits) {
+	t.Helper()
+	within := func(times []time.Time, from, to time.Time) (n int) {
+		for _, at := range times {
+			if at.After(from) && !at.After(to) {
+				n++
+			}
+		}
+		return n
+	}
+	worst, excess := "", 0.0
+	for _, end := range r.retries {
+		from := end.Add(-l.RetryWindow)
+		requests := max(within(r.requests, from, end), within(r.requests, from.Add(-l.RetryWindow), from), within(r.requests, from.Add(-l.RetryWindow/2), end.Add(-l.RetryWindow/2)))
+		retries, bound := within(r.retries, from, end), l.RetryRatio*float64(requests)+l.ExtraRetries
+		if over := float64(retries) - bound; over > excess {
+			worst, excess = fmt.Sprintf("%d retries within a window, %.0f are allowed", retries, bound), over
+		}
+	}
+	require.Empty(t, worst)
+}
+
+// budgetOf returns the budget of an instance, with the limits of its present age.
+func budgetOf(h *testGateway) *retryBudget {
+	h.updateRetryBudgets(time.Now())
+	return h.retryBudget("desk")
+}
+
+// Instances that restart together, or one after the other, while retries are used to the full
+// must not retry again what their predecessors have retried.
+func TestRestartedInstancesKeepRetryBound(t *testing.T) {
+	const (
+		instances = 5
+		interval  = 10 * time.Millisecond
+		// failFrom to failTo is when each attempt fails.
+		failFrom, failTo = 30 * time.Second, 50 * time.Second
+	)
+	limits := RetryLimits{RetryRatio: 0.2, ExtraRetries: 52, RetryWindow: 10 * time.Second}
+	for name, gap := range map[string]time.Duration{"killed together": 0, "rolling restart": 1300 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				start := func() *testGateway {
+					h := newTestGateway(t, 0)
+					h.routing.entryCount, h.retryLimits, h.logger = instances, limits, slog.New(slog.DiscardHandler)
+					return h
+				}
+				var fleet [instances]*testGateway
+				for i := range fleet {
+					fleet[i] = start()
+				}
+				var traffic retryTraffic
+				startedAt, restarted := time.Now(), 0
+				for n := 0; time.Since(startedAt) < failTo+limits.RetryWindow; n++ {
+					time.Sleep(interval)
+					now := time.Now()
+					elapsed := now.Sub(startedAt)
+					for restarted < instances && elapsed >= failFrom+2*time.Second+time.Duration(restarted)*gap {
+						fleet[restarted] = start()
+						restarted++
+					}
+					budget := budgetOf(fleet[n%instances])
+					budget.RecordRequest(now)
+					traffic.requests = append(traffic.requests, now)
+					if elapsed >= failFrom && elapsed < failTo && budget.TryRetry(now) {
+
+						traffic.retries = append(traffic.retries, now)
+					}
+				}
+				require.NotEmpty(t, traffic.retries)
+				traffic.requireBound(t, limits)
+			})
+		})
+	}
+}
--- a/retry/window.go
+++ b/retry/window.go
@@ -14,12 +14,11 @@
 type Window struct {
 	// bucket is the length of a bucket.
 	bucket time.Duration
-	ratio  float64
 
-	mu       sync.Mutex
-	slack    float64
-	requests [windowBuckets]int
-	retries  [windowBuckets + 1]int
+	mu           sync.Mutex
+	ratio, slack float64
+	requests     [windowBuckets]int
+	retries      [windowBuckets + 1]int
 	// current is the number of the current bucket.
 	current int64
 }
@@ -30,11 +29,11 @@
 	return &Window{bucket: span / windowBuckets, ratio: ratio, slack: slack}
 }
 
-// SetSlack changes the constant part of the bound, in retries.
-func (w *Window) SetSlack(slack float64) {
+// SetLimits changes the bound.
+func (w *Window) SetLimits(ratio, slack float64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.slack = slack
+	w.ratio, w.slack = ratio, slack
 }
 
 // advance drops expired buckets. Retries are kept one bucket longer than requests, so
