retry: a step of the time of day refills the retry budget

The buckets of the window were numbered by the time of day. A step forward by the window let all retries expire at once, so that as many again were allowed; one back kept requests for as long as the step, each of which allows retries.

TestClockStepChangesNoRetryBudget before: a retry was allowed 9, 1 and 0 s after the budget had been used up with steps of 2 s, 10 s and an hour forward, and the requests counted 12 s later still with steps of 10 s and an hour back. Buckets are now numbered from the first use by the monotonic clock.

--- a/retry/window.go
+++ b/retry/window.go
@@ -17,8 +17,11 @@
 
 	mu           sync.Mutex
 	ratio, slack float64
-	requests     [windowBuckets]int
-	retries      [windowBuckets + 1]int
+	// start is when bucket 0 began. Buckets are numbered by the monotonic clock: the time of
+	// day may be set.
+	start    time.Time
+	requests [windowBuckets]int
+	retries  [windowBuckets + 1]int
 	// current is the number of the current bucket.
 	current int64
 }
@@ -36,11 +39,19 @@
 	w.ratio, w.slack = ratio, slack
 }
 
+// bucketAt returns the number of the bucket of a time. mu must be held.
+func (w *Window) bucketAt(t time.Time) int64 {
+	if w.start.IsZero() {
+		w.start = t
+	}
+	return int64(t.Sub(w.start) / w.bucket)
+}
+
 // advance drops expired buckets. Retries are kept one bucket longer than requests, so
 // that a span that starts within a bucket never contains more retries than are
 // counted here.
 func (w *Window) advance(now time.Time) {
-	index := now.UnixNano() / int64(w.bucket)
+	index := w.bucketAt(now)
 	if index-w.current > windowBuckets {
 		w.requests, w.retries = [windowBuckets]int{}, [windowBuckets + 1]int{}
 		w.current = index
@@ -79,7 +90,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance(now)
-	index := recorded.UnixNano() / int64(w.bucket)
+	index := w.bucketAt(recorded)
 	if slot := index % (windowBuckets + 1); w.current-index <= windowBuckets && w.retries[slot] > 0 {
 		w.retries[slot]--
 	}
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 	"time"
+	"unsafe"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -78,3 +79,36 @@
 	w.Refund(expired, now)
 	require.False(t, w.Allows(expired, 2), "the retries at 5 s count still")
 }
+
+// stepped returns a time after the time of day has been set forward, or back if d is negative:
+// only the part of it that is not monotonic changes.
+func stepped(t time.Time, d time.Duration) time.Time {
+	// The first word holds the seconds of the time of day above 30 bits of nanoseconds.
+	*(*uint64)(unsafe.Pointer(&t)) += uint64(d/time.Second) << 30
+	return t
+}
+
+// A step of the time of day must neither return retries to the budget nor make requests count
+// for longer.
+func TestClockStepChangesNoRetryBudget(t *testing.T) {
+	const span, requests, slack = 10 * time.Second, 100, 5
+	start := time.Now()
+	for _, step := range []time.Duration{2 * time.Second, 10 * time.Second, time.Hour, -2 * time.Second, -10 * time.Second, -time.Hour} {
+		t.Run(step.String(), func(t *testing.T) {
+			require.Equal(t, step, stepped(start, step).Round(0).Sub(start.Round(0)))
+			require.Zero(t, stepped(start, step).Sub(start))
+			w := NewWindow(span, 0.2, slack)
+			for range requests {
+				w.RecordRequest(start)
+			}
+			for range requests/5 + slack {
+				require.True(t, w.TryRetry(start))
+			}
+			for n := range 10 {
+				at := stepped(start.Add(time.Duration(n)*time.Second), step)
+				require.False(t, w.Allows(at, 1), "%d s after the retries", n)
+			}
+			require.Zero(t, w.Usage(stepped(start.Add(12*time.Second), step)).Requests)
+		})
+	}
+}
