--- a/retry/window.go
+++ b/retry/window.go
@@ -5,21 +5,34 @@
 	"time"
 )
 
-// windowBuckets is the number of buckets in a window; counts expire by whole buckets.
-const windowBuckets = 10
+const (
+	// windowBuckets is the number of buckets in a window; counts expire by whole buckets.
+	windowBuckets = 10
+	// retryBuckets are those of retries: the current one, those of one window before it, and
+	// those of one window after it for retries that may still arrive.
+	retryBuckets = windowBuckets + 1 + windowBuckets
+)
 
-// Window bounds the retries within any time span of a fixed length. Each entry
-// instance holds one share of a global bound. The share of a lost instance stays
+// Window bounds the retries that arrive at servers within any time span of a fixed length.
+// Each entry instance holds one share of a global bound. The share of a lost instance stays
 // unused, because the instance may still be running. It is safe for concurrent use.
+//
+// Invariant: a retry counts from when it is granted until one span after it has arrived at the
+// latest, or until it is returned unsent. What is granted in one span and sent in the next
+// would otherwise arrive together with what is granted there.
 type Window struct {
 	// bucket is the length of a bucket.
 	bucket time.Duration
-	ratio  float64
 
-	mu       sync.Mutex
-	slack    float64
+	mu           sync.Mutex
+	ratio, slack float64
+	// start is when bucket 0 began. Buckets are numbered by the monotonic clock: the time of
+	// day may be set.
+	start    time.Time
 	requests [windowBuckets]int
-	retries  [windowBuckets + 1]int
+	retries  [retryBuckets]int
+	// open counts the retries granted and neither sent nor returned.
+	open int
 	// current is the number of the current bucket.
 	current int64
 }
@@ -30,25 +43,33 @@
 	return &Window{bucket: span / windowBuckets, ratio: ratio, slack: slack}
 }
 
-// SetSlack changes the constant part of the bound, in retries.
-func (w *Window) SetSlack(slack float64) {
+// SetLimits changes the bound.
+func (w *Window) SetLimits(ratio, slack float64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.slack = slack
+	w.ratio, w.slack = ratio, slack
+}
+
+// bucketAt returns the number of the bucket of a time. mu must be held.
+func (w *Window) bucketAt(t time.Time) int64 {
+	if w.start.IsZero() {
+		w.start = t
+	}
+	return int64(t.Sub(w.start) / w.bucket)
 }
 
 // advance drops expired buckets. Retries are kept one bucket longer than requests, so
 // that a span that starts within a bucket never contains more retries than are
 // counted here.
 func (w *Window) advance(now time.Time) {
-	index := now.UnixNano() / int64(w.bucket)
-	if index-w.current > windowBuckets {
-		w.requests, w.retries = [windowBuckets]int{}, [windowBuckets + 1]int{}
+	index := w.bucketAt(now)
+	if index-w.current > retryBuckets {
+		w.requests, w.retries = [windowBuckets]int{}, [retryBuckets]int{}
 		w.current = index
 	}
 	for ; w.current < index; w.current++ {
 		w.requests[(w.current+1)%windowBuckets] = 0
-		w.retries[(w.current+1)%(windowBuckets+1)] = 0
+		w.retries[(w.current+1+windowBuckets)%retryBuckets] = 0
 	}
 }
 
@@ -60,33 +81,39 @@
 	w.requests[w.current%windowBuckets]++
 }
 
-// TryRetry records a retry if the bound allows one, and reports whether it does.
+// TryRetry grants a retry if the bound allows one, and reports whether it does. It must be
+// ended by Sent or Return.
 func (w *Window) TryRetry(now time.Time) bool { return w.TryRetries(now, 1) }
 
-// TryRetries records n retries if the bound allows them all, and reports whether it does.
+// TryRetries grants n retries if the bound allows them all, and reports whether it does.
 func (w *Window) TryRetries(now time.Time, n int) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.allows(now, n) {
 		return false
 	}
-	w.retries[w.current%(windowBuckets+1)] += n
+	w.open += n
 	return true
 }
 
-// Refund removes a retry that was recorded at a time and not used. One that has expired is
-// gone already.
-func (w *Window) Refund(now, recorded time.Time) {
+// Return ends n granted retries that were not sent.
+func (w *Window) Return(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.open -= n
+}
+
+// Sent ends a granted retry that has arrived by a time, which may be up to one span ahead.
+func (w *Window) Sent(now, arrivedBy time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance(now)
-	index := recorded.UnixNano() / int64(w.bucket)
-	if slot := index % (windowBuckets + 1); w.current-index <= windowBuckets && w.retries[slot] > 0 {
-		w.retries[slot]--
-	}
+	index := min(max(w.bucketAt(arrivedBy), w.current), w.current+windowBuckets)
+	w.open--
+	w.retries[index%retryBuckets]++
 }
 
-// Allows reports whether the bound allows n retries now, without recording them.
+// Allows reports whether the bound allows n retries now, without granting them.
 func (w *Window) Allows(now time.Time, n int) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -95,13 +122,35 @@
 
 // allows is Allows for a caller that holds w.mu.
 func (w *Window) allows(now time.Time, n int) bool {
+	u := w.usage(now)
+	return float64(u.Sent+u.Open+n) <= u.Allowed
+}
+
+// Usage is what a window counts at one moment.
+type Usage struct {
+	// Requests and Sent are counted in the current span, Open are granted and not sent.
+	Requests, Sent, Open int
+	// Allowed is the bound on the sum of Sent and Open.
+	Allowed float64
+}
+
+// Usage returns what the window counts now.
+func (w *Window) Usage(now time.Time) Usage {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.usage(now)
+}
+
+// usage is Usage for a caller that holds w.mu.
+func (w *Window) usage(now time.Time) Usage {
 	w.advance(now)
-	requests, retries := 0, 0
+	u := Usage{Open: w.open}
 	for _, count := range w.requests {
-		requests += count
+		u.Requests += count
 	}
 	for _, count := range w.retries {
-		retries += count
+		u.Sent += count
 	}
-	return float64(retries+n) <= w.ratio*float64(requests)+w.slack
+	u.Allowed = w.ratio*float64(u.Requests) + w.slack
+	return u
 }
