gateway: log where a stream goes on, and what marked the end of a response

"stream continued" names the server, its start, its software, whether the connection was a kept one, the last event that the client has and the first one of the continuation. "request served" names what marked the end of the response and, for a stream, its last event. Both within the rate limit of the log. No change of behavior.

--- a/gateway/crash_answers.go
+++ b/gateway/crash_answers.go
@@ -91,6 +91,17 @@
 	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody
 }
 
+// framing names what marks the end of a response, for logs.
+func (a *attempt) framing() string {
+	switch {
+	case a.closeDelimited():
+		return "close"
+	case a.exchange.Response.ContentLength >= 0:
+		return "length"
+	}
+	return "chunks"
+}
+
 // closedResponse is a close-delimited response that was received to its end.
 type closedResponse struct {
 	backend  *backend
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -171,7 +171,7 @@
 
 // recordServed records the duration and the metrics of a served request, and logs it
 // unless the rate limit for log lines is reached.
-func (c *call) recordServed(a *attempt) {
+func (c *call) recordServed(a *attempt, more ...slog.Attr) {
 	c.gateway.durations.record(c.route.Name, time.Since(c.startedAt))
 	c.gateway.attemptDurations.record(c.route.Name, time.Since(a.startedAt))
 	c.gateway.metrics.recordServed(c, a)
@@ -180,8 +180,9 @@
 	}
 	attributes := []slog.Attr{
 		slog.String("request", c.request.ID), slog.String("route", c.route.Name), slog.String("server", a.backend.server), slog.String("software", a.backend.software.Version), slog.Int("status", a.status),
-		slog.Int("sends", c.attemptsSent), slog.Duration("head", a.headersAt.Sub(c.startedAt)), slog.Duration("took", time.Since(c.startedAt)), slog.Uint64("document", c.routing.table.Version),
+		slog.Int("sends", c.attemptsSent), slog.String("end", a.framing()), slog.Duration("head", a.headersAt.Sub(c.startedAt)), slog.Duration("took", time.Since(c.startedAt)), slog.Uint64("document", c.routing.table.Version),
 	}
+	attributes = append(attributes, more...)
 	if c.prompt != nil {
 		attributes = append(attributes, slog.Int("prompt_tokens", c.prompt.Tokens), slog.Int("expected_reading", a.work.PrefillTokens), slog.Uint64("weights", a.weightVersion),
 			slog.Int("fetched_tokens", a.fetchedTokens), slog.Duration("expected_fetch", a.expectedFetchTime), slog.Int("saved_parts", a.savedParts), slog.Int("dismissed_tokens", a.declinedTokens), slog.Int("unkept_parts", a.unsavedParts),
@@ -232,7 +233,7 @@
 		if n > 0 {
 			a.backend.update(func(tracker *dispatch.BackendState) { tracker.Responded(time.Now()) })
 			s.pending = append(s.pending, (*buffer)[:n]...)
-			if err := s.checkContinuation(); err != nil {
+			if err := s.checkContinuation(a); err != nil {
 				watch.stop()
 				return s.handleInterruption(r, a, err)
 			}
@@ -246,7 +247,7 @@
 			c.markWhole(a, c.maxStreamBytes()-remaining)
 			s.sendHeaders(a)
 			a.exchange.Finish(a.response.IdleTimeout)
-			c.recordServed(a)
+			c.recordServed(a, slog.String("last_event", s.lastEventID))
 			return true
 		}
 		if err == nil && len(s.pending) > maxEventBytes {
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"log/slog"
 	"net/http"
 	"strconv"
 )
@@ -83,7 +84,7 @@
 
 // checkContinuation examines the pending events of a server that resumes the stream. It
 // clears resuming once the first event is complete and follows the last forwarded one.
-func (s *stream) checkContinuation() error {
+func (s *stream) checkContinuation(a *attempt) error {
 	if !s.resuming {
 		return nil
 	}
@@ -91,9 +92,23 @@
 	if !ok {
 		return nil
 	}
+	s.logContinuation(a, &e)
 	if !e.follows(s.lastEventID) {
 		return errNotContinued
 	}
 	s.resuming = false
 	return nil
 }
+
+// logContinuation logs the first event of a server that resumes the stream, unless the rate limit
+// for log lines is reached.
+func (s *stream) logContinuation(a *attempt, first *streamEvent) {
+	c := s.call
+	if !c.gateway.accessLogLimiter.Allow() {
+		return
+	}
+	b := a.backend
+	c.gateway.logger.Info("stream continued", slog.String("request", c.request.ID), slog.String("route", c.route.Name), slog.String("cause", s.interruption),
+		slog.String("server", b.server), slog.Int64("born_unix_ms", b.startedMs), slog.String("software", b.software.Version), slog.Bool("reused_connection", a.exchange.Reused),
+		slog.String("after_event", s.lastEventID), slog.String("first_event", first.id), slog.Bool("follows", first.follows(s.lastEventID)))
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -379,7 +379,8 @@
 // the response is no longer wanted. Errors are of type *Error.
 func (p *Pool) Send(ctx context.Context, r *Request) (*Exchange, error) {
 	c := p.takeIdle()
-	if c == nil {
+	reused := c != nil
+	if !reused {
 		var err error
 		if c, err = p.dial(ctx); err != nil {
 			return nil, err
@@ -389,7 +390,7 @@
 		p.discard(c)
 		return nil, &Error{Phase: PhaseDial, Address: p.address, Err: err}
 	}
-	x := &Exchange{pool: p, conn: c}
+	x := &Exchange{pool: p, conn: c, Reused: reused}
 	x.stop = context.AfterFunc(ctx, func() { c.Close() })
 	if err := c.writeRequest(r); err != nil {
 		// The server may respond before it has read the whole body.
@@ -461,6 +462,8 @@
 type Exchange struct {
 	// Response holds the status and headers; the body is read through Read.
 	Response *http.Response
+	// Reused is set if the connection was open before the request.
+	Reused bool
 
 	pool *Pool
 	conn *conn
