gateway: a comment in a stream is no event

Callers could get a stream without any event as complete: a server that sends a comment, and whose connection then ends in an orderly way without a length or chunks. The rule that such a response needs an event to be whole took the comment for one. A comment also bound a stream to the software of a server that had written nothing, acquitted the parts of its prompt, and counted as progress of a server without events.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -281,25 +281,27 @@
 	s.rw.WriteHeader(a.status)
 }
 
-// forwardEvents forwards the complete events that are pending, and reports whether
-// there were any.
+// forwardEvents forwards the complete events and comments that are pending, and reports whether
+// there were any events.
 func (s *stream) forwardEvents(a *attempt) bool {
 	length := completeEventsLen(s.pending)
 	if length == 0 {
 		return false
 	}
-	s.call.markEvent(a)
-	s.call.noteBegin(a.backend)
-	s.sendHeaders(a)
 	events := s.pending[:length]
-	s.recordEvents(events)
-	s.lastEventAt = time.Now()
+	found := s.recordEvents(events)
+	if found {
+		s.call.markEvent(a)
+		s.call.noteBegin(a.backend)
+		s.lastEventAt = time.Now()
+	}
+	s.sendHeaders(a)
 	_, _ = s.rw.Write(events) // a client that leaves cancels the request's context
 	if f, ok := s.rw.(http.Flusher); ok {
 		f.Flush()
 	}
 	s.pending = append(s.pending[:0], s.pending[length:]...)
-	return true
+	return found
 }
 
 // handleInterruption decides whether a broken stream resumes on another server.
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -66,14 +66,16 @@
 	return err == nil && number > lastNumber
 }
 
-// recordEvents records the IDs of complete events that are forwarded. Behind an event
-// without an ID, the stream cannot be resumed: the event would come twice.
-func (s *stream) recordEvents(events []byte) {
+// recordEvents records the IDs of complete events that are forwarded, and reports whether there
+// are any: comments are none. Behind an event without an ID, the stream cannot be resumed: the
+// event would come twice.
+func (s *stream) recordEvents(events []byte) (found bool) {
 	for {
 		e, rest, ok := nextEvent(events)
 		if !ok {
-			return
+			return found
 		}
+		found = true
 		s.unnumbered.Store(e.id == "")
 		if e.id != "" {
 			s.lastEventID = e.id
