gateway: a response that ends with its server is not complete

Callers got streams, and other responses, that look complete although their server was killed while it wrote them. Where a response has neither a length nor chunks, its end is that of the connection. All responses of that form that are in progress at a server end so at the same moment. The crash evidence allowed for such ends; the relay of the response did not.

Where the end of a response is that of its connection, the gateway now opens the connection that replaces it at once: if it is refused, the server has ended too, and the response counts as broken off. A stream that may be resumed goes on at another server; if that one has nothing left, in a whole response, the stream was complete.

Before the change, by TestStreamOfKilledServerIsNotComplete and TestBodyOfKilledServerIsNotComplete: a stream of four events ends as complete after the second, and half a body is a 200. What remains: a server that is started again within a round trip, one whose connection limit is reached, one that is cut off after its response; these are taken as before.

--- a/gateway/crash_answers.go
+++ b/gateway/crash_answers.go
@@ -1,8 +1,12 @@
 package gateway
 
 import (
+	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/galenaarch/galenaarch/dispatch"
@@ -91,6 +95,25 @@
 	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody
 }
 
+// errEndedWithServer reports a response that ends with its connection and whose server has ended
+// too: the kernel closes the connections of a process that is killed as if they were complete.
+var errEndedWithServer = fmt.Errorf("server ended with its response: %w", io.ErrUnexpectedEOF)
+
+// checkEnd returns errEndedWithServer if a response whose end is that of its connection may be
+// cut. The connection that it opens replaces the one that has ended. A server that restarts within
+// a round trip is not noticed.
+func (a *attempt) checkEnd(ctx context.Context) error {
+	if !a.closeDelimited() {
+		return nil
+	}
+	a.exchange.Abandon()
+	if err := a.backend.pool.Prepare(ctx); !errors.Is(err, syscall.ECONNREFUSED) {
+		return nil
+	}
+	a.gateway.serverEnded(a.backend.incarnation, endRefused)
+	return errEndedWithServer
+}
+
 // framing names what marks the end of a response, for logs.
 func (a *attempt) framing() string {
 	switch {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -51,6 +51,9 @@
 	// unnumbered is set if the last forwarded event has no ID.
 	resuming   bool
 	unnumbered atomic.Bool
+	// mayBeComplete is set if the stream left a server that ended together with a response
+	// whose end is that of its connection: all events may have been sent.
+	mayBeComplete bool
 	// interruption is why the stream last left its server: one of the interruption
 	// constants.
 	interruption string
@@ -118,6 +121,9 @@
 		return true
 	}
 	body, err := io.ReadAll(io.LimitReader(a.exchange, maxBufferedResponse+1))
+	if err == nil && len(body) <= maxBufferedResponse {
+		err = a.checkEnd(r.Context())
+	}
 	if err != nil {
 		if r.Context().Err() == nil && c.retryable() && len(c.ranServers) < c.route.MaxServers {
 			a.backend.recordFailure(false, time.Now())
@@ -129,7 +135,7 @@
 	}
 	c.gateway.dialect.CopyResponseHeader(rw.Header(), a.exchange.Response.Header)
 	if len(body) > maxBufferedResponse {
-		return c.relayUnbuffered(s, a, body)
+		return c.relayUnbuffered(r.Context(), s, a, body)
 	}
 	c.markWhole(a, len(body))
 	a.exchange.Finish(a.response.IdleTimeout)
@@ -144,7 +150,7 @@
 }
 
 // relayUnbuffered forwards a response that is too long to buffer.
-func (c *call) relayUnbuffered(s *stream, a *attempt, prefix []byte) bool {
+func (c *call) relayUnbuffered(ctx context.Context, s *stream, a *attempt, prefix []byte) bool {
 	rw := s.rw
 	if n := a.exchange.Response.ContentLength; n >= 0 {
 		rw.Header().Set("Content-Length", strconv.FormatInt(n, 10))
@@ -159,6 +165,9 @@
 			err = errResponseTooLong
 		}
 	}
+	if err == nil {
+		err = a.checkEnd(ctx)
+	}
 	if err != nil {
 		c.logInterrupted(a, err)
 		panic(http.ErrAbortHandler)
@@ -242,8 +251,12 @@
 		if errors.Is(err, io.EOF) && !a.eventReceived && a.closeDelimited() {
 			err = io.ErrUnexpectedEOF
 		}
-		if errors.Is(err, io.EOF) && len(s.pending) == 0 && !(s.resuming && s.headersSent) {
+		if errors.Is(err, io.EOF) && len(s.pending) == 0 && (!s.resuming || !s.headersSent || (s.mayBeComplete && !a.closeDelimited())) {
 			watch.stop()
+			if err := a.checkEnd(r.Context()); err != nil {
+				s.mayBeComplete = true
+				return s.handleInterruption(r, a, err)
+			}
 			c.markWhole(a, c.maxStreamBytes()-remaining)
 			s.sendHeaders(a)
 			a.exchange.Finish(a.response.IdleTimeout)
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -98,7 +98,7 @@
 	if !e.follows(s.lastEventID) {
 		return errNotContinued
 	}
-	s.resuming = false
+	s.resuming, s.mayBeComplete = false, false
 	return nil
 }
 
