gateway: a stream goes on only at the incarnation that was announced

Callers got streams joined from two software versions: a server was started again under its ID, with other software, and an entry instance without a connection to it sent continuations there until it was announced again. On a real machine a process is back within milliseconds, and all streams that its restart broke are taken up in just that time: tens of cases at once. Instances that had a connection saw it break, and were covered; X-Expect-Instance names the ID only. The soak with software versions kept servers that change their software down for two seconds, as "one that is back before it can be known to have ended cannot be told from one that goes on".

It can be: an engine's status report states its start. While its service may have several versions, a stream goes on only over a connection on which the server has said that it is the announced incarnation. The report is read on the new connection, before the continuation, so that nothing can change between the two, and once a connection. A kept connection does not serve for it, as a late response could be taken for the report. A server that is another incarnation gets nothing more until it is announced; one that does not state its start is trusted as before. Nothing is asked while a service has one version.

--- a/faults/stream_soak_servers_test.go
+++ b/faults/stream_soak_servers_test.go
@@ -79,7 +79,10 @@
 	case "/kv-events":
 		return platformtest.Response{Status: http.StatusOK, Body: `{"boot_epoch":1,"next":1,"lost":false,"events":[]}`, Delay: 800 * time.Millisecond}
 	case "/report":
-		return platformtest.Response{Status: http.StatusOK, Body: fmt.Sprintf(`{"models":[{"name":%q,"version":1}],"busy":false,"sequence":0}`, soakModel)}
+		server.mu.Lock()
+		born := server.born.UnixMilli()
+		server.mu.Unlock()
+		return platformtest.Response{Status: http.StatusOK, Body: fmt.Sprintf(`{"models":[{"name":%q,"version":1}],"busy":false,"sequence":0,"born":%d}`, soakModel, born)}
 	case "/health", "/order", "/kv-list":
 		return platformtest.Response{Status: http.StatusOK, Body: "{}"}
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -115,6 +115,7 @@
 	timer := c.startAttemptTimer(ctx, a, timeout)
 	x, err := b.pool.Send(ctx, &upstream.Request{
 		Method: r.Method, Target: c.target, Host: r.Host, Header: c.gateway.dialect.OutboundHeader(r.Header, d), Body: c.body,
+		Identify: c.identification(b),
 	})
 	inTime := timer.stop()
 	a.headersAt, a.exchange = time.Now(), x
@@ -351,6 +352,8 @@
 		// The server is full or executes a control operation; that is no failure.
 		cooldown = b.recordRejection(a.response.Load, now)
 	case errors.Is(a.err, upstream.ErrConnectionLimit):
+	case errors.Is(a.err, errOtherIncarnation):
+		b.retired.Store(true)
 	default:
 		// A server that responds to no request is down, even if the client gave up
 		// first: a request that may not be retried is never canceled here, so its
--- a/gateway/continuation.go
+++ b/gateway/continuation.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"log/slog"
+	"net/http"
 	"slices"
 	"time"
 
 	"github.com/galenaarch/galenaarch/config/site"
 	"github.com/galenaarch/galenaarch/dispatch"
+	"github.com/galenaarch/galenaarch/upstream"
 )
 
 const (
@@ -230,3 +234,35 @@
 	}
 	return ""
 }
+
+// errOtherIncarnation reports a server that has restarted under its ID since it was announced.
+var errOtherIncarnation = errors.New("server is another incarnation than the one announced")
+
+// identification returns what proves, before a stream goes on at a server, that it is the
+// incarnation whose software is known; nil if the service has one version, or if its servers do
+// not say which incarnation they are.
+func (c *call) identification(b *backend) *upstream.Identification {
+	software := c.software.Load()
+	if software == nil || b.startedMs == 0 || b.service.Engine == nil || c.onlyVersionOf(software.Service, time.Now()) {
+		return nil
+	}
+	dialect := c.gateway.dialect
+	target, header := dialect.IdentifyServer(b.server)
+	return &upstream.Identification{
+		Request: upstream.Request{Method: http.MethodGet, Target: target, Host: b.address, Header: header},
+		Verify: func(status int, body []byte) error {
+			switch status {
+			case http.StatusOK:
+			case http.StatusMisdirectedRequest:
+				return errOtherIncarnation
+			default:
+				return fmt.Errorf("response to the identification has status %d", status)
+			}
+			startedMs, err := dialect.DecodeStart(body)
+			if err == nil && startedMs != 0 && startedMs != b.startedMs {
+				err = errOtherIncarnation
+			}
+			return err
+		},
+	}
+}
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -114,6 +114,12 @@
 	DecodeRequest(r *http.Request) (*Request, error)
 	// OutboundHeader returns the headers to send to a server for a client's headers.
 	OutboundHeader(from http.Header, d *OutboundRequest) http.Header
+	// IdentifyServer returns the target and headers of a GET request by which an engine states
+	// when it started.
+	IdentifyServer(server string) (target string, h http.Header)
+	// DecodeStart decodes the start of an engine in Unix milliseconds from the response, 0 if it
+	// is not stated.
+	DecodeStart(body []byte) (startedMs int64, err error)
 	// DecodeResponse decodes the status and headers of a server's response.
 	DecodeResponse(status int, h http.Header) Response
 	// CopyResponseHeader copies a server's response headers for the client, except
--- a/upstream/lost_test.go
+++ b/upstream/lost_test.go
@@ -59,7 +59,7 @@
 	require.NoError(t, p.Prepare(context.Background()))
 	require.NoError(t, accept().Close())
 	require.Eventually(t, func() bool {
-		c := p.takeIdle()
+		c := p.takeIdle(false)
 		if c != nil {
 			p.putIdle(c)
 		}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -12,6 +12,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -68,10 +69,11 @@
 // Phase is how far a request got.
 type Phase int
 
-// Phases of a request. In the first two, no byte of it has been sent.
+// Phases of a request. In the first three, no byte of it has been sent.
 const (
 	PhaseConnectionLimit Phase = iota
 	PhaseDial
+	PhaseIdentify
 	PhaseWrite
 	PhaseAwaitResponse
 	PhaseReadBody
@@ -79,7 +81,7 @@
 
 // String implements fmt.Stringer.
 func (p Phase) String() string {
-	return [...]string{"connection limit", "dial", "write", "await answer", "read body"}[p]
+	return [...]string{"connection limit", "dial", "identify", "write", "await answer", "read body"}[p]
 }
 
 // Error reports the phase in which a request failed, and the peer.
@@ -96,7 +98,7 @@
 func (e *Error) Unwrap() error { return e.Err }
 
 // Reached reports whether any byte may have reached the server.
-func (e *Error) Reached() bool { return e.Phase > PhaseDial }
+func (e *Error) Reached() bool { return e.Phase > PhaseIdentify }
 
 // ErrConnectionLimit reports that the pool may open no further connection.
 var ErrConnectionLimit = errors.New("all connections are in use")
@@ -107,6 +109,16 @@
 	Method, Target, Host string
 	Header               http.Header
 	Body                 []byte
+	// Identify is set if the request must not reach a server that has restarted.
+	Identify *Identification
+}
+
+// Identification is exchanged on a new connection before the first request that needs it. The
+// connection ends with its server, so it is exchanged once.
+type Identification struct {
+	Request Request
+	// Verify returns an error unless the response is that of the expected server.
+	Verify func(status int, body []byte) error
 }
 
 // headerLimitedConn is a connection that returns a limited number of bytes while a
@@ -143,6 +155,8 @@
 	idleTimeout time.Duration
 	// unackedTimeout is that of the socket.
 	unackedTimeout time.Duration
+	// identified is set once an Identification has been exchanged.
+	identified bool
 }
 
 // Pool holds the connections to one incarnation of one backend server.
@@ -241,19 +255,22 @@
 	p.idle = kept
 }
 
-// takeIdle returns a live idle connection, the most recently used first.
-func (p *Pool) takeIdle() *conn {
+// takeIdle returns a live idle connection, the most recently used first, or of the identified ones.
+func (p *Pool) takeIdle(identified bool) *conn {
 	closed := false
 	for {
 		p.mu.Lock()
-		n := len(p.idle)
-		if n == 0 {
+		n := len(p.idle) - 1
+		for identified && n >= 0 && !p.idle[n].identified {
+			n--
+		}
+		if n < 0 {
 			p.noteLost(closed)
 			p.mu.Unlock()
 			return nil
 		}
-		c := p.idle[n-1]
-		p.idle = p.idle[:n-1]
+		c := p.idle[n]
+		p.idle = slices.Delete(p.idle, n, n+1)
 		p.mu.Unlock()
 		expired := c.expired()
 		if !expired && c.reusable() {
@@ -358,15 +375,7 @@
 // open no further one: an idle connection does not show that the server accepts requests.
 // It fails if the server accepts no connection or all of the pool are in use.
 func (p *Pool) Prepare(ctx context.Context) error {
-	c, err := p.dial(ctx)
-	if errors.Is(err, ErrConnectionLimit) {
-		idle := p.takeIdle()
-		if idle == nil {
-			return err
-		}
-		p.discard(idle)
-		c, err = p.dial(ctx)
-	}
+	c, err := p.dialInPlace(ctx)
 	if err != nil {
 		return err
 	}
@@ -374,15 +383,29 @@
 	return nil
 }
 
+// dialInPlace opens a connection, in place of an idle one if the pool may open no further one.
+func (p *Pool) dialInPlace(ctx context.Context) (*conn, error) {
+	c, err := p.dial(ctx)
+	if !errors.Is(err, ErrConnectionLimit) {
+		return c, err
+	}
+	idle := p.takeIdle(false)
+	if idle == nil {
+		return nil, err
+	}
+	p.discard(idle)
+	return p.dial(ctx)
+}
+
 // Send writes a request and waits for the response headers. The context bounds the
 // whole exchange: when it ends, the connection is closed, which tells the server that
 // the response is no longer wanted. Errors are of type *Error.
 func (p *Pool) Send(ctx context.Context, r *Request) (*Exchange, error) {
-	c := p.takeIdle()
+	c := p.takeIdle(r.Identify != nil)
 	reused := c != nil
 	if !reused {
 		var err error
-		if c, err = p.dial(ctx); err != nil {
+		if c, err = p.dialInPlace(ctx); err != nil {
 			return nil, err
 		}
 	}
@@ -392,6 +415,10 @@
 	}
 	x := &Exchange{pool: p, conn: c, Reused: reused}
 	x.stop = context.AfterFunc(ctx, func() { c.Close() })
+	if err := c.identify(r.Identify); err != nil {
+		x.Abandon()
+		return nil, &Error{Phase: PhaseIdentify, Address: p.address, Err: cause(ctx, err)}
+	}
 	if err := c.writeRequest(r); err != nil {
 		// The server may respond before it has read the whole body.
 		if x.Response, _ = c.readResponse(r); x.Response == nil {
@@ -410,6 +437,39 @@
 	return x, nil
 }
 
+// maxIdentityBytes limits the response to an identification. A report lists the running requests,
+// about 100 bytes each.
+const maxIdentityBytes = 256 << 10
+
+// errNotIdentified reports a response to an identification after which the connection cannot be used.
+var errNotIdentified = errors.New("response to the identification does not end before its connection")
+
+// identify exchanges an identification unless that has been done on the connection, which is new.
+func (c *conn) identify(i *Identification) error {
+	if i == nil || c.identified {
+		return nil
+	}
+	if err := c.writeRequest(&i.Request); err != nil {
+		return err
+	}
+	resp, err := c.readResponse(&i.Request)
+	if err != nil {
+		return err
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxIdentityBytes+1))
+	if err != nil {
+		return err
+	}
+	if err := i.Verify(resp.StatusCode, body); err != nil {
+		return err
+	}
+	if resp.Close || len(body) > maxIdentityBytes || c.reader.Buffered() > 0 {
+		return errNotIdentified
+	}
+	c.identified = true
+	return nil
+}
+
 func cause(ctx context.Context, err error) error {
 	if ctx.Err() != nil {
 		return context.Cause(ctx)
