--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -51,6 +51,9 @@
 	// unnumbered is set if the last forwarded event has no ID.
 	resuming   bool
 	unnumbered atomic.Bool
+	// mayBeComplete is set if the stream left a server that ended together with a response
+	// whose end is that of its connection: all events may have been sent.
+	mayBeComplete bool
 	// interruption is why the stream last left its server: one of the interruption
 	// constants.
 	interruption string
@@ -118,6 +121,9 @@
 		return true
 	}
 	body, err := io.ReadAll(io.LimitReader(a.exchange, maxBufferedResponse+1))
+	if err == nil && len(body) <= maxBufferedResponse {
+		err = a.checkEnd(r.Context())
+	}
 	if err != nil {
 		if r.Context().Err() == nil && c.retryable() && len(c.ranServers) < c.route.MaxServers {
 			a.backend.recordFailure(false, time.Now())
@@ -129,7 +135,7 @@
 	}
 	c.gateway.dialect.CopyResponseHeader(rw.Header(), a.exchange.Response.Header)
 	if len(body) > maxBufferedResponse {
-		return c.relayUnbuffered(s, a, body)
+		return c.relayUnbuffered(r.Context(), s, a, body)
 	}
 	c.markWhole(a, len(body))
 	a.exchange.Finish(a.response.IdleTimeout)
@@ -144,7 +150,7 @@
 }
 
 // relayUnbuffered forwards a response that is too long to buffer.
-func (c *call) relayUnbuffered(s *stream, a *attempt, prefix []byte) bool {
+func (c *call) relayUnbuffered(ctx context.Context, s *stream, a *attempt, prefix []byte) bool {
 	rw := s.rw
 	if n := a.exchange.Response.ContentLength; n >= 0 {
 		rw.Header().Set("Content-Length", strconv.FormatInt(n, 10))
@@ -159,6 +165,9 @@
 			err = errResponseTooLong
 		}
 	}
+	if err == nil {
+		err = a.checkEnd(ctx)
+	}
 	if err != nil {
 		c.logInterrupted(a, err)
 		panic(http.ErrAbortHandler)
@@ -171,7 +180,7 @@
 
 // recordServed records the duration and the metrics of a served request, and logs it
 // unless the rate limit for log lines is reached.
-func (c *call) recordServed(a *attempt) {
+func (c *call) recordServed(a *attempt, more ...slog.Attr) {
 	c.gateway.durations.record(c.route.Name, time.Since(c.startedAt))
 	c.gateway.attemptDurations.record(c.route.Name, time.Since(a.startedAt))
 	c.gateway.metrics.recordServed(c, a)
@@ -180,8 +189,9 @@
 	}
 	attributes := []slog.Attr{
 		slog.String("request", c.request.ID), slog.String("route", c.route.Name), slog.String("server", a.backend.server), slog.String("software", a.backend.software.Version), slog.Int("status", a.status),
-		slog.Int("sends", c.attemptsSent), slog.Duration("head", a.headersAt.Sub(c.startedAt)), slog.Duration("took", time.Since(c.startedAt)), slog.Uint64("document", c.routing.table.Version),
+		slog.Int("sends", c.attemptsSent), slog.String("end", a.framing()), slog.Duration("head", a.headersAt.Sub(c.startedAt)), slog.Duration("took", time.Since(c.startedAt)), slog.Uint64("document", c.routing.table.Version),
 	}
+	attributes = append(attributes, more...)
 	if c.prompt != nil {
 		attributes = append(attributes, slog.Int("prompt_tokens", c.prompt.Tokens), slog.Int("expected_reading", a.work.PrefillTokens), slog.Uint64("weights", a.weightVersion),
 			slog.Int("fetched_tokens", a.fetchedTokens), slog.Duration("expected_fetch", a.expectedFetchTime), slog.Int("saved_parts", a.savedParts), slog.Int("dismissed_tokens", a.declinedTokens), slog.Int("unkept_parts", a.unsavedParts),
@@ -232,7 +242,7 @@
 		if n > 0 {
 			a.backend.update(func(tracker *dispatch.BackendState) { tracker.Responded(time.Now()) })
 			s.pending = append(s.pending, (*buffer)[:n]...)
-			if err := s.checkContinuation(); err != nil {
+			if err := s.checkContinuation(a); err != nil {
 				watch.stop()
 				return s.handleInterruption(r, a, err)
 			}
@@ -241,12 +251,16 @@
 		if errors.Is(err, io.EOF) && !a.eventReceived && a.closeDelimited() {
 			err = io.ErrUnexpectedEOF
 		}
-		if errors.Is(err, io.EOF) && len(s.pending) == 0 && !(s.resuming && s.headersSent) {
+		if errors.Is(err, io.EOF) && len(s.pending) == 0 && (!s.resuming || !s.headersSent || (s.mayBeComplete && !a.closeDelimited())) {
 			watch.stop()
+			if err := a.checkEnd(r.Context()); err != nil {
+				s.mayBeComplete = true
+				return s.handleInterruption(r, a, err)
+			}
 			c.markWhole(a, c.maxStreamBytes()-remaining)
 			s.sendHeaders(a)
 			a.exchange.Finish(a.response.IdleTimeout)
-			c.recordServed(a)
+			c.recordServed(a, slog.String("last_event", s.lastEventID))
 			return true
 		}
 		if err == nil && len(s.pending) > maxEventBytes {
@@ -280,25 +294,27 @@
 	s.rw.WriteHeader(a.status)
 }
 
-// forwardEvents forwards the complete events that are pending, and reports whether
-// there were any.
+// forwardEvents forwards the complete events and comments that are pending, and reports whether
+// there were any events.
 func (s *stream) forwardEvents(a *attempt) bool {
 	length := completeEventsLen(s.pending)
 	if length == 0 {
 		return false
 	}
-	s.call.markEvent(a)
-	s.call.noteBegin(a.backend)
-	s.sendHeaders(a)
 	events := s.pending[:length]
-	s.recordEvents(events)
-	s.lastEventAt = time.Now()
+	found := s.recordEvents(events)
+	if found {
+		s.call.markEvent(a)
+		s.call.noteBegin(a.backend)
+		s.lastEventAt = time.Now()
+	}
+	s.sendHeaders(a)
 	_, _ = s.rw.Write(events) // a client that leaves cancels the request's context
 	if f, ok := s.rw.(http.Flusher); ok {
 		f.Flush()
 	}
 	s.pending = append(s.pending[:0], s.pending[length:]...)
-	return true
+	return found
 }
 
 // handleInterruption decides whether a broken stream resumes on another server.
