upstream: TestRequestFollowsIdentification reads what its server appends

The server of the test appended to a slice that the test read without a lock. The checks are the same.

--- a/upstream/identify_test.go
+++ b/upstream/identify_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -32,9 +33,12 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
+			var mu sync.Mutex
 			var got []string
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				mu.Lock()
 				got = append(got, strings.TrimPrefix(r.URL.Path, "/"))
+				mu.Unlock()
 				if r.URL.Path == "/who" {
 					tt.identity(w)
 				}
@@ -69,6 +73,8 @@
 				require.ErrorContains(t, err, tt.err)
 				require.False(t, e.Reached(), "no byte of the request was sent")
 			}
+			mu.Lock()
+			defer mu.Unlock()
 			require.Equal(t, tt.want, strings.Join(got, " "))
 		})
 	}
