Configurations in quick succession end polls at a bounded rate

Cause: each published version ended the waiting polls of all entry instances at once, although changes of servers and evidence are shown in rounds. The replica of the same process shares its processor time with them.

Evidence: TestDocumentChangesEndPollsAtABoundedRate, a version each 10 ms for 2 s.

Change: documents are shown in the same rounds: the first change at once, the next ones PollInterval later (120 ms with 30 entry instances, 300 ms at most). The content that is fetched is the newest, shown or not.

--- a/registry/hub.go
+++ b/registry/hub.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/twitchtv/twirp"
 	"golang.org/x/time/rate"
 
 	"github.com/galenaarch/galenaarch/api/controlv1"
@@ -79,13 +78,15 @@
 	evidence evidenceStore
 	// softwareKnownSince is the time since which the software of all servers is known.
 	softwareKnownSince time.Time
-	// changed is closed and replaced when changes of the table or the evidence are shown, at
-	// wokenAt for the last time; wakePending is set while a timer will do so. shownCursor and
-	// shownEvidence are what was shown: a poll that knows as much waits.
+	// changed is closed and replaced when changes of the table, the evidence or the documents
+	// are shown, at wokenAt for the last time; wakePending is set while a timer will do so.
+	// shownCursor, shownEvidence and shownDocuments are what was shown: a poll that knows as
+	// much waits.
 	changed                    chan struct{}
 	wokenAt                    time.Time
 	wakePending                bool
 	shownCursor, shownEvidence uint64
+	shownDocuments             []*controlv1.PublishedDocument
 
 	// streams has its own lock.
 	streams streamRecords
@@ -129,8 +130,8 @@
 	return min(max(time.Duration(entries)*timePerEntry, minPollInterval), maxPollInterval)
 }
 
-// notifyChanged shows a change of the table or the evidence to the waiting polls, at once or
-// with further changes PollInterval after those before. mu must be held.
+// notifyChanged shows a change of the table, the evidence or the documents to the waiting polls, at
+// once or with further changes PollInterval after those before. mu must be held.
 //
 // Invariant: the rate of polls is bounded, however often something changes. The replica of
 // this process needs its share of the processor to keep its leader.
@@ -154,7 +155,7 @@
 // showChanges wakes the waiting polls. mu must be held.
 func (h *Hub) showChanges() {
 	h.wokenAt, h.wakePending = time.Now(), false
-	h.shownCursor, h.shownEvidence = h.table.Cursor(), h.evidence.log.Last()
+	h.shownCursor, h.shownEvidence, h.shownDocuments = h.table.Cursor(), h.evidence.log.Last(), h.documents.Published()
 	close(h.changed)
 	h.changed = make(chan struct{})
 }
@@ -340,38 +341,36 @@
 		if len(response.Announcements) > 0 || len(response.Documents) > 0 || response.Evidence != nil || req.Feed != h.feedID {
 			return response, nil
 		}
-		select {
-		case <-changed:
-		case <-documentsChanged:
-		case <-deadline.C:
-			return response, nil
-		case <-ctx.Done():
-			return nil, ctx.Err()
+		for waiting := true; waiting; {
+			select {
+			case <-changed:
+				waiting = false
+			case <-documentsChanged:
+				documentsChanged = h.documents.Changed()
+				h.mu.Lock()
+				h.noteDocuments()
+				h.mu.Unlock()
+			case <-deadline.C:
+				return response, nil
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			}
 		}
 	}
 }
 
-// Document implements fleetv1.Fleet.
-func (h *Hub) Document(_ context.Context, r *fleetv1.DocumentRequest) (*controlv1.PublishedDocument, error) {
-	for _, d := range h.documents.Published() {
-		if d.Name == r.Name {
-			return d, nil
-		}
-	}
-	return nil, twirp.NotFoundError("this instance holds no document " + r.Name)
-}
-
 // buildResponse returns what the subscriber does not know yet, and a channel
 // that is closed at the next change.
 func (h *Hub) buildResponse(req *fleetv1.SyncRequest, cursor uint64) (*fleetv1.SyncResponse, <-chan struct{}) {
 	response := &fleetv1.SyncResponse{Feed: h.feedID, ControlUrls: h.documents.ControlURLs()}
-	for _, d := range h.documents.Published() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.noteDocuments()
+	for _, d := range h.shownDocuments {
 		if d.Version > req.Known[d.Name] {
 			response.Documents = append(response.Documents, &fleetv1.DocumentVersion{Name: d.Name, Version: d.Version})
 		}
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	response.Cursor = cursor
 	if req.Feed != h.feedID || cursor < h.shownCursor {
 		response.Cursor, response.Announcements = h.table.Cursor(), h.table.ChangesSince(cursor)
