The founding control replica logs which seeds it waits for

That it waits is by design: a seed that does not respond may know of a group.

No change of behavior. TestFoundingReplicaNamesSilentSeeds.

--- a/control/replog/diagnosis.go
+++ b/control/replog/diagnosis.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/galenaarch/galenaarch/api/consensusv1"
 	"github.com/galenaarch/galenaarch/consensus"
 )
 
@@ -88,6 +89,32 @@
 	nextLog time.Duration
 }
 
+// foundingDelay logs what the founding replica waits for, at nextLog after since and then each
+// time after twice the time.
+type foundingDelay struct {
+	since   time.Time
+	nextLog time.Duration
+}
+
+// observe logs the seeds that have not responded, and how many replicas have.
+func (d *foundingDelay) observe(g *Group, responses map[string]*consensusv1.IdentifyResponse) {
+	waited := time.Since(d.since)
+	if waited < d.nextLog {
+		return
+	}
+	for d.nextLog <= waited {
+		d.nextLog *= 2
+	}
+	var silent []string
+	for _, p := range g.settings.Replicas {
+		if !g.isSelf(p) && responses[p.key()] == nil {
+			silent = append(silent, p.key())
+		}
+	}
+	g.logger.Warn("group is not founded yet", slog.Duration("after", waited), slog.String("silent_seeds", strings.Join(silent, " ")),
+		slog.Int("replicas", len(g.founders(responses))), slog.Int("required", g.requiredVoters()))
+}
+
 // LeaderlessFor returns for how long this replica has known no leader, or has led without
 // having committed an entry of its term.
 func (g *Group) LeaderlessFor() time.Duration {
--- a/control/replog/diagnosis_test.go
+++ b/control/replog/diagnosis_test.go
@@ -57,6 +57,24 @@
 	}
 }
 
+// TestFoundingReplicaNamesSilentSeeds guards against a group that is not founded, and whose log
+// does not tell which seed the founding replica waits for.
+func TestFoundingReplicaNamesSilentSeeds(t *testing.T) {
+	var log bytes.Buffer
+	g := &Group{logger: slog.New(slog.NewTextHandler(&log, nil)), settings: Settings{Name: "a", URL: "http://a", DynamicMembership: true, ToleratedLosses: 2, Replicas: []Peer{{URL: "http://a"}, {URL: "http://b"}, {URL: "http://c"}}}}
+	responses := map[string]*consensusv1.IdentifyResponse{"http://b": {Id: "b/1", Url: "http://b"}}
+	delay := foundingDelay{since: time.Now(), nextLog: firstOutageLog}
+	delay.observe(g, responses)
+	require.Empty(t, log.String(), "a short wait is not logged")
+	delay.since = time.Now().Add(-5 * firstOutageLog)
+	delay.observe(g, responses)
+	for _, want := range []string{`group is not founded yet`, `silent_seeds=http://c `, `replicas=2`, `required=5`} {
+		require.Contains(t, log.String(), want)
+	}
+	delay.observe(g, responses)
+	require.Equal(t, 1, bytes.Count(log.Bytes(), []byte("\n")), "the next line follows after twice the time")
+}
+
 // TestStartStagesAndRefusedReadsAreReported guards against a restart whose slow stage is not
 // known, and against reads that are refused without a reason.
 func TestStartStagesAndRefusedReadsAreReported(t *testing.T) {
--- a/control/replog/join.go
+++ b/control/replog/join.go
@@ -114,6 +114,7 @@
 		return nil
 	}
 	var waitingSince time.Time
+	delay := foundingDelay{since: time.Now(), nextLog: firstOutageLog}
 	for ctx.Err() == nil {
 		responses := g.identifyPeers(ctx, g.settings.Replicas)
 		for _, r := range responses {
@@ -131,6 +132,7 @@
 				return g.found(ctx, founders)
 			}
 		}
+		delay.observe(g, responses)
 		sleepContext(ctx, identifyInterval)
 	}
 	return ctx.Err()
