A server whose host is silent for two seconds keeps its requests

Callers lost requests at sound servers: a host that acknowledged nothing for a second or two had its connections closed, 1.5 s after a small request was sent, or at the second keep-alive probe.

Cause: TCP_USER_TIMEOUT of 1.5 s (2.5 s for large requests) is shorter than that, and replaces the count of keep-alive probes: the connection ends at the first probe time at which nothing has come for so long.

Change: one timeout of 4.5 s for all requests, above the retransmission that follows two silent seconds and above a probe that does. Requests that may be sent again leave a silent server earlier, by their own timers, and cuts are found by probes. The count of probes, which had no effect, is gone.

--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -26,17 +26,16 @@
 	// connection in that time is down or partitioned.
 	dialTimeout = 350 * time.Millisecond
 	// unackedTimeout closes a connection whose peer acknowledges nothing: a network
-	// partition sends no reset. It also bounds how long the peer may read nothing while
-	// a request fills its receive window. largeUnackedTimeout replaces it for requests
-	// above smallRequestBytes; it is above the two seconds for which a sound server may
-	// be silent.
-	unackedTimeout      = 1500 * time.Millisecond
-	largeUnackedTimeout = 2500 * time.Millisecond
+	// partition sends no reset. It is set as TCP_USER_TIMEOUT, which also decides when
+	// keep-alive probes give up, whatever their number. A sound server may be silent for
+	// two seconds: unackedTimeout is above the time of the retransmission after that (3 s, at
+	// 200 ms before the first), and above keepAliveIdle and those two seconds, so that a probe comes
+	// after it.
+	unackedTimeout = 4500 * time.Millisecond
 	// keepAliveIdle and keepAliveInterval detect a silent peer while a response is
 	// awaited.
 	keepAliveIdle     = 2 * time.Second
 	keepAliveInterval = time.Second
-	keepAliveCount    = 2
 	// defaultIdleTimeout is how long a connection is kept idle if the server states
 	// no timeout; reuseMargin is subtracted from a stated one.
 	defaultIdleTimeout = 4 * time.Second
@@ -48,8 +47,6 @@
 const (
 	readBufferSize  = 4 << 10
 	writeBufferSize = 4 << 10
-	// smallRequestBytes is the largest body that fits even a small receive window.
-	smallRequestBytes = 4 << 10
 	// maxHeaderBytes limits the headers of one response, including interim ones: four
 	// times the request headers that site documents allow. A faulty server may send an
 	// endless header.
@@ -141,8 +138,6 @@
 	writer      *bufio.Writer
 	idleSince   time.Time
 	idleTimeout time.Duration
-	// unackedTimeout is that of the socket.
-	unackedTimeout time.Duration
 	// openedAt is when the dial began.
 	openedAt time.Time
 }
@@ -169,7 +164,7 @@
 	return &Pool{address: address, maxOpen: maxOpen, dialer: net.Dialer{
 		Timeout:         dialTimeout,
 		Control:         func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, unackedTimeout) },
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval},
 	}}
 }
 
@@ -181,25 +176,6 @@
 	return errors.Join(controlErr, err)
 }
 
-// prepare sets the timeout for unacknowledged data that suits the size of a request.
-func (c *conn) prepare(r *Request) error {
-	d := unackedTimeout
-	if len(r.Body) > smallRequestBytes {
-		d = largeUnackedTimeout
-	}
-	if d == c.unackedTimeout {
-		return nil
-	}
-	raw, err := c.headerLimitedConn.Conn.(*net.TCPConn).SyscallConn()
-	if err == nil {
-		err = setUserTimeout(raw, d)
-	}
-	if err == nil {
-		c.unackedTimeout = d
-	}
-	return err
-}
-
 // SetMax changes the limit on open connections; 0 for no limit.
 func (p *Pool) SetMax(maxOpen int) {
 	p.mu.Lock()
@@ -354,7 +330,7 @@
 		return nil, &Error{Phase: PhaseDial, Address: p.address, Err: err}
 	}
 	limited := &headerLimitedConn{Conn: raw}
-	return &conn{headerLimitedConn: limited, reader: bufio.NewReaderSize(limited, readBufferSize), writer: bufio.NewWriterSize(raw, writeBufferSize), idleTimeout: defaultIdleTimeout, unackedTimeout: unackedTimeout, openedAt: openedAt}, nil
+	return &conn{headerLimitedConn: limited, reader: bufio.NewReaderSize(limited, readBufferSize), writer: bufio.NewWriterSize(raw, writeBufferSize), idleTimeout: defaultIdleTimeout, openedAt: openedAt}, nil
 }
 
 // Prepare opens a connection for the next request, in place of an idle one if the pool may
@@ -416,10 +392,6 @@
 			return nil, err
 		}
 	}
-	if err := c.prepare(r); err != nil {
-		p.discard(c)
-		return nil, &Error{Phase: PhaseDial, Address: p.address, Err: err}
-	}
 	x := &Exchange{pool: p, conn: c}
 	x.stop = context.AfterFunc(ctx, func() { c.Close() })
 	if err := c.writeRequest(r); err != nil {
