A client whose host is silent for two seconds keeps its connection

Callers whose host acknowledged nothing for two seconds found their idle connection reset.

TCP_USER_TIMEOUT of 5 s ends the connection at the third keep-alive probe time, two seconds after the first probe, whatever the count of probes says.

The timeout is 5.5 s; the count, without effect, is gone.

--- a/gateway/process.go
+++ b/gateway/process.go
@@ -47,8 +47,10 @@
 	// responsePollInterval is the time between checks for requests in progress at the end.
 	responsePollInterval = 5 * time.Millisecond
 	// drainQuietPeriod without a request ends a drain early.
-	drainQuietPeriod     = 600 * time.Millisecond
-	clientUnackedTimeout = 5 * time.Second
+	drainQuietPeriod = 600 * time.Millisecond
+	// clientUnackedTimeout also ends the keep-alive probes, whatever their number: the first one
+	// that gets no answer must be followed by one over two seconds later.
+	clientUnackedTimeout = 5500 * time.Millisecond
 	// peerDialTimeout is below the one second after which a lost SYN is resent, so that
 	// the next attempt reaches an instance that has just restarted.
 	peerDialTimeout = 300 * time.Millisecond
@@ -283,7 +285,7 @@
 // serve listens on an address and serves its connections in the background. A later
 // failure of the listener is only logged.
 func (p *Process) serve(s *http.Server, address string) (net.Listener, error) {
-	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: clientKeepAliveIdle, Interval: time.Second, Count: 2}}
+	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: clientKeepAliveIdle, Interval: time.Second}}
 	listener, err := config.Listen(context.Background(), "tcp4", address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen on %s", address)
--- a/upstream/silent_host_test.go
+++ b/upstream/silent_host_test.go
@@ -11,25 +11,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-	"golang.org/x/sys/unix"
-)
 
-// dropIncoming makes the system discard all segments that arrive for a connection, so that
-// nothing is acknowledged, until restore is called.
-func dropIncoming(t *testing.T, c net.Conn) (restore func()) {
-	t.Helper()
-	raw, err := c.(*net.TCPConn).SyscallConn()
-	require.NoError(t, err)
-	discard := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K, K: 0}}
-	var filterErr error
-	require.NoError(t, raw.Control(func(fd uintptr) {
-		filterErr = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &discard[0]})
-	}))
-	require.NoError(t, filterErr)
-	return func() {
-		_ = raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0) }) // fails only if closed
-	}
-}
+	"github.com/galenaarch/galenaarch/platform/platformtest"
+)
 
 // TestSilentHostIsWaitedFor guards against a sound server that acknowledges nothing for two seconds
 // and loses the requests that it runs or is about to get: TCP_USER_TIMEOUT ends connections, and
@@ -68,7 +52,8 @@
 			server := <-connections
 			defer server.Close()
 			if test.runs == 0 {
-				restore := dropIncoming(t, server)
+				restore, err := platformtest.DropIncoming(server)
+				require.NoError(t, err)
 				time.AfterFunc(silence, restore)
 			}
 			go func() {
@@ -80,7 +65,10 @@
 				_, _ = io.Copy(io.Discard, r.Body)
 				if test.runs > 0 {
 					time.Sleep(test.runs)
-					restore := dropIncoming(t, server)
+					restore, err := platformtest.DropIncoming(server)
+					if err != nil {
+						return
+					}
 					time.Sleep(silence)
 					restore()
 				}
