Framing: a response without a length that breaks during the upload is not whole

Callers got a complete 200, with the server's seal, that held only a part of the server's body, when the server answered a long upload at once without a length and reset the connection while the upload was still being written.

Cause: a socket reports its error once. The failed write consumed it, upstream recorded only that the connection is not to be used again, and read on; behind the last byte the connection then reads like one that was closed in order, which ends a body without a length. The class: an error that is reported once is dropped, and its absence later is taken for success.

Ruled out: responses with a length or chunks; streams without an event, whose end did not count as one already.

Change: package framing holds the rule. upstream keeps the first error with the exchange and checks it, and what is unacknowledged, at the end of such a body; httpclient.Whole does so for net/http, for galena-entry, plain services, the steward and, through httpclient.Bound, all calls between processes and to stores and engines.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -179,12 +179,12 @@
 	e.peerLoanRequests = make(map[string][]admission.LoanRequest)
 	e.peerStates = make(map[string]*memberv1.EntryState)
 	e.published = make(map[string][]byte)
-	e.engineClient = &http.Client{Transport: &http.Transport{
+	e.engineClient = &http.Client{Transport: httpclient.Whole(&http.Transport{
 		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost:    maxIdlePerPeer,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: httpclient.MaxRelayedHeaderBytes,
-	}}
+	})}
 	e.fleet = fleet.NewTable(e.settings.ServerTTL)
 	if err := e.provisionKVCache(); err != nil {
 		return err
--- a/gateway/crash_answers.go
+++ b/gateway/crash_answers.go
@@ -2,11 +2,11 @@
 
 import (
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/galenaarch/galenaarch/dispatch"
 	"github.com/galenaarch/galenaarch/fleetview"
+	"github.com/galenaarch/galenaarch/framing"
 )
 
 const (
@@ -87,8 +87,7 @@
 // closeDelimited reports whether the body of a response has neither a length nor chunks. Its
 // end is that of the connection, which a server that crashes may also close in order.
 func (a *attempt) closeDelimited() bool {
-	r := a.exchange.Response
-	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody
+	return framing.CloseDelimited(a.exchange.Response)
 }
 
 // closedResponse is a close-delimited response that was received to its end.
--- a/httpclient/httpclient.go
+++ b/httpclient/httpclient.go
@@ -52,15 +52,16 @@
 
 // transport is a transport whose responses are bounded.
 type transport struct {
-	next   *http.Transport
+	next   http.RoundTripper
+	idle   *http.Transport
 	limits Limits
 }
 
-// Bound returns t with limits on its responses. A response above a limit fails, and its
-// connection is closed. t must not be in use yet.
+// Bound returns t with limits on its responses, and with Whole. A response above a limit
+// fails, and its connection is closed. t must not be in use yet.
 func Bound(t *http.Transport, limits Limits) http.RoundTripper {
 	t.MaxResponseHeaderBytes = MaxHeaderBytes
-	return &transport{next: t, limits: limits}
+	return &transport{next: Whole(t), idle: t, limits: limits}
 }
 
 // RoundTrip implements http.RoundTripper.
@@ -77,7 +78,7 @@
 }
 
 // CloseIdleConnections closes the idle connections, for http.Client.
-func (t *transport) CloseIdleConnections() { t.next.CloseIdleConnections() }
+func (t *transport) CloseIdleConnections() { t.idle.CloseIdleConnections() }
 
 // body is a response body with limits.
 type body struct {
--- a/services/dispatch.go
+++ b/services/dispatch.go
@@ -82,7 +82,7 @@
 	return &Dispatcher{
 		entry:           entry,
 		control:         control,
-		client:          newClient(&http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, MaxResponseHeaderBytes: httpclient.MaxRelayedHeaderBytes}),
+		client:          newClient(httpclient.Whole(&http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, MaxResponseHeaderBytes: httpclient.MaxRelayedHeaderBytes})),
 		budget:          budget,
 		backgroundSlots: make(chan struct{}, maxBackgroundUpdates),
 		onRetry:         onRetry,
--- a/steward/backends.go
+++ b/steward/backends.go
@@ -59,12 +59,12 @@
 		entryClient: entryClient,
 		// Connections are not reused: a server may write the response to an earlier
 		// call once more, and nothing in it would reveal that.
-		serverClient: &http.Client{Transport: &http.Transport{
+		serverClient: &http.Client{Transport: httpclient.Whole(&http.Transport{
 			DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			DisableKeepAlives:      true,
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: httpclient.MaxHeaderBytes,
-		}},
+		})},
 	}
 }
 
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/galenaarch/galenaarch/framing"
 )
 
 // Timeouts of a connection.
@@ -397,7 +399,7 @@
 			x.Abandon()
 			return nil, &Error{Phase: PhaseWrite, Address: p.address, Err: cause(ctx, err)}
 		}
-		x.writeFailed = true
+		x.writeErr = cause(ctx, err)
 		return x, nil
 	}
 	resp, err := c.readResponse(r)
@@ -468,15 +470,22 @@
 	// closed the connection.
 	stop         func() bool
 	bodyComplete bool
-	writeFailed  bool
-	ended        bool
+	// writeErr is the error of a request that was not written to its end; nil if it was.
+	writeErr error
+	ended    bool
 }
 
 // Read reads the body. It returns io.EOF only after the whole body: a body without a
-// length ends with a clean close of the connection.
+// length ends with a clean close of the connection by a server that took the whole request.
 func (x *Exchange) Read(b []byte) (int, error) {
 	n, err := x.Response.Body.Read(b)
-	if errors.Is(err, io.EOF) {
+	ended := errors.Is(err, io.EOF)
+	if ended && framing.CloseDelimited(x.Response) {
+		if broken := framing.CheckClose(x.writeErr, x.conn.unsent()); broken != nil {
+			ended, err = false, broken
+		}
+	}
+	if ended {
 		x.bodyComplete = true
 	} else if err != nil {
 		err = &Error{Phase: PhaseReadBody, Address: x.pool.address, Err: err}
@@ -484,6 +493,24 @@
 	return n, err
 }
 
+// unsent returns how many bytes the peer's system has not acknowledged; 0 if that is not known.
+func (c *conn) unsent() int {
+	raw, err := c.headerLimitedConn.Conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return 0
+	}
+	unsent := 0
+	err = raw.Control(func(fd uintptr) {
+		if n, ioctlErr := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); ioctlErr == nil {
+			unsent = n
+		}
+	})
+	if err != nil {
+		return 0
+	}
+	return unsent
+}
+
 // Finish ends the exchange. The connection is kept if the body was read to its end,
 // nothing follows it and the server keeps it open too. idle is the server's stated
 // idle timeout; 0 if it states none.
@@ -492,7 +519,7 @@
 		return
 	}
 	c := x.conn
-	reusable := x.bodyComplete && !x.writeFailed && !x.Response.Close && c.reader.Buffered() == 0
+	reusable := x.bodyComplete && x.writeErr == nil && !x.Response.Close && c.reader.Buffered() == 0
 	if !reusable || !x.stop() {
 		x.Abandon()
 		return
