Framing: a response with an invalid status is an error, and never skipped

Callers got the response that was held in the body of one with the status 000 or 099, and responses with the statuses 600 and 999 as they were.

Cause: any status below 200 counted as that of an interim response, which is skipped; what followed, its body, was parsed as the response. Statuses above 599 were not checked at all. The class: what is not understood is taken for the nearest thing that is.

Ruled out: a switch of protocols and a flood of interim responses, refused before.

Change: framing.ResponseReader accepts 100 to 599 and skips only valid interim responses without a body, eight at most. upstream and httpclient.Whole read through it, so that galena-entry, plain services, the steward and the calls between processes follow the same rule.

--- a/httpclient/whole.go
+++ b/httpclient/whole.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync"
 	"time"
 
@@ -24,19 +25,27 @@
 // wholeTransport lets only whole responses end without an error.
 type wholeTransport struct{ next http.RoundTripper }
 
-// Whole returns next with the rule of package framing for its responses: net/http takes the
-// end of a connection that broke while the request was being sent for the end of a body
-// without a length.
+// Whole returns next with the rules of package framing for its responses. net/http takes any
+// three digits for a status, and the end of a connection that broke while the request was
+// being sent for the end of a body without a length.
 func Whole(next http.RoundTripper) http.RoundTripper { return &wholeTransport{next} }
 
 // RoundTrip implements http.RoundTripper.
 func (t *wholeTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	sent := &sentRequest{}
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.begin() }, WroteRequest: func(info httptrace.WroteRequestInfo) { sent.end(info.Err) }}
+	trace := &httptrace.ClientTrace{
+		GotConn:        func(httptrace.GotConnInfo) { sent.begin() },
+		WroteRequest:   func(info httptrace.WroteRequestInfo) { sent.end(info.Err) },
+		Got1xxResponse: sent.checkInterim,
+	}
 	response, err := t.next.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
+	var responses framing.ResponseReader
+	if _, err := responses.IsFinal(response.StatusCode, response.Header, response.TransferEncoding); err != nil {
+		return nil, eris.Wrapf(errors.Join(err, response.Body.Close()), "response from %s", r.URL.Host)
+	}
 	if framing.CloseDelimited(response) && response.Close {
 		response.Body = &closeDelimitedBody{ReadCloser: response.Body, ctx: r.Context(), address: r.URL.Host, sent: sent}
 	}
@@ -57,12 +66,22 @@
 	done  chan struct{}
 	ended bool
 	err   error
+	// responses are those received on the connection.
+	responses framing.ResponseReader
+}
+
+// checkInterim is called by net/http for each interim response.
+func (s *sentRequest) checkInterim(status int, h textproto.MIMEHeader) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, err := s.responses.IsFinal(status, http.Header(h), nil)
+	return err
 }
 
 func (s *sentRequest) begin() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.done, s.ended, s.err = make(chan struct{}), false, nil
+	s.done, s.ended, s.err, s.responses = make(chan struct{}), false, nil, framing.ResponseReader{}
 }
 
 func (s *sentRequest) end(err error) {
--- a/httpclient/whole_test.go
+++ b/httpclient/whole_test.go
@@ -7,10 +7,13 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/galenaarch/galenaarch/framing"
 )
 
 // uploadBytes is more than the socket buffers of both ends hold.
@@ -85,3 +88,19 @@
 		}
 	}
 }
+
+// Calls must not take a response with an invalid status, or what follows it, for the answer.
+func TestCallWithInvalidStatusFails(t *testing.T) {
+	const inner = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\ninner"
+	for _, invalid := range []string{
+		"HTTP/1.1 000 \r\nContent-Length: 43\r\n\r\n", "HTTP/1.1 099 x\r\n\r\n", "HTTP/1.1 600 x\r\n\r\n", "HTTP/1.1 999 x\r\nContent-Length: 43\r\n\r\n",
+		"HTTP/1.1 101 x\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n", "HTTP/1.1 103 x\r\nContent-Length: 43\r\n\r\n",
+		strings.Repeat("HTTP/1.1 103 x\r\n\r\n", framing.MaxInterimResponses+1),
+	} {
+		body, err := post(t, &http.Transport{}, 1, func(connection *net.TCPConn, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)               // the client sees a failed exchange otherwise
+			_, _ = io.WriteString(connection, invalid+inner) // as above
+		})
+		require.Error(t, err, "%q: body %q", invalid, body)
+	}
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -56,17 +56,11 @@
 	// times the request headers that site documents allow. A faulty server may send an
 	// endless header.
 	maxHeaderBytes = 64 << 10
-	// maxInterimResponses limits the interim responses before a final one.
-	maxInterimResponses = 8
 )
 
 // ErrHeaderTooLarge reports response headers that exceed the size limit.
 var ErrHeaderTooLarge = errors.New("response header exceeds the size limit")
 
-// ErrProtocolSwitch reports a server that switches to another protocol, which no request
-// asks for.
-var ErrProtocolSwitch = errors.New("server switches to another protocol")
-
 // Phase is how far a request got.
 type Phase int
 
@@ -439,23 +433,22 @@
 	return w.Flush()
 }
 
-// readResponse reads the headers of the final response; interim responses are skipped.
+// readResponse reads the headers of the final response.
 func (c *conn) readResponse(r *Request) (*http.Response, error) {
 	c.startLimit()
 	defer c.endLimit()
-	for range maxInterimResponses + 1 {
+	var responses framing.ResponseReader
+	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode == http.StatusSwitchingProtocols {
-			return nil, ErrProtocolSwitch
-		}
-		if resp.StatusCode >= http.StatusOK {
+		if final, err := responses.IsFinal(resp.StatusCode, resp.Header, resp.TransferEncoding); err != nil {
+			return nil, err
+		} else if final {
 			return resp, nil
 		}
 	}
-	return nil, ErrHeaderTooLarge
 }
 
 // Exchange is a request whose response has begun. It must be ended by Finish or
