--- a/gateway/crash_answers.go
+++ b/gateway/crash_answers.go
@@ -5,12 +5,12 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/http"
 	"syscall"
 	"time"
 
 	"github.com/galenaarch/galenaarch/dispatch"
 	"github.com/galenaarch/galenaarch/fleetview"
+	"github.com/galenaarch/galenaarch/framing"
 )
 
 const (
@@ -92,8 +92,7 @@
 // closeDelimited reports whether the body of a response has neither a length nor chunks. Its
 // end is that of the connection, which a server that crashes may also close in order.
 func (a *attempt) closeDelimited() bool {
-	r := a.exchange.Response
-	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody
+	return framing.CloseDelimited(a.exchange.Response)
 }
 
 // errEndedWithServer reports a response that ends with its connection and whose server has ended
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -19,6 +19,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/galenaarch/galenaarch/framing"
 )
 
 // Timeouts of a connection.
@@ -52,17 +54,11 @@
 	// times the request headers that site documents allow. A faulty server may send an
 	// endless header.
 	maxHeaderBytes = 64 << 10
-	// maxInterimResponses limits the interim responses before a final one.
-	maxInterimResponses = 8
 )
 
 // ErrHeaderTooLarge reports response headers that exceed the size limit.
 var ErrHeaderTooLarge = errors.New("response header exceeds the size limit")
 
-// ErrProtocolSwitch reports a server that switches to another protocol, which no request
-// asks for.
-var ErrProtocolSwitch = errors.New("server switches to another protocol")
-
 // Phase is how far a request got.
 type Phase int
 
@@ -422,7 +418,7 @@
 			x.Abandon()
 			return nil, &Error{Phase: PhaseWrite, Address: p.address, Err: cause(ctx, err)}
 		}
-		x.writeFailed = true
+		x.writeErr = cause(ctx, err)
 		return x, nil
 	}
 	resp, err := c.readResponse(r)
@@ -495,23 +491,22 @@
 	return w.Flush()
 }
 
-// readResponse reads the headers of the final response; interim responses are skipped.
+// readResponse reads the headers of the final response.
 func (c *conn) readResponse(r *Request) (*http.Response, error) {
 	c.startLimit()
 	defer c.endLimit()
-	for range maxInterimResponses + 1 {
+	var responses framing.ResponseReader
+	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode == http.StatusSwitchingProtocols {
-			return nil, ErrProtocolSwitch
-		}
-		if resp.StatusCode >= http.StatusOK {
+		if final, err := responses.IsFinal(resp.StatusCode, resp.Header, resp.TransferEncoding); err != nil {
+			return nil, err
+		} else if final {
 			return resp, nil
 		}
 	}
-	return nil, ErrHeaderTooLarge
 }
 
 // Exchange is a request whose response has begun. It must be ended by Finish or
@@ -528,15 +523,22 @@
 	// closed the connection.
 	stop         func() bool
 	bodyComplete bool
-	writeFailed  bool
-	ended        bool
+	// writeErr is the error of a request that was not written to its end; nil if it was.
+	writeErr error
+	ended    bool
 }
 
 // Read reads the body. It returns io.EOF only after the whole body: a body without a
-// length ends with a clean close of the connection.
+// length ends with a clean close of the connection by a server that took the whole request.
 func (x *Exchange) Read(b []byte) (int, error) {
 	n, err := x.Response.Body.Read(b)
-	if errors.Is(err, io.EOF) {
+	ended := errors.Is(err, io.EOF)
+	if ended && framing.CloseDelimited(x.Response) {
+		if broken := framing.CheckClose(x.writeErr, x.conn.unsent()); broken != nil {
+			ended, err = false, broken
+		}
+	}
+	if ended {
 		x.bodyComplete = true
 	} else if err != nil {
 		err = &Error{Phase: PhaseReadBody, Address: x.pool.address, Err: err}
@@ -544,6 +546,24 @@
 	return n, err
 }
 
+// unsent returns how many bytes the peer's system has not acknowledged; 0 if that is not known.
+func (c *conn) unsent() int {
+	raw, err := c.headerLimitedConn.Conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return 0
+	}
+	unsent := 0
+	err = raw.Control(func(fd uintptr) {
+		if n, ioctlErr := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); ioctlErr == nil {
+			unsent = n
+		}
+	})
+	if err != nil {
+		return 0
+	}
+	return unsent
+}
+
 // Finish ends the exchange. The connection is kept if the body was read to its end,
 // nothing follows it and the server keeps it open too. idle is the server's stated
 // idle timeout; 0 if it states none.
@@ -552,7 +572,7 @@
 		return
 	}
 	c := x.conn
-	reusable := x.bodyComplete && !x.writeFailed && !x.Response.Close && c.reader.Buffered() == 0
+	reusable := x.bodyComplete && x.writeErr == nil && !x.Response.Close && c.reader.Buffered() == 0
 	if !reusable || !x.stop() {
 		x.Abandon()
 		return
