gateway: one known software version counts only after an exchange with all control instances

Callers got streams joined from two software versions at an entry instance that was late: cut off, or standing still, while servers of another version joined. Streams that had begun there through other instances were taken up at it; it knew one version of the service, and went on there. A poll shows a cut after 1.1 s, and a time of standing still not at all. An instance that is cut off from one control instance of several did so for as long as the cut lasted: a majority responded, and each lists only the servers that announce themselves to it.

What an instance knew says nothing about the time since. For a resumed stream without a record of its own, it now polls all control instances first: only if each has completed a poll that began after the request arrived, and one version is still known, the stream goes on there. Else the record of the stream is looked up, and without one it is rejected with a time to come back. Polls are shared by all such streams, at most one round each registry.PollInterval (20 to 300 ms), and bounded to 0.4 s. While a control instance is dead nothing is polled: others record their streams for that time anyway. A continuation asks its server for its start also while one version is known, since that may be late as well.

Before, at 20 streams each: TestInstanceThatIsCutOffJoinsNoStreams, TestInstanceThatStoodStillJoinsNoStreams and both cases of TestInstanceThatMissesOneControlInstanceJoinsNoStreams: a stream of v2 goes on with events of v1; TestInstanceThatIsCutOffAsksServerThatRestarted: a stream of v1 goes on with events of v2.

The poll that begins at the time asked for counts: TestConfirmNeedsAllControlInstances, 200 callers at five control instances, at most 20 polls.

--- a/fleetview/view.go
+++ b/fleetview/view.go
@@ -143,6 +143,7 @@
 	interruptedAt    time.Time
 	interruptPending bool
 	changed          chan struct{}
+	confirm          confirmation
 }
 
 // New returns a view that starts with the control instances at the base URLs in
@@ -280,7 +281,7 @@
 	v.mu.Lock()
 	startedAt := time.Now()
 	req := &fleetv1.SyncRequest{Self: v.self, Feed: s.feed, Cursor: s.cursor, Known: v.knownVersions(s), Leaving: v.leaving.current(startedAt), Limits: v.limits.current(startedAt), WaitMs: uint32(pollWait.Milliseconds())}
-	if s.interrupted {
+	if s.interrupted || s.confirmedAt.Before(v.confirm.after) {
 		req.WaitMs = 0
 	}
 	wake := v.wake
@@ -323,6 +324,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := time.Now()
+	defer v.notePolled()
 	if !s.unreachable {
 		s.unreachable = true
 		v.logger.Warn("control instance unreachable", slog.String("peer", s.url), slog.Any("error", err))
@@ -361,6 +363,7 @@
 		v.logger.Info("control instance reachable", slog.String("peer", s.url), slog.Uint64("feed", r.Feed))
 	}
 	s.confirmedAt = startedAt
+	defer v.notePolled()
 	s.feed, s.cursor, s.lastResponse, s.entries = r.Feed, r.Cursor, time.Now(), r.Entries
 	for _, a := range r.Announcements {
 		s.servers[a.Server] = a
--- a/gateway/continuation.go
+++ b/gateway/continuation.go
@@ -25,6 +25,9 @@
 	// broke is known to go on, to have restarted under its ID, or to announce nothing: the three
 	// after which it is reported as silent, and one for the report to arrive.
 	reannounceIntervals = 4
+	// confirmVersionsTimeout bounds an exchange with all control instances: polls are interrupted up to
+	// maxPollInterval = 300 ms late where there are many entry instances.
+	confirmVersionsTimeout = 400 * time.Millisecond
 )
 
 // longestResumeTime returns how long after its start a stream may be resumed. It is the same for
@@ -91,7 +94,9 @@
 			return software, softwareOwnRecord
 		}
 	}
-	if version, ok := c.onlyVersion(time.Now()); ok {
+	ctx, cancel := context.WithTimeout(ctx, lookUpTimeout)
+	defer cancel()
+	if version, ok := c.confirmedOnlyVersion(ctx); ok {
 		return &dispatch.Software{Service: c.service.Name, Version: version}, softwareOnly
 	}
 	if c.request.BeganAs != "" {
@@ -112,6 +117,21 @@
 	return c.gateway.view.Current().Software.Only(c.service.Name, rs.resumeTime, now)
 }
 
+// confirmedOnlyVersion is onlyVersion as of now: this instance may have stood still or been cut off
+// while servers of another version joined.
+func (c *call) confirmedOnlyVersion(ctx context.Context) (version string, ok bool) {
+	now := time.Now()
+	if _, ok = c.onlyVersion(now); !ok {
+		return "", false
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmVersionsTimeout)
+	defer cancel()
+	if !c.gateway.view.Confirm(ctx, now) {
+		return "", false
+	}
+	return c.onlyVersion(time.Now())
+}
+
 // mayBeAskedFor reports whether another instance, or one that starts, may have to ask for the
 // record of a stream that begins now.
 func (c *call) mayBeAskedFor(now time.Time) bool {
@@ -239,11 +259,11 @@
 var errOtherIncarnation = errors.New("server is another incarnation than the one announced")
 
 // identification returns what proves, before a stream goes on at a server, that it is the
-// incarnation whose software is known; nil if the service has one version, or if its servers do
-// not say which incarnation they are.
+// incarnation whose software is known; nil if its servers do not say which incarnation they are.
+// That one version only is known is no reason to leave it out: this instance may be late.
 func (c *call) identification(b *backend) *upstream.Identification {
 	software := c.software.Load()
-	if software == nil || b.startedMs == 0 || b.service.Engine == nil || c.onlyVersionOf(software.Service, time.Now()) {
+	if software == nil || b.startedMs == 0 || b.service.Engine == nil {
 		return nil
 	}
 	dialect := c.gateway.dialect
