gateway: a stream begins only at the incarnation that was announced, while there are several versions

Callers got streams joined from two software versions: one began at a server that had been started again under its ID with other software and not been announced since, at an instance without a connection to it. The stream was recorded by the version announced, and went on at a server of that one.

The same proof as for a continuation, asked for less often: while a service may have several versions, a stream that may be resumed begins at an engine only if that has said that it is the announced incarnation, on this connection or, without a break since, on another one of the pool. A server closes its connections when it ends, so one question for each instance and server is enough until one of them breaks.

--- a/faults/software_soak_test.go
+++ b/faults/software_soak_test.go
@@ -33,9 +33,9 @@
 	// lastStop before the end, or the half of a short duration.
 	killAfterShare = 0.2
 	lastStop       = 2500 * time.Millisecond
-	// changedDowntime is how long a server is down that comes back under its ID with another
-	// version. The users' servers are back after some seconds; one that is back before it can be
-	// known to have ended cannot be told from one that goes on.
+	// changedDowntime is how long a plain server is down that comes back under its ID with
+	// another version: one that is back before it can be known to have ended cannot be told from
+	// one that goes on. Engines state their start, and may be back at once.
 	changedDowntime = minDowntime
 	// longestFault bounds the time for which a process or server is killed or frozen.
 	longestFault = 1200 * time.Millisecond
@@ -117,7 +117,7 @@
 			version = softwareVersions[rand.IntN(len(softwareVersions))]
 		}
 	}
-	if id == server.id && version != server.software {
+	if id == server.id && version != server.software && !isEngine(server.service) {
 		downtime = changedDowntime
 	}
 	return version, downtime
--- a/faults/stream_soak_servers_test.go
+++ b/faults/stream_soak_servers_test.go
@@ -184,13 +184,16 @@
 	}
 	time.Sleep(downtime)
 	server.weights.restart()
+	server.mu.Lock()
+	server.born = time.Now() // its report states it from the first call on
+	server.mu.Unlock()
 	for err := server.Restart(id); err != nil; err = server.Restart(id) {
 		s.t.Logf("%s does not restart: %v", id, err)
 		time.Sleep(100 * time.Millisecond)
 	}
 	server.mu.Lock()
 	defer server.mu.Unlock()
-	server.id, server.born, server.sequence, server.state, server.leaving = id, time.Now(), 0, "ready", false
+	server.id, server.sequence, server.state, server.leaving = id, 0, "ready", false
 }
 
 // replaceServer drains a server and replaces it by a new incarnation.
--- a/gateway/continuation.go
+++ b/gateway/continuation.go
@@ -259,30 +259,44 @@
 var errOtherIncarnation = errors.New("server is another incarnation than the one announced")
 
 // identification returns what proves, before a stream goes on at a server, that it is the
-// incarnation whose software is known; nil if its servers do not say which incarnation they are.
-// That one version only is known is no reason to leave it out: this instance may be late.
+// incarnation whose software is known. A stream that begins is bound to that software, so it needs the
+// proof as well while there may be several versions; a server is asked once for all of them, as they are many. It is nil
+// for other requests, and for servers that do not say which incarnation they are.
+//
+// That one version only is known is no reason to go on without it: this instance may be late.
 func (c *call) identification(b *backend) *upstream.Identification {
 	software := c.software.Load()
-	if software == nil || b.startedMs == 0 || b.service.Engine == nil {
+	switch {
+	case b.startedMs == 0 || b.service.Engine == nil:
+		return nil
+	case software == nil && (!c.bindable() || c.onlyVersionOf(b.service.Name, time.Now())):
 		return nil
 	}
 	dialect := c.gateway.dialect
 	target, header := dialect.IdentifyServer(b.server)
 	return &upstream.Identification{
-		Request: upstream.Request{Method: http.MethodGet, Target: target, Host: b.address, Header: header},
-		Verify: func(status int, body []byte) error {
-			switch status {
-			case http.StatusOK:
-			case http.StatusMisdirectedRequest:
-				return errOtherIncarnation
-			default:
-				return fmt.Errorf("response to the identification has status %d", status)
-			}
-			startedMs, err := dialect.DecodeStart(body)
-			if err == nil && startedMs != 0 && startedMs != b.startedMs {
-				err = errOtherIncarnation
-			}
-			return err
-		},
+		Request:     upstream.Request{Method: http.MethodGet, Target: target, Host: b.address, Header: header},
+		OncePerPool: software == nil,
+		Verify:      func(status int, body []byte) error { return verifyStart(dialect, b.startedMs, status, body) },
+	}
+}
+
+// bindable reports whether the request begins a stream that may be resumed.
+func (c *call) bindable() bool { return c.route.Kind == site.KindStream && c.route.Resumable }
+
+// verifyStart returns an error unless the response to an identification is that of the incarnation
+// with the start. A server that does not state its start is trusted.
+func verifyStart(dialect Dialect, startedMs int64, status int, body []byte) error {
+	switch status {
+	case http.StatusOK:
+	case http.StatusMisdirectedRequest:
+		return errOtherIncarnation
+	default:
+		return fmt.Errorf("response to the identification has status %d", status)
+	}
+	stated, err := dialect.DecodeStart(body)
+	if err == nil && stated != 0 && stated != startedMs {
+		err = errOtherIncarnation
 	}
+	return err
 }
--- a/upstream/identify_test.go
+++ b/upstream/identify_test.go
@@ -73,3 +73,65 @@
 		})
 	}
 }
+
+// Guards against a server that is asked on each connection, and against one that is not asked again
+// after it may have restarted.
+func TestPoolIsIdentifiedUntilConnectionsBreak(t *testing.T) {
+	asked, breakOff := 0, false
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.URL.Path == "/who":
+			asked++
+		case breakOff:
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	t.Cleanup(server.Close)
+	p := NewPool(server.Listener.Addr().String(), 0)
+	identify := &Identification{Request: Request{Method: http.MethodGet, Target: "/who", Host: "h"}, Verify: func(int, []byte) error { return nil }, OncePerPool: true}
+	open := func() (*Exchange, error) {
+		return p.Send(t.Context(), &Request{Method: http.MethodGet, Target: "/", Host: "h", Identify: identify})
+	}
+	finish := func(x *Exchange) {
+		_, err := io.ReadAll(x)
+		require.NoError(t, err)
+		x.Finish(0)
+	}
+	for range 3 {
+		var list []*Exchange
+		for range 4 {
+			x, err := open()
+			require.NoError(t, err)
+			list = append(list, x)
+		}
+		for _, x := range list {
+			finish(x)
+		}
+	}
+	require.Equal(t, 1, asked)
+
+	breakOff = true
+	_, err := open()
+	require.Error(t, err)
+	breakOff = false
+	x, err := open() // may get the connection on which the server was asked
+	require.NoError(t, err)
+	y, err := open()
+	require.NoError(t, err)
+	finish(x)
+	finish(y)
+	require.Equal(t, 2, asked, "a connection broke")
+
+	server.CloseClientConnections()
+	time.Sleep(20 * time.Millisecond)
+	x, err = open()
+	require.NoError(t, err)
+	finish(x)
+	require.Equal(t, 3, asked, "all connections were closed")
+
+	p.CloseIdle(time.Now().Add(time.Hour))
+	x, err = open()
+	require.NoError(t, err)
+	finish(x)
+	require.Equal(t, 4, asked, "no connection was open")
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -119,6 +119,10 @@
 	Request Request
 	// Verify returns an error unless the response is that of the expected server.
 	Verify func(status int, body []byte) error
+	// OncePerPool is set if a connection is good enough that was opened while another one was
+	// open, back to one that is identified: its server would have closed that one when it ended.
+	// It leaves the time in which this process has not noticed the end.
+	OncePerPool bool
 }
 
 // headerLimitedConn is a connection that returns a limited number of bytes while a
@@ -173,6 +177,9 @@
 	lostAt time.Time
 	// dials counts the connections opened; opening one is expensive at some servers.
 	dials uint64
+	// identified is set while connections have been open without a break since one was
+	// identified.
+	identified bool
 }
 
 // NewPool returns a pool for an address that opens at most maxOpen connections; 0 for
@@ -237,6 +244,7 @@
 	}
 	p.open -= len(p.idle)
 	p.idle = nil
+	p.identified = p.identified && p.open > 0
 }
 
 // CloseIdle closes connections whose idle timeout has passed.
@@ -253,6 +261,7 @@
 		p.open--
 	}
 	p.idle = kept
+	p.identified = p.identified && p.open > 0
 }
 
 // takeIdle returns a live idle connection, the most recently used first, or of the identified ones.
@@ -276,11 +285,31 @@
 		if !expired && c.reusable() {
 			return c
 		}
-		closed = closed || !expired
+		if !expired {
+			closed = true
+			p.noteBreak()
+		}
 		p.discard(c)
 	}
 }
 
+// noteBreak records that a connection broke.
+func (p *Pool) noteBreak() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.identified = false
+}
+
+// isIdentified reports whether a request needs no further identification, on whatever connection.
+func (p *Pool) isIdentified(i *Identification) bool {
+	if i == nil {
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return i.OncePerPool && p.identified && p.open > 0
+}
+
 // LostAt returns when the server had last closed all connections of the pool, at least one of them
 // before its idle timeout: it may have ended then. It is zero if that was not seen.
 func (p *Pool) LostAt() time.Time {
@@ -294,6 +323,7 @@
 		c.Close()
 		p.open--
 	}
+	p.identified = p.identified && !closed && p.open > 0
 	p.noteLost(closed)
 	return p.lostAt
 }
@@ -334,8 +364,9 @@
 func (p *Pool) discard(c *conn) {
 	c.Close()
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.open--
-	p.mu.Unlock()
+	p.identified = p.identified && p.open > 0
 }
 
 func (p *Pool) putIdle(c *conn) {
@@ -401,13 +432,9 @@
 // whole exchange: when it ends, the connection is closed, which tells the server that
 // the response is no longer wanted. Errors are of type *Error.
 func (p *Pool) Send(ctx context.Context, r *Request) (*Exchange, error) {
-	c := p.takeIdle(r.Identify != nil)
-	reused := c != nil
-	if !reused {
-		var err error
-		if c, err = p.dialInPlace(ctx); err != nil {
-			return nil, err
-		}
+	c, reused, err := p.connect(ctx, r.Identify)
+	if err != nil {
+		return nil, err
 	}
 	if err := c.prepare(r); err != nil {
 		p.discard(c)
@@ -415,7 +442,7 @@
 	}
 	x := &Exchange{pool: p, conn: c, Reused: reused}
 	x.stop = context.AfterFunc(ctx, func() { c.Close() })
-	if err := c.identify(r.Identify); err != nil {
+	if err := p.identify(c, r.Identify); err != nil {
 		x.Abandon()
 		return nil, &Error{Phase: PhaseIdentify, Address: p.address, Err: cause(ctx, err)}
 	}
@@ -444,9 +471,23 @@
 // errNotIdentified reports a response to an identification after which the connection cannot be used.
 var errNotIdentified = errors.New("response to the identification does not end before its connection")
 
-// identify exchanges an identification unless that has been done on the connection, which is new.
-func (c *conn) identify(i *Identification) error {
-	if i == nil || c.identified {
+// connect returns a connection for a request, and whether it was open before: an idle one only if
+// the request needs no identification there.
+func (p *Pool) connect(ctx context.Context, i *Identification) (c *conn, reused bool, err error) {
+	c = p.takeIdle(!p.isIdentified(i))
+	if c != nil && (c.identified || p.isIdentified(i)) {
+		return c, true, nil
+	}
+	if c != nil { // others were found closed
+		p.discard(c)
+	}
+	c, err = p.dialInPlace(ctx)
+	return c, false, err
+}
+
+// identify exchanges an identification on a connection unless that is not needed.
+func (p *Pool) identify(c *conn, i *Identification) error {
+	if c.identified || p.isIdentified(i) {
 		return nil
 	}
 	if err := c.writeRequest(&i.Request); err != nil {
@@ -467,6 +508,9 @@
 		return errNotIdentified
 	}
 	c.identified = true
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.identified = true
 	return nil
 }
 
@@ -575,5 +619,8 @@
 	}
 	x.ended = true
 	x.stop()
+	if !x.bodyComplete {
+		x.pool.noteBreak()
+	}
 	x.pool.discard(x.conn)
 }
