upstream: a leaving server is identified although it closes the connection

Streams whose software version only leaving servers run were refused: these close each connection with its response, also behind their status report. The next connection is used at once; an end and a start of the server within that round trip are not noticed.

--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -442,10 +442,6 @@
 	}
 	x := &Exchange{pool: p, conn: c, Reused: reused}
 	x.stop = context.AfterFunc(ctx, func() { c.Close() })
-	if err := p.identify(c, r.Identify); err != nil {
-		x.Abandon()
-		return nil, &Error{Phase: PhaseIdentify, Address: p.address, Err: cause(ctx, err)}
-	}
 	if err := c.writeRequest(r); err != nil {
 		// The server may respond before it has read the whole body.
 		if x.Response, _ = c.readResponse(r); x.Response == nil {
@@ -468,8 +464,12 @@
 // about 100 bytes each.
 const maxIdentityBytes = 256 << 10
 
-// errNotIdentified reports a response to an identification after which the connection cannot be used.
-var errNotIdentified = errors.New("response to the identification does not end before its connection")
+// errNotIdentified reports a response to an identification that has no end, or more behind it.
+var errNotIdentified = errors.New("response to the identification has no end")
+
+// errIdentifiedClosing reports an expected server that closes the connection behind its
+// identification.
+var errIdentifiedClosing = errors.New("connection ends with the identification")
 
 // connect returns a connection for a request, and whether it was open before: an idle one only if
 // the request needs no identification there.
@@ -481,15 +481,27 @@
 	if c != nil { // others were found closed
 		p.discard(c)
 	}
-	c, err = p.dialInPlace(ctx)
-	return c, false, err
+	if c, err = p.dialInPlace(ctx); err != nil || p.isIdentified(i) {
+		return c, false, err
+	}
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	err = p.identify(c, i)
+	stop()
+	if err == nil {
+		return c, false, nil
+	}
+	p.discard(c)
+	if errors.Is(err, errIdentifiedClosing) {
+		// A leaving server closes each connection. That it ends and another one starts in the
+		// round trip until the next connection is open is not noticed.
+		c, err = p.dialInPlace(ctx)
+		return c, false, err
+	}
+	return nil, false, &Error{Phase: PhaseIdentify, Address: p.address, Err: cause(ctx, err)}
 }
 
-// identify exchanges an identification on a connection unless that is not needed.
+// identify exchanges an identification on a new connection.
 func (p *Pool) identify(c *conn, i *Identification) error {
-	if c.identified || p.isIdentified(i) {
-		return nil
-	}
 	if err := c.writeRequest(&i.Request); err != nil {
 		return err
 	}
@@ -504,9 +516,12 @@
 	if err := i.Verify(resp.StatusCode, body); err != nil {
 		return err
 	}
-	if resp.Close || len(body) > maxIdentityBytes || c.reader.Buffered() > 0 {
+	if len(body) > maxIdentityBytes || c.reader.Buffered() > 0 {
 		return errNotIdentified
 	}
+	if resp.Close {
+		return errIdentifiedClosing
+	}
 	c.identified = true
 	p.mu.Lock()
 	defer p.mu.Unlock()
