--- a/gateway/continuation.go
+++ b/gateway/continuation.go
@@ -25,6 +25,9 @@
 	// broke is known to go on, to have restarted under its ID, or to announce nothing: the three
 	// after which it is reported as silent, and one for the report to arrive.
 	reannounceIntervals = 4
+	// confirmVersionsTimeout bounds an exchange with all control instances: polls are interrupted up to
+	// maxPollInterval = 300 ms late where there are many entry instances.
+	confirmVersionsTimeout = 400 * time.Millisecond
 )
 
 // longestResumeTime returns how long after its start a stream may be resumed. It is the same for
@@ -91,7 +94,9 @@
 			return software, softwareOwnRecord
 		}
 	}
-	if version, ok := c.onlyVersion(time.Now()); ok {
+	ctx, cancel := context.WithTimeout(ctx, lookUpTimeout)
+	defer cancel()
+	if version, ok := c.confirmedOnlyVersion(ctx); ok {
 		return &dispatch.Software{Service: c.service.Name, Version: version}, softwareOnly
 	}
 	if c.request.BeganAs != "" {
@@ -112,6 +117,21 @@
 	return c.gateway.view.Current().Software.Only(c.service.Name, rs.resumeTime, now)
 }
 
+// confirmedOnlyVersion is onlyVersion as of now: this instance may have stood still or been cut off
+// while servers of another version joined.
+func (c *call) confirmedOnlyVersion(ctx context.Context) (version string, ok bool) {
+	now := time.Now()
+	if _, ok = c.onlyVersion(now); !ok {
+		return "", false
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmVersionsTimeout)
+	defer cancel()
+	if !c.gateway.view.Confirm(ctx, now) {
+		return "", false
+	}
+	return c.onlyVersion(time.Now())
+}
+
 // mayBeAskedFor reports whether another instance, or one that starts, may have to ask for the
 // record of a stream that begins now.
 func (c *call) mayBeAskedFor(now time.Time) bool {
@@ -251,30 +271,44 @@
 var errOtherIncarnation = errors.New("server is another incarnation than the one announced")
 
 // identification returns what proves, before a stream goes on at a server, that it is the
-// incarnation whose software is known; nil if the service has one version, or if its servers do
-// not say which incarnation they are.
+// incarnation whose software is known. A stream that begins is bound to that software, so it needs the
+// proof as well while there may be several versions; a server is asked once for all of them, as they are many. It is nil
+// for other requests, and for servers that do not say which incarnation they are.
+//
+// That one version only is known is no reason to go on without it: this instance may be late.
 func (c *call) identification(b *backend) *upstream.Identification {
 	software := c.software.Load()
-	if software == nil || b.startedMs == 0 || b.service.Engine == nil || c.onlyVersionOf(software.Service, time.Now()) {
+	switch {
+	case b.startedMs == 0 || b.service.Engine == nil:
+		return nil
+	case software == nil && (!c.bindable() || c.onlyVersionOf(b.service.Name, time.Now())):
 		return nil
 	}
 	dialect := c.gateway.dialect
 	target, header := dialect.IdentifyServer(b.server)
 	return &upstream.Identification{
-		Request: upstream.Request{Method: http.MethodGet, Target: target, Host: b.address, Header: header},
-		Verify: func(status int, body []byte) error {
-			switch status {
-			case http.StatusOK:
-			case http.StatusMisdirectedRequest:
-				return errOtherIncarnation
-			default:
-				return fmt.Errorf("response to the identification has status %d", status)
-			}
-			startedMs, err := dialect.DecodeStart(body)
-			if err == nil && startedMs != 0 && startedMs != b.startedMs {
-				err = errOtherIncarnation
-			}
-			return err
-		},
+		Request:     upstream.Request{Method: http.MethodGet, Target: target, Host: b.address, Header: header},
+		OncePerPool: software == nil,
+		Verify:      func(status int, body []byte) error { return verifyStart(dialect, b.startedMs, status, body) },
+	}
+}
+
+// bindable reports whether the request begins a stream that may be resumed.
+func (c *call) bindable() bool { return c.route.Kind == site.KindStream && c.route.Resumable }
+
+// verifyStart returns an error unless the response to an identification is that of the incarnation
+// with the start. A server that does not state its start is trusted.
+func verifyStart(dialect Dialect, startedMs int64, status int, body []byte) error {
+	switch status {
+	case http.StatusOK:
+	case http.StatusMisdirectedRequest:
+		return errOtherIncarnation
+	default:
+		return fmt.Errorf("response to the identification has status %d", status)
+	}
+	stated, err := dialect.DecodeStart(body)
+	if err == nil && stated != 0 && stated != startedMs {
+		err = errOtherIncarnation
 	}
+	return err
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -112,6 +112,10 @@
 	Request Request
 	// Verify returns an error unless the response is that of the expected server.
 	Verify func(status int, body []byte) error
+	// OncePerPool is set if a connection is good enough that was opened while another one was
+	// open, back to one that is identified: its server would have closed that one when it ended.
+	// It leaves the time in which this process has not noticed the end.
+	OncePerPool bool
 }
 
 // headerLimitedConn is a connection that returns a limited number of bytes while a
@@ -166,6 +170,9 @@
 	lostAt time.Time
 	// dials counts the connections opened; opening one is expensive at some servers.
 	dials uint64
+	// identified is set while connections have been open without a break since one was
+	// identified.
+	identified bool
 }
 
 // NewPool returns a pool for an address that opens at most maxOpen connections; 0 for
@@ -211,6 +218,7 @@
 	}
 	p.open -= len(p.idle)
 	p.idle = nil
+	p.identified = p.identified && p.open > 0
 }
 
 // CloseIdle closes connections whose idle timeout has passed.
@@ -227,6 +235,7 @@
 		p.open--
 	}
 	p.idle = kept
+	p.identified = p.identified && p.open > 0
 }
 
 // takeIdle returns a live idle connection, the most recently used first, or of the identified ones.
@@ -250,11 +259,31 @@
 		if !expired && c.reusable() {
 			return c
 		}
-		closed = closed || !expired
+		if !expired {
+			closed = true
+			p.noteBreak()
+		}
 		p.discard(c)
 	}
 }
 
+// noteBreak records that a connection broke.
+func (p *Pool) noteBreak() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.identified = false
+}
+
+// isIdentified reports whether a request needs no further identification, on whatever connection.
+func (p *Pool) isIdentified(i *Identification) bool {
+	if i == nil {
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return i.OncePerPool && p.identified && p.open > 0
+}
+
 // LostAt returns when the server had last closed all connections of the pool, at least one of them
 // before its idle timeout: it may have ended then. It is zero if that was not seen.
 func (p *Pool) LostAt() time.Time {
@@ -268,6 +297,7 @@
 		c.Close()
 		p.open--
 	}
+	p.identified = p.identified && !closed && p.open > 0
 	p.noteLost(closed)
 	return p.lostAt
 }
@@ -308,8 +338,9 @@
 func (p *Pool) discard(c *conn) {
 	c.Close()
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.open--
-	p.mu.Unlock()
+	p.identified = p.identified && p.open > 0
 }
 
 func (p *Pool) putIdle(c *conn) {
@@ -398,20 +429,12 @@
 // whole exchange: when it ends, the connection is closed, which tells the server that
 // the response is no longer wanted. Errors are of type *Error.
 func (p *Pool) Send(ctx context.Context, r *Request) (*Exchange, error) {
-	c := p.takeIdle(r.Identify != nil)
-	reused := c != nil
-	if !reused {
-		var err error
-		if c, err = p.dialInPlace(ctx); err != nil {
-			return nil, err
-		}
+	c, reused, err := p.connect(ctx, r.Identify)
+	if err != nil {
+		return nil, err
 	}
 	x := &Exchange{pool: p, conn: c, Reused: reused}
 	x.stop = context.AfterFunc(ctx, func() { c.Close() })
-	if err := c.identify(r.Identify); err != nil {
-		x.Abandon()
-		return nil, &Error{Phase: PhaseIdentify, Address: p.address, Err: cause(ctx, err)}
-	}
 	if err := c.writeRequest(r); err != nil {
 		// The server may respond before it has read the whole body.
 		if x.Response, _ = c.readResponse(r); x.Response == nil {
@@ -434,14 +457,44 @@
 // about 100 bytes each.
 const maxIdentityBytes = 256 << 10
 
-// errNotIdentified reports a response to an identification after which the connection cannot be used.
-var errNotIdentified = errors.New("response to the identification does not end before its connection")
+// errNotIdentified reports a response to an identification that has no end, or more behind it.
+var errNotIdentified = errors.New("response to the identification has no end")
 
-// identify exchanges an identification unless that has been done on the connection, which is new.
-func (c *conn) identify(i *Identification) error {
-	if i == nil || c.identified {
-		return nil
+// errIdentifiedClosing reports an expected server that closes the connection behind its
+// identification.
+var errIdentifiedClosing = errors.New("connection ends with the identification")
+
+// connect returns a connection for a request, and whether it was open before: an idle one only if
+// the request needs no identification there.
+func (p *Pool) connect(ctx context.Context, i *Identification) (c *conn, reused bool, err error) {
+	c = p.takeIdle(!p.isIdentified(i))
+	if c != nil && (c.identified || p.isIdentified(i)) {
+		return c, true, nil
+	}
+	if c != nil { // others were found closed
+		p.discard(c)
+	}
+	if c, err = p.dialInPlace(ctx); err != nil || p.isIdentified(i) {
+		return c, false, err
 	}
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	err = p.identify(c, i)
+	stop()
+	if err == nil {
+		return c, false, nil
+	}
+	p.discard(c)
+	if errors.Is(err, errIdentifiedClosing) {
+		// A leaving server closes each connection. That it ends and another one starts in the
+		// round trip until the next connection is open is not noticed.
+		c, err = p.dialInPlace(ctx)
+		return c, false, err
+	}
+	return nil, false, &Error{Phase: PhaseIdentify, Address: p.address, Err: cause(ctx, err)}
+}
+
+// identify exchanges an identification on a new connection.
+func (p *Pool) identify(c *conn, i *Identification) error {
 	if err := c.writeRequest(&i.Request); err != nil {
 		return err
 	}
@@ -456,10 +509,16 @@
 	if err := i.Verify(resp.StatusCode, body); err != nil {
 		return err
 	}
-	if resp.Close || len(body) > maxIdentityBytes || c.reader.Buffered() > 0 {
+	if len(body) > maxIdentityBytes || c.reader.Buffered() > 0 {
 		return errNotIdentified
 	}
+	if resp.Close {
+		return errIdentifiedClosing
+	}
 	c.identified = true
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.identified = true
 	return nil
 }
 
@@ -595,5 +654,8 @@
 	}
 	x.ended = true
 	x.stop()
+	if !x.bodyComplete {
+		x.pool.noteBreak()
+	}
 	x.pool.discard(x.conn)
 }
