An acknowledged change is known to all control instances at once

Callers: a change is acknowledged, its leader ends or is cut off within 0.15 s, and no entry instance has the change in force until another leader has committed an entry: after the election and a sync of a majority's disks.

Cause: the others learn the commit index with the next append or heartbeat (0.15 s). Until then only the leader publishes the change to entry instances, which wait 0.1 s for further reports before they fetch it.

Change: once the last entry is committed, its leader sends the commit index to those that have synced it, as a heartbeat of the current round. While further entries follow, their appends carry it, as before.

--- a/consensus/progress.go
+++ b/consensus/progress.go
@@ -23,6 +23,8 @@
 	awaitingReply bool
 	// inflight lists the last index of each unacknowledged append message.
 	inflight []uint64
+	// announcedCommit is the commit index last announced by announceCommit.
+	announcedCommit uint64
 	// recentlyActive is set by any reply and cleared by the quorum check.
 	recentlyActive bool
 	// ackedRound is the highest acknowledged heartbeat round.
--- a/consensus/ready.go
+++ b/consensus/ready.go
@@ -41,6 +41,7 @@
 // Advance.
 func (n *Node) Ready() *Ready {
 	n.startReadRound()
+	n.announceCommit()
 	r := &Ready{
 		SnapshotChunks:   n.chunks,
 		InstallSnapshot:  n.receivedSnapshot,
--- a/consensus/scenario_test.go
+++ b/consensus/scenario_test.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -61,6 +62,36 @@
 	})
 }
 
+// TestAcknowledgedWriteIsKnownWithoutItsLeader guards against a write that only its leader knows as
+// committed until the next heartbeat: if the leader ends before, the others apply it after an
+// election.
+func TestAcknowledgedWriteIsKnownWithoutItsLeader(t *testing.T) {
+	for _, voters := range []int{3, 5, 9} {
+		t.Run(fmt.Sprint(voters, " voters"), func(t *testing.T) {
+			withCluster(t, voters, func(c *cluster, leader *replica) {
+				c.write(leader)
+				write := c.ops[len(c.ops)-1]
+				for len(c.network) > 0 && !write.done {
+					c.deliver(c.removeMessage(0))
+				}
+				c.check(write.done, "the write was not acknowledged")
+				index := leader.node.Status().CommitIndex
+				c.crash(leader)
+				for len(c.network) > 0 {
+					c.deliver(c.removeMessage(0))
+				}
+				knowing := 0
+				for _, r := range c.replicas {
+					if r.node != nil && r.node.Status().AppliedIndex >= index {
+						knowing++
+					}
+				}
+				c.check(knowing >= voters/2, "%d others have applied an acknowledged write", knowing)
+			})
+		})
+	}
+}
+
 // TestRejoiningReplicaKeepsTerm guards against a replica that campaigns during a
 // long partition and, when it rejoins, raises the term or deposes the leader.
 func TestRejoiningReplicaKeepsTerm(t *testing.T) {
--- a/consensus/send.go
+++ b/consensus/send.go
@@ -77,8 +77,29 @@
 	})
 }
 
+// announceCommit sends the commit index to the replicas that have synced all entries, once per
+// index. While further entries are uncommitted it leaves that to their appends.
+//
+// Invariant: a command whose result is released is known as committed at others without
+// another message of this leader, as far as the messages arrive. Otherwise they would learn it
+// after the next election if this leader ended.
+func (n *Node) announceCommit() {
+	if n.role != RoleLeader || n.log.commit != n.log.last().index {
+		return
+	}
+	for _, r := range n.Membership().Members {
+		p := n.peers[r.Id]
+		if r.Id == n.cfg.ID || p.match < n.log.commit || p.announcedCommit >= n.log.commit {
+			continue
+		}
+		p.announcedCommit = n.log.commit
+		n.send(&consensusv1.Message{Kind: consensusv1.MessageKind_MESSAGE_KIND_HEARTBEAT, To: r.Id, Commit: n.log.commit, Round: n.heartbeatRound})
+	}
+}
+
 // advanceCommit commits the entries that a majority of voters has synced. The
-// other replicas learn the commit index from the next append or heartbeat.
+// other replicas learn the commit index from announceCommit, or from the next append or
+// heartbeat.
 // Invariant: only entries of the leader's own term are committed by counting
 // replicas.
 func (n *Node) advanceCommit() {
