A request that a peer cannot serve leaves the peer in use for others

Cause: an instance that had no server left for one forwarded request, a stream that may go on only where it began or has broken at each server, was left out for all requests to the service.

Change: an instance says in its result whether it does not reach the servers or takes no requests; only then is it left out.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -189,7 +189,7 @@
 	a.status = a.exchange.Response.StatusCode
 	a.response = c.gateway.dialect.DecodeResponse(a.status, header)
 	if result == "" {
-		a.forward = &forwardResult{generated: true, retry: true}
+		a.forward = &forwardResult{generated: true, retry: true, stops: true}
 		return nil
 	}
 	var err error
@@ -247,10 +247,12 @@
 	case notRun:
 		c.triedPeers[p.name] = true
 		outcome = forwardNotRun
-		if a.err == nil && a.forward.sends == 0 {
-			p.rest(c.service.Name, now)
-		} else if a.err != nil && !errors.Is(a.err, upstream.ErrConnectionLimit) {
+		switch {
+		case a.err != nil && errors.Is(a.err, upstream.ErrConnectionLimit):
+		case a.err != nil || a.forward.stops:
 			p.rest("", now)
+		case a.forward.cut:
+			p.rest(c.service.Name, now)
 		}
 	case clientCanceled:
 		outcome = forwardCanceled
--- a/gateway/forward_message.go
+++ b/gateway/forward_message.go
@@ -95,6 +95,9 @@
 	// generated is set if the response is that of the instance, not of a server; retry if it
 	// has not run and another instance may serve it.
 	generated, retry bool
+	// cut is set if the instance does not reach the servers of the service, stops if it takes
+	// no requests at all.
+	cut, stops bool
 	// ran are the servers that may have run the request here, sends counts the attempts that
 	// reached a server.
 	ran   []string
@@ -109,8 +112,10 @@
 	if f.generated {
 		v.Set("generated", "1")
 	}
-	if f.retry {
-		v.Set("retry", "1")
+	for name, set := range map[string]bool{"retry": f.retry, "cut": f.cut, "stops": f.stops} {
+		if set {
+			v.Set(name, "1")
+		}
 	}
 	if len(f.ran) > 0 {
 		v["ran"] = f.ran
@@ -132,7 +137,7 @@
 	if err != nil || sends < 0 || len(v["ran"]) > maxForwardedServers {
 		return nil, eris.New("result of a forwarded request is malformed")
 	}
-	f := &forwardResult{generated: v.Has("generated"), retry: v.Has("retry"), ran: v["ran"], sends: sends}
+	f := &forwardResult{generated: v.Has("generated"), retry: v.Has("retry"), cut: v.Has("cut"), stops: v.Has("stops"), ran: v["ran"], sends: sends}
 	if v.Has("software_service") {
 		f.software = &dispatch.Software{Service: v.Get("software_service"), Version: v.Get("software")}
 	}
--- a/gateway/forward_serve.go
+++ b/gateway/forward_serve.go
@@ -57,10 +57,26 @@
 	}
 	result.ran = forwardedServers(ran)
 	result.retry = result.generated && !c.mayHaveRun && c.rejected.isOfInstance()
+	result.cut = c.rejected == reasonNoServer && c.reachesNone()
+	result.stops = c.rejected == reasonStopping || c.rejected == reasonNoDocument
 	w.Header().Set(forwardResultHeader, result.encode())
 	w.ResponseWriter.WriteHeader(status)
 }
 
+// reachesNone reports whether this instance reaches no server of the request's service, as far as
+// the request shows or the instance knows.
+func (c *call) reachesNone() bool {
+	if c.unreachable > 0 && c.attemptsSent == 0 {
+		return true
+	}
+	if c.state == nil {
+		return false
+	}
+	c.state.mu.Lock()
+	defer c.state.mu.Unlock()
+	return c.state.paths.Cut()
+}
+
 // Flush implements http.Flusher.
 func (w *forwardWriter) Flush() {
 	if f, ok := w.ResponseWriter.(http.Flusher); ok {
