gateway: one known service counts only with the newest document

Callers got streams joined from two services at an entry instance that had stood still while a document moved their route: it learned that there was a newer document before it had it, and went on with streams that began under that one at the service of its old one. Likewise with an instance that is a fetch behind the others.

A resumed stream of which it has no record now waits, within the same bound as for the software versions, until the newest document of which any control instance has told has been examined. It then goes by the record, as other streams of a moved route do.

--- a/fleetview/documents.go
+++ b/fleetview/documents.go
@@ -42,6 +42,17 @@
 	behindSince time.Time
 }
 
+// NewestVersion returns the newest version of a document that a control instance has reported,
+// whether or not this process has it; 0 for none.
+func (v *View) NewestVersion(name string) uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if fetch := v.fetches[name]; fetch != nil {
+		return fetch.version
+	}
+	return 0
+}
+
 // checkQuorum records whether a majority of the control instances has reported
 // documents since this process started, and reports whether that has just become true.
 // One that has reported none may not have caught up with what it holds.
--- a/gateway/continuation.go
+++ b/gateway/continuation.go
@@ -28,6 +28,8 @@
 	// confirmVersionsTimeout bounds an exchange with all control instances: polls are interrupted up to
 	// maxPollInterval = 300 ms late where there are many entry instances.
 	confirmVersionsTimeout = 400 * time.Millisecond
+	// documentCheckInterval is the time between checks whether a document has arrived.
+	documentCheckInterval = 10 * time.Millisecond
 )
 
 // longestResumeTime returns how long after its start a stream may be resumed. It is the same for
@@ -118,7 +120,7 @@
 }
 
 // confirmedOnlyVersion is onlyVersion as of now: this instance may have stood still or been cut off
-// while servers of another version joined.
+// while servers of another version joined, or a document moved the route.
 func (c *call) confirmedOnlyVersion(ctx context.Context) (version string, ok bool) {
 	now := time.Now()
 	if _, ok = c.onlyVersion(now); !ok {
@@ -126,12 +128,26 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, confirmVersionsTimeout)
 	defer cancel()
-	if !c.gateway.view.Confirm(ctx, now) {
+	if !c.gateway.view.Confirm(ctx, now) || !c.gateway.awaitDocument(ctx) {
 		return "", false
 	}
 	return c.onlyVersion(time.Now())
 }
 
+// awaitDocument waits until the newest site document of which a control instance has told has been
+// examined. It returns false if ctx ends before.
+func (g *Gateway) awaitDocument(ctx context.Context) bool {
+	newest := g.view.NewestVersion(site.DocumentName)
+	for g.routing.Load().examinedDocument < newest {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(documentCheckInterval):
+		}
+	}
+	return true
+}
+
 // mayBeAskedFor reports whether another instance, or one that starts, may have to ask for the
 // record of a stream that begins now.
 func (c *call) mayBeAskedFor(now time.Time) bool {
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -21,7 +21,11 @@
 // routingState is the data by which requests are routed: the current site document and
 // the backends of each service. It is replaced as a whole and never modified.
 type routingState struct {
-	table    *site.Table
+	table *site.Table
+	// examinedDocument is the version of the newest site document that was examined; it is
+	// not in force if it was rejected.
+	examinedDocument uint64
+
 	backends map[string]*backend
 	services map[string][]*backend
 	// cells are the preferred servers of this instance for each service of engines;
@@ -48,7 +52,7 @@
 func (g *Gateway) rebuild(ctx context.Context, s *fleetview.Snapshot) {
 	old := g.routing.Load()
 	next := &routingState{weightRolloutTime: g.weightRolloutTime, backends: make(map[string]*backend), services: make(map[string][]*backend), targetVersions: make(map[string]uint64), targetSince: make(map[string]time.Time)}
-	next.table = g.compileDocument(s, old)
+	next.table, next.examinedDocument = g.compileDocument(s, old), s.Documents[site.DocumentName].GetVersion()
 	next.entryCount = countEntries(len(s.Entries), old.entryCount)
 	for name, d := range s.Documents {
 		if model, ok := site.WeightsModel(name); ok {
