--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -113,18 +113,6 @@
 	Identify *Identification
 }
 
-// Identification is exchanged on a new connection before the first request that needs it. The
-// connection ends with its server, so it is exchanged once.
-type Identification struct {
-	Request Request
-	// Verify returns an error unless the response is that of the expected server.
-	Verify func(status int, body []byte) error
-	// OncePerPool is set if a connection is good enough that was opened while another one was
-	// open, back to one that is identified: its server would have closed that one when it ended.
-	// It leaves the time in which this process has not noticed the end.
-	OncePerPool bool
-}
-
 // headerLimitedConn is a connection that returns a limited number of bytes while a
 // header is read.
 type headerLimitedConn struct {
@@ -293,23 +281,6 @@
 	}
 }
 
-// noteBreak records that a connection broke.
-func (p *Pool) noteBreak() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.identified = false
-}
-
-// isIdentified reports whether a request needs no further identification, on whatever connection.
-func (p *Pool) isIdentified(i *Identification) bool {
-	if i == nil {
-		return true
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return i.OncePerPool && p.identified && p.open > 0
-}
-
 // LostAt returns when the server had last closed all connections of the pool, at least one of them
 // before its idle timeout: it may have ended then. It is zero if that was not seen.
 func (p *Pool) LostAt() time.Time {
@@ -460,75 +431,6 @@
 	return x, nil
 }
 
-// maxIdentityBytes limits the response to an identification. A report lists the running requests,
-// about 100 bytes each.
-const maxIdentityBytes = 256 << 10
-
-// errNotIdentified reports a response to an identification that has no end, or more behind it.
-var errNotIdentified = errors.New("response to the identification has no end")
-
-// errIdentifiedClosing reports an expected server that closes the connection behind its
-// identification.
-var errIdentifiedClosing = errors.New("connection ends with the identification")
-
-// connect returns a connection for a request, and whether it was open before: an idle one only if
-// the request needs no identification there.
-func (p *Pool) connect(ctx context.Context, i *Identification) (c *conn, reused bool, err error) {
-	c = p.takeIdle(!p.isIdentified(i))
-	if c != nil && (c.identified || p.isIdentified(i)) {
-		return c, true, nil
-	}
-	if c != nil { // others were found closed
-		p.discard(c)
-	}
-	if c, err = p.dialInPlace(ctx); err != nil || p.isIdentified(i) {
-		return c, false, err
-	}
-	stop := context.AfterFunc(ctx, func() { c.Close() })
-	err = p.identify(c, i)
-	stop()
-	if err == nil {
-		return c, false, nil
-	}
-	p.discard(c)
-	if errors.Is(err, errIdentifiedClosing) {
-		// A leaving server closes each connection. That it ends and another one starts in the
-		// round trip until the next connection is open is not noticed.
-		c, err = p.dialInPlace(ctx)
-		return c, false, err
-	}
-	return nil, false, &Error{Phase: PhaseIdentify, Address: p.address, Err: cause(ctx, err)}
-}
-
-// identify exchanges an identification on a new connection.
-func (p *Pool) identify(c *conn, i *Identification) error {
-	if err := c.writeRequest(&i.Request); err != nil {
-		return err
-	}
-	resp, err := c.readResponse(&i.Request)
-	if err != nil {
-		return err
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxIdentityBytes+1))
-	if err != nil {
-		return err
-	}
-	if err := i.Verify(resp.StatusCode, body); err != nil {
-		return err
-	}
-	if len(body) > maxIdentityBytes || c.reader.Buffered() > 0 {
-		return errNotIdentified
-	}
-	if resp.Close {
-		return errIdentifiedClosing
-	}
-	c.identified = true
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.identified = true
-	return nil
-}
-
 func cause(ctx context.Context, err error) error {
 	if ctx.Err() != nil {
 		return context.Cause(ctx)
