Statements: servers state how many rejections they survive, and instances share it

Servers may say in all their responses that they end when they have to reject more than N requests in a second for want of room (Server-Brittle). It was reported as an unknown directive.

The statement is kept with the rate limit of the incarnation: one revision orders both, and both take the same way to the other instances, through peer updates and the control instances. Of two statements of the same revision the stricter part counts for each.

Nothing acts on it yet.

--- a/dispatch/directives.go
+++ b/dispatch/directives.go
@@ -11,6 +11,9 @@
 	// RateLimit is what the server states about its request rate; nil if the response
 	// says nothing about it.
 	RateLimit *RateLimit
+	// Brittleness is what the server states about the rejections that it survives; nil if
+	// the response says nothing about it.
+	Brittleness *Brittleness
 	// PauseFor is how long a server that rejects a call asks for no requests; nil if it does
 	// not, 0 if the value cannot be parsed.
 	PauseFor *time.Duration
--- a/dispatch/rate_limit.go
+++ b/dispatch/rate_limit.go
@@ -31,26 +31,43 @@
 // server than it knows of gives it the next revision.
 type StatedLimit struct {
 	RateLimit
+	Brittleness
 	Revision uint64
 }
 
-// Observe records what a response of the server states, and reports whether that is new.
+// Observe records what a response of the server states about its rate, and reports whether
+// that is new.
 func (s *StatedLimit) Observe(l RateLimit) bool {
-	if s.RateLimit == l {
+	return s.observe(l, s.Brittleness)
+}
+
+// ObserveBrittleness is Observe for the rejections that the server survives.
+func (s *StatedLimit) ObserveBrittleness(b Brittleness) bool {
+	return s.observe(s.RateLimit, b)
+}
+
+func (s *StatedLimit) observe(l RateLimit, b Brittleness) bool {
+	if s.RateLimit == l && s.Brittleness == b {
 		return false
 	}
-	s.RateLimit, s.Revision = l, s.Revision+1
+	s.RateLimit, s.Brittleness, s.Revision = l, b, s.Revision+1
 	return true
 }
 
 // Merge adopts a statement that another process knows if it is newer, and reports whether
 // it did. Of two statements with the same revision, which two processes received at about
-// the same time, the stricter one counts.
+// the same time, the stricter parts count.
 func (s *StatedLimit) Merge(other StatedLimit) bool {
-	if other.Revision < s.Revision || other == *s {
+	if other.Revision < s.Revision {
 		return false
 	}
-	if other.Revision == s.Revision && !other.stricterThan(s.RateLimit) {
+	if other.Revision == s.Revision {
+		if !other.RateLimit.stricterThan(s.RateLimit) {
+			other.RateLimit = s.RateLimit
+		}
+		other.Brittleness = other.Brittleness.strictest(s.Brittleness)
+	}
+	if other == *s {
 		return false
 	}
 	*s = other
--- a/dispatch/rate_limit_test.go
+++ b/dispatch/rate_limit_test.go
@@ -24,15 +24,18 @@
 	require.False(t, b.Merge(a), "older")
 	require.True(t, a.Observe(RateLimit{}))
 	require.True(t, a.Merge(b), "same revision, stricter")
-	require.False(t, b.Merge(StatedLimit{RateLimit{}, b.Revision}))
-	require.True(t, b.Merge(StatedLimit{RateLimit{}, b.Revision + 1}), "the limit has ended")
+	require.False(t, b.Merge(StatedLimit{Revision: b.Revision}))
+	require.True(t, b.Merge(StatedLimit{Revision: b.Revision + 1}), "the limit has ended")
 	rapid.Check(t, func(t *rapid.T) {
 		instances := make([]StatedLimit, 4)
 		for range rapid.IntRange(1, 30).Draw(t, "steps") {
 			i, j := rapid.IntRange(0, 3).Draw(t, "from"), rapid.IntRange(0, 3).Draw(t, "to")
-			if rapid.Bool().Draw(t, "observe") {
+			switch rapid.IntRange(0, 2).Draw(t, "observe") {
+			case 0:
+				instances[i].ObserveBrittleness(Brittleness{rapid.Bool().Draw(t, "brittle"), rapid.IntRange(0, 3).Draw(t, "rejections")})
+			case 1:
 				instances[i].Observe(RateLimit{rapid.Bool().Draw(t, "limited"), float64(rapid.IntRange(0, 3).Draw(t, "limit"))})
-			} else {
+			default:
 				instances[j].Merge(instances[i])
 			}
 		}
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -95,6 +95,9 @@
 	// RateLimit is what the server states about its request rate; nil if the value
 	// cannot be parsed.
 	RateLimit *dispatch.RateLimit
+	// Brittleness is what the server states about the rejections that it survives; nil if
+	// the value cannot be parsed.
+	Brittleness *dispatch.Brittleness
 	// UnknownDirectives names the headers by which the server asks for something that
 	// this version does not support.
 	UnknownDirectives []string
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -162,9 +162,7 @@
 	if d.Leaving {
 		r.hub.MarkLeaving(server, bornUnixMS, r.replica.Instance())
 	}
-	if d.RateLimit != nil {
-		r.hub.ObserveRateLimit(server, bornUnixMS, *d.RateLimit, r.replica.Instance())
-	}
+	r.hub.ObserveDirectives(server, bornUnixMS, d, r.replica.Instance())
 }
 
 // Hub returns the hub of this instance.
--- a/registry/hub.go
+++ b/registry/hub.go
@@ -215,30 +215,36 @@
 	}
 }
 
-// MergeRateLimit records a rate limit of an incarnation of a server that the process
-// from reports.
+// MergeRateLimit records what the process from reports that an incarnation of a server
+// states about the requests that it takes and rejects.
 func (h *Hub) MergeRateLimit(server string, bornUnixMS int64, limit dispatch.StatedLimit, from string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.table.MergeRateLimit(server, bornUnixMS, limit) {
-		h.rateLimitChanged(server, limit.RateLimit, from)
+		h.rateLimitChanged(server, limit.RateLimit, limit.Brittleness, from)
 	}
 }
 
-// ObserveRateLimit records what a server states about its request rate in a response
-// to the control instance from.
-func (h *Hub) ObserveRateLimit(server string, bornUnixMS int64, limit dispatch.RateLimit, from string) {
+// ObserveDirectives records what a server states in a response to the control instance from
+// about the requests that it takes and rejects.
+func (h *Hub) ObserveDirectives(server string, bornUnixMS int64, d dispatch.Directives, from string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.table.ObserveRateLimit(server, bornUnixMS, limit) {
-		h.rateLimitChanged(server, limit, from)
+	changed := d.RateLimit != nil && h.table.ObserveRateLimit(server, bornUnixMS, *d.RateLimit)
+	if d.Brittleness != nil && h.table.ObserveBrittleness(server, bornUnixMS, *d.Brittleness) {
+		changed = true
+	}
+	if changed {
+		limit := h.table.StatedLimit(server)
+		h.rateLimitChanged(server, limit.RateLimit, limit.Brittleness, from)
 	}
 }
 
-// rateLimitChanged logs a changed rate limit and wakes the waiting polls. mu must be held.
-func (h *Hub) rateLimitChanged(server string, limit dispatch.RateLimit, from string) {
+// rateLimitChanged logs a changed statement and wakes the waiting polls. mu must be held.
+func (h *Hub) rateLimitChanged(server string, limit dispatch.RateLimit, b dispatch.Brittleness, from string) {
 	h.notifyChanged()
-	h.logger.Info("server rate limit changed", slog.String("server", server), slog.Bool("limited", limit.Limited), slog.Float64("per_second", limit.PerSecond), slog.String("reported_by", from))
+	h.logger.Info("server rate limit changed", slog.String("server", server), slog.Bool("limited", limit.Limited), slog.Float64("per_second", limit.PerSecond),
+		slog.Bool("brittle", b.Brittle), slog.Int("max_rejections", b.MaxRejections), slog.String("reported_by", from))
 }
 
 // AcceptingAddresses lists the addresses of the entry instances that accept
--- a/registry/table.go
+++ b/registry/table.go
@@ -206,6 +206,11 @@
 	return t.updateRateLimit(server, bornUnixMS, func(s *dispatch.StatedLimit) bool { return s.Observe(limit) })
 }
 
+// ObserveBrittleness is ObserveRateLimit for the rejections that a server survives.
+func (t *Table) ObserveBrittleness(server string, bornUnixMS int64, b dispatch.Brittleness) bool {
+	return t.updateRateLimit(server, bornUnixMS, func(s *dispatch.StatedLimit) bool { return s.ObserveBrittleness(b) })
+}
+
 func (t *Table) updateRateLimit(server string, bornUnixMS int64, update func(*dispatch.StatedLimit) bool) bool {
 	existing := t.servers[server]
 	if existing == nil || existing.BornUnixMs != bornUnixMS {
@@ -222,6 +227,14 @@
 	return true
 }
 
+// StatedLimit returns what a server states; the zero value if it states nothing.
+func (t *Table) StatedLimit(server string) dispatch.StatedLimit {
+	if r := t.servers[server]; r != nil {
+		return DecodeRateLimit(r.RateLimit)
+	}
+	return dispatch.StatedLimit{}
+}
+
 // equalExceptSequence compares everything that subscribers act upon.
 func equalExceptSequence(a, existing *fleetv1.Announcement) bool {
 	b := proto.CloneOf(existing)
