Dispatch: brittle servers get only what they have room for

A server of a brittle service ends when it has to reject more than N requests of all instances in a second for want of room. HasRoom bounds its level: what all instances have sent, and requests that nobody claims, fit the slots and a sixteenth of them waiting, less once it has rejected something. A full server that runs fewer than its slots has only that many. Of what the instances do not know of each other yet, each assumes that all others send as much; room for less than one request of each is taken by chance, drawn once in 50 ms, unless an own request has just left it. After a rejection an instance rests for 100 ms, and after half of N, its own and the others', for the rest of the second. A service stays brittle for 5 s after the last statement: servers that start anew state nothing before their first response.

Requests without a prompt wait (Hold) if only such servers are left, as prompts do. Without the mechanism brittle-room nothing changes.

TestBrittleServersSurvive, virtual time, five services, 1, 5 and 9 instances, at most 2 + a tenth of the servers may end.

--- a/dispatch/backend_state.go
+++ b/dispatch/backend_state.go
@@ -78,6 +78,9 @@
 	// PrefillTokens are to be prefilled in arrival order, DeferredTokens only when
 	// nothing else is pending; MemoryTokens is the memory in use.
 	PrefillTokens, DeferredTokens, MemoryTokens int
+	// Rejections is the number of rejections for want of room in the last second, if the
+	// service is brittle.
+	Rejections int
 }
 
 // add adds (sign 1) or subtracts (sign -1) a request with all its work.
@@ -141,6 +144,8 @@
 	concurrencyLimit int
 	// transfersEndAt is when the transfers in progress complete.
 	transfersEndAt time.Time
+	// room is used while the service is brittle.
+	room brittleRoom
 }
 
 // NewBackendState returns the initial state of a newly announced server.
@@ -155,6 +160,7 @@
 // first byte.
 func (b *BackendState) Sent(w Work, now time.Time) {
 	b.ownLoad.add(w, 1)
+	b.room.sent(now)
 	if w.MemoryTokens > 0 {
 		if b.meanMemory == 0 {
 			b.meanMemory = float64(w.MemoryTokens)
@@ -205,6 +211,7 @@
 func (b *BackendState) ApplyReport(r Report, others Load, now time.Time) {
 	b.unattributed = max(0, float64(r.Running+r.Waiting-b.ownLoad.Requests-others.Requests))
 	b.reportedAt = now
+	b.room.reported(r, now)
 }
 
 // SetUnreported records whether every control instance has stopped reporting the server.
--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -26,11 +26,14 @@
 	Errors *EstimateErrors
 }
 
-// Candidates are the servers considered by a decision. Both functions may be nil.
+// Candidates are the servers considered by a decision. The functions may be nil.
 type Candidates struct {
 	Servers []placement.Server
 	// Tried reports servers to which the request was already sent. They are skipped.
 	Tried func(i int) bool
+	// Full reports servers of a brittle service that cannot take another request. A request
+	// waits for one (Hold) if no other server is left.
+	Full func(i int) bool
 	// Claimed reports servers that requests ahead in the wait queue wait for. A prompt
 	// is not sent to one now, but may still wait for it (Hold) if no server has room. It
 	// does not apply to requests without a prompt.
@@ -97,11 +100,14 @@
 func (p *Policy) decideAmong(scorer placement.Scorer, c *Candidates, req *Request, tieBreak float64) Decision {
 	excluded := func(i int) bool { return c.Tried != nil && c.Tried(i) }
 	job := req.Job
-	unavailable := func(i int) bool { return excluded(i) || p.mustWait(c, i, &job) }
+	full := func(i int) bool { return c.Full != nil && c.Full(i) }
+	unavailable := func(i int) bool { return excluded(i) || full(i) || p.mustWait(c, i, &job) }
 	d := Decision{Server: placement.Pick(scorer, c.Servers, job, unavailable, tieBreak)}
 	if job.PromptTokens == 0 {
 		if d.Server >= 0 {
 			d.Action = Send
+		} else if d.Server = placement.Pick(scorer, c.Servers, job, excluded, tieBreak); d.Server >= 0 {
+			d.Action = Hold
 		}
 		return d
 	}
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -35,6 +35,7 @@
 	EstimateMargin
 	RateLimits
 	PartQuarantine
+	BrittleRoom
 	mechanismCount
 )
 
@@ -68,6 +69,7 @@
 	EstimateMargin:       {"doubt", "inaccurate wait estimates, by which a prompt that would meet its objective is judged late"},
 	RateLimits:           {"rate-limits", "servers that state how many requests per second they take from all instances"},
 	PartQuarantine:       {"part-quarantine", "prompts with a part that crashes every server that begins to respond to it"},
+	BrittleRoom:          {"brittle-room", "servers that end when they have to reject more than a few requests in a second"},
 }
 
 // String implements fmt.Stringer.
