Dispatch: rejections of others leave an instance the places that it vacates

After rejections of half of N, all instances sent nothing to the server for the rest of the second. An instance that received the rejections still stops; the others go on in place of their own requests, which need no further room. A server with waiting requests is assumed to run one more than it reports: one may just have ended.

--- a/dispatch/brittle_room.go
+++ b/dispatch/brittle_room.go
@@ -12,8 +12,9 @@
 	// rejectionRest is how long an instance sends nothing to a server that has rejected a
 	// request for want of room.
 	rejectionRest = 100 * time.Millisecond
-	// rejectionShare is the part of the rejections that a server survives after which
-	// nothing is sent to it for the rest of rejectionWindow. The others may be on their way.
+	// rejectionShare is the part of the rejections that a server survives after which nothing
+	// is sent to it for the rest of rejectionWindow by an instance that received them, and by
+	// the others only in place of their own requests. The others may be on their way.
 	rejectionShare = 0.5
 	// slotReturn is the time after which one more request than ran at a full server, which may
 	// lack something else than slots, such as memory, is assumed to fit.
@@ -116,7 +117,7 @@
 // reported records a server's report.
 func (r *brittleRoom) reported(report Report, now time.Time) {
 	if report.Waiting > 0 {
-		r.fullRunning, r.fullAt = report.Running, now
+		r.fullRunning, r.fullAt = report.Running+1, now // one may just have ended
 	}
 }
 
@@ -165,10 +166,11 @@
 	if n := len(b.room.rejectedAt); n > 0 && now.Sub(b.room.rejectedAt[n-1]) < rejectionRest {
 		return false
 	}
-	rejections := b.room.recentRejections(now) + others.Rejections
-	if rejections >= s.allowedRejections() {
+	own := b.room.recentRejections(now)
+	if own >= s.allowedRejections() {
 		return false
 	}
+	rejections := own + others.Rejections
 	if others.Rejections > 0 {
 		b.room.waitingLimit, b.room.learned = 0, true
 	}
@@ -184,6 +186,9 @@
 	if b.room.releasedAt = dropBefore(b.room.releasedAt, now.Add(-releaseTime)); len(b.room.releasedAt) > 0 {
 		return true // for the others, the place is still taken
 	}
+	if rejections >= s.allowedRejections() {
+		return false
+	}
 	b.room.sentAt = dropBefore(b.room.sentAt, now.Add(-unsharedTime))
 	free -= float64(len(b.room.sentAt) * (instances - 1))
 	if free >= float64(instances) {
--- a/dispatch/decide_test.go
+++ b/dispatch/decide_test.go
@@ -114,6 +114,25 @@
 	require.Equal(t, []any{Send, 1}, []any{d.Action, d.Server})
 }
 
+// Requests must wait for a server of a brittle service that has no room, not be sent there.
+func TestFullServersAreAwaited(t *testing.T) {
+	list := []placement.Server{{Slots: 64}, {Slots: 64, PrefillTokens: 1000}}
+	full := map[int]bool{0: true}
+	c := &Candidates{Servers: list, Full: func(i int) bool { return full[i] }}
+	for _, req := range []*Request{prompt(1000), {}, {Resumed: true}} {
+		delete(full, 1)
+		d, _ := (&Policy{}).Decide(placement.ExpectedTime{}, nil, func() *Candidates { return c }, req, 0)
+		require.Equal(t, []any{Send, 1}, []any{d.Action, d.Server})
+		full[1] = true
+		d, _ = (&Policy{}).Decide(placement.ExpectedTime{}, nil, func() *Candidates { return c }, req, 0)
+		require.Equal(t, []any{Hold, 0}, []any{d.Action, d.Server})
+		c.Tried = func(int) bool { return true }
+		d, _ = (&Policy{}).Decide(placement.ExpectedTime{}, nil, func() *Candidates { return c }, req, 0)
+		require.Equal(t, NoServer, d.Action)
+		c.Tried = nil
+	}
+}
+
 func TestMechanismsHaveNamesAndPatterns(t *testing.T) {
 	seen := make(map[string]bool)
 	for m := range mechanismCount {
