Gateway: the room of brittle servers is respected

Servers that said that they are brittle (Server-Brittle) were sent as much as before, and ended when they had to reject more than N requests in a second.

As soon as one server of a service says so, each decision of this instance, first attempts, retries, resumed streams and replacements of silent servers alike, uses only servers with room. Requests wait here, those without a prompt for half of the route's latency objective (50 ms at least), then get 503 "servers have no room" with a time to retry. While the service is brittle the instances share their load at plain services too, and the rejections of the last second. What was learned of a server ends with its incarnation or the brittle time.

Log lines "service is brittle" and "service is no longer brittle"; galena_gateway_service_brittle, galena_gateway_room_rejections_total, directive "brittle" in galena_gateway_server_directives_total.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -96,7 +96,7 @@
 	}
 	a.backend.state.mu.Lock()
 	defer a.backend.state.mu.Unlock()
-	a.backend.tracker.Release(a.work, runTime)
+	a.backend.tracker.ReleasedAt(a.work, runTime, time.Now())
 	a.gateway.capacityFreed(a.backend)
 }
 
@@ -302,12 +302,13 @@
 		c.gateway.metrics.directives.WithLabelValues(directiveLeaving).Inc()
 		c.gateway.markLeaving(b, c.request.ID)
 	}
-	if limit := a.response.RateLimit; limit != nil {
-		if limit.Limited {
-			c.gateway.metrics.directives.WithLabelValues(directiveRateLimit).Inc()
-		}
-		c.gateway.observeRateLimit(b, *limit, c.request.ID)
+	if limit := a.response.RateLimit; limit != nil && limit.Limited {
+		c.gateway.metrics.directives.WithLabelValues(directiveRateLimit).Inc()
+	}
+	if brittleness := a.response.Brittleness; brittleness != nil && brittleness.Brittle {
+		c.gateway.metrics.directives.WithLabelValues(directiveBrittle).Inc()
 	}
+	c.gateway.observeLimits(b, a.response.RateLimit, a.response.Brittleness, c.request.ID)
 	rejected := a.status == http.StatusServiceUnavailable || a.status == http.StatusTooManyRequests
 	if a.response.PauseFor != nil && rejected {
 		c.gateway.pause(b, *a.response.PauseFor, c.request.ID)
@@ -350,6 +351,7 @@
 	case a.result == notRun && a.status != 0:
 		// The server is full or executes a control operation; that is no failure.
 		cooldown = b.recordRejection(a.response.Load, now)
+		c.gateway.recordRoomRejection(b, a.response.Load, now)
 	case errors.Is(a.err, upstream.ErrConnectionLimit):
 	default:
 		// A server that responds to no request is down, even if the client gave up
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -17,6 +17,10 @@
 	estimateErrors *prometheus.HistogramVec
 	directives     *prometheus.CounterVec
 	rateLimits     *prometheus.GaugeVec
+	// brittle is the number of rejections that the servers of a brittle service survive;
+	// roomRejections counts what they rejected.
+	brittle        *prometheus.GaugeVec
+	roomRejections *prometheus.CounterVec
 	permitsIssued  prometheus.Counter
 	permitRequests *prometheus.CounterVec
 	// aborted counts streams that ended early, by why they left their server.
@@ -49,6 +53,7 @@
 	directiveLeaving   = "leaving"
 	directivePause     = "pause"
 	directiveRateLimit = "rate limit"
+	directiveBrittle   = "brittle"
 	directiveUnknown   = "unknown"
 )
 
@@ -68,6 +73,8 @@
 	}
 	m.directives = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_server_directives_total", Help: "Responses by which a server directs how it is used, by directive."}, []string{"directive"})
 	m.rateLimits = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "galena_gateway_server_rate_limit", Help: "Requests a second that a server takes from all instances together, while it states a limit."}, []string{"server"})
+	m.brittle = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "galena_gateway_service_brittle", Help: "Rejections for want of room in a second that a server of the service survives, while one states it."}, []string{"service"})
+	m.roomRejections = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_room_rejections_total", Help: "Requests of this instance that servers rejected while their service was brittle."}, []string{"service"})
 	m.permitsIssued = prometheus.NewCounter(prometheus.CounterOpts{Name: "galena_gateway_permits_issued_total", Help: "Permits for rate-limited servers that this instance issued to itself and others."})
 	m.permitRequests = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_permit_requests_total", Help: "Requests for permits to other instances, by server and outcome."}, []string{"outcome"})
 	m.aborted = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_streams_aborted_total", Help: "Streams that had begun and ended early, by why they left their server."}, []string{"cause"})
@@ -75,7 +82,7 @@
 	m.interrupted = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_interrupted_requests_total", Help: "Requests whose connection to the server broke, by cause and by how far the response had got."}, []string{"cause", "stage"})
 	m.serversEnded = prometheus.NewCounter(prometheus.CounterOpts{Name: "galena_gateway_servers_ended_under_requests_total", Help: "Incarnations of backend servers that ended while requests of this instance were in progress."})
 	m.quarantined = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "galena_gateway_quarantined", Help: "Parts of prompts, and requests, that are sent to no server because servers crash under them, by kind."}, []string{"kind"})
-	r.MustRegister(m.begun, m.resumed, m.aborted, m.unanswered, m.quarantined, m.interrupted, m.serversEnded, m.directives, m.rateLimits, m.permitsIssued, m.permitRequests, m.outcomes, m.failedAttempts, m.firstByte, m.unlogged, m.panics, m.queued, m.estimateErrors)
+	r.MustRegister(m.begun, m.resumed, m.aborted, m.unanswered, m.quarantined, m.interrupted, m.serversEnded, m.directives, m.rateLimits, m.brittle, m.roomRejections, m.permitsIssued, m.permitRequests, m.outcomes, m.failedAttempts, m.firstByte, m.unlogged, m.panics, m.queued, m.estimateErrors)
 	return m
 }
 
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -126,13 +126,16 @@
 // setOwnLoad sets this instance's load at a server and schedules an update.
 func (p *peers) setOwnLoad(server string, l dispatch.Load) {
 	p.mu.Lock()
+	changed := p.ownLoad[server] != l
 	if l == (dispatch.Load{}) {
 		delete(p.ownLoad, server)
 	} else {
 		p.ownLoad[server] = l
 	}
 	p.mu.Unlock()
-	p.notify()
+	if changed {
+		p.notify()
+	}
 }
 
 // announceLeaving adds a leaving server to the updates and schedules one. Only the last
@@ -203,6 +206,7 @@
 func addLoads(totals, loads map[string]dispatch.Load) {
 	for server, l := range loads {
 		s := totals[server]
+		s.Rejections += l.Rejections
 		s.Requests, s.PrefillTokens, s.DeferredTokens, s.MemoryTokens = s.Requests+l.Requests, s.PrefillTokens+l.PrefillTokens, s.DeferredTokens+l.DeferredTokens, s.MemoryTokens+l.MemoryTokens
 		totals[server] = s
 	}
@@ -271,7 +275,7 @@
 func decodeWork(work []*fleetv1.ServerWork) map[string]dispatch.Load {
 	load := make(map[string]dispatch.Load, len(work))
 	for _, s := range work {
-		load[s.Server] = dispatch.Load{Requests: int(s.Requests), PrefillTokens: int(s.ReadingTokens), DeferredTokens: int(s.LaterTokens), MemoryTokens: int(s.HeldTokens)}
+		load[s.Server] = dispatch.Load{Requests: int(s.Requests), PrefillTokens: int(s.ReadingTokens), DeferredTokens: int(s.LaterTokens), MemoryTokens: int(s.HeldTokens), Rejections: int(s.Rejections)}
 	}
 	return load
 }
@@ -280,7 +284,7 @@
 	work := make([]*fleetv1.ServerWork, 0, len(load))
 	for server, l := range load {
 		work = append(work, &fleetv1.ServerWork{
-			Server: server, ReadingTokens: uint32(max(0, l.PrefillTokens)), LaterTokens: uint32(max(0, l.DeferredTokens)), HeldTokens: uint32(max(0, l.MemoryTokens)), Requests: uint32(max(0, l.Requests)),
+			Server: server, ReadingTokens: uint32(max(0, l.PrefillTokens)), LaterTokens: uint32(max(0, l.DeferredTokens)), HeldTokens: uint32(max(0, l.MemoryTokens)), Requests: uint32(max(0, l.Requests)), Rejections: uint32(max(0, l.Rejections)),
 		})
 	}
 	return work
--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -95,6 +95,7 @@
 		}
 		now := time.Now()
 		next := c.acquire(ctx, now)
+		c.gateway.applyBrittleness(now)
 		view.ReportRateLimits(c.gateway.limits.unreported(now))
 		timer.Reset(max(time.Millisecond, next.Sub(now)))
 	}
--- a/gateway/rate_limits.go
+++ b/gateway/rate_limits.go
@@ -28,7 +28,8 @@
 	limitReportRetry = time.Second
 )
 
-// serverLimit is the rate limit of one incarnation of a server, this instance's permits
+// serverLimit is what one incarnation of a server states about the requests that it takes and
+// rejects, this instance's permits
 // for it, and its permit issuer if this instance is in charge.
 type serverLimit struct {
 	incarnation
@@ -194,12 +195,13 @@
 	return &fleetv1.ServerRateLimit{Server: &fleetv1.ServerLife{Server: l.server, BornUnixMs: l.startedMs}, Limit: registry.EncodeRateLimit(l.stated)}
 }
 
-// observeRateLimit records what a response of a server states. request is the ID of the
-// request, empty if it was one of this process's own calls.
-func (g *Gateway) observeRateLimit(b *backend, limit dispatch.RateLimit, request string) {
+// observeLimits records what a response of a server states about the requests that it takes and
+// rejects; nil for what it does not say. request is the ID of the request, empty if it was one
+// of this process's own calls.
+func (g *Gateway) observeLimits(b *backend, limit *dispatch.RateLimit, brittleness *dispatch.Brittleness, request string) {
 	l := b.rateLimit.Load()
 	if l == nil {
-		if !limit.Limited {
+		if (limit == nil || !limit.Limited) && (brittleness == nil || !brittleness.Brittle) {
 			return
 		}
 		if l = g.limits.getOrAdd(b.incarnation, time.Now()); l == nil {
@@ -208,7 +210,10 @@
 		}
 		b.rateLimit.Store(l)
 	}
-	g.changeRateLimit(l, slog.String("request", request), func(s *dispatch.StatedLimit) bool { return s.Observe(limit) })
+	g.changeRateLimit(l, slog.String("request", request), func(s *dispatch.StatedLimit) bool {
+		changed := limit != nil && s.Observe(*limit)
+		return (brittleness != nil && s.ObserveBrittleness(*brittleness)) || changed
+	})
 }
 
 // mergeRateLimit records a limit that another process reports.
@@ -233,6 +238,13 @@
 	if !changed {
 		return
 	}
+	if from.Brittleness != to.Brittleness {
+		g.applyBrittleness(time.Now())
+	}
+	g.peers.notify()
+	if from.RateLimit == to.RateLimit {
+		return
+	}
 	if to.Limited {
 		g.metrics.rateLimits.WithLabelValues(l.server).Set(to.PerSecond)
 	} else {
@@ -241,7 +253,6 @@
 	g.logger.Info("server rate limit changed", slog.String("server", l.server), slog.Bool("limited", to.Limited), slog.Float64("per_second", to.PerSecond),
 		slog.Bool("was_limited", from.Limited), slog.Float64("was_per_second", from.PerSecond), slog.Uint64("revision", to.Revision), source)
 	g.limitPolling(l, to.RateLimit)
-	g.peers.notify()
 	g.permits.notify()
 }
 
@@ -263,6 +274,7 @@
 		b.rateLimit.Store(l)
 		g.limitPolling(l, l.current().RateLimit)
 	}
+	g.applyBrittleness(time.Now())
 }
 
 // fallback returns the part of a limit that this instance may use without permits.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -86,6 +86,7 @@
 	reasonNoCapacity   rejectReason = "no answer in time"
 	reasonAllPaused    rejectReason = "servers want nothing"
 	reasonRateLimited  rejectReason = "rate limited"
+	reasonNoRoom       rejectReason = "servers have no room"
 	reasonStopping     rejectReason = "stopping"
 	reasonRepeatUnsafe rejectReason = "may end another server"
 
--- a/gateway/service_state.go
+++ b/gateway/service_state.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -28,6 +29,8 @@
 	estimateErrors [2]dispatch.EstimateErrors
 	// firstServerAt is when this process first learned of a server of the service.
 	firstServerAt time.Time
+	// brittle is whether the servers end when they have to reject requests.
+	brittle dispatch.BrittleService
 	// returns spreads the return of clients rejected because of rate limits.
 	returns dispatch.ReturnSchedule
 	// lastResumed is when a client last resumed a stream of a software version.
@@ -77,15 +80,16 @@
 	return state
 }
 
+// all returns the states by service.
+func (s *serviceStates) all() map[string]*serviceState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.byService)
+}
+
 // recheckAll reconsiders the queued requests of all services.
 func (s *serviceStates) recheckAll() {
-	s.mu.Lock()
-	list := make([]*serviceState, 0, len(s.byService))
-	for _, state := range s.byService {
-		list = append(list, state)
-	}
-	s.mu.Unlock()
-	for _, state := range list {
+	for _, state := range s.all() {
 		state.mu.Lock()
 		state.queue.Schedule()
 		state.mu.Unlock()
@@ -100,7 +104,7 @@
 }
 
 // place chooses a server for a request and counts its load there. A prompt is queued
-// while all servers are full. A request that only rate-limited servers can take waits up
+// while all servers are full, and so is, for a while, any request to a brittle service. A request that only rate-limited servers can take waits up
 // to dispatch.MaxPermitWait for a permit. Without a server, the backend is nil and the
 // reason is set.
 func (g *Gateway) place(ctx context.Context, c *call) placementResult {
@@ -150,7 +154,7 @@
 	return placementResult{}, g.enqueue(c, results), results
 }
 
-// enqueue queues a prompt. The caller holds the state's lock.
+// enqueue queues a request. The caller holds the state's lock.
 func (g *Gateway) enqueue(c *call, results chan<- placementResult) *dispatch.Waiter {
 	w := &dispatch.Waiter{Position: c.queuePosition(), MemoryTokens: c.job().MemoryTokens}
 	w.Try = func(claimed map[string]bool) (bool, string) {
@@ -210,7 +214,7 @@
 		return
 	}
 	b.tracker.StopAwaiting(c.work)
-	b.tracker.Release(c.work, 0)
+	b.tracker.ReleasedAt(c.work, 0, time.Now())
 	g.capacityFreed(b)
 }
 
@@ -228,6 +232,9 @@
 	case dispatch.Reject:
 		return placementResult{reason: reasonNoCapacity}, false
 	case dispatch.Hold:
+		if c.prompt == nil && !c.waitsForRoom(now) {
+			return placementResult{reason: reasonNoRoom}, false
+		}
 		c.awaitedServer = b.server
 		return placementResult{}, true
 	}
@@ -244,10 +251,11 @@
 	return placementResult{backend: b}, false
 }
 
-// publishLoad shares this instance's load at a server with the other instances.
+// publishLoad shares this instance's load at an engine, or at a server of a brittle service,
+// with the other instances. The caller holds the state's lock.
 func (g *Gateway) publishLoad(b *backend) {
-	if b.service.Engine != nil {
-		g.peers.setOwnLoad(b.server, b.tracker.OwnLoad())
+	if b.service.Engine != nil || b.state.brittle.Brittle {
+		g.peers.setOwnLoad(b.server, b.tracker.SharedLoad(time.Now()))
 	}
 }
 
@@ -259,6 +267,9 @@
 }
 
 func (c *call) queuePosition() dispatch.Position {
+	if c.prompt == nil {
+		return dispatch.Position{Priority: c.priority(), StartBy: c.startedAt.Add(c.route.TargetLatency)}
+	}
 	prefillTime := c.state.prefill.Overhead() + time.Duration(float64(c.prompt.Tokens)/c.state.prefill.Rate()*float64(time.Millisecond))
 	return dispatch.Position{Deferred: c.deferred(), Priority: c.priority(), StartBy: c.startedAt.Add(c.route.TargetLatency - prefillTime)}
 }
@@ -282,6 +293,7 @@
 		return &dispatch.Candidates{
 			Servers: set.servers,
 			Tried:   func(i int) bool { return !c.mayUseServer(set.backends[i].server) },
+			Full:    g.full(s, set, now),
 			Claimed: func(i int) bool { return claimed[set.backends[i].server] },
 		}
 	}
@@ -442,9 +454,7 @@
 		if d.Leaving {
 			g.markLeaving(b, "")
 		}
-		if d.RateLimit != nil {
-			g.observeRateLimit(b, *d.RateLimit, "")
-		}
+		g.observeLimits(b, d.RateLimit, d.Brittleness, "")
 		if d.PauseFor != nil {
 			g.pause(b, *d.PauseFor, "")
 		}
