--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -36,6 +36,7 @@
 	RateLimits
 	PartQuarantine
 	PeerForwarding
+	BrittleRoom
 	mechanismCount
 )
 
@@ -70,6 +71,7 @@
 	RateLimits:           {"rate-limits", "servers that state how many requests per second they take from all instances"},
 	PartQuarantine:       {"part-quarantine", "prompts with a part that crashes every server that begins to respond to it"},
 	PeerForwarding:       {"peer-forwarding", "entry instances that are cut off from servers which others reach"},
+	BrittleRoom:          {"brittle-room", "servers that end when they have to reject more than a few requests in a second"},
 }
 
 // String implements fmt.Stringer.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -19,6 +19,10 @@
 	estimateErrors *prometheus.HistogramVec
 	directives     *prometheus.CounterVec
 	rateLimits     *prometheus.GaugeVec
+	// brittle is the number of rejections that the servers of a brittle service survive;
+	// roomRejections counts what they rejected.
+	brittle        *prometheus.GaugeVec
+	roomRejections *prometheus.CounterVec
 	permitsIssued  prometheus.Counter
 	permitRequests *prometheus.CounterVec
 	// aborted counts streams that ended early, by why they left their server.
@@ -70,6 +74,7 @@
 	directiveLeaving   = "leaving"
 	directivePause     = "pause"
 	directiveRateLimit = "rate limit"
+	directiveBrittle   = "brittle"
 	directiveUnknown   = "unknown"
 )
 
@@ -90,6 +95,8 @@
 	m.document = prometheus.NewGauge(prometheus.GaugeOpts{Name: "galena_gateway_document_version", Help: "Version of the site document by which requests are routed; 0 before the first."})
 	m.directives = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_server_directives_total", Help: "Responses by which a server directs how it is used, by directive."}, []string{"directive"})
 	m.rateLimits = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "galena_gateway_server_rate_limit", Help: "Requests a second that a server takes from all instances together, while it states a limit."}, []string{"server"})
+	m.brittle = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "galena_gateway_service_brittle", Help: "Rejections for want of room in a second that a server of the service survives, while one states it."}, []string{"service"})
+	m.roomRejections = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_room_rejections_total", Help: "Requests of this instance that servers rejected while their service was brittle."}, []string{"service"})
 	m.permitsIssued = prometheus.NewCounter(prometheus.CounterOpts{Name: "galena_gateway_permits_issued_total", Help: "Permits for rate-limited servers that this instance issued to itself and others."})
 	m.permitRequests = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_permit_requests_total", Help: "Requests for permits to other instances, by server and outcome."}, []string{"outcome"})
 	m.aborted = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_streams_aborted_total", Help: "Streams that had begun and ended early, by why they left their server."}, []string{"cause"})
@@ -101,7 +108,7 @@
 	m.retryBudget = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "galena_gateway_retry_budget", Help: "Retries that this instance's budget for a service allows in a window, and those that count now."}, []string{"service", "value"})
 	m.forwards = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_forwards_total", Help: "Requests passed on to other entry instances because servers are unreachable, by outcome."}, []string{"outcome"})
 	m.probes = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_probes_total", Help: "Connections opened to learn whether servers are reachable, by outcome."}, []string{"outcome"})
-	r.MustRegister(m.forwards, m.probes, m.retries, m.retryBudget, m.begun, m.resumed, m.aborted, m.unanswered, m.quarantined, m.interrupted, m.serversEnded, m.directives, m.rateLimits, m.permitsIssued, m.permitRequests, m.outcomes, m.failedAttempts, m.firstByte, m.unlogged, m.panics, m.queued, m.estimateErrors, m.document)
+	r.MustRegister(m.brittle, m.roomRejections, m.forwards, m.probes, m.retries, m.retryBudget, m.begun, m.resumed, m.aborted, m.unanswered, m.quarantined, m.interrupted, m.serversEnded, m.directives, m.rateLimits, m.permitsIssued, m.permitRequests, m.outcomes, m.failedAttempts, m.firstByte, m.unlogged, m.panics, m.queued, m.estimateErrors, m.document)
 	return m
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -89,6 +89,7 @@
 	reasonNoCapacity   rejectReason = "no answer in time"
 	reasonAllPaused    rejectReason = "servers want nothing"
 	reasonRateLimited  rejectReason = "rate limited"
+	reasonNoRoom       rejectReason = "servers have no room"
 	reasonStopping     rejectReason = "stopping"
 	reasonNoDocument   rejectReason = "no document yet"
 	reasonRepeatUnsafe rejectReason = "may end another server"
