Dispatch: the simulated instances try eight waiting requests, as the wait queue does

The simulation of brittle servers took 66 s beside other work; each response tried all waiting requests.

--- a/dispatch/brittle_room_test.go
+++ b/dispatch/brittle_room_test.go
@@ -165,12 +165,20 @@
 }
 
 func (s *brittleSim) schedule(e *brittleInstance) {
+	failed := 0
 	e.queue = slices.DeleteFunc(e.queue, func(r *brittleRequest) bool {
 		if s.now > r.deadline {
 			e.lost++
 			return true
 		}
-		return s.place(e, r)
+		if failed >= maxFailedTries {
+			return false
+		}
+		placed := s.place(e, r)
+		if !placed {
+			failed++
+		}
+		return placed
 	})
 }
 
