upstream: tests of the identification are free of data races

go test -race ./upstream failed in TestRequestFollowsIdentification, by the test's own record of what its server got; it passes now. No check is changed.

--- a/upstream/identify_test.go
+++ b/upstream/identify_test.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -32,9 +34,12 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
+			var mu sync.Mutex
 			var got []string
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				mu.Lock()
 				got = append(got, strings.TrimPrefix(r.URL.Path, "/"))
+				mu.Unlock()
 				if r.URL.Path == "/who" {
 					tt.identity(w)
 				}
@@ -69,6 +74,8 @@
 				require.ErrorContains(t, err, tt.err)
 				require.False(t, e.Reached(), "no byte of the request was sent")
 			}
+			mu.Lock()
+			defer mu.Unlock()
 			require.Equal(t, tt.want, strings.Join(got, " "))
 		})
 	}
@@ -77,12 +84,13 @@
 // Guards against a server that is asked on each connection, and against one that is not asked again
 // after it may have restarted.
 func TestPoolIsIdentifiedUntilConnectionsBreak(t *testing.T) {
-	asked, breakOff := 0, false
+	var asked atomic.Int64
+	var breakOff atomic.Bool
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch {
 		case r.URL.Path == "/who":
-			asked++
-		case breakOff:
+			asked.Add(1)
+		case breakOff.Load():
 			panic(http.ErrAbortHandler)
 		}
 	}))
@@ -108,30 +116,30 @@
 			finish(x)
 		}
 	}
-	require.Equal(t, 1, asked)
+	require.EqualValues(t, 1, asked.Load())
 
-	breakOff = true
+	breakOff.Store(true)
 	_, err := open()
 	require.Error(t, err)
-	breakOff = false
+	breakOff.Store(false)
 	x, err := open() // may get the connection on which the server was asked
 	require.NoError(t, err)
 	y, err := open()
 	require.NoError(t, err)
 	finish(x)
 	finish(y)
-	require.Equal(t, 2, asked, "a connection broke")
+	require.EqualValues(t, 2, asked.Load(), "a connection broke")
 
 	server.CloseClientConnections()
 	time.Sleep(20 * time.Millisecond)
 	x, err = open()
 	require.NoError(t, err)
 	finish(x)
-	require.Equal(t, 3, asked, "all connections were closed")
+	require.EqualValues(t, 3, asked.Load(), "all connections were closed")
 
 	p.CloseIdle(time.Now().Add(time.Hour))
 	x, err = open()
 	require.NoError(t, err)
 	finish(x)
-	require.Equal(t, 4, asked, "no connection was open")
+	require.EqualValues(t, 4, asked.Load(), "no connection was open")
 }
