--- a/upstream/identify_test.go
+++ b/upstream/identify_test.go
@@ -84,7 +84,7 @@
 // Guards against a server that is asked on each connection, and against one that is not asked again
 // after it may have restarted.
 func TestPoolIsIdentifiedUntilConnectionsBreak(t *testing.T) {
-	var asked atomic.Int32
+	var asked atomic.Int64
 	var breakOff atomic.Bool
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch {
