A forwarded stream that begins with a comment can go on

What callers saw: at an instance that passes requests on, a stream that begins with a comment and whose server then breaks off is cut, although it may be resumed and another server with the same software runs.

Cause: the response headers between the two instances say which software the stream is bound to. It is bound with its first event, and a comment that came before sent the headers without it. The first instance then took the software for unknown, to which no server fits.

Ruled out: to bind the stream with the comment. The instance would record a version for a client that has no event yet, and the first instance may begin the stream at a server of another version.

Change: the instance that serves the forwarded stream holds comments until the first event or the end.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -49,7 +49,9 @@
 	// resuming is set until the first event of a server that resumes the stream, which
 	// the client or this instance asks for;
 	// unnumbered is set if the last forwarded event has no ID.
-	resuming   bool
+	resuming bool
+	// ended is set once the response ends without an event.
+	ended      bool
 	unnumbered atomic.Bool
 	// mayBeComplete is set if the stream left a server that ended together with a response
 	// whose end is that of its connection: all events may have been sent.
@@ -263,6 +265,10 @@
 		if errors.Is(err, io.EOF) && !a.eventReceived && a.closeDelimited() {
 			err = io.ErrUnexpectedEOF
 		}
+		if errors.Is(err, io.EOF) && s.holdsComments() {
+			s.ended = true
+			watch.forward(func() bool { return !s.resuming && s.forwardEvents(a) })
+		}
 		if errors.Is(err, io.EOF) && len(s.pending) == 0 && (!s.resuming || !s.headersSent || (s.mayBeComplete && !a.closeDelimited())) {
 			watch.stop()
 			if err := a.checkEnd(r.Context()); err != nil {
@@ -306,6 +312,12 @@
 	s.rw.WriteHeader(a.status)
 }
 
+// holdsComments reports whether comments wait for the first event. The response headers tell the
+// instance that has passed the stream on which software it is bound to, so they leave with that event.
+func (s *stream) holdsComments() bool {
+	return s.call.forwarded != nil && s.call.route.Resumable && !s.headersSent && !s.ended
+}
+
 // forwardEvents forwards the complete events and comments that are pending, and reports whether
 // there were any events.
 func (s *stream) forwardEvents(a *attempt) bool {
@@ -315,6 +327,9 @@
 	}
 	events := s.pending[:length]
 	found := s.recordEvents(events)
+	if !found && s.holdsComments() {
+		return false
+	}
 	if found {
 		s.call.markEvent(a)
 		if a.forward != nil {
