gateway: a response without a length of a leaving server is complete

Callers could get 502 for a whole response: a server that is leaving closes its listener, finishes the responses that it has begun, and closes their connections. Since a response without a length or chunks counts as cut if its server refuses the connection that follows.

A refusal by a server that has said that it is leaving, or was announced so, is no longer a sign of a crash. A server that crashes while it is leaving, within such a response, is not noticed.

--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -111,6 +111,13 @@
 	return b.weights[model]
 }
 
+// leaving reports whether the server is to get no new requests because it is about to end.
+func (b *backend) leaving() bool {
+	b.state.mu.Lock()
+	defer b.state.mu.Unlock()
+	return b.tracker.Leaving()
+}
+
 // stalled reports whether the server has sent nothing for longer than the work of this
 // instance should take.
 func (b *backend) stalled(now time.Time) bool {
--- a/gateway/crash_answers.go
+++ b/gateway/crash_answers.go
@@ -102,9 +102,9 @@
 // checkEnd returns errEndedWithServer if a response whose end is that of its connection may be
 // cut. The connection that it opens replaces the one that has ended. A server that restarts within
 // a round trip is not noticed, and one that accepts no further connection and has no other open
-// counts as ended.
+// counts as ended, unless it is leaving: it then finishes its responses behind a closed listener.
 func (a *attempt) checkEnd(ctx context.Context) error {
-	if !a.closeDelimited() {
+	if !a.closeDelimited() || a.response.Leaving || a.backend.leaving() {
 		return nil
 	}
 	a.exchange.Abandon()
