--- a/control/replog/membership_test.go
+++ b/control/replog/membership_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/galenaarch/galenaarch/api/consensusv1"
 	"github.com/galenaarch/galenaarch/consensus"
+	"github.com/galenaarch/galenaarch/internal/loopback"
 )
 
 func TestSilentReplicaRemoval(t *testing.T) {
@@ -114,6 +115,11 @@
 func (g *dynamicGroup) listen() (*httptest.Server, *peerService) {
 	p := &peerService{}
 	server := httptest.NewUnstartedServer(consensusv1.NewConsensusServer(p))
+	server.Listener.Close()
+	host, err := loopback.FreeHost() // so that no other listener takes its port while it is down
+	require.NoError(g.t, err)
+	server.Listener, err = listenAt(net.JoinHostPort(host, "0"))
+	require.NoError(g.t, err)
 	return server, p
 }
 
--- a/internal/loopback/loopback.go
+++ b/internal/loopback/loopback.go
@@ -4,7 +4,10 @@
 // A port that the kernel chose for a listener is free again once that listener is
 // closed, so an outgoing connection may take it before the intended process
 // listens. The ports here lie below the kernel's ephemeral range, and each process
-// allocates from its own block, so two processes never choose the same port.
+// allocates from its own blocks, so two processes never choose the same port.
+//
+// A test server that listens again on the port it had needs a host of its own: on
+// 127.0.0.1 the kernel gives that port to others while the server is down.
 package loopback
 
 import (
@@ -18,8 +21,8 @@
 // Layout of the port range.
 const (
 	portRangeStart = 20_000
-	// portsPerBlock is the number of ports that one process reserves. The process
-	// listens on the first port of its block until it exits, which reserves the
+	// portsPerBlock is the number of ports that a process reserves at a time. It
+	// listens on the first port of the block until it exits, which reserves the
 	// block.
 	portsPerBlock = 600
 	// maxPortBlocks keeps the range below 32768, where Linux's ephemeral ports
@@ -27,46 +30,67 @@
 	maxPortBlocks = 20
 )
 
-// portBlock is the block that this process has reserved.
-var portBlock struct {
+// ports are the ports that this process has reserved.
+var ports struct {
 	sync.Mutex
-	// anchor listens on base, the first port of the block, to reserve it.
-	anchor net.Listener
-	base   int
-	// next is the port that is tried next, as an offset from base+1.
+	// anchors listen on the first port of each block, to reserve it.
+	anchors []net.Listener
+	// next is the number of ports allocated, in the order of the blocks.
 	next int
+	// hosts is the number of hosts allocated.
+	hosts int
 }
 
-// FreeAddress returns a loopback host:port that no process listens on now. It is not
-// returned again before all other free ports of this process's block. It returns an
-// error if all blocks are reserved or all ports of the block are in use.
+// FreeAddress returns a host:port on 127.0.0.1 that no process listens on now. It is
+// not returned again while a port or a block is left. It returns an error if all blocks
+// are reserved and all ports of this process's blocks are in use.
 func FreeAddress() (string, error) {
-	portBlock.Lock()
-	defer portBlock.Unlock()
-	if err := reserveBlock(); err != nil {
-		return "", err
-	}
-	for range portsPerBlock - 1 {
-		port := portBlock.base + 1 + portBlock.next
-		portBlock.next = (portBlock.next + 1) % (portsPerBlock - 1)
+	ports.Lock()
+	defer ports.Unlock()
+	for restarted := false; ; {
+		block, offset := ports.next/(portsPerBlock-1), ports.next%(portsPerBlock-1)
+		if block == len(ports.anchors) {
+			if err := reserveBlock(); err != nil {
+				if restarted || block == 0 {
+					return "", err
+				}
+				ports.next, restarted = 0, true
+				continue
+			}
+		}
+		ports.next++
+		port := ports.anchors[block].Addr().(*net.TCPAddr).Port + 1 + offset
 		if listener, err := listen(port); err == nil {
 			listener.Close()
 			return fmt.Sprintf("127.0.0.1:%d", port), nil
 		}
 	}
-	return "", eris.Errorf("no free loopback port between %d and %d", portBlock.base+1, portBlock.base+portsPerBlock-1)
 }
 
-// reserveBlock reserves a block for this process if it has none. The caller must
-// hold portBlock.
-func reserveBlock() error {
-	if portBlock.anchor != nil {
-		return nil
+// FreeHost returns a loopback host that no other test server uses: not in this
+// process, nor in another one that allocates here. It returns an error if all blocks
+// are reserved or this process has no host left.
+func FreeHost() (string, error) {
+	ports.Lock()
+	defer ports.Unlock()
+	if len(ports.anchors) == 0 {
+		if err := reserveBlock(); err != nil {
+			return "", err
+		}
 	}
+	if ports.hosts == 1<<16-1 {
+		return "", eris.New("no free loopback host")
+	}
+	ports.hosts++
+	block := (ports.anchors[0].Addr().(*net.TCPAddr).Port - portRangeStart) / portsPerBlock
+	return fmt.Sprintf("127.%d.%d.%d", 1+block, ports.hosts>>8, ports.hosts&255), nil
+}
+
+// reserveBlock reserves another block for this process. The caller must hold ports.
+func reserveBlock() error {
 	for i := range maxPortBlocks {
-		base := portRangeStart + i*portsPerBlock
-		if listener, err := listen(base); err == nil {
-			portBlock.anchor, portBlock.base = listener, base
+		if listener, err := listen(portRangeStart + i*portsPerBlock); err == nil {
+			ports.anchors = append(ports.anchors, listener)
 			return nil
 		}
 	}
--- a/internal/loopback/loopback_test.go
+++ b/internal/loopback/loopback_test.go
@@ -39,9 +39,35 @@
 	}
 }
 
-func TestPortBlockIsExclusiveToProcess(t *testing.T) {
+// TestAddressesAreNotReused guards against a process that cannot listen again: while it
+// was down its address was given to another.
+func TestAddressesAreNotReused(t *testing.T) {
+	seen := make(map[string]bool)
+	for range 3 * portsPerBlock {
+		address, err := FreeAddress()
+		require.NoError(t, err)
+		require.False(t, seen[address], "%s allocated twice", address)
+		seen[address] = true
+	}
+}
+
+func TestHostsAreNotReused(t *testing.T) {
+	seen := make(map[string]bool)
+	for range 600 {
+		host, err := FreeHost()
+		require.NoError(t, err)
+		require.False(t, seen[host], "%s allocated twice", host)
+		require.NotEqual(t, "127.0.0.1", host)
+		require.True(t, net.ParseIP(host).IsLoopback(), host)
+		seen[host] = true
+	}
+}
+
+func TestPortBlocksAreExclusiveToProcess(t *testing.T) {
 	_, err := FreeAddress()
 	require.NoError(t, err)
-	_, err = net.Listen("tcp", portBlock.anchor.Addr().String())
-	require.Error(t, err, "the block's first port is in use")
+	for _, anchor := range ports.anchors {
+		_, err = net.Listen("tcp", anchor.Addr().String())
+		require.Error(t, err, "the block's first port is in use")
+	}
 }
