faults: the start of a soak is not written while it is read

The second time has a field of its own. A violation by a client that outlived its failed test then ended the whole package with a panic (TestRequestsAreAnsweredBesideConfigurations); clients now end before their test does. Tests only; no check has changed.

--- a/faults/crash_soak_test.go
+++ b/faults/crash_soak_test.go
@@ -78,6 +78,8 @@
 type crashSoak struct {
 	*streamSoak
 	restarts sync.WaitGroup
+	// clientsFrom is when clients began.
+	clientsFrom time.Time
 }
 
 // crashed records the crash of a server under a cause and restarts it later.
@@ -143,7 +145,7 @@
 // often as in the baseline.
 func (c *crashSoak) requireSound(name string, groups map[string]requestGroup, served requestGroup, from, to time.Time) {
 	for _, group := range slices.Sorted(maps.Keys(groups)) {
-		normal, n := c.servedShare(groups[group], served, c.startedAt, c.startedAt.Add(baselineDuration))
+		normal, n := c.servedShare(groups[group], served, c.clientsFrom, c.clientsFrom.Add(baselineDuration))
 		share, m := c.servedShare(groups[group], served, from, to)
 		c.t.Logf("%s, %s: %.3f of %d sound requests are served, %.3f of %d before", name, group, share, m, normal, n)
 		if n >= minSoundRequests && m >= minSoundRequests && share < minSoundShare*normal {
--- a/faults/crashing_part_soak_test.go
+++ b/faults/crashing_part_soak_test.go
@@ -134,6 +134,10 @@
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
 	var workers, clients, faults sync.WaitGroup
+	defer func() { // a client that outlives a failed test ends the package
+		stop()
+		clients.Wait()
+	}()
 	random := rand.New(rand.NewPCG(settings.seed, 4))
 	c := &crashingPartSoak{
 		crashSoak: &crashSoak{streamSoak: startStreamSoak(ctx, t, settings, soakRoutes, streamSoakServers, &workers)},
@@ -141,7 +145,7 @@
 	}
 	c.cause = &crashCause{name: "the part", counted: partCrashes}
 	defer c.summary(settings.seed)
-	c.adjust, c.gatewaysOnly, c.startedAt = c.crashUnder, true, time.Now()
+	c.adjust, c.gatewaysOnly, c.clientsFrom = c.crashUnder, true, time.Now()
 	for gateway := range settings.gateways {
 		for range settings.clients {
 			clients.Go(func() { c.runClient(ctx, gateway, clientPause, c.soundRequest) })
--- a/faults/crashing_request_soak_test.go
+++ b/faults/crashing_request_soak_test.go
@@ -386,6 +386,10 @@
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
 	var workers, clients, faults sync.WaitGroup
+	defer func() { // a client that outlives a failed test ends the package
+		stop()
+		clients.Wait()
+	}()
 	random := rand.New(rand.NewPCG(settings.seed, 5))
 	c := &requestSoak{longCached: make(map[string]bool)}
 	for n := range 1 + random.IntN(maxCauses) {
@@ -393,7 +397,7 @@
 	}
 	c.crashSoak = &crashSoak{streamSoak: startStreamSoak(ctx, t, settings, requestSoakRoutes, requestSoakServers, &workers)}
 	defer c.summary(settings.seed)
-	c.adjust, c.gatewaysOnly, c.startedAt = c.crashUnder, true, time.Now()
+	c.adjust, c.gatewaysOnly, c.clientsFrom = c.crashUnder, true, time.Now()
 	for gateway := range settings.gateways {
 		for range settings.clients {
 			clients.Go(func() { c.runClient(ctx, gateway, clientPause, c.soundRequest) })
--- a/faults/document_series_soak_test.go
+++ b/faults/document_series_soak_test.go
@@ -101,6 +101,10 @@
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
 	var workers, clients, faults, series sync.WaitGroup
+	defer func() { // a client that outlives a failed test ends the package
+		stop()
+		clients.Wait()
+	}()
 	s := startStreamSoak(ctx, t, c, soakRoutes, streamSoakServers, &workers)
 	defer s.summary(c.seed)
 	s.document, s.inSeries = seriesDocument, true
--- a/faults/software_soak_test.go
+++ b/faults/software_soak_test.go
@@ -276,6 +276,10 @@
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
 	var workers, clients, series, processes, servers sync.WaitGroup
+	defer func() { // a client that outlives a failed test ends the package
+		stop()
+		clients.Wait()
+	}()
 	s := newSoftwareSoak(ctx, t, settings, &workers)
 	defer s.summary(settings.seed)
 	for range settings.gateways * settings.clients {
--- a/faults/state_soak_test.go
+++ b/faults/state_soak_test.go
@@ -470,6 +470,10 @@
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
 	var workers, clients, faults, state sync.WaitGroup
+	defer func() { // a client that outlives a failed test ends the package
+		stop()
+		clients.Wait()
+	}()
 	s := &stateSoak{endless: make(map[*soakServer]string)}
 	s.streamSoak = newStreamSoak(t, c, soakRoutes)
 	s.intercept, s.adjust, s.keepsID = s.respond, s.runOnWeights, func() bool { return true }
--- a/faults/stream_soak_test.go
+++ b/faults/stream_soak_test.go
@@ -388,6 +388,10 @@
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
 	var workers, clients, faults sync.WaitGroup
+	defer func() { // a client that outlives a failed test ends the package
+		stop()
+		clients.Wait()
+	}()
 	s := startStreamSoak(ctx, t, c, soakRoutes, streamSoakServers, &workers)
 	defer s.summary(c.seed)
 	for gateway := range c.gateways {
--- a/faults/unanswered_soak_test.go
+++ b/faults/unanswered_soak_test.go
@@ -202,6 +202,10 @@
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
 	var workers, clients, series, faults sync.WaitGroup
+	defer func() { // a client that outlives a failed test ends the package
+		stop()
+		clients.Wait()
+	}()
 	random := rand.New(rand.NewPCG(settings.seed, 7))
 	s := &unansweredSoak{&requestSoak{longCached: make(map[string]bool), causes: []*crashingRequest{newCrashingRequest(1, random)}}}
 	s.crashSoak = &crashSoak{streamSoak: startStreamSoak(ctx, t, settings, requestSoakRoutes, requestSoakServers, &workers)}
