replog: a group is founded only with the voters that its tolerated losses require

Cause: the founding replica waited 3 s for 2f+1 replicas once all seeds had responded, then founded the group with those that counted at that moment, and changes were acknowledged by a majority of these. Replicas that come late are missing; so are all but the seeds if the process stands still for 3 s, since announcements counted for 1 s.

Change: the group is founded once 2f+1 replicas have announced themselves, without a limit of time. Changes are refused at once until then. Fewer than three seeds are all replicas of a site; such a group is founded after 3 s with fewer, as before. An announcement counts for 3 s, longer than the time between two of a replica to which a seed does not respond. The consensus rule and its model are unchanged: the voters of a founded group do not fall below 2f+1.

--- a/control/replog/join.go
+++ b/control/replog/join.go
@@ -23,8 +23,9 @@
 	identifyTimeout  = 2 * time.Second
 	identifyInterval = 200 * time.Millisecond
 	announceInterval = time.Second
-	// foundingWait is how long the replica that bootstraps a group waits for as many
-	// voters as the tolerated losses require, once all seeds have responded.
+	// foundingWait is how long the replica that bootstraps a group waits, once all seeds have
+	// responded, for as many voters as the tolerated losses require if the seeds are all
+	// replicas. Otherwise it waits until that many have announced themselves.
 	foundingWait = 3 * time.Second
 	// leaderWait is how long a starting replica waits for a response from the
 	// leader, or from all other voters, before a majority suffices.
@@ -128,7 +129,7 @@
 				waitingSince = time.Now()
 			}
 			founders := g.founders(responses)
-			if len(founders) >= g.requiredVoters() || time.Since(waitingSince) >= foundingWait {
+			if len(founders) >= g.requiredVoters() || (g.seedsAreAll() && time.Since(waitingSince) >= foundingWait) {
 				return g.found(ctx, founders)
 			}
 		}
@@ -138,7 +139,15 @@
 	return ctx.Err()
 }
 
-// found bootstraps the group with the founders as its voters.
+// fullSeeds is the number of seeds from which on there may be more replicas than seeds.
+const fullSeeds = 3
+
+// seedsAreAll reports whether the settings name all replicas of the first start.
+func (g *Group) seedsAreAll() bool { return len(g.settings.Replicas) < fullSeeds }
+
+// found bootstraps the group with the founders as its voters. Invariant: a group that may lose
+// ToleratedLosses disks has that many voters, and as many again and one, before it acknowledges a
+// change, unless fewer replicas exist. A majority of fewer voters may be lost with these disks.
 func (g *Group) found(ctx context.Context, founders []*consensusv1.Member) error {
 	if len(founders) < g.requiredVoters() {
 		g.logger.Warn("group is bootstrapped with fewer voters than the tolerated losses require",
@@ -196,8 +205,9 @@
 }
 
 const (
-	// newcomerMaxAge is the age from which a newcomer counts as gone.
-	newcomerMaxAge = time.Second
+	// newcomerMaxAge is the age from which a newcomer counts as gone. It exceeds the time
+	// between two announcements of a replica to which a seed does not respond.
+	newcomerMaxAge = identifyTimeout + 5*identifyInterval
 	// maxNewcomers bounds the newcomers that are remembered.
 	maxNewcomers = 64
 )
--- a/control/replog/liveness_soak_test.go
+++ b/control/replog/liveness_soak_test.go
@@ -84,10 +84,11 @@
 	return slices.Clone(g.nodes)
 }
 
-// seeds are the URLs of the first three nodes.
+// seeds are the URLs of the first three nodes, or of all if there are fewer.
 func (g *livenessGroup) seeds() []Peer {
 	var seeds []Peer
-	for _, n := range g.members()[:3] {
+	nodes := g.members()
+	for _, n := range nodes[:min(3, len(nodes))] {
 		seeds = append(seeds, Peer{URL: n.url})
 	}
 	return seeds
@@ -481,8 +482,27 @@
 	})
 }
 
-// newLivenessGroup starts a group of nodes.
+// newLivenessGroup starts a group of nodes within 300 ms.
 func newLivenessGroup(t *testing.T, seed uint64, site livenessSite) *livenessGroup {
+	g := newUnstartedGroup(t, seed, site)
+	for _, n := range g.nodes {
+		g.startLater(n, func() time.Duration { return time.Duration(g.net.intN(300)) * time.Millisecond })
+	}
+	return g
+}
+
+// startLater starts a node for the first time after a delay.
+func (g *livenessGroup) startLater(n *simNode, delay func() time.Duration) {
+	g.claim(n)
+	g.background(func() {
+		time.Sleep(delay())
+		g.startNode(n, true)
+		g.note("%s starts for the first time", n.name)
+	})
+}
+
+// newUnstartedGroup prepares a group of nodes.
+func newUnstartedGroup(t *testing.T, seed uint64, site livenessSite) *livenessGroup {
 	logger := slog.New(slog.DiscardHandler)
 	if os.Getenv("GALENA_SOAK_LOG") != "" {
 		logger = slog.New(slog.NewTextHandler(os.Stderr, nil))
@@ -495,13 +515,6 @@
 		n := g.newNode()
 		g.nodes = append(g.nodes, n)
 	}
-	for _, n := range g.nodes {
-		g.claim(n)
-		g.background(func() {
-			time.Sleep(time.Duration(g.net.intN(300)) * time.Millisecond)
-			g.startNode(n, true)
-		})
-	}
 	return g
 }
 
--- a/control/replog/replog.go
+++ b/control/replog/replog.go
@@ -45,7 +45,8 @@
 	URL string
 	// Replicas lists the initial replicas including this one; the first one
 	// bootstraps the group. In a group with dynamic membership they are only
-	// seeds: a few addresses without names that need not include this replica.
+	// seeds: a few addresses without names that need not include this replica. At the first
+	// start fewer than fullSeeds of them are all replicas.
 	Replicas []Peer
 	// DynamicMembership allows replicas that Replicas does not list to join, and
 	// removes replicas that are silent for too long.
@@ -56,8 +57,8 @@
 	MayBootstrap bool
 	// ToleratedLosses is the number of replicas that may lose their disks at the same
 	// time without a loss of committed entries or of the quorum. With dynamic membership
-	// the group is founded with at least 2*ToleratedLosses+1 voters, and removes no silent
-	// replica below that number.
+	// the group is founded once there are 2*ToleratedLosses+1 voters, or with all replicas if
+	// there are fewer than fullSeeds, and removes no silent replica below that number.
 	ToleratedLosses int
 	// CatchUpTime is how long after its return a replica still counts as lost. Voters that
 	// are silent for as long are removed. 0 selects the default of 10 s.
--- a/control/replog/simnet_test.go
+++ b/control/replog/simnet_test.go
@@ -204,6 +204,8 @@
 type simService struct {
 	peerService
 	group atomic.Pointer[Group]
+	// identifyDelay is how long it takes to respond to Identify.
+	identifyDelay time.Duration
 }
 
 var errSimNotOpen = twirp.NewError(twirp.Unavailable, "the replica is not open")
@@ -224,7 +226,8 @@
 	if g == nil {
 		return nil, errSimNotOpen
 	}
-	return g.Identify(ctx, r), nil
+	response := g.Identify(ctx, r)
+	return response, sleepOrDone(ctx, s.identifyDelay)
 }
 
 // simNode is one instance: its disk, and the replica while its process runs.
