replog: an operator cannot remove voters that the tolerated losses require

What callers could see: after RemoveReplica has taken a group with -seeds below 2f+1 voters, changes are acknowledged by a majority of the rest, which the loss of f disks may take away: nothing is served from then on. Found while the founding with too few voters was traced, not seen by a caller.

Cause: only the removal of silent voters kept the number.

TestRemovalBelowVotersThatLossesRequireIsRefused fails before (the removal succeeds).

--- a/control/replog/founding_test.go
+++ b/control/replog/founding_test.go
@@ -136,3 +136,46 @@
 		})
 	}
 }
+
+// TestRemovalBelowVotersThatLossesRequireIsRefused guards against an operator's removal that leaves fewer
+// voters than the loss of two disks requires, and changes that are acknowledged by these.
+func TestRemovalBelowVotersThatLossesRequireIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		site := livenessSites[1]
+		site.nodes = 6
+		g := newLivenessGroup(t, 1, site)
+		defer g.close()
+		if !g.calm(site.start) {
+			return
+		}
+		time.Sleep(site.catchUp)
+		leader := g.leader().service.group.Load()
+		voters := func() int { return countVoters(leader.Status().Membership) }
+		require.Equal(t, 6, voters())
+		remove := func(n *simNode) error { return leader.RemoveReplica(t.Context(), n.service.group.Load().ID()) }
+		var followers []*simNode
+		for _, n := range g.members() {
+			if n != g.leader() {
+				followers = append(followers, n)
+			}
+		}
+		followers[0].end(false) // otherwise it is admitted again
+		require.NoError(t, leader.RemoveReplica(t.Context(), memberOf(leader, followers[0])))
+		for _, n := range followers[1:] {
+			require.ErrorIs(t, remove(n), ErrTooFewVoters)
+		}
+		time.Sleep(time.Second)
+		require.Equal(t, 5, voters())
+		g.calm(site.serve)
+	})
+}
+
+// memberOf returns the ID under which a group knows a node.
+func memberOf(leader *Group, n *simNode) string {
+	for _, m := range leader.Status().Membership.Members {
+		if m.Url == n.url {
+			return m.Id
+		}
+	}
+	return ""
+}
--- a/control/replog/join.go
+++ b/control/replog/join.go
@@ -168,7 +168,7 @@
 	if !g.settings.DynamicMembership {
 		return len(g.settings.Replicas)
 	}
-	return max(len(g.settings.Replicas), 2*g.settings.ToleratedLosses+1)
+	return max(len(g.settings.Replicas), g.settings.votersForLosses())
 }
 
 // founders lists this replica, the other seeds and, with dynamic membership, all replicas
--- a/control/replog/membership.go
+++ b/control/replog/membership.go
@@ -27,9 +27,38 @@
 	})
 }
 
-// RemoveReplica removes a replica from the group.
+// ErrTooFewVoters is returned if a removal would leave fewer voters than the tolerated losses
+// require.
+var ErrTooFewVoters = errors.New("fewer voters would remain than the tolerated losses require")
+
+// RemoveReplica removes a replica from the group. It returns ErrTooFewVoters if the group has as
+// many voters as the tolerated losses require, and the replica is one of them: a change that the
+// remaining ones acknowledge would be lost with the disks of ToleratedLosses of them.
 func (g *Group) RemoveReplica(ctx context.Context, id string) error {
-	return g.changeMembership(ctx, func(m *consensusv1.Membership) error { return removeMember(m, id) })
+	return g.changeMembership(ctx, func(m *consensusv1.Membership) error {
+		before := countVoters(m)
+		if err := removeMember(m, id); err != nil {
+			return err
+		}
+		required := g.settings.votersForLosses()
+		if g.settings.DynamicMembership && before >= required && countVoters(m) < required {
+			return ErrTooFewVoters
+		}
+		return nil
+	})
+}
+
+// votersForLosses is the number of voters of which a majority remains after the tolerated losses.
+func (s *Settings) votersForLosses() int { return 2*s.ToleratedLosses + 1 }
+
+func countVoters(m *consensusv1.Membership) int {
+	voters := 0
+	for _, r := range m.Members {
+		if !r.Learner {
+			voters++
+		}
+	}
+	return voters
 }
 
 func removeMember(m *consensusv1.Membership, id string) error {
@@ -140,7 +169,7 @@
 	if !l.settings.DynamicMembership {
 		return false
 	}
-	keep := max(minVoters, 2*l.settings.ToleratedLosses+1)
+	keep := max(minVoters, l.settings.votersForLosses())
 	longest := longestSilentReplica(m, l.id, l.node.Status().TicksSinceContact, l.settings.maxSilentTicks(), keep)
 	if longest == "" {
 		return false
@@ -163,12 +192,7 @@
 // longestSilentReplica returns the ID of the replica to remove, or an empty
 // string. At least keep voters remain.
 func longestSilentReplica(m *consensusv1.Membership, self string, silentTicks map[string]int, maxTicks, keep int) string {
-	voters, longest := 0, ""
-	for _, r := range m.Members {
-		if !r.Learner {
-			voters++
-		}
-	}
+	voters, longest := countVoters(m), ""
 	for _, r := range m.Members {
 		if r.Id == self || silentTicks[r.Id] < maxTicks || (!r.Learner && voters <= keep) {
 			continue
