dispatch: instances do not each try whether more fits at a brittle server

Callers saw: rejections for want of room, though a third of the slots of brittle servers stood empty.

Cause: servers that run fewer requests than they announce reject the next one. A second after its own last rejection each instance assumed one more to fit, whatever the others had learned: with n instances up to n rejections a second. After half of the rejections that the server survives all instances stop for the rest of the second, except for places that their own requests leave; other places stay empty.

Ruled out: the processor (0.4 to 0.5 ms late on average while 3.4 to 4.3 of 12 slots were empty and requests waited), late updates between instances (2 to 10 of 1600 requests in an own place met a full server).

Change: while others have had rejections, no slot returns beyond the requests that are known to be at the server. Slots below these return as before, so that an instance that learned of too few is not kept out.

TestSlotsReturnBesideRejectionsElsewhere fails before, too.

--- a/dispatch/brittle_room.go
+++ b/dispatch/brittle_room.go
@@ -121,6 +121,17 @@
 	}
 }
 
+// rejectedElsewhere records that other instances have had rejections within rejectionWindow,
+// with total requests at the server. No slot beyond these returns until slotReturn after that:
+// if each of n instances tried by itself whether one more fits, the server would reject n in
+// slotReturn. Slots below total return all the same: the others show that the server has them.
+func (r *brittleRoom) rejectedElsewhere(announced int, total float64, now time.Time) {
+	if r.fullAt.IsZero() || total > float64(r.slots(announced, now)) {
+		return
+	}
+	r.fullRunning, r.fullAt = max(r.fullRunning, int(total)), now
+}
+
 // slots returns how many requests the server can run.
 func (r *brittleRoom) slots(announced int, now time.Time) int {
 	if r.fullAt.IsZero() {
@@ -171,14 +182,15 @@
 		return false
 	}
 	rejections := own + others.Rejections
+	total, _ := b.requests(others, now)
 	if others.Rejections > 0 {
 		b.room.waitingLimit, b.room.learned = 0, true
+		b.room.rejectedElsewhere(b.Slots, total, now)
 	}
 	bound := b.room.slots(b.Slots, now)
 	if rejections == 0 {
 		bound += b.room.limit(b.Slots)
 	}
-	total, _ := b.requests(others, now)
 	free := float64(bound) - total
 	if instances <= 1 || free < 1 {
 		return free >= 1
--- a/dispatch/brittle_room_test.go
+++ b/dispatch/brittle_room_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/galenaarch/galenaarch/placement"
@@ -32,6 +33,7 @@
 	brittleRestart = 3 * time.Second
 	// brittleTries is the number of servers to which a request is sent.
 	brittleTries = 3
+	clientPause  = 50 * time.Millisecond
 )
 
 // brittleShape is a kind of service.
@@ -45,6 +47,9 @@
 	hold time.Duration
 	// memory bounds the running requests below the slots; 0 for no bound.
 	memory int
+	// clients is the number of clients of all instances that send one request after another,
+	// instead of load and burst; 0 for none. They pause for clientPause after a rejection.
+	clients int
 }
 
 // brittleServer is a simulated server.
@@ -66,6 +71,8 @@
 	instance *brittleInstance
 	deadline time.Duration
 	tried    map[int]bool
+	// done is called with its outcome; nil for a request of no client.
+	done func(served bool)
 }
 
 // brittleInstance is a simulated entry instance.
@@ -127,23 +134,50 @@
 			e.others = append(e.others, make(map[int]Load))
 		}
 		s.instances = append(s.instances, e)
-		s.arrive(e)
 		s.recheck(e)
+		if shape.clients == 0 {
+			s.arrive(e)
+		}
+	}
+	for n := range shape.clients {
+		s.client(s.instances[n%instances])
 	}
 	return s
 }
 
-// arrive lets requests arrive at an instance.
-func (s *brittleSim) arrive(e *brittleInstance) {
-	capacity := float64(s.servers*s.slots) / s.work.Seconds()
+// capacity returns the requests that the servers can serve in a second.
+func (s *brittleSim) capacity() float64 {
+	slots := s.slots
 	if s.memory > 0 {
-		capacity = float64(s.servers*s.memory) / s.work.Seconds()
+		slots = s.memory
 	}
+	return float64(s.servers*slots) / s.work.Seconds()
+}
+
+// client lets a client send a request within some ms, and another one once that has ended.
+func (s *brittleSim) client(e *brittleInstance) {
+	s.after(time.Duration(s.rng.ExpFloat64()*float64(time.Millisecond)), func() {
+		r := &brittleRequest{deadline: s.now + s.hold, tried: make(map[int]bool), instance: e}
+		r.done = func(served bool) {
+			if served {
+				s.client(e)
+				return
+			}
+			s.after(clientPause, func() { s.client(e) })
+		}
+		if !s.place(e, r) {
+			e.queue = append(e.queue, r)
+		}
+	})
+}
+
+// arrive lets requests arrive at an instance.
+func (s *brittleSim) arrive(e *brittleInstance) {
 	load := s.load
 	if s.now%(6*time.Second) > 4*time.Second {
 		load = s.burst
 	}
-	rate := capacity * load / float64(len(s.instances))
+	rate := s.capacity() * load / float64(len(s.instances))
 	s.after(time.Duration(s.rng.ExpFloat64()/rate*float64(time.Second)), func() {
 		r := &brittleRequest{instance: e, deadline: s.now + s.hold, tried: make(map[int]bool)}
 		if !s.place(e, r) {
@@ -168,7 +202,7 @@
 	failed := 0
 	e.queue = slices.DeleteFunc(e.queue, func(r *brittleRequest) bool {
 		if s.now > r.deadline {
-			e.lost++
+			e.lose(r)
 			return true
 		}
 		if failed >= maxFailedTries {
@@ -345,15 +379,42 @@
 func (s *brittleSim) retry(e *brittleInstance, r *brittleRequest, served bool) {
 	if served {
 		e.served++
+		if r.done != nil {
+			r.done(true)
+		}
 		return
 	}
 	if len(r.tried) >= brittleTries {
-		e.lost++
+		e.lose(r)
 		return
 	}
 	e.queue = append(e.queue, r)
 }
 
+// lose ends a request that was not served.
+func (e *brittleInstance) lose(r *brittleRequest) {
+	e.lost++
+	if r.done != nil {
+		r.done(false)
+	}
+}
+
+// servedBetween returns the requests served in a part of the simulation; it is called once the
+// simulation has ended.
+func (s *brittleSim) servedBetween(from, until time.Duration) func() int {
+	served := 0
+	count := func(sign int) func() {
+		return func() {
+			for _, e := range s.instances {
+				served += sign * e.served
+			}
+		}
+	}
+	s.after(from, count(-1))
+	s.after(until, count(1))
+	return func() int { return served }
+}
+
 func (s *brittleSim) simulate() (ends, rejects, served int) {
 	for len(s.events) > 0 {
 		event := heap.Pop(&s.events).(simEvent)
@@ -405,3 +466,45 @@
 		}
 	}
 }
+
+// TestRoomOfBrittleServersIsUsed guards against instances that leave much of the room at brittle
+// servers unused, because each of them tries by itself whether more fits than ran at a full server.
+func TestRoomOfBrittleServersIsUsed(t *testing.T) {
+	shape := brittleShape{servers: 3, slots: 6, memory: 4, queue: 16, work: 40 * time.Millisecond, hold: 50 * time.Millisecond, clients: 40}
+	share := func(instances int, seed uint64) float64 {
+		s := newBrittleSim(shape, instances, seed, &Policy{})
+		for _, b := range s.list {
+			b.smallQueue, b.maxRejections = 0, 4
+		}
+		served := s.servedBetween(brittleFrom+brittleGrace, brittleUntil)
+		ends, rejects, _ := s.simulate()
+		used := float64(served()) / s.capacity() / (brittleUntil - brittleFrom - brittleGrace).Seconds()
+		t.Logf("%d instances, seed %d: ends %d, rejections %d, share of the capacity %.2f", instances, seed, ends, rejects, used)
+		require.LessOrEqual(t, ends, allowedEnds(shape.servers))
+		return used
+	}
+	for _, seed := range brittleSeeds(t) {
+		one := share(1, seed)
+		for _, instances := range []int{4, 9} {
+			assert.Greater(t, share(instances, seed), 0.9*one, "%d instances, seed %d", instances, seed)
+		}
+	}
+}
+
+// TestSlotsReturnBesideRejectionsElsewhere guards against an instance that learned of too few slots
+// and sends nothing for as long as other instances have rejections at the full server.
+func TestSlotsReturnBesideRejectionsElsewhere(t *testing.T) {
+	stated := Brittleness{Brittle: true, MaxRejections: 10}
+	b := NewBackendState(BackendInfo{Slots: 8}, start)
+	b.ApplyReport(Report{Running: 0, Waiting: 1, Slots: 8}, Load{Requests: 1}, start)
+	others := Load{Requests: 4, Rejections: 1}
+	hasRoom := func(at time.Duration) bool { return b.HasRoom(stated, others, 3, 0, start.Add(at)) }
+	for at := time.Duration(0); at < 3*time.Second; at += 10 * time.Millisecond {
+		require.False(t, hasRoom(at), "after %v: the others have four there, one slot is known", at)
+	}
+	for at := 3 * time.Second; at < 10*time.Second; at += 10 * time.Millisecond {
+		require.False(t, hasRoom(at), "after %v: the fifth is what the others try", at)
+	}
+	others = Load{Requests: 3, Rejections: 1}
+	require.True(t, hasRoom(10*time.Second), "the server has the four slots that the others used")
+}
