registry: a poll that does not wait returns all changes

A stream could go on at the version that was the only one up to 300 ms before.

Found by reading while TestNextIncarnationOfAnotherVersionIsNotJoined was traced; it is not the cause of that. Polls that wait still end at a bounded rate (TestChangesEndPollsAtABoundedRate, TestDocumentChangesEndPollsAtABoundedRate pass); those that do not wait are bounded by their senders.

TestPollThatDoesNotWaitReturnsAllChanges fails before, at the first document, and passes after. registry and fleetview pass with -race.

--- a/registry/hub.go
+++ b/registry/hub.go
@@ -366,19 +366,24 @@
 }
 
 // buildResponse returns what the subscriber does not know yet, and a channel
-// that is closed at the next change.
+// that is closed at the next change. Changes that wait to be shown are returned only to a poll
+// that does not wait.
 func (h *Hub) buildResponse(req *fleetv1.SyncRequest, cursor uint64) (*fleetv1.SyncResponse, <-chan struct{}) {
 	response := &fleetv1.SyncResponse{Feed: h.feedID, ControlUrls: h.documents.ControlURLs()}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.noteDocuments()
-	for _, d := range h.shownDocuments {
+	shownCursor, shownDocuments := h.shownCursor, h.shownDocuments
+	if req.WaitMs == 0 { // asks for what is known now
+		shownCursor, shownDocuments = h.table.Cursor(), h.documents.Published()
+	}
+	for _, d := range shownDocuments {
 		if d.Version > req.Known[d.Name] {
 			response.Documents = append(response.Documents, &fleetv1.DocumentVersion{Name: d.Name, Version: d.Version})
 		}
 	}
 	response.Cursor = cursor
-	if req.Feed != h.feedID || cursor < h.shownCursor {
+	if req.Feed != h.feedID || cursor < shownCursor {
 		response.Cursor, response.Announcements = h.table.Cursor(), h.table.ChangesSince(cursor)
 	}
 	if req.Feed != h.feedID || len(response.Announcements) > 0 {
