gateway: a stream goes on at a plain server only once that is confirmed

Callers got streams joined from two software versions: a plain server, which does not state its start, was started again under its ID with other software and had announced that, but the entry instance had not heard of it yet (TestNextIncarnationOfAnotherVersionIsNotJoined).

Traced in 9 failing runs of 160 (load 20 to 37 on 8 cores): each time the instance had no connection to the server when that ended, the last ones having been closed half a second before, with their clients; a probe opened a new one to the next incarnation, the first stream went on over it, and the announcement was known 0.4 to 3 ms after. The stream was bound by the instance's own record, so that nothing had asked the control instances.

For engines an instance that is late is no danger: they are asked. Before a stream goes on at a server that cannot be asked, over a connection to it, the instance now asks the control instances for what they know: those that respond, a majority of all, as one that is dead must not have all streams rejected. It asks nothing if all of them have been heard four announcement intervals after the connection was opened, or since the request arrived or its last response ended.

Before: TestAnnouncedRestartOfPlainServerIsNotJoinedAtLateInstance, the first of 20 streams, in 4 of 4 cases. Passes after, as do TestPlainServerContinuesStreamsAtLateInstance and TestPlainServerContinuesStreamsOverOldConnection.

Not covered: a restart that has not been announced to any control instance that responds.

--- a/fleetview/confirm.go
+++ b/fleetview/confirm.go
@@ -21,6 +21,30 @@
 // Invariant: a process that stood still, or was cut off, from any of them, is not confirmed. What it
 // knew before says nothing about the time since.
 func (v *View) Confirm(ctx context.Context, at time.Time) bool {
+	return v.confirmBy(ctx, at, v.confirmedAll)
+}
+
+// ConfirmResponding is Confirm by the control instances that respond, a majority of them. What was announced
+// to one that does not respond, or that this process does not reach, is not known.
+func (v *View) ConfirmResponding(ctx context.Context, at time.Time) bool {
+	return v.confirmBy(ctx, at, v.confirmedResponding)
+}
+
+// KnownAsOf returns the time as of which this process knows all that the control instances knew, those that
+// do not respond included; zero for never.
+func (v *View) KnownAsOf() (asOf time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for i, s := range v.listedSources(time.Now()) {
+		if i == 0 || s.confirmedAt.Before(asOf) {
+			asOf = s.confirmedAt
+		}
+	}
+	return asOf
+}
+
+// confirmBy waits until confirmed says so, or that it is not possible, or ctx ends.
+func (v *View) confirmBy(ctx context.Context, at time.Time, confirmed func(at time.Time) (confirmed, possible bool)) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if at.After(v.confirm.after) {
@@ -29,9 +53,9 @@
 	v.confirm.waiting++
 	defer func() { v.confirm.waiting-- }()
 	for asked := false; ; asked = true {
-		confirmed, possible := v.confirmedAll(at)
-		if confirmed || !possible || ctx.Err() != nil {
-			return confirmed
+		ok, possible := confirmed(at)
+		if ok || !possible || ctx.Err() != nil {
+			return ok
 		}
 		if !asked {
 			v.interruptPolls()
@@ -61,6 +85,21 @@
 	return confirmed && possible, possible
 }
 
+// confirmedResponding is confirmedAll without those that are known not to respond, as long as a majority
+// does. The caller holds the lock.
+func (v *View) confirmedResponding(at time.Time) (confirmed, possible bool) {
+	listed, responding := v.listedSources(time.Now()), 0
+	confirmed = true
+	for _, s := range listed {
+		if !s.unreachable {
+			responding++
+			confirmed = confirmed && !s.confirmedAt.Before(at)
+		}
+	}
+	possible = 2*responding > len(listed)
+	return confirmed && possible, possible
+}
+
 // notePolled tells the callers of Confirm that a poll has ended. The caller holds the lock.
 func (v *View) notePolled() {
 	if v.confirm.waiting > 0 && v.confirm.polled != nil {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -120,11 +120,14 @@
 	timer := c.startAttemptTimer(ctx, a, timeout)
 	x, err := b.pool.Send(ctx, &upstream.Request{
 		Method: r.Method, Target: c.target, Host: r.Host, Header: c.gateway.dialect.OutboundHeader(r.Header, d), Body: c.body,
-		Identify: c.identification(b),
+		Identify: c.identification(b), Confirm: c.confirmation(b),
 	})
 	inTime := timer.stop()
 	a.abandoned = ctx.Err() != nil && (err != nil || !inTime)
 	a.headersAt, a.exchange = time.Now(), x
+	if err == nil {
+		c.confirmedAt, c.unconfirmed = time.Time{}, false
+	}
 	b.state.mu.Lock()
 	if err != nil {
 		b.tracker.StopAwaiting(a.work)
@@ -369,7 +372,7 @@
 		// The server is full or executes a control operation; that is no failure.
 		cooldown = b.recordRejection(a.response.Load, now)
 		c.gateway.recordRoomRejection(b, a.response.Load, now)
-	case errors.Is(a.err, upstream.ErrConnectionLimit):
+	case errors.Is(a.err, upstream.ErrConnectionLimit) || errors.Is(a.err, errNotConfirmed):
 	case errors.Is(a.err, errOtherIncarnation):
 		b.retired.Store(true)
 	default:
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -64,6 +64,10 @@
 	forwards    int
 	triedPeers  map[string]bool
 	unreachable int
+	// confirmedAt is the time as of which this instance knows, since the last response, what the control instances
+	// knew; zero if it has not asked. unconfirmed is set once they did not respond in time.
+	confirmedAt time.Time
+	unconfirmed bool
 	// onlyPeers is set once the request may be sent to no further server.
 	onlyPeers bool
 	// reserved is the server that takes over the request from a silent one. leftSilent is
--- a/gateway/continuation.go
+++ b/gateway/continuation.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/galenaarch/galenaarch/api/fleetv1"
 	"github.com/galenaarch/galenaarch/config/site"
 	"github.com/galenaarch/galenaarch/dispatch"
 	"github.com/galenaarch/galenaarch/upstream"
@@ -28,6 +29,9 @@
 	// confirmVersionsTimeout bounds an exchange with all control instances: polls are interrupted up to
 	// maxPollInterval = 300 ms late where there are many entry instances.
 	confirmVersionsTimeout = 400 * time.Millisecond
+	// confirmServerTimeout bounds an exchange with the control instances about a server. It is above the timeout of
+	// a poll, after which one that does not respond is no longer waited for.
+	confirmServerTimeout = 1500 * time.Millisecond
 	// documentCheckInterval is the time between checks whether a document has arrived.
 	documentCheckInterval = 10 * time.Millisecond
 )
@@ -131,6 +135,7 @@
 	if !c.gateway.view.Confirm(ctx, now) || !c.gateway.awaitDocument(ctx) {
 		return "", false
 	}
+	c.confirmedAt = now
 	return c.onlyVersion(time.Now())
 }
 
@@ -295,7 +300,7 @@
 func (c *call) identification(b *backend) *upstream.Identification {
 	software := c.software.Load()
 	switch {
-	case b.startedMs == 0 || b.service.Engine == nil:
+	case !b.statesStart():
 		return nil
 	case software == nil && (!c.bindable() || c.onlyVersionOf(b.service.Name, time.Now())):
 		return nil
@@ -309,6 +314,46 @@
 	}
 }
 
+// statesStart reports whether the server says, when it is asked, which incarnation it is.
+func (b *backend) statesStart() bool { return b.startedMs != 0 && b.service.Engine != nil }
+
+// errNotConfirmed reports a server that may be another incarnation than the one announced: the control
+// instances that could know did not respond in time, or list it no longer.
+var errNotConfirmed = errors.New("incarnation of the server is not confirmed")
+
+// confirmation returns what is checked, over a connection to a server that does not say which incarnation it
+// is, before a stream goes on there: that no other one has been announced, as of now or as of
+// reannounceIntervals after the connection was opened. It is nil for other requests.
+//
+// That the server was known before is no reason to go on without it: an instance that had no connection sees
+// nothing of a restart, and may hear of it late. A restart that has not been announced is not noticed.
+func (c *call) confirmation(b *backend) func(ctx context.Context, openedAt time.Time) error {
+	if c.software.Load() == nil || b.statesStart() {
+		return nil
+	}
+	return func(ctx context.Context, openedAt time.Time) error {
+		g := c.gateway
+		if c.confirmedAt.IsZero() && g.view.KnownAsOf().Sub(openedAt) < reannounceIntervals*g.announceInterval {
+			ctx, cancel := context.WithTimeout(ctx, confirmServerTimeout)
+			defer cancel()
+			now := time.Now()
+			if c.unconfirmed || !g.view.ConfirmResponding(ctx, now) {
+				c.unconfirmed = true
+				return errNotConfirmed
+			}
+			c.confirmedAt = now
+		}
+		a := g.view.Current().Servers[b.server]
+		switch {
+		case a == nil:
+			return errNotConfirmed
+		case a.BornUnixMs != b.startedMs || a.Address != b.address || a.Software != b.software.Version || a.State == fleetv1.ServerState_SERVER_STATE_GONE:
+			return errOtherIncarnation
+		}
+		return nil
+	}
+}
+
 // bindable reports whether the request begins a stream that may be resumed.
 func (c *call) bindable() bool { return c.route.Kind == site.KindStream && c.route.Resumable }
 
--- a/upstream/identify.go
+++ b/upstream/identify.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"time"
 )
 
 // Identification is exchanged on a new connection before the first request that needs it. The
@@ -75,6 +76,21 @@
 	return nil, false, &Error{Phase: PhaseIdentify, Address: p.address, Err: cause(ctx, err)}
 }
 
+// confirm calls f for a connection, which it closes if the request must not be sent on it: also if the server
+// has closed it meanwhile, as it may have ended.
+func (p *Pool) confirm(ctx context.Context, c *conn, f func(ctx context.Context, openedAt time.Time) error) error {
+	err := f(ctx, c.openedAt)
+	if err == nil && c.reusable() {
+		return nil
+	}
+	if err == nil {
+		err = errClosedUnused
+		p.noteBreak()
+	}
+	p.discard(c)
+	return &Error{Phase: PhaseIdentify, Address: p.address, Err: cause(ctx, err)}
+}
+
 // identify exchanges an identification on a new connection.
 func (p *Pool) identify(c *conn, i *Identification) error {
 	if err := c.writeRequest(&i.Request); err != nil {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -104,6 +104,9 @@
 	Body                 []byte
 	// Identify is set if the request must not reach a server that has restarted.
 	Identify *Identification
+	// Confirm, if it is set, is called while a connection is open whose dial began at openedAt, before
+	// anything of the request is sent on it. If it returns an error the request is not sent.
+	Confirm func(ctx context.Context, openedAt time.Time) error
 }
 
 // headerLimitedConn is a connection that returns a limited number of bytes while a
@@ -415,6 +418,9 @@
 // the response is no longer wanted. Errors are of type *Error.
 func (p *Pool) Send(ctx context.Context, r *Request) (*Exchange, error) {
 	c, reused, err := p.connect(ctx, r.Identify)
+	if err == nil && r.Confirm != nil {
+		err = p.confirm(ctx, c, r.Confirm)
+	}
 	if err != nil {
 		return nil, err
 	}
