fleetview: one failed poll does not reject streams

Streams were cut that could have gone on at another plain server: with one control instance, a poll that failed once made ConfirmResponding give up at once, as no majority responded. Found by TestStreamThatBreaksOffAtAnyByteIsWhole with -race at a load of 52 to 72 on 8 cores: three and more of its twelve cases failed; traced once, the dial of a poll had timed out 0.5 s after the last response. It is waited for as long as a majority has responded within two seconds.

--- a/fleetview/confirm.go
+++ b/fleetview/confirm.go
@@ -85,19 +85,26 @@
 	return confirmed && possible, possible
 }
 
+// transientTime is how long after its last response a control instance that fails to respond may be about to.
+const transientTime = 2 * time.Second
+
 // confirmedResponding is confirmedAll without those that are known not to respond, as long as a majority
-// does. The caller holds the lock.
+// does. It is possible if a majority has responded within transientTime: one failed poll alone says little. The
+// caller holds the lock.
 func (v *View) confirmedResponding(at time.Time) (confirmed, possible bool) {
-	listed, responding := v.listedSources(time.Now()), 0
+	now := time.Now()
+	listed, responding, recent := v.listedSources(now), 0, 0
 	confirmed = true
 	for _, s := range listed {
 		if !s.unreachable {
 			responding++
 			confirmed = confirmed && !s.confirmedAt.Before(at)
 		}
+		if !s.unreachable || now.Sub(s.lastResponse) < transientTime {
+			recent++
+		}
 	}
-	possible = 2*responding > len(listed)
-	return confirmed && possible, possible
+	return confirmed && 2*responding > len(listed), 2*recent > len(listed)
 }
 
 // notePolled tells the callers of Confirm that a poll has ended. The caller holds the lock.
--- a/fleetview/confirm_responding_test.go
+++ b/fleetview/confirm_responding_test.go
@@ -73,3 +73,37 @@
 		})
 	}
 }
+
+// Guards against streams that are rejected because one poll failed: the control instance may respond to the next.
+func TestConfirmRespondingWaitsAfterFailedPoll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		logger := slog.New(slog.DiscardHandler)
+		const host = "10.0.0.1:1"
+		hub := registry.NewHub(time.Second, &groupState{changed: make(chan struct{})}, logger)
+		group := &groupTransport{hosts: map[string]*directTransport{host: {handler: fleetv1.NewFleetServer(hub)}}}
+		ctx, cancel := context.WithCancel(t.Context())
+		v := New([]string{"http://" + host}, nil, &http.Client{Transport: group}, logger)
+		v.Start(ctx)
+		time.Sleep(2 * time.Second)
+		confirm := func() bool {
+			ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
+			defer cancel()
+			return v.ConfirmResponding(ctx, time.Now())
+		}
+		silent := host
+		group.silent.Store(&silent)
+		for v.Current().ReachableControls > 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		group.silent.Store(nil)
+		require.True(t, confirm())
+
+		group.silent.Store(&silent)
+		time.Sleep(5 * time.Second)
+		began := time.Now()
+		require.False(t, confirm())
+		require.Zero(t, time.Since(began), "there is nothing to wait for")
+		cancel()
+		time.Sleep(2 * time.Second)
+	})
+}
