upstream: the end of a server shows beside other connections

Streams could go on, or begin, at the next incarnation of a server: that it had closed its connections was noted only if no connection was open at that moment. For engines a newer connection hid that the pool was no longer identified. Suspected as the cause of TestNextIncarnationOfAnotherVersionIsNotJoined, of which it is none.

Now each connection that the server closes, before its idle timeout or in use, and each refused dial counts, unless a connection is established that is older than when the closed one was last known to be open: the system closes all connections of a process that ends. The kernel is asked for the state of each (TCP_INFO), so that one that is reset but not yet read, or being closed by this side, says nothing.

TestServerThatClosedAllConnectionsShows is unchanged.

--- a/gateway/continuation_test.go
+++ b/gateway/continuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -94,3 +95,18 @@
 	require.True(t, sure.mayContinueAt(other, time.Now()))
 	require.Equal(t, &b.software, h.streams.get(c.streamDigest("r-2"), time.Now()))
 }
+
+// Guards against streams that are joined at a server whose end was found by a connection of its own, which
+// was refused, before it is known whether it has started again.
+func TestStreamDoesNotGoOnAtServerThatRefusedConnection(t *testing.T) {
+	h := newTestGateway(t, 1)
+	c, b := h.boundCall()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	b.address = listener.Addr().String()
+	h.evidence.confirmEnd(b)
+	require.True(t, c.mayContinueAt(b, time.Now()))
+	require.NoError(t, listener.Close())
+	h.evidence.confirmEnd(b)
+	require.False(t, c.mayContinueAt(b, time.Now()))
+}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -172,13 +172,17 @@
 // recordRefused records that a server has refused a connection, and so has ended, unless that is
 // in doubt.
 func (g *Gateway) recordRefused(b *backend) {
-	if !b.pool.LivesOn() {
+	ended := func() {
+		b.recordBroken(time.Now())
 		g.serverEnded(b.incarnation, endRefused)
+	}
+	if !b.pool.LivesOn() {
+		ended()
 		return
 	}
 	go func() {
 		if b.endedByRefusal() {
-			g.serverEnded(b.incarnation, endRefused)
+			ended()
 		}
 	}()
 }
--- a/upstream/identify.go
+++ b/upstream/identify.go
@@ -19,13 +19,6 @@
 	OncePerPool bool
 }
 
-// noteBreak records that a connection broke.
-func (p *Pool) noteBreak() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.identified = false
-}
-
 // isIdentified reports whether a request needs no further identification, on whatever connection.
 func (p *Pool) isIdentified(i *Identification) bool {
 	if i == nil {
@@ -33,7 +26,11 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return i.OncePerPool && p.identified && p.open > 0
+	if !i.OncePerPool || !p.identified {
+		return false
+	}
+	p.examineIdle()
+	return p.identified && p.open > 0
 }
 
 // maxIdentityBytes limits the response to an identification. A report lists the running requests,
@@ -85,9 +82,10 @@
 	}
 	if err == nil {
 		err = errClosedUnused
-		p.noteBreak()
+		p.discardClosed(c)
+	} else {
+		p.discard(c)
 	}
-	p.discard(c)
 	return &Error{Phase: PhaseIdentify, Address: p.address, Err: cause(ctx, err)}
 }
 
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -14,7 +14,9 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -115,18 +117,31 @@
 	net.Conn
 	remaining int
 	limited   bool
+	// aliveAt is when the connection was last known not to be closed by its peer, as the time since epoch.
+	aliveAt atomic.Int64
 }
 
+// epoch is the origin of times that are kept as numbers; it has a monotonic reading.
+var epoch = time.Now()
+
+// noteAlive records that the peer has not closed the connection.
+func (c *headerLimitedConn) noteAlive() { c.aliveAt.Store(int64(time.Since(epoch))) }
+
 // Read implements net.Conn.
 func (c *headerLimitedConn) Read(b []byte) (int, error) {
-	if !c.limited {
-		return c.Conn.Read(b)
-	}
-	if c.remaining <= 0 {
+	if c.limited && c.remaining <= 0 {
 		return 0, ErrHeaderTooLarge
 	}
-	n, err := c.Conn.Read(b[:min(len(b), c.remaining)])
-	c.remaining -= n
+	if c.limited {
+		b = b[:min(len(b), c.remaining)]
+	}
+	n, err := c.Conn.Read(b)
+	if c.limited {
+		c.remaining -= n
+	}
+	if n > 0 {
+		c.noteAlive()
+	}
 	return n, err
 }
 
@@ -143,8 +158,12 @@
 	idleTimeout time.Duration
 	// identified is set once an Identification has been exchanged.
 	identified bool
-	// openedAt is when the dial began.
-	openedAt time.Time
+	// openedAt is when the dial began, connectedAt when it ended, as the time since epoch.
+	openedAt    time.Time
+	connectedAt time.Duration
+	// Guarded by the pool's mu: closed is set once this side has closed the connection, ended once either has been
+	// seen to, and lastResponse once the server has said that it will.
+	closed, ended, lastResponse bool
 }
 
 // Pool holds the connections to one incarnation of one backend server.
@@ -152,8 +171,10 @@
 	address string
 	dialer  net.Dialer
 
-	mu      sync.Mutex
-	idle    []*conn
+	mu   sync.Mutex
+	idle []*conn
+	// conns are the connections that are idle or in use; open counts those being opened as well.
+	conns   map[*conn]struct{}
 	open    int
 	maxOpen int
 	closed  bool
@@ -169,7 +190,7 @@
 // NewPool returns a pool for an address that opens at most maxOpen connections; 0 for
 // no limit.
 func NewPool(address string, maxOpen int) *Pool {
-	return &Pool{address: address, maxOpen: maxOpen, dialer: net.Dialer{
+	return &Pool{address: address, maxOpen: maxOpen, conns: make(map[*conn]struct{}), dialer: net.Dialer{
 		Timeout:         dialTimeout,
 		Control:         func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, unackedTimeout) },
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval},
@@ -205,10 +226,17 @@
 	defer p.mu.Unlock()
 	p.closed = true
 	for _, c := range p.idle {
-		c.Close()
+		p.drop(c)
 	}
-	p.open -= len(p.idle)
 	p.idle = nil
+}
+
+// drop closes a connection that is not idle, or no longer. mu must be held.
+func (p *Pool) drop(c *conn) {
+	c.Close()
+	c.closed = true
+	delete(p.conns, c)
+	p.open--
 	p.identified = p.identified && p.open > 0
 }
 
@@ -222,16 +250,13 @@
 			kept = append(kept, c)
 			continue
 		}
-		c.Close()
-		p.open--
+		p.drop(c)
 	}
 	p.idle = kept
-	p.identified = p.identified && p.open > 0
 }
 
 // takeIdle returns a live idle connection, the most recently used first, or of the identified ones.
 func (p *Pool) takeIdle(identified bool) *conn {
-	closed := false
 	for {
 		p.mu.Lock()
 		n := len(p.idle) - 1
@@ -239,7 +264,6 @@
 			n--
 		}
 		if n < 0 {
-			p.noteLost(closed)
 			p.mu.Unlock()
 			return nil
 		}
@@ -250,32 +274,45 @@
 		if !expired && c.reusable() {
 			return c
 		}
-		if !expired {
-			closed = true
-			p.noteBreak()
+		if expired {
+			p.discard(c)
+		} else {
+			p.discardClosed(c)
 		}
-		p.discard(c)
 	}
 }
 
-// LostAt returns when the server had last closed all connections of the pool, at least one of them
-// before its idle timeout: it may have ended then. It is zero if that was not seen.
+// LostAt returns the latest time by which the server may have ended, as far as is seen: it has closed a connection,
+// before the idle timeout or in use, or refused one, and has kept none open that is older. It is zero if that was
+// not seen.
 func (p *Pool) LostAt() time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	closed := false
-	for n := len(p.idle); n > 0 && !p.idle[n-1].reusable(); n = len(p.idle) {
-		c := p.idle[n-1]
-		closed = closed || !c.expired()
-		p.idle = p.idle[:n-1]
-		c.Close()
-		p.open--
-	}
-	p.identified = p.identified && !closed && p.open > 0
-	p.noteLost(closed)
+	p.examineIdle()
 	return p.lostAt
 }
 
+// examineIdle removes the idle connections that the server has closed. mu must be held.
+func (p *Pool) examineIdle() {
+	var closed []*conn
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if c.reusable() {
+			kept = append(kept, c)
+			continue
+		}
+		p.drop(c)
+		if !c.expired() {
+			closed = append(closed, c)
+		}
+	}
+	clear(p.idle[len(kept):])
+	p.idle = kept
+	for _, c := range closed {
+		p.noteClosed(c)
+	}
+}
+
 // LivesOn reports whether the server keeps idle connections open, at least half of them. The system
 // closes all connections of a process that ends; the end of a few may be lost on the way.
 func (p *Pool) LivesOn() bool {
@@ -290,11 +327,55 @@
 	return live > 0 && 2*live >= len(p.idle)
 }
 
-// noteLost records that no connection is left if the server has closed one. mu must be held.
-func (p *Pool) noteLost(closed bool) {
-	if closed && p.open == 0 {
-		p.lostAt = time.Now()
+// noteClosed records that the server has closed a connection, which is no longer in conns: it may have ended
+// since that was last known to be open. mu must be held.
+func (p *Pool) noteClosed(c *conn) {
+	p.identified = false
+	p.noteEnd(time.Duration(c.aliveAt.Load()))
+}
+
+// noteEnd records that the server may have ended after a time, unless an older connection is open: the system
+// closes all connections of a process that ends. One that accepted a newer connection, still open, has run since
+// then at least. mu must be held.
+func (p *Pool) noteEnd(after time.Duration) {
+	since := time.Since(epoch)
+	for c := range p.conns {
+		if c.connectedAt < since && c.established() {
+			since = c.connectedAt
+		}
+	}
+	if at := epoch.Add(since); since > after && at.After(p.lostAt) {
+		p.lostAt = at
+	}
+}
+
+// tcpEstablished is the state of a connection that neither side has closed, in include/net/tcp_states.h.
+const tcpEstablished = 1
+
+// established reports whether neither side has closed the connection. It does not wait for a reader. The pool's
+// mu must be held.
+func (c *conn) established() bool {
+	c.ended = c.ended || !c.isEstablished()
+	return !c.ended
+}
+
+// isEstablished asks the system for the state of the connection.
+func (c *conn) isEstablished() bool {
+	tcp, ok := c.headerLimitedConn.Conn.(*net.TCPConn)
+	if !ok {
+		return false
 	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	state := uint8(0)
+	err = raw.Control(func(fd uintptr) {
+		if info, infoErr := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); infoErr == nil {
+			state = info.State
+		}
+	})
+	return err == nil && state == tcpEstablished
 }
 
 // expired reports whether the connection has been idle for too long to be used.
@@ -320,15 +401,44 @@
 		_, _, peekErr = unix.Recvfrom(int(fd), peek[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		return true
 	})
-	return err == nil && (errors.Is(peekErr, unix.EAGAIN) || errors.Is(peekErr, unix.EWOULDBLOCK))
+	if err != nil || !errors.Is(peekErr, unix.EAGAIN) && !errors.Is(peekErr, unix.EWOULDBLOCK) {
+		return false
+	}
+	c.noteAlive()
+	return true
 }
 
 func (p *Pool) discard(c *conn) {
-	c.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.open--
-	p.identified = p.identified && p.open > 0
+	p.drop(c)
+}
+
+// discardClosed discards a connection that the server has closed.
+func (p *Pool) discardClosed(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.drop(c)
+	p.noteClosed(c)
+}
+
+// discardBroken discards a connection whose exchange does not end with a whole response.
+func (p *Pool) discardBroken(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.identified = false
+	p.noteIfClosed(c)
+	p.drop(c)
+}
+
+// noteIfClosed is noteClosed for a connection in use, if the server has closed it without having said so.
+// mu must be held.
+func (p *Pool) noteIfClosed(c *conn) {
+	if c.closed || c.lastResponse || c.established() {
+		return
+	}
+	delete(p.conns, c)
+	p.noteClosed(c)
 }
 
 func (p *Pool) putIdle(c *conn) {
@@ -355,14 +465,20 @@
 	p.mu.Unlock()
 	openedAt := time.Now()
 	raw, err := p.dialer.DialContext(ctx, "tcp4", p.address)
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if err != nil {
-		p.mu.Lock()
 		p.open--
-		p.mu.Unlock()
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			p.noteEnd(openedAt.Sub(epoch))
+		}
 		return nil, &Error{Phase: PhaseDial, Address: p.address, Err: err}
 	}
 	limited := &headerLimitedConn{Conn: raw}
-	return &conn{headerLimitedConn: limited, reader: bufio.NewReaderSize(limited, readBufferSize), writer: bufio.NewWriterSize(raw, writeBufferSize), idleTimeout: defaultIdleTimeout, openedAt: openedAt}, nil
+	limited.noteAlive()
+	c := &conn{headerLimitedConn: limited, reader: bufio.NewReaderSize(limited, readBufferSize), writer: bufio.NewWriterSize(raw, writeBufferSize), idleTimeout: defaultIdleTimeout, openedAt: openedAt, connectedAt: time.Since(epoch)}
+	p.conns[c] = struct{}{}
+	return c, nil
 }
 
 // Prepare opens a connection for the next request, in place of an idle one if the pool may
@@ -386,7 +502,7 @@
 	}
 	time.Sleep(probeHold)
 	if !c.reusable() {
-		p.discard(c)
+		p.discardClosed(c)
 		return &Error{Phase: PhaseDial, Address: p.address, Err: errClosedUnused}
 	}
 	p.putIdle(c)
@@ -425,7 +541,7 @@
 		return nil, err
 	}
 	x := &Exchange{pool: p, conn: c, Reused: reused}
-	x.stop = context.AfterFunc(ctx, func() { c.Close() })
+	x.stop = context.AfterFunc(ctx, func() { p.cancel(c) })
 	if err := c.writeRequest(r); err != nil {
 		// The server may respond before it has read the whole body.
 		if x.Response, _ = c.readResponse(r); x.Response == nil {
@@ -441,9 +557,28 @@
 		return nil, &Error{Phase: PhaseAwaitResponse, Address: p.address, Err: cause(ctx, err)}
 	}
 	x.Response = resp
+	if strings.EqualFold(resp.Header.Get("Connection"), "close") {
+		p.noteLastResponse(c)
+	}
 	return x, nil
 }
 
+// noteLastResponse records that the server closes a connection with the response.
+func (p *Pool) noteLastResponse(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.lastResponse = true
+}
+
+// cancel closes a connection that is in use.
+func (p *Pool) cancel(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.noteIfClosed(c)
+	c.Close()
+	c.closed = true
+}
+
 func cause(ctx context.Context, err error) error {
 	if ctx.Err() != nil {
 		return context.Cause(ctx)
@@ -576,8 +711,9 @@
 	}
 	x.ended = true
 	x.stop()
-	if !x.bodyComplete {
-		x.pool.noteBreak()
+	if x.bodyComplete {
+		x.pool.discard(x.conn)
+	} else {
+		x.pool.discardBroken(x.conn)
 	}
-	x.pool.discard(x.conn)
 }
