gateway: a plain server that reset its connections is in doubt also while one version is known

Callers could get streams joined from two software versions: a plain server was started again under its ID with the first software of another version and had not announced that yet, but the instance had seen it refuse a connection or reset an idle one. While one version was known, broken connections were not looked at.

Before a stream goes on at a plain server, over a connection to it, the signs that it may have ended are looked at once more (they may have come since it was chosen): a sign within four announcement intervals rejects the stream there.

TestEndOfServerIsTakenForSure (upstream) is new, as EndedAt is.

Not covered: a plain server that ends with its idle connections closed in order, or without any to this instance, and has announced nothing since.

--- a/gateway/continuation.go
+++ b/gateway/continuation.go
@@ -251,7 +251,7 @@
 // mayContinueAt reports whether a request may be sent to a server: a stream that has begun only
 // to one that surely runs the same software. The caller holds the state's lock.
 //
-// That it may run other software than it announced does not matter while the service has one
+// That it may run other software than it announced is checked over the connection while the service has one
 // version only.
 func (c *call) mayContinueAt(b *backend, now time.Time) bool {
 	software := c.software.Load()
@@ -322,17 +322,21 @@
 var errNotConfirmed = errors.New("incarnation of the server is not confirmed")
 
 // confirmation returns what is checked, over a connection to a server that does not say which incarnation it
-// is, before a stream goes on there: that no other one has been announced, as of now or as of
-// reannounceIntervals after the connection was opened. It is nil for other requests.
+// is, before a stream goes on there: that it shows no sign of an end after which it could not have been announced
+// yet, and that no other one has been announced, as of now or as of reannounceIntervals after the connection was
+// opened. It is nil for other requests.
 //
 // That the server was known before is no reason to go on without it: an instance that had no connection sees
-// nothing of a restart, and may hear of it late. A restart that has not been announced is not noticed.
+// nothing of a restart, and may hear of it late. A restart that neither shows nor has been announced is not noticed.
 func (c *call) confirmation(b *backend) func(ctx context.Context, openedAt time.Time) error {
 	if c.software.Load() == nil || b.statesStart() {
 		return nil
 	}
 	return func(ctx context.Context, openedAt time.Time) error {
 		g := c.gateway
+		if c.mayNotBeAnnounced(b, time.Now()) {
+			return errNotConfirmed
+		}
 		if c.confirmedAt.IsZero() && g.view.KnownAsOf().Sub(openedAt) < reannounceIntervals*g.announceInterval {
 			ctx, cancel := context.WithTimeout(ctx, confirmServerTimeout)
 			defer cancel()
@@ -354,6 +358,17 @@
 	}
 }
 
+// mayNotBeAnnounced reports whether a server may have started again with other software, and not been announced
+// since. While one version is known a restart with another one is unlikely: a connection that
+// the server closed is then no reason to reject streams, as one that it refused or reset is.
+func (c *call) mayNotBeAnnounced(b *backend, now time.Time) bool {
+	endedAt := b.pool.LostAt()
+	if c.onlyVersionOf(b.service.Name, now) {
+		endedAt = b.pool.EndedAt()
+	}
+	return now.Sub(endedAt) < reannounceIntervals*c.gateway.announceInterval
+}
+
 // bindable reports whether the request begins a stream that may be resumed.
 func (c *call) bindable() bool { return c.route.Kind == site.KindStream && c.route.Resumable }
 
--- a/upstream/lost_beside_test.go
+++ b/upstream/lost_beside_test.go
@@ -203,3 +203,50 @@
 	time.Sleep(settle)
 	require.False(t, p.isIdentified(identification))
 }
+
+// Guards against streams that are refused, on a day without a restart, at a server that closes its connections by
+// itself, and against ones that go on at one that has ended: only a process that ends resets idle connections.
+func TestEndOfServerIsTakenForSure(t *testing.T) {
+	for name, tt := range map[string]struct {
+		disturb func(t *testing.T, s *endingServer, p *Pool)
+		ended   bool
+	}{
+		"idle connection reset": {func(t *testing.T, s *endingServer, p *Pool) {
+			s.prepare(p)
+			s.end()
+			s.start()
+		}, true},
+		"idle connection reset, seen by a request": {func(t *testing.T, s *endingServer, p *Pool) {
+			s.prepare(p)
+			s.end()
+			s.start()
+			time.Sleep(settle)
+			require.Nil(t, p.takeIdle(false))
+		}, true},
+		"connection refused": {func(t *testing.T, s *endingServer, p *Pool) {
+			s.end()
+			require.Error(t, p.Prepare(t.Context()))
+		}, true},
+		"idle connection closed": {func(t *testing.T, s *endingServer, p *Pool) {
+			require.NoError(t, s.prepare(p).Close())
+		}, false},
+		"response reset": {func(t *testing.T, s *endingServer, p *Pool) {
+			x := s.begin(t.Context(), p, s.prepare(p))
+			s.end()
+			_, err := x.Read(make([]byte, 10))
+			require.Error(t, err)
+			x.Abandon()
+		}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newEndingServer(t)
+			p := NewPool(s.address, 0)
+			defer p.Close()
+			tt.disturb(t, s, p)
+			time.Sleep(settle)
+			require.Equal(t, tt.ended, !p.EndedAt().IsZero())
+			require.NotZero(t, p.LostAt())
+		})
+	}
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -164,6 +164,8 @@
 	// Guarded by the pool's mu: closed is set once this side has closed the connection, ended once either has been
 	// seen to, and lastResponse once the server has said that it will.
 	closed, ended, lastResponse bool
+	// reset is set once an idle connection was found to be reset.
+	reset bool
 }
 
 // Pool holds the connections to one incarnation of one backend server.
@@ -178,8 +180,8 @@
 	open    int
 	maxOpen int
 	closed  bool
-	// lostAt is described at LostAt.
-	lostAt time.Time
+	// lostAt and endedAt are described at LostAt and EndedAt.
+	lostAt, endedAt time.Time
 	// dials counts the connections opened; opening one is expensive at some servers.
 	dials uint64
 	// identified is set while connections have been open without a break since one was
@@ -292,6 +294,15 @@
 	return p.lostAt
 }
 
+// EndedAt is LostAt by those signs alone that a process which goes on hardly gives: it has refused a connection, or
+// reset an idle one. A process that ends may close its idle connections without a reset.
+func (p *Pool) EndedAt() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.examineIdle()
+	return p.endedAt
+}
+
 // examineIdle removes the idle connections that the server has closed. mu must be held.
 func (p *Pool) examineIdle() {
 	var closed []*conn
@@ -331,22 +342,29 @@
 // since that was last known to be open. mu must be held.
 func (p *Pool) noteClosed(c *conn) {
 	p.identified = false
-	p.noteEnd(time.Duration(c.aliveAt.Load()))
+	p.noteEnd(time.Duration(c.aliveAt.Load()), c.reset)
 }
 
 // noteEnd records that the server may have ended after a time, unless an older connection is open: the system
 // closes all connections of a process that ends. One that accepted a newer connection, still open, has run since
-// then at least. mu must be held.
-func (p *Pool) noteEnd(after time.Duration) {
+// then at least. sure is described at EndedAt. mu must be held.
+func (p *Pool) noteEnd(after time.Duration, sure bool) {
 	since := time.Since(epoch)
 	for c := range p.conns {
 		if c.connectedAt < since && c.established() {
 			since = c.connectedAt
 		}
 	}
-	if at := epoch.Add(since); since > after && at.After(p.lostAt) {
+	if since <= after {
+		return
+	}
+	at := epoch.Add(since)
+	if at.After(p.lostAt) {
 		p.lostAt = at
 	}
+	if sure && at.After(p.endedAt) {
+		p.endedAt = at
+	}
 }
 
 // tcpEstablished is the state of a connection that neither side has closed, in include/net/tcp_states.h.
@@ -402,6 +420,7 @@
 		return true
 	})
 	if err != nil || !errors.Is(peekErr, unix.EAGAIN) && !errors.Is(peekErr, unix.EWOULDBLOCK) {
+		c.reset = c.reset || errors.Is(peekErr, unix.ECONNRESET)
 		return false
 	}
 	c.noteAlive()
@@ -470,7 +489,7 @@
 	if err != nil {
 		p.open--
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			p.noteEnd(openedAt.Sub(epoch))
+			p.noteEnd(openedAt.Sub(epoch), true)
 		}
 		return nil, &Error{Phase: PhaseDial, Address: p.address, Err: err}
 	}
