--- a/upstream/identify.go
+++ b/upstream/identify.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"time"
 )
 
 // Identification is exchanged on a new connection before the first request that needs it. The
@@ -18,13 +19,6 @@
 	OncePerPool bool
 }
 
-// noteBreak records that a connection broke.
-func (p *Pool) noteBreak() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.identified = false
-}
-
 // isIdentified reports whether a request needs no further identification, on whatever connection.
 func (p *Pool) isIdentified(i *Identification) bool {
 	if i == nil {
@@ -32,7 +26,11 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return i.OncePerPool && p.identified && p.open > 0
+	if !i.OncePerPool || !p.identified {
+		return false
+	}
+	p.examineIdle()
+	return p.identified && p.open > 0
 }
 
 // maxIdentityBytes limits the response to an identification. A report lists the running requests,
@@ -75,6 +73,22 @@
 	return nil, false, &Error{Phase: PhaseIdentify, Address: p.address, Err: cause(ctx, err)}
 }
 
+// confirm calls f for a connection, which it closes if the request must not be sent on it: also if the server
+// has closed it meanwhile, as it may have ended.
+func (p *Pool) confirm(ctx context.Context, c *conn, f func(ctx context.Context, openedAt time.Time) error) error {
+	err := f(ctx, c.openedAt)
+	if err == nil && c.reusable() {
+		return nil
+	}
+	if err == nil {
+		err = errClosedUnused
+		p.discardClosed(c)
+	} else {
+		p.discard(c)
+	}
+	return &Error{Phase: PhaseIdentify, Address: p.address, Err: cause(ctx, err)}
+}
+
 // identify exchanges an identification on a new connection.
 func (p *Pool) identify(c *conn, i *Identification) error {
 	if err := c.writeRequest(&i.Request); err != nil {
