gateway: a failed look-up of a stream names its cause

A rejected resumed stream was logged as "unknown" whether the control instances had no record, had not responded, the client had left, or the look-up was not made; requests that ended during one as "body not read". No decision changes.

TestLookUpsOfUnknownStreamsAreBounded only takes the second result.

--- a/gateway/continuation.go
+++ b/gateway/continuation.go
@@ -55,7 +55,11 @@
 	softwareOwnRecord = "own record"
 	softwareOnly      = "only version"
 	softwareLookup    = "control instance"
-	softwareUnknown   = "unknown"
+	// There is no record: the control instances have none, they have not all responded in
+	// time or before the client left, or too many streams are asked for.
+	softwareUnknown     = "unknown"
+	softwareNotAnswered = "not answered"
+	softwareLimited     = "too many look-ups"
 )
 
 // bindResumed determines the software that began a stream which the client resumes, and the
@@ -65,6 +69,7 @@
 // it. What two versions write does not fit together, and servers do not check it.
 func (c *call) bindResumed(ctx context.Context) rejectReason {
 	startedAt := time.Now()
+	c.stage = stageLookUp
 	software, source := c.resumedSoftware(ctx)
 	defer func() { c.gateway.metrics.resumed.WithLabelValues(source).Inc() }()
 	if c.gateway.accessLogLimiter.Allow() {
@@ -102,9 +107,7 @@
 		return &dispatch.Software{Service: c.service.Name, Version: version}, softwareOnly
 	}
 	if c.request.BeganAs != "" {
-		if software = g.streams.lookUp(ctx, digest); software != nil {
-			return software, softwareLookup
-		}
+		return g.streams.lookUp(ctx, digest)
 	}
 	return nil, softwareUnknown
 }
--- a/gateway/stream_records.go
+++ b/gateway/stream_records.go
@@ -285,39 +285,53 @@
 	}
 }
 
-// lookUp asks control instances which software began a stream; nil if none knows, or if there
-// are too many look-ups. A record may
+// lookUp asks control instances which software began a stream, and returns how it became known;
+// nil if none knows, or if there are too many look-ups. A record may
 // be on its way: without one, they are asked once more after the time that takes.
-func (s *streamRecords) lookUp(ctx context.Context, digest registry.StreamDigest) *dispatch.Software {
+func (s *streamRecords) lookUp(ctx context.Context, digest registry.StreamDigest) (software *dispatch.Software, source string) {
 	s.lookUps.SetLimit(rate.Limit(lookUpRate / float64(max(1, len(s.view.Current().Entries)))))
 	if !s.lookUps.Allow() {
-		return nil
+		return nil, softwareLimited
 	}
 	ctx, cancel := context.WithTimeout(ctx, lookUpTimeout)
 	defer cancel()
-	if software := s.askHolders(ctx, digest); software != nil {
-		return software
+	software, answered := s.askHolders(ctx, digest)
+	if software != nil {
+		return software, softwareLookup
 	}
 	select {
 	case <-ctx.Done():
-		return nil
+		return nil, softwareNotAnswered
 	case <-time.After(s.delay() + minRecordDelay):
 	}
-	return s.askHolders(ctx, digest)
+	software, answeredAgain := s.askHolders(ctx, digest)
+	switch {
+	case software != nil:
+		return software, softwareLookup
+	case answered || answeredAgain:
+		return nil, softwareUnknown
+	}
+	return nil, softwareNotAnswered
 }
 
-// askHolders asks the control instances that may hold a record, one after the other.
-func (s *streamRecords) askHolders(ctx context.Context, digest registry.StreamDigest) *dispatch.Software {
+// askHolders asks the control instances that may hold a record, one after the other. It reports
+// whether all have responded.
+func (s *streamRecords) askHolders(ctx context.Context, digest registry.StreamDigest) (software *dispatch.Software, answered bool) {
+	answered = true
 	for _, url := range recordHolders(digest, s.view.Current().ReachableURLs, lookUpAttempts) {
+		if ctx.Err() != nil {
+			return nil, false
+		}
 		attempt, cancel := context.WithTimeout(ctx, questionTimeout)
 		software, err := s.view.LookUpStream(attempt, url, digest[:])
 		cancel()
 		if software != nil {
-			return software
+			return software, true
 		}
 		if err != nil {
+			answered = false
 			s.logger.Info("record of a stream not read", slog.String("peer", url), slog.Any("error", err))
 		}
 	}
-	return nil
+	return nil, answered
 }
--- a/gateway/stream_records_test.go
+++ b/gateway/stream_records_test.go
@@ -91,7 +91,8 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel() // nobody is asked
 	for n := range 10 * lookUpBurst {
-		require.Nil(t, s.lookUp(ctx, streamDigestOf(n)))
+		software, _ := s.lookUp(ctx, streamDigestOf(n))
+		require.Nil(t, software)
 	}
 	require.Less(t, s.lookUps.Tokens(), float64(lookUpBurst)/2)
 	require.False(t, s.lookUps.AllowN(time.Now(), lookUpBurst))
--- a/gateway/unanswered.go
+++ b/gateway/unanswered.go
@@ -15,6 +15,7 @@
 const (
 	stageHead     requestStage = "head"
 	stageBody     requestStage = "body"
+	stageLookUp   requestStage = "looking up the stream"
 	stageChoosing requestStage = "choosing a server"
 	stageSent     requestStage = "sent to a server"
 	stageReading  requestStage = "reading the response"
