gateway: a look-up of a stream awaits late responses

Cause, one of two: there each response takes long, as the processor is overloaded. A question was given up after 0.25 s and asked at another control instance although its response was on its way, up to six times, and the stream was rejected after 0.9 s. Ruled out: the exchange with all control instances (two versions were known), lost records (found at once by the instances that had just started), and the bound of look-ups (none rejected).

Change: without a response for 0.25 s another control instance is asked as well; no question is given up before the look-up ends. A client that has left ends the questions, without log lines. The bounds stay as they are.

TestLookUpAsksAnotherControlInstanceBesideSilentOne and TestLookUpAwaitsRecordOnItsWay guard what was there.

--- a/gateway/stream_records.go
+++ b/gateway/stream_records.go
@@ -23,11 +23,11 @@
 	// respond.
 	recordCopies   = 2
 	lookUpAttempts = recordCopies + 1
-	// recordTimeout bounds one call to a control instance, questionTimeout a question, and
-	// lookUpTimeout all questions about a stream.
-	recordTimeout   = 500 * time.Millisecond
-	questionTimeout = 250 * time.Millisecond
-	lookUpTimeout   = 900 * time.Millisecond
+	// recordTimeout bounds one call to a control instance, lookUpTimeout all questions about a
+	// stream. Without a response for questionPatience, another control instance is asked as well.
+	recordTimeout    = 500 * time.Millisecond
+	questionPatience = 250 * time.Millisecond
+	lookUpTimeout    = 900 * time.Millisecond
 	// minRecordDelay is how long records are batched at least, recordDelayPerEntry what each
 	// entry instance adds, up to maxRecordDelay: a control instance gets at most
 	// 1/recordDelayPerEntry = 500 messages a second, above 150 entry instances n/maxRecordDelay.
@@ -286,8 +286,7 @@
 }
 
 // lookUp asks control instances which software began a stream, and returns how it became known;
-// nil if none knows, or if there are too many look-ups. A record may
-// be on its way: without one, they are asked once more after the time that takes.
+// nil if none knows, or if there are too many look-ups.
 func (s *streamRecords) lookUp(ctx context.Context, digest registry.StreamDigest) (software *dispatch.Software, source string) {
 	s.lookUps.SetLimit(rate.Limit(lookUpRate / float64(max(1, len(s.view.Current().Entries)))))
 	if !s.lookUps.Allow() {
@@ -295,43 +294,70 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, lookUpTimeout)
 	defer cancel()
-	software, answered := s.askHolders(ctx, digest)
-	if software != nil {
-		return software, softwareLookup
-	}
-	select {
-	case <-ctx.Done():
-		return nil, softwareNotAnswered
-	case <-time.After(s.delay() + minRecordDelay):
-	}
-	software, answeredAgain := s.askHolders(ctx, digest)
-	switch {
-	case software != nil:
-		return software, softwareLookup
-	case answered || answeredAgain:
-		return nil, softwareUnknown
-	}
-	return nil, softwareNotAnswered
+	return s.askHolders(ctx, digest)
 }
 
-// askHolders asks the control instances that may hold a record, one after the other. It reports
-// whether all have responded.
-func (s *streamRecords) askHolders(ctx context.Context, digest registry.StreamDigest) (software *dispatch.Software, answered bool) {
-	answered = true
-	for _, url := range recordHolders(digest, s.view.Current().ReachableURLs, lookUpAttempts) {
-		if ctx.Err() != nil {
-			return nil, false
+// lookUpAnswer is the response of a control instance to one of up to two questions; last is set if no
+// further one follows.
+type lookUpAnswer struct {
+	url      string
+	software *dispatch.Software
+	err      error
+	last     bool
+}
+
+// askHolders asks the control instances that may hold a record: the next one as well once one
+// has responded without it, or has not responded for questionPatience.
+//
+// A question goes on until ctx ends or another one finds the record. On an instance whose processor is
+// overloaded all responses are late; a question that is given up has cost the same, and so do its successors.
+func (s *streamRecords) askHolders(ctx context.Context, digest registry.StreamDigest) (software *dispatch.Software, source string) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	holders := recordHolders(digest, s.view.Current().ReachableURLs, lookUpAttempts)
+	answers := make(chan lookUpAnswer, 2*len(holders))
+	patience := time.NewTimer(questionPatience)
+	defer patience.Stop()
+	source = softwareUnknown
+	for asked, open := 0, 0; asked < len(holders) || open > 0; {
+		if asked < len(holders) {
+			go s.askHolder(ctx, holders[asked], digest, answers)
+			asked, open = asked+1, open+1
+			patience.Reset(questionPatience)
 		}
-		attempt, cancel := context.WithTimeout(ctx, questionTimeout)
-		software, err := s.view.LookUpStream(attempt, url, digest[:])
-		cancel()
-		if software != nil {
-			return software, true
+		select {
+		case <-ctx.Done():
+			return nil, softwareNotAnswered
+		case <-patience.C:
+		case a := <-answers:
+			if a.software != nil {
+				return a.software, softwareLookup
+			}
+			if a.last {
+				open--
+			}
+			if a.err != nil && ctx.Err() == nil {
+				source = softwareNotAnswered
+				s.logger.Info("record of a stream not read", slog.String("peer", a.url), slog.Any("error", a.err))
+			}
+		}
+	}
+	return nil, source
+}
+
+// askHolder asks a control instance for a record, which may be on its way to it: without one, it asks
+// once more after the time that takes.
+func (s *streamRecords) askHolder(ctx context.Context, url string, digest registry.StreamDigest, answers chan<- lookUpAnswer) {
+	for _, last := range []bool{false, true} {
+		software, err := s.view.LookUpStream(ctx, url, digest[:])
+		answers <- lookUpAnswer{url, software, err, last}
+		if last || software != nil {
+			return
 		}
-		if err != nil {
-			answered = false
-			s.logger.Info("record of a stream not read", slog.String("peer", url), slog.Any("error", err))
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(s.delay() + minRecordDelay):
 		}
 	}
-	return nil, answered
 }
