registry: the few entry instances that are left are not listed alone

Cause, the second of two: an entry instance leaves the list 1.3 s after its last poll. For a second the list named three of 28; all clients turned to these, with what had hung at the others for 2.4 s. They were overloaded for 1.3 s, and resumed streams have little time left.

Change: while fewer than a quarter of the accepting instances are left, those that were lost while they accepted clients stay listed for 5 s after their last poll. Clients leave out addresses that fail them. One that has stopped as planned, or is back and not ready, is not listed. Panic thresholds of load balancers do the same.

TestFewEntriesLeftAreNotListedAlone fails before. TestEndedEntriesAreNotListed guards the other cases.

--- a/registry/hub.go
+++ b/registry/hub.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -20,6 +21,11 @@
 	// maxPollWait bounds one long poll, so that a polling process that died is
 	// noticed soon.
 	maxPollWait = time.Second
+	// fewEntriesShare is the share of the accepting entry instances below which those that are
+	// left are not listed alone, lostListingTime how long after their last poll the lost ones are
+	// listed with them. Clients leave out addresses that fail them.
+	fewEntriesShare = 0.25
+	lostListingTime = 5 * time.Second
 	// entryPollGrace is the longest gap between two polls of an entry instance
 	// before clients are no longer directed to it.
 	entryPollGrace = 1200 * time.Millisecond
@@ -60,6 +66,12 @@
 	cursor uint64
 }
 
+// lostEntry is an entry instance that has expired.
+type lostEntry struct {
+	*fleetv1.EntryInstance
+	lastPoll time.Time
+}
+
 // Hub serves the change feed of one control instance.
 type Hub struct {
 	documents DocumentSource
@@ -72,6 +84,9 @@
 	// mu guards the fields below.
 	mu    sync.Mutex
 	table *Table
+	// lost holds the entry instances that have expired while they accepted clients, for
+	// lostListingTime.
+	lost map[string]lostEntry
 	// entries holds the polling entry instances by name.
 	entries map[string]*entryState
 	// evidence is what the entry instances know of crashes of servers.
@@ -97,7 +112,7 @@
 func NewHub(interval time.Duration, d DocumentSource, logger *slog.Logger) *Hub {
 	h := &Hub{
 		documents: d, logger: logger, rejectedLog: rate.NewLimiter(rejectedLogRate, rejectedLogBurst), feedID: uint64(time.Now().UnixNano()), table: NewTable(interval),
-		entries: make(map[string]*entryState), changed: make(chan struct{}), softwareKnownSince: time.Now(),
+		entries: make(map[string]*entryState), lost: make(map[string]lostEntry), changed: make(chan struct{}), softwareKnownSince: time.Now(),
 	}
 	h.evidence.evidence.CollectNews(true)
 	return h
@@ -267,17 +282,36 @@
 		// address.
 		accepting = entries
 	}
-	return selectAddresses(accepting, domain, limit)
+	return selectAddresses(h.withLost(accepting), domain, limit)
+}
+
+// withLost adds the entry instances that were lost lately if few are left without them: if all clients turn
+// to these, they get a multiple of their load, and serve neither new clients nor those whose
+// connections broke. mu must be held.
+func (h *Hub) withLost(accepting []*fleetv1.EntryInstance) []*fleetv1.EntryInstance {
+	if len(h.lost) == 0 || float64(len(accepting)) >= fewEntriesShare*float64(len(accepting)+len(h.lost)) {
+		return accepting
+	}
+	all := slices.Clone(accepting)
+	for _, e := range h.lost {
+		all = append(all, e.EntryInstance)
+	}
+	slices.SortFunc(all, func(a, b *fleetv1.EntryInstance) int { return strings.Compare(a.Name, b.Name) })
+	return all
 }
 
 // liveEntries removes the entry instances that no longer poll and lists the others,
 // sorted by name. mu must be held.
 func (h *Hub) liveEntries() []*fleetv1.EntryInstance {
 	now := time.Now()
+	maps.DeleteFunc(h.lost, func(_ string, e lostEntry) bool { return now.Sub(e.lastPoll) >= lostListingTime })
 	var entries []*fleetv1.EntryInstance
 	for name, e := range h.entries {
 		if e.activePolls == 0 && now.Sub(e.lastPoll) > entryPollGrace || now.Sub(e.lastPoll) > maxPollWait+entryPollGrace {
 			delete(h.entries, name)
+			if e.Accepting {
+				h.lost[name] = lostEntry{e.EntryInstance, e.lastPoll}
+			}
 			h.logger.Info("entry instance expired", slog.String("entry", name))
 			continue
 		}
@@ -298,6 +332,7 @@
 	if e == nil {
 		e = &entryState{EntryInstance: self}
 		h.entries[self.Name] = e
+		delete(h.lost, self.Name)
 		h.logger.Info("entry instance registered", slog.String("entry", self.Name), slog.String("address", self.Address), slog.Bool("accepting", self.Accepting))
 	}
 	if self.StartedUnixMs > e.StartedUnixMs || (self.StartedUnixMs == e.StartedUnixMs && self.Sequence > e.Sequence) {
