gateway: a stream goes on within its response although control does not respond

Streams were cut that could have gone on: one whose plain server broke off went on at another one only after an exchange with the control instances.

A stream that its client resumes is still rejected then: its server may be the one that has restarted under its ID, together with all other streams of it. Within a response the server that broke off is left for another one; that this one has restarted as well, in the time in which the instance cannot know, is not covered.

TestStreamGoesOnWithinResponseAtInstanceThatIsCutOff fails before (unexpected EOF) and passes after.

--- a/gateway/continuation.go
+++ b/gateway/continuation.go
@@ -328,6 +328,8 @@
 //
 // That the server was known before is no reason to go on without it: an instance that had no connection sees
 // nothing of a restart, and may hear of it late. A restart that neither shows nor has been announced is not noticed.
+// A stream that its client resumes is rejected if the control instances do not respond: its server may be the one
+// that restarted. One that goes on within its response is not: it has left its server for another one.
 func (c *call) confirmation(b *backend) func(ctx context.Context, openedAt time.Time) error {
 	if c.software.Load() == nil || b.statesStart() {
 		return nil
@@ -338,14 +340,20 @@
 			return errNotConfirmed
 		}
 		if c.confirmedAt.IsZero() && g.view.KnownAsOf().Sub(openedAt) < reannounceIntervals*g.announceInterval {
-			ctx, cancel := context.WithTimeout(ctx, confirmServerTimeout)
+			now, limit := time.Now(), confirmServerTimeout
+			if !c.resumed() {
+				limit = confirmVersionsTimeout
+			}
+			ctx, cancel := context.WithTimeout(ctx, limit)
 			defer cancel()
-			now := time.Now()
 			if c.unconfirmed || !g.view.ConfirmResponding(ctx, now) {
 				c.unconfirmed = true
-				return errNotConfirmed
+				if c.resumed() {
+					return errNotConfirmed
+				}
+			} else {
+				c.confirmedAt = now
 			}
-			c.confirmedAt = now
 		}
 		a := g.view.Current().Servers[b.server]
 		switch {
