--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -9,14 +9,12 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -111,44 +109,6 @@
 	Confirm func(ctx context.Context, openedAt time.Time) error
 }
 
-// headerLimitedConn is a connection that returns a limited number of bytes while a
-// header is read.
-type headerLimitedConn struct {
-	net.Conn
-	remaining int
-	limited   bool
-	// aliveAt is when the connection was last known not to be closed by its peer, as the time since epoch.
-	aliveAt atomic.Int64
-}
-
-// epoch is the origin of times that are kept as numbers; it has a monotonic reading.
-var epoch = time.Now()
-
-// noteAlive records that the peer has not closed the connection.
-func (c *headerLimitedConn) noteAlive() { c.aliveAt.Store(int64(time.Since(epoch))) }
-
-// Read implements net.Conn.
-func (c *headerLimitedConn) Read(b []byte) (int, error) {
-	if c.limited && c.remaining <= 0 {
-		return 0, ErrHeaderTooLarge
-	}
-	if c.limited {
-		b = b[:min(len(b), c.remaining)]
-	}
-	n, err := c.Conn.Read(b)
-	if c.limited {
-		c.remaining -= n
-	}
-	if n > 0 {
-		c.noteAlive()
-	}
-	return n, err
-}
-
-// startLimit starts the limit of a header, endLimit lifts it.
-func (c *headerLimitedConn) startLimit() { c.remaining, c.limited = maxHeaderBytes, true }
-func (c *headerLimitedConn) endLimit()   { c.limited = false }
-
 // conn is one connection; it carries one exchange at a time.
 type conn struct {
 	*headerLimitedConn
@@ -284,118 +244,6 @@
 	}
 }
 
-// LostAt returns the latest time by which the server may have ended, as far as is seen: it has closed a connection,
-// before the idle timeout or in use, or refused one, and has kept none open that is older. It is zero if that was
-// not seen.
-func (p *Pool) LostAt() time.Time {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.examineIdle()
-	return p.lostAt
-}
-
-// EndedAt is LostAt by those signs alone that a process which goes on hardly gives: it has refused a connection, or
-// reset an idle one. A process that ends may close its idle connections without a reset.
-func (p *Pool) EndedAt() time.Time {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.examineIdle()
-	return p.endedAt
-}
-
-// examineIdle removes the idle connections that the server has closed. mu must be held.
-func (p *Pool) examineIdle() {
-	var closed []*conn
-	kept := p.idle[:0]
-	for _, c := range p.idle {
-		if c.reusable() {
-			kept = append(kept, c)
-			continue
-		}
-		p.drop(c)
-		if !c.expired() {
-			closed = append(closed, c)
-		}
-	}
-	clear(p.idle[len(kept):])
-	p.idle = kept
-	for _, c := range closed {
-		p.noteClosed(c)
-	}
-}
-
-// LivesOn reports whether the server keeps idle connections open, at least half of them. The system
-// closes all connections of a process that ends; the end of a few may be lost on the way.
-func (p *Pool) LivesOn() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	live := 0
-	for _, c := range p.idle {
-		if c.reusable() {
-			live++
-		}
-	}
-	return live > 0 && 2*live >= len(p.idle)
-}
-
-// noteClosed records that the server has closed a connection, which is no longer in conns: it may have ended
-// since that was last known to be open. mu must be held.
-func (p *Pool) noteClosed(c *conn) {
-	p.identified = false
-	p.noteEnd(time.Duration(c.aliveAt.Load()), c.reset)
-}
-
-// noteEnd records that the server may have ended after a time, unless an older connection is open: the system
-// closes all connections of a process that ends. One that accepted a newer connection, still open, has run since
-// then at least. sure is described at EndedAt. mu must be held.
-func (p *Pool) noteEnd(after time.Duration, sure bool) {
-	since := time.Since(epoch)
-	for c := range p.conns {
-		if c.connectedAt < since && c.established() {
-			since = c.connectedAt
-		}
-	}
-	if since <= after {
-		return
-	}
-	at := epoch.Add(since)
-	if at.After(p.lostAt) {
-		p.lostAt = at
-	}
-	if sure && at.After(p.endedAt) {
-		p.endedAt = at
-	}
-}
-
-// tcpEstablished is the state of a connection that neither side has closed, in include/net/tcp_states.h.
-const tcpEstablished = 1
-
-// established reports whether neither side has closed the connection. It does not wait for a reader. The pool's
-// mu must be held.
-func (c *conn) established() bool {
-	c.ended = c.ended || !c.isEstablished()
-	return !c.ended
-}
-
-// isEstablished asks the system for the state of the connection.
-func (c *conn) isEstablished() bool {
-	tcp, ok := c.headerLimitedConn.Conn.(*net.TCPConn)
-	if !ok {
-		return false
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	state := uint8(0)
-	err = raw.Control(func(fd uintptr) {
-		if info, infoErr := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); infoErr == nil {
-			state = info.State
-		}
-	})
-	return err == nil && state == tcpEstablished
-}
-
 // expired reports whether the connection has been idle for too long to be used.
 func (c *conn) expired() bool { return time.Since(c.idleSince) >= c.idleTimeout }
 
@@ -643,96 +491,3 @@
 		}
 	}
 }
-
-// Exchange is a request whose response has begun. It must be ended by Finish or
-// Abandon, and is not safe for concurrent use.
-type Exchange struct {
-	// Response holds the status and headers; the body is read through Read.
-	Response *http.Response
-	// Reused is set if the connection was open before the request.
-	Reused bool
-
-	pool *Pool
-	conn *conn
-	// stop ends the watch of the context; it returns false if the context has already
-	// closed the connection.
-	stop         func() bool
-	bodyComplete bool
-	// writeErr is the error of a request that was not written to its end; nil if it was.
-	writeErr error
-	ended    bool
-}
-
-// Read reads the body. It returns io.EOF only after the whole body: a body without a
-// length ends with a clean close of the connection by a server that took the whole request.
-func (x *Exchange) Read(b []byte) (int, error) {
-	n, err := x.Response.Body.Read(b)
-	ended := errors.Is(err, io.EOF)
-	if ended && framing.CloseDelimited(x.Response) {
-		if broken := framing.CheckClose(x.writeErr, x.conn.unsent()); broken != nil {
-			ended, err = false, broken
-		}
-	}
-	if ended {
-		x.bodyComplete = true
-	} else if err != nil {
-		err = &Error{Phase: PhaseReadBody, Address: x.pool.address, Err: err}
-	}
-	return n, err
-}
-
-// unsent returns how many bytes the peer's system has not acknowledged; 0 if that is not known.
-func (c *conn) unsent() int {
-	raw, err := c.headerLimitedConn.Conn.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		return 0
-	}
-	unsent := 0
-	err = raw.Control(func(fd uintptr) {
-		if n, ioctlErr := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); ioctlErr == nil {
-			unsent = n
-		}
-	})
-	if err != nil {
-		return 0
-	}
-	return unsent
-}
-
-// Finish ends the exchange. The connection is kept if the body was read to its end,
-// nothing follows it and the server keeps it open too. idle is the server's stated
-// idle timeout; 0 if it states none.
-func (x *Exchange) Finish(idle time.Duration) {
-	if x.ended {
-		return
-	}
-	c := x.conn
-	reusable := x.bodyComplete && x.writeErr == nil && !x.Response.Close && c.reader.Buffered() == 0
-	if !reusable || !x.stop() {
-		x.Abandon()
-		return
-	}
-	x.ended = true
-	c.idleTimeout = defaultIdleTimeout
-	if idle > 0 {
-		c.idleTimeout = min(defaultIdleTimeout, idle-reuseMargin)
-	}
-	x.pool.putIdle(c)
-}
-
-// OpenedAt returns when the connection of the exchange was opened.
-func (x *Exchange) OpenedAt() time.Time { return x.conn.openedAt }
-
-// Abandon ends the exchange and closes its connection.
-func (x *Exchange) Abandon() {
-	if x.ended {
-		return
-	}
-	x.ended = true
-	x.stop()
-	if x.bodyComplete {
-		x.pool.discard(x.conn)
-	} else {
-		x.pool.discardBroken(x.conn)
-	}
-}
