--- a/faults/partition_paths_test.go
+++ b/faults/partition_paths_test.go
@@ -23,11 +23,11 @@
 // replicas over proxies, which name the beginning of a path in place of each server's address.
 type gatewayPaths struct {
 	t testing.TB
+
+	mu sync.Mutex
 	// proxies holds the proxy's URL for the URL of each control replica.
 	proxies map[string]string
-
-	mu    sync.Mutex
-	paths map[string]*platformtest.Path
+	paths   map[string]*platformtest.Path
 	// how is the cut in force, nil for none.
 	how func(*platformtest.Path) error
 }
@@ -46,7 +46,9 @@
 			ErrorHandler:   func(rw http.ResponseWriter, _ *http.Request, _ error) { rw.WriteHeader(http.StatusBadGateway) },
 		})
 		t.Cleanup(server.CloseClientConnections)
+		g.mu.Lock()
 		g.proxies[target.String()] = server.URL
+		g.mu.Unlock()
 	}
 	return g
 }
@@ -73,11 +75,13 @@
 	if err := proto.Unmarshal(content, response); err != nil {
 		return err
 	}
+	g.mu.Lock()
 	for i, control := range response.ControlUrls {
 		if proxy := g.proxies[control]; proxy != "" {
 			response.ControlUrls[i] = proxy
 		}
 	}
+	g.mu.Unlock()
 	for _, a := range response.Announcements {
 		if a.Address != "" {
 			a.Address = g.pathTo(a.Address)
