gateway: a stream is not ended because its server is silent

Callers saw: a stream whose server sent no event for a quarter more than the time after which clients are specified to leave was cut, although its client was still connected and its deadline seconds away. A server that went on after 3 s served nobody. The users' rules: a server's silence is no reason to end an answer sooner.

Cause: abortShare. The stall watch ended what it could not hand over.

Change: the stall watch only hands a stream over. Otherwise the client ends the wait by leaving, which cancels the work within half a second, or by its deadline.

--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -10,25 +10,21 @@
 	"github.com/galenaarch/galenaarch/upstream"
 )
 
-// Timeouts of a stream without events, as shares of the time after which clients
-// abandon it.
-const (
-	// failoverShare is when a resumable stream is taken from a server that sends no
-	// event, so that it resumes before its client leaves.
-	failoverShare = 0.6
-	// abortShare is when a stream that cannot resume is aborted: its client has left,
-	// or has waited longer than the time after which clients are specified to leave.
-	abortShare = 1.25
-)
+// failoverShare is when a resumable stream is taken from a server that sends no event, so that it
+// resumes before its client leaves: as a share of the time after which clients abandon a stream
+// without events.
+const failoverShare = 0.6
 
-// errStalled aborts a stream whose server keeps the connection but sends no event.
+// errStalled takes a stream from a server that keeps the connection but sends no event.
 var errStalled = errors.New("stream stalled: no event within the timeout")
 
 // stallWatch monitors the time between the events of a stream. Only complete events
-// count: a faulty server may send single bytes at long intervals. A stream is never
-// aborted for its length. After a pause of failoverShare of the client's timeout, while
-// the client still waits, it is canceled only once another server takes it over; after
-// abortShare it is canceled in any case.
+// count: a faulty server may send single bytes at long intervals. After a pause of failoverShare of
+// the client's timeout, while the client still waits, the stream is canceled once another server
+// takes it over.
+//
+// Invariant: a stream does not end for its length or for its server's silence. The server may go
+// on, and it is the client, or the deadline, that ends the wait for it.
 type stallWatch struct {
 	call    *call
 	stream  *stream
@@ -143,11 +139,11 @@
 	switch {
 	case forwarding, w.late(now):
 		w.schedule(recheckInterval)
-	case sinceEvent >= w.fraction(abortShare), sinceEvent >= w.fraction(failoverShare) && w.tryFailOver(lastEventAt, now):
+	case sinceEvent >= w.fraction(failoverShare) && w.tryFailOver(lastEventAt, now):
 		w.ended, w.stalled = true, true
 		w.attempt.cancel(&upstream.Error{Phase: upstream.PhaseReadBody, Address: w.attempt.backend.address, Err: errStalled})
 	case sinceEvent >= w.fraction(failoverShare):
-		w.schedule(min(recheckInterval, w.fraction(abortShare)-sinceEvent))
+		w.schedule(recheckInterval)
 	default:
 		w.schedule(w.fraction(failoverShare) - sinceEvent)
 	}
