gateway: a response that has begun ends at its client's deadline

Callers saw: a stream, or a long body, was still sent up to 50 ms after its client's deadline, when nobody read it any more.

Cause: streamOvertime, "soon enough not to count as held": a margin that follows from how requests are counted, not from what a client needs.

Change: the time that is kept for a last response, at most 30 ms, is given back to a response that has begun; what arrives by the client's deadline is of use.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,9 +24,10 @@
 // Intervals and time margins of the gateway.
 const (
 	closeIdleInterval = time.Second
-	// responseMargin is subtracted from a client's timeout so that the last response
-	// still reaches it.
-	responseMargin = 30 * time.Millisecond
+	// maxResponseMargin and responseMarginShare bound the time that is subtracted from a client's
+	// timeout so that the last response still reaches it.
+	maxResponseMargin   = 30 * time.Millisecond
+	responseMarginShare = 0.1
 )
 
 // Gateway serves client requests.
@@ -272,10 +273,16 @@
 	if c.request.Timeout > 0 {
 		timeout = min(timeout, c.request.Timeout)
 	}
-	c.deadline = c.startedAt.Add(timeout - min(responseMargin, timeout/10))
+	c.setDeadline(timeout)
 	return 0, ""
 }
 
+// setDeadline sets how long the client and the route allow the request to take.
+func (c *call) setDeadline(timeout time.Duration) {
+	c.responseMargin = min(maxResponseMargin, time.Duration(responseMarginShare*float64(timeout)))
+	c.deadline = c.startedAt.Add(timeout - c.responseMargin)
+}
+
 // setService sets the service to which the request is sent.
 func (c *call) setService(s *site.Service) {
 	c.service, c.state, c.prompt = s, c.gateway.states.get(s.Name), c.request.Prompt
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -15,11 +15,6 @@
 // errDeadline ends a request whose client or route timeout has passed.
 var errDeadline = errors.New("request deadline exceeded")
 
-// streamOvertime is how much longer than other requests a stream, or a response that is too
-// long to buffer, may take: it ends after the client's deadline, and soon enough not to count
-// as held.
-const streamOvertime = responseMargin + 50*time.Millisecond
-
 // serve sends the request until it gets a response, and relays it.
 func (c *call) serve(rw http.ResponseWriter, r *http.Request) {
 	s := &stream{call: c, rw: rw, lastEventID: c.request.LastEventID}
@@ -54,12 +49,12 @@
 }
 
 // startDeadline cancels the request at its deadline, which leaves time for a last response.
-// A response that has begun can only be cut, so it gets streamOvertime more. The returned
-// function stops the timer.
+// A response that has begun can only be cut, so it has that time too: what arrives by the client's
+// deadline is of use. The returned function stops the timer.
 func (s *stream) startDeadline(cancel context.CancelCauseFunc) (stop func() bool) {
 	return time.AfterFunc(time.Until(s.call.deadline), func() {
 		if s.begun.Load() {
-			time.AfterFunc(streamOvertime, func() { cancel(errDeadline) })
+			time.AfterFunc(s.call.responseMargin, func() { cancel(errDeadline) })
 			return
 		}
 		cancel(errDeadline)
