gateway: a request waits for room as long as a server can still serve its client

Callers saw: where the servers of a brittle service had no room, a request without a prompt was refused after half of its route's latency objective, 50 ms without one, although its caller had a second and a server would have taken it after 0.4 s. Where a pass over the queue did not reach a waiting request, it was refused at its deadline only.

Cause: the wait was a share of the objective. Neither the caller's time nor the queue counted.

Change: dispatch.WaitQueue keeps the rate at which servers take its requests. A request waits if its turn is expected while a server can still serve its client, and is refused at once if not; a request that waits in vain leaves the queue as soon as no server can serve it in time.

--- a/dispatch/wait_queue.go
+++ b/dispatch/wait_queue.go
@@ -51,6 +51,10 @@
 type WaitQueue struct {
 	waiting []*Waiter
 	claimed map[string]bool
+	// placedAt is when a server last took a request of the queue, or when the queue began to
+	// fill; interval is the moving average of the times between, 0 if unknown.
+	placedAt time.Time
+	interval time.Duration
 }
 
 // Bounds of the queue and of one pass over it.
@@ -88,8 +92,43 @@
 	return q.claimed
 }
 
+// intervalTTL is how long the rate at which servers took requests counts after the last one.
+const intervalTTL = time.Second
+
+// Placed records that a server takes a request of the queue.
+func (q *WaitQueue) Placed(now time.Time) {
+	sample := now.Sub(q.placedAt)
+	if q.interval == 0 {
+		q.interval = max(1, sample)
+	}
+	q.interval += time.Duration(ewmaWeight * float64(sample-q.interval))
+	q.placedAt = now
+}
+
+// ExpectedWait returns the time until servers have taken the requests ahead of a position and the
+// one at it, at the rate at which they have taken requests lately; 0 if that is not known.
+func (q *WaitQueue) ExpectedWait(p Position, now time.Time) time.Duration {
+	if q.interval == 0 || len(q.waiting) == 0 {
+		return 0
+	}
+	ahead := 0
+	for _, w := range q.waiting {
+		if w.Before(p) {
+			ahead++
+		}
+	}
+	first := max(0, q.interval-now.Sub(q.placedAt))
+	return first + time.Duration(ahead)*q.interval
+}
+
 // Add adds a request behind all those that it does not precede.
-func (q *WaitQueue) Add(w *Waiter) {
+func (q *WaitQueue) Add(w *Waiter, now time.Time) {
+	if len(q.waiting) == 0 {
+		if now.Sub(q.placedAt) > intervalTTL {
+			q.interval = 0
+		}
+		q.placedAt = now
+	}
 	i, _ := slices.BinarySearchFunc(q.waiting, w, func(a, b *Waiter) int {
 		if b.Before(a.Position) {
 			return 1
--- a/dispatch/wait_queue_test.go
+++ b/dispatch/wait_queue_test.go
@@ -26,7 +26,7 @@
 				tried = append(tried, w.Position)
 				return sent, ""
 			}
-			queue.Add(w)
+			queue.Add(w, start)
 		}
 		for range 3 {
 			tried = nil
@@ -54,9 +54,9 @@
 			return false, waitsFor
 		}
 	}
-	queue.Add(&Waiter{Position: Position{StartBy: start}, MemoryTokens: 500, Try: try(500, "a")})
+	queue.Add(&Waiter{Position: Position{StartBy: start}, MemoryTokens: 500, Try: try(500, "a")}, start)
 	for n := range 6 {
-		queue.Add(&Waiter{Position: Position{StartBy: start.Add(time.Duration(n + 1))}, MemoryTokens: 10, Try: try(10, "b")})
+		queue.Add(&Waiter{Position: Position{StartBy: start.Add(time.Duration(n + 1))}, MemoryTokens: 10, Try: try(10, "b")}, start)
 	}
 	queue.Schedule()
 	require.Equal(t, 100, room["a"], "memory is kept for the large request")
@@ -74,18 +74,47 @@
 	var queue WaitQueue
 	tried := 0
 	w := &Waiter{MemoryTokens: 7, Try: func(map[string]bool) (bool, string) { tried++; return false, "" }}
-	queue.Add(w)
+	queue.Add(w, start)
 	require.Equal(t, 7, queue.MemoryAhead(Position{Deferred: true}))
 	queue.Remove(w)
 	queue.Schedule()
 	require.Zero(t, tried+queue.Len()+queue.MemoryAhead(Position{Deferred: true}))
 }
 
+// The wait of a request follows from the requests ahead of it and the rate at which servers have taken
+// requests lately.
+func TestExpectedWaitFollowsRate(t *testing.T) {
+	var queue WaitQueue
+	position := func(n int) Position { return Position{StartBy: start.Add(time.Duration(n))} }
+	require.Zero(t, queue.ExpectedWait(position(0), start), "an empty queue")
+	var waiters []*Waiter
+	for n := range 6 {
+		waiters = append(waiters, &Waiter{Position: position(n), Try: func(map[string]bool) (bool, string) { return false, "" }})
+		queue.Add(waiters[n], start)
+	}
+	require.Zero(t, queue.ExpectedWait(position(6), start), "the rate is not known")
+	now := start
+	for n := range 3 {
+		now = now.Add(200 * time.Millisecond)
+		queue.Remove(waiters[n])
+		queue.Placed(now)
+	}
+	require.Equal(t, 200*time.Millisecond, queue.ExpectedWait(position(0), now))
+	require.Equal(t, 800*time.Millisecond, queue.ExpectedWait(position(6), now))
+	require.Equal(t, 700*time.Millisecond, queue.ExpectedWait(position(6), now.Add(100*time.Millisecond)))
+	require.Equal(t, 600*time.Millisecond, queue.ExpectedWait(position(6), now.Add(time.Second)), "the next one is overdue")
+	for _, w := range waiters {
+		queue.Remove(w)
+	}
+	queue.Add(waiters[0], now.Add(2*time.Second))
+	require.Zero(t, queue.ExpectedWait(position(6), now.Add(2*time.Second)), "the servers may take more than before")
+}
+
 func TestPassIsBounded(t *testing.T) {
 	var queue WaitQueue
 	tried := 0
 	for range 1000 {
-		queue.Add(&Waiter{Try: func(map[string]bool) (bool, string) { tried++; return false, "" }})
+		queue.Add(&Waiter{Try: func(map[string]bool) (bool, string) { tried++; return false, "" }}, start)
 	}
 	queue.Schedule()
 	require.Equal(t, maxFailedTries, tried)
--- a/emulator/run.go
+++ b/emulator/run.go
@@ -228,7 +228,7 @@
 		return false, req.waitsForServer
 	}
 	req.waiter = w
-	req.instance.queue.Add(w)
+	req.instance.queue.Add(w, toTime(r.now))
 	r.schedule(req.givesUpAt, func() {
 		if req.waiter != nil {
 			req.instance.queue.Remove(w)
--- a/gateway/brittle.go
+++ b/gateway/brittle.go
@@ -8,10 +8,6 @@
 	"github.com/galenaarch/galenaarch/dispatch"
 )
 
-// minRoomWait is the least time that a request without a prompt waits for room at the servers
-// of a brittle service.
-const minRoomWait = 50 * time.Millisecond
-
 // applyBrittleness updates which services are brittle, from what their listed servers state.
 func (g *Gateway) applyBrittleness(now time.Time) {
 	if !g.policy.Enabled(dispatch.BrittleRoom) {
@@ -92,9 +88,10 @@
 	g.publishLoad(b)
 }
 
-// waitsForRoom reports whether a request without a prompt may still wait for room.
-func (c *call) waitsForRoom(now time.Time) bool {
-	return now.Sub(c.startedAt) < max(minRoomWait, c.route.TargetLatency/2)
+// roomInTime reports whether a request without a prompt is expected to get room at a server while
+// that can still serve its client. The caller holds the state's lock.
+func (c *call) roomInTime(now time.Time) bool {
+	return c.timeLeft(now.Add(c.state.queue.ExpectedWait(c.currentPosition(), now)))
 }
 
 // lost reports whether no process has heard of the server for some time.
--- a/gateway/service_state.go
+++ b/gateway/service_state.go
@@ -166,8 +166,12 @@
 func (g *Gateway) enqueue(c *call, results chan<- placementResult) *dispatch.Waiter {
 	w := &dispatch.Waiter{Position: c.queuePosition(), MemoryTokens: c.job().MemoryTokens}
 	w.Try = func(claimed map[string]bool) (bool, string) {
-		result, queued := g.tryPlace(c, claimed, time.Now())
+		now := time.Now()
+		result, queued := g.tryPlace(c, claimed, now)
 		if !queued {
+			if result.backend != nil {
+				c.state.queue.Placed(now)
+			}
 			results <- result
 			return true, ""
 		}
@@ -175,7 +179,7 @@
 		return false, c.awaitedServer
 	}
 	c.waiter = w
-	c.state.queue.Add(w)
+	c.state.queue.Add(w, time.Now())
 	return w
 }
 
@@ -189,22 +193,34 @@
 		case result := <-results:
 			return result
 		case <-ctx.Done():
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			select {
-			case result := <-results:
-				g.undoPlacement(c, result.backend)
-			default:
-				s.queue.Remove(w)
+			if result := c.leaveQueue(w, results); result.backend != nil {
+				c.undoReservation(result.backend)
 			}
 			return placementResult{reason: reasonDeadline}
 		case now := <-recheck.C:
 			c.prepareCauses()
 			s.recheck(now)
+			if !c.timeLeft(now) {
+				return c.leaveQueue(w, results)
+			}
 		}
 	}
 }
 
+// leaveQueue removes a request from the queue that no server can serve in its client's time any more,
+// unless its result has just been decided.
+func (c *call) leaveQueue(w *dispatch.Waiter, results <-chan placementResult) placementResult {
+	c.state.mu.Lock()
+	defer c.state.mu.Unlock()
+	select {
+	case result := <-results:
+		return result
+	default:
+		c.state.queue.Remove(w)
+		return placementResult{reason: reasonDeadline}
+	}
+}
+
 // recheck reconsiders the queued requests unless that was done just now.
 func (s *serviceState) recheck(now time.Time) {
 	s.mu.Lock()
@@ -240,7 +256,7 @@
 	case dispatch.Reject:
 		return placementResult{reason: reasonNoCapacity}, false
 	case dispatch.Hold:
-		if c.prompt == nil && !c.waitsForRoom(now) {
+		if c.prompt == nil && !c.roomInTime(now) {
 			return placementResult{reason: reasonNoRoom}, false
 		}
 		c.awaitedServer = b.server
