gateway: prompts go to older weights only while they can begin there in time

Callers saw: two seconds before the end of a rollout of eight, a prompt whose caller waits up to six seconds still went to a server on older weights, where it could begin four seconds too late; and servers on older weights were left out a second or two before they had to be, which is a second less of their capacity. For 1.2 s after new weights were named, nothing preferred them.

Cause: shares of the rollout time (0.69, 0.75) that do not follow from how long prompts wait, and a delay after which "responses from older weights lose value".

Change: dispatch.WeightRollout. A prompt may use older weights while it begins there before the end of the rollout time: it waits at most until its caller leaves, and is not expected to wait more than twice as long as the longest recent prompt of the service. Servers on older weights cost more from the moment at which new ones are named; the amount stays.

TestOutdatedServersGetNoPrompts asked for the shares. TestOutdatedServersGetNoPromptsThatBeginTooLate replaces it; on the code before two of its nine cases fail: a patient client may wait too long, and servers are left out although prompts begin soon. TestOutdatedServersCostMoreAtOnce fails there too.

--- a/dispatch/time_left.go
+++ b/dispatch/time_left.go
@@ -2,61 +2,6 @@
 
 import "time"
 
-// Parameters of the shortest recent times.
-const (
-	// minimumWindow is the time for which an observed minimum counts, at least; at most twice
-	// that. A service that becomes faster is noticed after it, even if nothing was sent.
-	minimumWindow = 5 * time.Second
-	// minMinimumSamples is the number of observations from which on a minimum is known.
-	minMinimumSamples = 20
-)
-
-// RecentMinimum is the shortest of the times that something has taken lately. What has less time
-// than that cannot be done. The zero value knows none. It is not safe for concurrent use.
-type RecentMinimum struct {
-	older, newer minimumSamples
-	newerSince   time.Time
-}
-
-// minimumSamples are the observations of one window.
-type minimumSamples struct {
-	count    int
-	shortest time.Duration
-}
-
-// rotate drops the observations that are too old.
-func (m *RecentMinimum) rotate(now time.Time) {
-	switch age := now.Sub(m.newerSince); {
-	case age >= 2*minimumWindow:
-		m.older, m.newer, m.newerSince = minimumSamples{}, minimumSamples{}, now
-	case age >= minimumWindow:
-		m.older, m.newer, m.newerSince = m.newer, minimumSamples{}, m.newerSince.Add(minimumWindow)
-	}
-}
-
-// Observe records a time.
-func (m *RecentMinimum) Observe(d time.Duration, now time.Time) {
-	m.rotate(now)
-	if m.newer.count == 0 || d < m.newer.shortest {
-		m.newer.shortest = d
-	}
-	m.newer.count++
-}
-
-// Value returns the shortest recent time; 0 if too few are known.
-func (m *RecentMinimum) Value(now time.Time) time.Duration {
-	m.rotate(now)
-	switch {
-	case m.older.count+m.newer.count < minMinimumSamples:
-		return 0
-	case m.newer.count == 0:
-		return m.older.shortest
-	case m.older.count == 0:
-		return m.newer.shortest
-	}
-	return min(m.older.shortest, m.newer.shortest)
-}
-
 // CallerTime is the time that a caller still has for a request, and the work that is left.
 type CallerTime struct {
 	// Deadline is when the whole response must have been sent. LeavesAt is when the caller of a
--- a/dispatch/time_left_test.go
+++ b/dispatch/time_left_test.go
@@ -7,28 +7,6 @@
 	"github.com/stretchr/testify/require"
 )
 
-func TestRecentMinimumFollowsRecentTimes(t *testing.T) {
-	now := time.Unix(1000, 0)
-	var m RecentMinimum
-	require.Zero(t, m.Value(now), "nothing known")
-	for i := range minMinimumSamples {
-		require.Zero(t, m.Value(now), "too few times")
-		m.Observe(time.Duration(500+i)*time.Millisecond, now)
-	}
-	require.Equal(t, 500*time.Millisecond, m.Value(now))
-	m.Observe(300*time.Millisecond, now)
-	require.Equal(t, 300*time.Millisecond, m.Value(now), "the service is faster now")
-	for i := range 100 {
-		m.Observe(700*time.Millisecond, now.Add(time.Duration(i)*100*time.Millisecond))
-	}
-	require.Equal(t, 300*time.Millisecond, m.Value(now.Add(9*time.Second)))
-	for i := range 100 {
-		m.Observe(700*time.Millisecond, now.Add(10*time.Second+time.Duration(i)*10*time.Millisecond))
-	}
-	require.Equal(t, 700*time.Millisecond, m.Value(now.Add(11*time.Second)), "the service is slower now")
-	require.Zero(t, m.Value(now.Add(time.Minute)), "nothing was sent lately: the service may be faster")
-}
-
 func TestLatestStartLeavesTimeForTheWork(t *testing.T) {
 	now := time.Unix(1000, 0)
 	tests := []struct {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -169,6 +169,7 @@
 	took := a.headersAt.Sub(a.startedAt)
 	c.state.mu.Lock()
 	defer c.state.mu.Unlock()
+	c.state.starts.Observe(took, a.headersAt)
 	if c.decision.QueuedTokens == 0 && a.fetchedTokens == 0 && !c.discovering(a.startedAt) {
 		c.state.prefill.Observe(max(0, a.work.PrefillTokens-c.state.prefill.StepTokens()), took)
 	}
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -109,32 +109,13 @@
 	}
 }
 
-const (
-	// outdatedAfter is the time after the request for a new version from which, by the
-	// requirements, responses from older weights lose value.
-	outdatedAfter = 1200 * time.Millisecond
-	// earlyExclusionShare is the share of the rollout time after which a server on
-	// older weights gets no more prompts if enough others have switched; after
-	// finalExclusionShare it gets none in any case. Both leave time for prompts that
-	// are still queued at a server.
-	earlyExclusionShare = 0.69
-	finalExclusionShare = 0.75
-	// outdatedPenalty is the added cost of a server on older weights. Servers switch
-	// one after another, and the first ones done must not get all prompts.
-	outdatedPenalty = 60 * time.Millisecond
-	// minCurrentShare is the share of servers that must have switched before the
-	// others are excluded early: fewer could not carry the load.
-	minCurrentShare = 0.5
-)
-
-// excludeOutdated removes the servers of a service that still run older weights after
-// the time given to switch. It considers all servers of the service, because those of
-// one cell may be the last to switch. Invariant: while any server has switched, no
-// other server is sent a prompt after finalExclusionShare of the rollout time. The
-// caller holds the lock of the servers' state.
-func (rs *routingState) excludeOutdated(model string, all []*backend, now time.Time) []*backend {
-	age := now.Sub(rs.targetSince[model])
-	if rs.targetVersions[model] == 0 || age < time.Duration(earlyExclusionShare*float64(rs.weightRolloutTime)) {
+// excludeOutdated removes the servers of a service that still run older weights once a prompt that is
+// sent to them could begin there after the time given to switch. It considers all servers of the
+// service, because those of one cell may be the last to switch. mayBegin decides by the end of
+// that time. Invariant: while any server has switched, no other server is sent a prompt that may
+// begin too late. The caller holds the lock of the servers' state.
+func (rs *routingState) excludeOutdated(model string, all []*backend, mayBegin func(until time.Time) bool) []*backend {
+	if rs.targetVersions[model] == 0 || mayBegin(rs.targetSince[model].Add(rs.weightRolloutTime)) {
 		return all
 	}
 	switched := make([]*backend, 0, len(all))
@@ -143,21 +124,18 @@
 			switched = append(switched, b)
 		}
 	}
-	if len(switched) == 0 || (age < time.Duration(finalExclusionShare*float64(rs.weightRolloutTime)) && float64(len(switched)) < minCurrentShare*float64(len(all))) {
+	if len(switched) == 0 {
 		return all
 	}
 	return switched
 }
 
-// penalizeOutdated raises the cost of servers on older weights once their responses
-// begin to lose value.
-func (rs *routingState) penalizeOutdated(model string, candidates []*backend, servers []placement.Server, now time.Time) {
-	if rs.targetVersions[model] == 0 || now.Sub(rs.targetSince[model]) < outdatedAfter {
-		return
-	}
+// penalizeOutdated raises the cost of servers on older weights: new ones are wanted from the
+// moment at which they were named.
+func (rs *routingState) penalizeOutdated(model string, candidates []*backend, servers []placement.Server) {
 	for i, b := range candidates {
 		if b.weights[model] < rs.targetVersions[model] {
-			servers[i].Penalty = outdatedPenalty
+			servers[i].Penalty = dispatch.OutdatedPenalty
 		}
 	}
 }
--- a/gateway/service_state.go
+++ b/gateway/service_state.go
@@ -27,6 +27,8 @@
 	// estimateErrors are the errors of the wait estimates, indexed by shortPrompt and
 	// longPrompt.
 	estimateErrors [2]dispatch.EstimateErrors
+	// starts are the times that prompts took from being sent to their first event.
+	starts dispatch.RecentTimes
 	// firstServerAt is when this process first learned of a server of the service.
 	firstServerAt time.Time
 	// brittle is whether the servers end when they have to reject requests.
@@ -364,11 +366,15 @@
 // switched, and so do those withheld for their software: a prompt must not go to older weights
 // instead. The caller holds the state's lock.
 func (c *call) excludeOutdated(rs *routingState, usable []*backend, now time.Time) []*backend {
+	mayBegin := func(until time.Time) bool {
+		caller := c.callerTime(now)
+		return dispatch.WeightRollout{Until: until}.MayBegin(&caller, &c.state.starts, now)
+	}
 	if len(c.rateLimited) == 0 && len(c.withheld) == 0 {
-		return rs.excludeOutdated(c.prompt.Model, usable, now)
+		return rs.excludeOutdated(c.prompt.Model, usable, mayBegin)
 	}
 	all := slices.Concat(usable, c.rateLimited, c.withheld)
-	kept := rs.excludeOutdated(c.prompt.Model, all, now)
+	kept := rs.excludeOutdated(c.prompt.Model, all, mayBegin)
 	if len(kept) == len(all) {
 		return usable
 	}
@@ -417,7 +423,7 @@
 		return
 	}
 	if g.policy.Enabled(dispatch.StaleWeightsPenalty) {
-		rs.penalizeOutdated(c.prompt.Model, set.backends, set.servers, now)
+		rs.penalizeOutdated(c.prompt.Model, set.backends, set.servers)
 	}
 	c.fillCachedTokens(set.backends, set.servers, now)
 }
--- a/gateway/weights_test.go
+++ b/gateway/weights_test.go
@@ -9,48 +9,57 @@
 
 	"github.com/galenaarch/galenaarch/api/fleetv1"
 	"github.com/galenaarch/galenaarch/config/site"
+	"github.com/galenaarch/galenaarch/dispatch"
 )
 
-// A weight rollout takes longer than intended under load. No prompt may go to older
-// weights so late that it could start there after the rollout time, however few servers
-// have switched and whichever cell they are in.
-func TestOutdatedServersGetNoPrompts(t *testing.T) {
+// A weight rollout takes longer than intended under load. No prompt may go to older weights so
+// late that it could begin there after the rollout time, however few servers have switched and
+// whichever cell they are in. A prompt that begins in time may use all servers.
+func TestOutdatedServersGetNoPromptsThatBeginTooLate(t *testing.T) {
 	service := &site.Service{Name: "llm", Engine: &site.Engine{}}
 	requestedAt := time.Unix(1000, 0)
-	for _, rolloutTime := range []time.Duration{4 * time.Second, 8 * time.Second, 20 * time.Second} {
-		t.Run(rolloutTime.String(), func(t *testing.T) { testOutdatedServers(t, service, requestedAt, rolloutTime) })
-	}
-}
-
-func testOutdatedServers(t *testing.T, service *site.Service, requestedAt time.Time, rolloutTime time.Duration) {
-	t.Helper()
-	early, final := time.Duration(earlyExclusionShare*float64(rolloutTime)), time.Duration(finalExclusionShare*float64(rolloutTime))
+	const rollout = 8 * time.Second
 	tests := []struct {
-		name     string
+		name string
+		// switched of ten servers run the new weights at the given time after the request for them.
 		switched int
 		after    time.Duration
-		want     int
+		// clientWaits is how long the client still waits for its first event, longest the longest
+		// recent time to one, 0 if unknown.
+		clientWaits, longest time.Duration
+		want                 int
 	}{
-		{"all serve at first", 2, rolloutTime / 8, 10},
-		{"most have switched: the others are excluded early", 6, early, 6},
-		{"few have switched: the others still carry the load", 2, early, 10},
-		{"few have switched, and it is late", 2, final, 2},
-		{"none has switched", 0, time.Minute, 10},
+		{"all serve at first", 2, time.Second, 2 * time.Second, 0, 10},
+		{"waits are unknown, and the client leaves in time", 2, 5900 * time.Millisecond, 2 * time.Second, 0, 10},
+		{"waits are unknown, and the client may wait too long", 2, 6100 * time.Millisecond, 2 * time.Second, 0, 2},
+		{"a patient client may wait too long", 2, 3 * time.Second, 6 * time.Second, 0, 2},
+		{"a patient client, but prompts begin soon", 2, 3 * time.Second, 6 * time.Second, time.Second, 10},
+		{"prompts begin soon: few servers need not carry the load", 2, 6900 * time.Millisecond, 2 * time.Second, 500 * time.Millisecond, 10},
+		{"prompts begin soon, but it is late", 2, 7100 * time.Millisecond, 2 * time.Second, 500 * time.Millisecond, 2},
+		{"prompts wait for long", 6, 5600 * time.Millisecond, 6 * time.Second, 1300 * time.Millisecond, 6},
+		{"none has switched", 0, time.Minute, 2 * time.Second, 0, 10},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			rs := &routingState{weightRolloutTime: rolloutTime, targetVersions: map[string]uint64{"m": 2}, targetSince: map[string]time.Time{"m": requestedAt}}
-			state := &serviceState{}
+			now := requestedAt.Add(tt.after)
+			rs := &routingState{weightRolloutTime: rollout, targetVersions: map[string]uint64{"m": 2}, targetSince: map[string]time.Time{"m": requestedAt}}
+			c := newTestGateway(t, 0).call(500)
+			for range 50 {
+				if tt.longest > 0 {
+					c.state.starts.Observe(tt.longest, now)
+				}
+			}
+			c.startedAt, c.route.ClientTimeout, c.deadline = now, tt.clientWaits, now.Add(10*time.Second)
 			var all []*backend
 			for n := range 10 {
-				b := newBackend(&fleetv1.Announcement{Server: fmt.Sprint("i-", n)}, service, state, 0, requestedAt)
+				b := newBackend(&fleetv1.Announcement{Server: fmt.Sprint("i-", n)}, service, c.state, 0, requestedAt)
 				b.raiseWeightVersion("m", 1)
 				if n < tt.switched {
 					b.raiseWeightVersion("m", 2)
 				}
 				all = append(all, b)
 			}
-			candidates := rs.excludeOutdated("m", all, requestedAt.Add(tt.after))
+			candidates := c.excludeOutdated(rs, all, now)
 			require.Len(t, candidates, tt.want)
 			if tt.want < 10 {
 				for _, b := range candidates {
@@ -61,6 +70,23 @@
 	}
 }
 
+// New weights are wanted from the moment at which they were named: servers on older ones cost more
+// from then on.
+func TestOutdatedServersCostMoreAtOnce(t *testing.T) {
+	h := newTestGateway(t, 2)
+	servers := h.routing.services["llm"]
+	servers[0].raiseWeightVersion("m", 2)
+	servers[1].raiseWeightVersion("m", 1)
+	h.routing.targetVersions = map[string]uint64{"m": 2}
+	h.routing.targetSince = map[string]time.Time{"m": time.Now()}
+	h.routing.weightRolloutTime = 8 * time.Second
+	c, set := h.call(500), candidateSet{}
+	set.reset(servers)
+	h.describeServers(h.routing, c, &set, time.Now())
+	require.Zero(t, set.servers[0].Penalty)
+	require.Equal(t, dispatch.OutdatedPenalty, set.servers[1].Penalty)
+}
+
 // TestRateLimitedServerIsNotReplacedByOutdatedOne guards against prompts that go to older
 // weights after the rollout time because this instance has no permit for the servers that
 // have switched.
@@ -74,7 +100,8 @@
 		return b
 	}
 	switched, outdated, limitedOutdated := backendOn("i-1", 2), backendOn("i-2", 1), backendOn("i-3", 1)
-	c := &call{prompt: &Prompt{Model: "m"}, rateLimited: []*backend{switched, limitedOutdated}}
+	c := newTestGateway(t, 0).call(500)
+	c.rateLimited, c.startedAt, c.deadline = []*backend{switched, limitedOutdated}, requestedAt, requestedAt.Add(time.Minute)
 	require.Equal(t, []*backend{outdated}, c.excludeOutdated(rs, []*backend{outdated}, requestedAt.Add(time.Second)), "early: older weights are used")
 	require.Len(t, c.rateLimited, 2)
 	require.Empty(t, c.excludeOutdated(rs, []*backend{outdated}, requestedAt.Add(8*time.Second)))
--- a/gateway/work_times.go
+++ b/gateway/work_times.go
@@ -18,7 +18,7 @@
 // to the end of its response.
 type routeWork struct {
 	mu             sync.Mutex
-	toEvent, toEnd dispatch.RecentMinimum
+	toEvent, toEnd dispatch.RecentTimes
 }
 
 func (w *workTimes) route(name string) *routeWork {
@@ -50,7 +50,7 @@
 	r := w.route(route)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.toEvent.Value(now), r.toEnd.Value(now)
+	return r.toEvent.Shortest(now), r.toEnd.Shortest(now)
 }
 
 // retain removes the routes that are no longer in the site document.
