gateway: a draining instance accepts only what surely ends before it exits

Callers saw: a stream of 4 s that came 1.8 s after the start of a drain of 6 s was passed on, since the streams before it had been short, and cut when the process exited. Another instance would have served it.

Cause: for its first three seconds a drain counted on the usual duration of a route; only later requests had to end in time by their own timeout.

The usual durations and the time reserved for silent servers are no longer needed. More requests are rejected during a drain than before.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -46,8 +46,6 @@
 	// deadline is when the last response must be sent, responseMargin earlier than the client's own.
 	deadline       time.Time
 	responseMargin time.Duration
-	// receivedAt is when the whole request had arrived; startedAt before that.
-	receivedAt time.Time
 	// triedServers are the servers to which the request is not sent again, ranServers
 	// those that may have run it.
 	triedServers, ranServers map[string]bool
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -159,8 +159,6 @@
 		return current
 	}
 	compiled := site.Compile(decoded)
-	g.durations.retain(decoded.Routes)
-	g.attemptDurations.retain(decoded.Routes)
 	g.workTimes.retain(decoded.Routes)
 	g.logger.Info("site document applied", slog.Uint64("version", d.Version), slog.Int("routes", len(decoded.Routes)),
 		slog.Int("services", len(decoded.Services)), slog.Int("accounts", len(decoded.Accounts)), slog.Int("isolated", decoded.IsolatedAccounts()))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -67,12 +67,9 @@
 	interruptions interruptions
 	evidence      *crashEvidence
 	// streams hold which software began the streams that clients may resume.
-	streams *streamRecords
-	// durations count from the arrival of requests, attemptDurations from when they were last
-	// sent to a server.
-	durations, attemptDurations routeDurations
-	workTimes                   workTimes
-	inflight                    atomic.Int64
+	streams   *streamRecords
+	workTimes workTimes
+	inflight  atomic.Int64
 	// lastArrival is when the last request arrived, in nanoseconds of Unix time.
 	lastArrival      atomic.Int64
 	promptMix        placement.LengthMix
@@ -149,7 +146,7 @@
 	defer g.inflight.Add(-1)
 	now := time.Now()
 	rs := g.routing.Load()
-	c := &call{gateway: g, routing: rs, request: &Request{}, startedAt: now, receivedAt: now, progress: progress{stage: stageHead}, triedServers: make(map[string]bool), ranServers: make(map[string]bool), triedPeers: make(map[string]bool), forwarded: f}
+	c := &call{gateway: g, routing: rs, request: &Request{}, startedAt: now, progress: progress{stage: stageHead}, triedServers: make(map[string]bool), ranServers: make(map[string]bool), triedPeers: make(map[string]bool), forwarded: f}
 	if f != nil {
 		c.startedAt = now.Add(-f.elapsed)
 		rw = &forwardWriter{ResponseWriter: rw, call: c}
@@ -186,15 +183,15 @@
 			return
 		}
 	}
-	if !c.endsInTime(now, &g.durations) {
+	if !c.endsInTime() {
 		g.reject(rw, c, http.StatusServiceUnavailable, string(reasonStopping), drainRetryAfter, nil)
 		return
 	}
 	if !c.readBody(rw, r) {
 		return
 	}
-	// The body may have taken long.
-	if c.receivedAt = time.Now(); !c.endsInTime(c.receivedAt, &g.durations) {
+	// The drain may have started meanwhile.
+	if !c.endsInTime() {
 		g.reject(rw, c, http.StatusServiceUnavailable, string(reasonStopping), drainRetryAfter, nil)
 		return
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -190,8 +190,6 @@
 		c.gateway.metrics.recordOutcome(c, outcomeRejectedByPeer)
 		return
 	}
-	c.gateway.durations.record(c.route.Name, time.Since(c.startedAt))
-	c.gateway.attemptDurations.record(c.route.Name, time.Since(a.startedAt))
 	if c.route.Kind != site.KindStream || (c.attemptsSent <= 1 && c.request.LastEventID == "") {
 		c.gateway.workTimes.recordEnd(c.route.Name, time.Since(a.startedAt), time.Now())
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -132,7 +132,7 @@
 			return nil, c.resolveReason(result.reason)
 		}
 		// A request that may have run goes on: its client can do no better elsewhere.
-		if !c.mayHaveRun && !s.headersSent && !c.endsInTime(time.Now(), &c.gateway.attemptDurations) {
+		if !c.mayHaveRun && !s.headersSent && !c.endsInTime() {
 			c.undoReservation(result.backend)
 			return nil, reasonStopping
 		}
