dispatch: a prompt is judged by the time that its caller still has, sent before or not

Callers saw: a prompt that missed its latency objective was rejected if its turn behind all others came after its caller left, although arrival order would have served it in time. One that had been sent to a server before, by the same instance, was never rejected, however hopeless, and one whose stream had begun seconds ago neither, since its time counted from its arrival.

Cause: the verdict knew the time since the arrival and the caller's timeout, not the time that is left.

Change: admission.WaitEstimate has the caller's patience from now on, for a begun stream from its last event. A late prompt yields to the others only as far as that allows, else it is served in arrival order, and it is rejected if that is too late as well. First tries and repeats are alike.

--- a/admission/verdict.go
+++ b/admission/verdict.go
@@ -1,12 +1,15 @@
 package admission
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Parameters of a verdict.
 const (
-	// rejectMargin is the factor by which the expected wait must exceed the client's
-	// timeout for the request to be rejected: waits are estimates, and a late
-	// response is worth more to the client than none.
+	// rejectMargin is the factor by which the expected wait must exceed the time that the
+	// client still waits for the request to be rejected: waits are estimates, and a client that
+	// might be served must not be turned away.
 	rejectMargin = 1.25
 	// minRetryAfter is the minimum retry delay, minRetryJitter the minimum span over
 	// which clients that are rejected at the same moment retry.
@@ -18,16 +21,20 @@
 
 // WaitEstimate is the expected wait of a request at its best server.
 type WaitEstimate struct {
-	// Elapsed is the time since the request arrived, Objective the target time to the
-	// first event, and ClientTimeout the time after which the client gives up; the
-	// last two are 0 if there is none.
-	Elapsed, Objective, ClientTimeout time.Duration
+	// Elapsed is the time since the request arrived, or since the last event of its stream;
+	// Objective is the target for the time to the next event, 0 if there is none.
+	Elapsed, Objective time.Duration
+	// Patience is how much longer the client waits, from now; NoLimit if that is not known.
+	Patience time.Duration
 	// ArrivalOrderWait is the expected time from now to the first event in arrival
 	// order, DeferredWait that time if all requests that can still meet their
 	// objective go first.
 	ArrivalOrderWait, DeferredWait time.Duration
 }
 
+// NoLimit is the patience of a client of which it is not known when it leaves.
+const NoLimit = time.Duration(math.MaxInt64)
+
 // Verdict is what to do with a request.
 type Verdict int
 
@@ -38,26 +45,34 @@
 	// Defer: the request misses its objective anyway and is served after those that
 	// do not.
 	Defer
-	// Reject: the client would give up before the response begins.
+	// Reject: the client would give up before the response begins, in arrival order too.
 	Reject
 )
 
 // String implements fmt.Stringer.
 func (v Verdict) String() string { return [...]string{"in turn", "behind", "turned away"}[v] }
 
+// OnTime reports whether the request meets its objective in arrival order.
+func (e *WaitEstimate) OnTime() bool {
+	return e.Objective == 0 || e.Elapsed+e.ArrivalOrderWait <= e.Objective
+}
+
 // Judge returns the verdict for a request. It is for load above capacity that lasts
 // for seconds (a burst of requests, a quarter of the servers down). In arrival order,
 // every response is then late by the length of the queue; with the late requests
-// moved behind the others, only the excess load is late. A request without an
-// objective is always admitted.
+// moved behind the others, only the excess load is late. A late request is moved only as far as
+// its client's time allows: otherwise it is served in arrival order, and it is rejected only if
+// that is too late as well. A request without an objective is always admitted.
 func Judge(e WaitEstimate) Verdict {
-	if e.Objective == 0 || e.Elapsed+e.ArrivalOrderWait <= e.Objective {
+	switch {
+	case e.OnTime():
+		return Admit
+	case e.DeferredWait <= e.Patience:
+		return Defer
+	case float64(min(e.ArrivalOrderWait, e.DeferredWait)) <= rejectMargin*float64(e.Patience):
 		return Admit
 	}
-	if e.ClientTimeout > 0 && e.Elapsed+e.DeferredWait > time.Duration(rejectMargin*float64(e.ClientTimeout)) {
-		return Reject
-	}
-	return Defer
+	return Reject
 }
 
 // RetryDelay returns the retry delay for a rejected request: the time until the queue
--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -10,17 +10,17 @@
 // Request is a request as seen by a decision.
 type Request struct {
 	Job placement.Job
-	// Elapsed is the time since the request arrived, Objective the target time to the
-	// first event, and ClientTimeout the time after which the client gives up; the
-	// last two are 0 if there is none.
-	Elapsed, Objective, ClientTimeout time.Duration
-	// Resumed requests have already run at another server and are never rejected.
-	Resumed bool
+	// Elapsed, Objective and Patience are those of admission.WaitEstimate. They are the same for
+	// a request that was sent before.
+	Elapsed, Objective, Patience time.Duration
+	// Continues is set for a stream of which the client already has events: without a server, the
+	// client loses more than a place in a queue.
+	Continues bool
 	// QueueWait is the time until servers have room for the requests ahead in the
 	// local wait queue.
 	QueueWait time.Duration
-	// Discovering is set while servers are still being discovered: a prompt that can
-	// still meet its objective then waits.
+	// Discovering is set while servers are still being discovered: a prompt then waits as long as
+	// its client does.
 	Discovering bool
 	// Errors holds the estimate errors for this kind of prompt; nil for none.
 	Errors *EstimateErrors
@@ -69,8 +69,10 @@
 	// Server is the index of the server to send to or to wait for; -1 for none.
 	Server int
 	// Peer is the index of the instance to pass the request on to.
-	Peer     int
-	Verdict  admission.Verdict
+	Peer    int
+	Verdict admission.Verdict
+	// Late is set if the request misses its objective.
+	Late     bool
 	Estimate admission.WaitEstimate
 	// PrefillTokens is the prefill work of this prompt at the server, QueuedTokens the
 	// prefill work queued there before it.
@@ -92,7 +94,7 @@
 		return p.decideAmong(scorer, all(), req, tieBreak), true
 	}
 	d = p.decideAmong(scorer, near(), req, tieBreak)
-	if d.Action == Send && d.Verdict == admission.Admit {
+	if d.Action == Send && !d.Late && d.Verdict == admission.Admit {
 		return d, false
 	}
 	if far := p.decideAmong(scorer, all(), req, tieBreak); d.Action == NoServer || better(&far, &d) {
@@ -101,18 +103,32 @@
 	return d, false
 }
 
-// better reports whether a is the better decision for the client: the milder verdict,
+// better reports whether a is the better decision for the client: the milder outcome,
 // or being sent instead of held.
 func better(a, b *Decision) bool {
 	if a.Action == NoServer {
 		return false
 	}
-	if a.Verdict != b.Verdict {
-		return a.Verdict < b.Verdict
+	if a.outcome() != b.outcome() {
+		return a.outcome() < b.outcome()
 	}
 	return a.Action == Send && b.Action == Hold
 }
 
+// outcome ranks decisions, best for the client first: on time, late although all others go first,
+// late in arrival order, rejected.
+func (d *Decision) outcome() int {
+	switch {
+	case d.Verdict == admission.Reject:
+		return 3
+	case d.Verdict == admission.Admit && d.Late:
+		return 2
+	case d.Late:
+		return 1
+	}
+	return 0
+}
+
 func (p *Policy) decideAmong(scorer placement.Scorer, c *Candidates, req *Request, tieBreak float64) Decision {
 	excluded := func(i int) bool { return c.Tried != nil && c.Tried(i) }
 	job := req.Job
@@ -138,6 +154,7 @@
 	}
 	p.judgeArrivalOrder(scorer, c, req, &d)
 	if d.Verdict != admission.Admit && p.Enabled(Deferral) {
+		inOrder := d
 		job.Deferred = true
 		if i := placement.Pick(scorer, c.Servers, job, unavailable, tieBreak); i >= 0 {
 			d.Action, d.Server = Send, i
@@ -145,9 +162,13 @@
 			d.Action = Hold
 		}
 		p.judgeDeferred(scorer, c, req, &d, &job)
-		if d.Action == Hold {
-			// A prompt that misses its objective anyway would delay those queued
-			// behind it, so its client is told to retry later.
+		if d.Verdict == admission.Admit {
+			// Its client cannot wait behind the others.
+			d.Action, d.Server, job.Deferred = inOrder.Action, inOrder.Server, false
+		}
+		if d.Action == Hold && !req.Continues {
+			// If late prompts waited here, the queue would grow until clients leave, and many
+			// would be rejected only after they have waited.
 			d.Verdict = p.restrictVerdict(req, admission.Reject)
 		}
 	}
@@ -175,33 +196,39 @@
 
 // judgeArrivalOrder sets the verdict for a prompt served in arrival order.
 func (p *Policy) judgeArrivalOrder(scorer placement.Scorer, c *Candidates, req *Request, d *Decision) {
-	d.Estimate = admission.WaitEstimate{Elapsed: req.Elapsed, Objective: req.Objective, ClientTimeout: req.ClientTimeout}
+	d.Estimate = admission.WaitEstimate{Elapsed: req.Elapsed, Objective: req.Objective, Patience: req.Patience}
 	d.Estimate.ArrivalOrderWait = scorer.Cost(&c.Servers[d.Server], &req.Job)
 	if d.Action == Hold {
 		d.Estimate.ArrivalOrderWait += req.QueueWait
 	}
 	d.Estimate.DeferredWait = d.Estimate.ArrivalOrderWait
-	optimistic := d.Estimate
-	if req.Errors != nil && p.Enabled(EstimateMargin) {
-		optimistic.ArrivalOrderWait = req.Errors.LowerBound(optimistic.ArrivalOrderWait)
-	}
+	optimistic := p.optimistic(req, d.Estimate)
+	d.Late = !optimistic.OnTime()
 	d.Verdict = p.restrictVerdict(req, admission.Judge(optimistic))
 }
 
 // judgeDeferred sets the verdict for a prompt that misses its objective in arrival
-// order and is served behind the others.
+// order.
 func (p *Policy) judgeDeferred(scorer placement.Scorer, c *Candidates, req *Request, d *Decision, job *placement.Job) {
 	d.Estimate.DeferredWait = scorer.Cost(&c.Servers[d.Server], job)
 	if d.Action == Hold {
 		d.Estimate.DeferredWait += req.QueueWait
 	}
-	d.Verdict = p.restrictVerdict(req, max(admission.Defer, admission.Judge(d.Estimate)))
+	d.Verdict = p.restrictVerdict(req, admission.Judge(p.optimistic(req, d.Estimate)))
+}
+
+// optimistic returns an estimate with the margin of the recent errors.
+func (p *Policy) optimistic(req *Request, e admission.WaitEstimate) admission.WaitEstimate {
+	if req.Errors != nil && p.Enabled(EstimateMargin) {
+		e.ArrivalOrderWait = req.Errors.LowerBound(e.ArrivalOrderWait)
+	}
+	return e
 }
 
 // restrictVerdict replaces a verdict whose mechanism is switched off, or that does
 // not apply to the request, by the next milder one.
 func (p *Policy) restrictVerdict(req *Request, v admission.Verdict) admission.Verdict {
-	if v == admission.Reject && (req.Resumed || (req.Discovering && req.Elapsed <= req.Objective) || !p.Enabled(Rejection)) {
+	if v == admission.Reject && (req.Discovering || !p.Enabled(Rejection)) {
 		v = admission.Defer
 	}
 	if v == admission.Defer && !p.Enabled(Deferral) {
--- a/emulator/run.go
+++ b/emulator/run.go
@@ -287,11 +287,11 @@
 func (r *simulation) decide(req *request, claimed map[string]bool) *server {
 	k, e := &r.pattern.Kinds[req.kind], req.instance
 	servers := r.plainServers
-	routed := &dispatch.Request{Elapsed: r.now - req.lastArrival, Resumed: len(req.tried) > 0, Discovering: r.now < e.resetAt+time.Second}
+	routed := &dispatch.Request{Elapsed: r.now - req.lastArrival, Discovering: r.now < e.resetAt+time.Second}
 	routed.Job.Retryable = k.Retryable
 	if k.isPrompt() {
 		servers = r.engines
-		routed.Objective, routed.ClientTimeout, routed.Errors = milliseconds(k.ObjectiveMS), k.startTimeout(), &e.estimateErrors[req.kind]
+		routed.Objective, routed.Patience, routed.Errors = milliseconds(k.ObjectiveMS), req.givesUpAt-r.now, &e.estimateErrors[req.kind]
 		routed.Job = placement.Job{
 			Retryable: k.Retryable, PrefillRate: e.prefillModel.Rate(), Overhead: e.prefillModel.Overhead(), StepTokens: e.prefillModel.StepTokens(),
 			PromptTokens: k.PrefixTokens + k.SuffixTokens, MemoryTokens: k.peakMemory(), Long: k.PrefixTokens+k.SuffixTokens >= placement.LongPromptTokens,
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -337,7 +337,8 @@
 // longest wait that the client accepts if the objective will be missed.
 func (c *call) targetLatency() time.Duration {
 	if c.deferred() {
-		return c.firstByteTimeout()
+		since, _ := c.awaitedEvent()
+		return c.leavesAt(time.Now()).Sub(since)
 	}
 	return c.route.TargetLatency
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -305,15 +305,6 @@
 	return false
 }
 
-// firstByteTimeout returns how long the client waits for a response to begin.
-func (c *call) firstByteTimeout() time.Duration {
-	timeout := c.deadline.Sub(c.startedAt)
-	if c.route.ClientTimeout > 0 {
-		return min(timeout, c.route.ClientTimeout)
-	}
-	return timeout
-}
-
 // retryable reports whether the request may run on a second server.
 func (c *call) retryable() bool { return c.route.Retryable() }
 
--- a/gateway/service_state.go
+++ b/gateway/service_state.go
@@ -393,9 +393,10 @@
 }
 
 func (g *Gateway) newDecisionRequest(c *call, now time.Time) *dispatch.Request {
-	a := &dispatch.Request{Job: c.job(), Elapsed: now.Sub(c.startedAt), Resumed: c.attemptsSent > 0 || c.request.LastEventID != ""}
+	a := &dispatch.Request{Job: c.job(), Continues: c.lastEventAt.Load() != 0 || c.request.LastEventID != ""}
 	if c.prompt != nil {
-		a.Objective, a.ClientTimeout = c.route.TargetLatency, c.firstByteTimeout()
+		since, objective := c.awaitedEvent()
+		a.Elapsed, a.Objective, a.Patience = now.Sub(since), objective, c.leavesAt(now).Sub(now)
 		a.Errors = &c.state.estimateErrors[c.lengthClass()]
 		a.Discovering = c.discovering(now)
 	}
--- a/gateway/service_state_test.go
+++ b/gateway/service_state_test.go
@@ -84,6 +84,31 @@
 	}
 }
 
+// A request that was sent before is judged like one that was not: both are rejected at once if no
+// server can serve them before their client leaves. The time of a stream counts from its last event.
+func TestRepeatsAreJudgedLikeFirstTries(t *testing.T) {
+	for _, backlog := range []time.Duration{0, 100 * time.Millisecond, 4 * time.Second} {
+		h := newTestGateway(t, 2)
+		h.states.get("llm").firstServerAt = time.Now().Add(-time.Minute)
+		for _, b := range h.routing.services["llm"] {
+			b.tracker.Sent(dispatch.Work{PrefillTokens: int(float64(backlog.Milliseconds()) * h.states.get("llm").prefill.Rate())}, time.Now())
+		}
+		first, repeated, begun := h.call(500), h.call(500), h.call(500)
+		repeated.attemptsSent, repeated.mayHaveRun = 1, true
+		begun.attemptsSent, begun.mayHaveRun = 1, true
+		begun.startedAt = time.Now().Add(-5 * time.Second)
+		begun.lastEventAt.Store(time.Now().UnixNano())
+		want := dispatch.Send
+		if backlog > testFirstByteTimeout {
+			want = dispatch.Reject
+		}
+		for _, c := range []*call{first, repeated, begun} {
+			d, _ := h.decide(c, nil, time.Now())
+			require.Equal(t, want, d.Action, "backlog %v", backlog)
+		}
+	}
+}
+
 // One cell has far more prefill work than others: its prompts are served late in
 // another cell, not rejected.
 func TestLatePromptsGoToAnotherCellBeforeRejection(t *testing.T) {
--- a/gateway/work_times.go
+++ b/gateway/work_times.go
@@ -74,19 +74,38 @@
 	if c.route.Kind != site.KindStream {
 		return t
 	}
-	lastEventAt := c.lastEventAt.Load()
-	if lastEventAt != 0 || c.request.LastEventID != "" {
+	if c.lastEventAt.Load() != 0 || c.request.LastEventID != "" {
 		t.ToEnd = t.ToEvent // part of the stream has been sent, how much is not known
 	}
 	if c.route.ClientTimeout > 0 {
-		t.LeavesAt = c.startedAt.Add(c.route.ClientTimeout)
-		if lastEventAt != 0 {
-			t.LeavesAt = time.Unix(0, lastEventAt).Add(c.route.ClientTimeout)
-		}
+		since, _ := c.awaitedEvent()
+		t.LeavesAt = since.Add(c.route.ClientTimeout)
 	}
 	return t
 }
 
+// awaitedEvent returns since when the client waits for the next event, and the target for how long
+// it should: the latency objective for the first one, the target gap for the others. A request
+// that is no stream awaits its response as one event.
+func (c *call) awaitedEvent() (since time.Time, objective time.Duration) {
+	if at := c.lastEventAt.Load(); at != 0 {
+		return time.Unix(0, at), max(c.route.TargetLatency, c.route.TargetEventGap)
+	}
+	return c.startedAt, c.route.TargetLatency
+}
+
+// leavesAt returns when the client leaves if no event comes: at its deadline, or sooner if it
+// waits less long for an event.
+func (c *call) leavesAt(now time.Time) time.Time {
+	if c.route.ClientTimeout > 0 {
+		since, _ := c.awaitedEvent()
+		if leaves := since.Add(c.route.ClientTimeout); leaves.After(now) && leaves.Before(c.deadline) {
+			return leaves
+		}
+	}
+	return c.deadline
+}
+
 // timeLeft reports whether a server that gets the request now can still serve the client.
 func (c *call) timeLeft(now time.Time) bool {
 	t := c.callerTime(now)
