dispatch: requests are served by the time that their callers have

Callers saw: at an instance whose servers have no room, a prompt that missed its latency objective went behind all others of its service, also behind less urgent ones, and with its caller about to leave.

Cause: the position in the queue put all late requests last and ignored when their callers leave. The order between priorities, which the operator states, did not hold for them.

Change: a position is the priority and the latest useful start: by the objective that the operator has set while it can be met, else by when the caller leaves. A late prompt yields only while its caller has time.

TestQueueIsOrderedByClientsTime fails on the code before.

--- a/dispatch/wait_queue.go
+++ b/dispatch/wait_queue.go
@@ -10,19 +10,15 @@
 
 // Position is the position of a request in the wait queue.
 type Position struct {
-	// Deferred requests wait behind all others.
-	Deferred bool
-	// Priority orders the other requests; a lower value is more urgent.
+	// Priority is that of the request; a lower value is more urgent.
 	Priority int
-	// StartBy is the latest time to send the request for it to meet its objective.
+	// StartBy orders requests of the same priority: the latest time to send the request for it
+	// to meet its objective, or, if it misses that, to be served before its client leaves.
 	StartBy time.Time
 }
 
 // Before reports whether p precedes q.
 func (p Position) Before(q Position) bool {
-	if p.Deferred != q.Deferred {
-		return q.Deferred
-	}
 	return cmp.Or(cmp.Compare(p.Priority, q.Priority), p.StartBy.Compare(q.StartBy)) < 0
 }
 
--- a/emulator/run.go
+++ b/emulator/run.go
@@ -279,7 +279,11 @@
 func (r *simulation) queuePosition(req *request) dispatch.Position {
 	k := &r.pattern.Kinds[req.kind]
 	prefill := req.instance.prefillModel.Overhead() + time.Duration(float64(k.PrefixTokens+k.SuffixTokens)/req.instance.prefillModel.Rate()*float64(time.Millisecond))
-	return dispatch.Position{Deferred: req.deferred(), Priority: k.Rank, StartBy: toTime(req.lastArrival + milliseconds(k.ObjectiveMS) - prefill)}
+	startBy := req.lastArrival + milliseconds(k.ObjectiveMS)
+	if req.deferred() {
+		startBy = req.givesUpAt
+	}
+	return dispatch.Position{Priority: k.Rank, StartBy: toTime(startBy - prefill)}
 }
 
 // decide returns the server that the policy picks, nil for none, and sets the
--- a/gateway/service_state.go
+++ b/gateway/service_state.go
@@ -297,12 +297,19 @@
 	b.state.queue.Schedule()
 }
 
+// queuePosition returns the position of the request in the queue of its service. The caller holds the
+// state's lock.
 func (c *call) queuePosition() dispatch.Position {
-	if c.prompt == nil {
-		return dispatch.Position{Priority: c.priority(), StartBy: c.startedAt.Add(c.route.TargetLatency)}
+	since, objective := c.awaitedEvent()
+	startBy := since.Add(objective)
+	if c.deferred() {
+		startBy = c.leavesAt(time.Now())
+	}
+	if c.prompt != nil {
+		prefillTime := c.state.prefill.Overhead() + time.Duration(float64(c.prompt.Tokens)/c.state.prefill.Rate()*float64(time.Millisecond))
+		startBy = startBy.Add(-prefillTime)
 	}
-	prefillTime := c.state.prefill.Overhead() + time.Duration(float64(c.prompt.Tokens)/c.state.prefill.Rate()*float64(time.Millisecond))
-	return dispatch.Position{Deferred: c.deferred(), Priority: c.priority(), StartBy: c.startedAt.Add(c.route.TargetLatency - prefillTime)}
+	return dispatch.Position{Priority: c.priority(), StartBy: startBy}
 }
 
 // decide makes the scheduling decision on a request. The caller holds the state's
--- a/gateway/service_state_test.go
+++ b/gateway/service_state_test.go
@@ -109,6 +109,24 @@
 	}
 }
 
+// Requests of one priority are served by the time that their clients have: one that misses its
+// objective goes behind others only until its client's time runs out. More urgent ones go first.
+func TestQueueIsOrderedByClientsTime(t *testing.T) {
+	h := newTestGateway(t, 1)
+	position := func(waited time.Duration, late bool, priority int) dispatch.Position {
+		c := h.call(500)
+		c.startedAt, c.route.Priority = c.startedAt.Add(-waited), priority
+		if late {
+			c.decision.Verdict = admission.Defer
+		}
+		return c.queuePosition()
+	}
+	fresh := position(0, false, 1)
+	require.True(t, fresh.Before(position(time.Second, true, 1)), "late, with time to yield")
+	require.True(t, position(1700*time.Millisecond, true, 1).Before(fresh), "late, and the client leaves in 0.3 s")
+	require.True(t, position(time.Second, true, 0).Before(fresh), "late, but of a more urgent account")
+}
+
 // One cell has far more prefill work than others: its prompts are served late in
 // another cell, not rejected.
 func TestLatePromptsGoToAnotherCellBeforeRejection(t *testing.T) {
