--- a/faults/soak_test.go
+++ b/faults/soak_test.go
@@ -76,6 +76,13 @@
 	t.Helper()
 	dir, err := buildBinaries()
 	require.NoError(t, err, dir)
+	return startSoakFrom(t, dir, seed, controls, gateways, flags...)
+}
+
+// startSoakFrom is startSoakOf with the folder of the binaries.
+func startSoakFrom(t *testing.T, dir string, seed uint64, controls, gateways int, flags ...string) *soak {
+	t.Helper()
+	var err error
 	s := &soak{t: t, random: rand.New(rand.NewPCG(seed, 1)), executions: make(map[string]int)}
 	var controlAddresses []string
 	for range controls {
--- a/faults/stream_soak_test.go
+++ b/faults/stream_soak_test.go
@@ -115,8 +115,15 @@
 
 // newStreamSoak starts control replicas and gateways, without servers.
 func newStreamSoak(t *testing.T, settings soakSettings, routes []*soakRoute) *streamSoak {
+	dir, err := buildBinaries()
+	require.NoError(t, err, dir)
+	return newStreamSoakFrom(t, dir, settings, routes)
+}
+
+// newStreamSoakFrom is newStreamSoak with the folder of the binaries.
+func newStreamSoakFrom(t *testing.T, dir string, settings soakSettings, routes []*soakRoute) *streamSoak {
 	s := &streamSoak{
-		document: soakDocument, processFaults: &processFaults{soak: startSoakOf(t, settings.seed, settings.controls, settings.gateways, append([]string{"-grace", gracePeriod.String()}, settings.flags...)...)},
+		document: soakDocument, processFaults: &processFaults{soak: startSoakFrom(t, dir, settings.seed, settings.controls, settings.gateways, append([]string{"-grace", gracePeriod.String()}, settings.flags...)...)},
 		random: rand.New(rand.NewPCG(settings.seed, 3)), routes: routes, sent: make(map[string]*clientRequest), arrivals: make(map[string][]arrival), counts: make(map[string]int), startedAt: time.Now(),
 	}
 	s.observe = s.observeFault()
