emulator: results count callers served on time and served at all, not credit

Tests asked for shares of that credit, so a policy that gave up late callers, or many short prompts for a long one, looked better.

Change: a pattern says nothing of worth. A result has, for each kind, the share of callers served on time (the objective is the operator's) and the share served before they left; over all kinds, their mean, so that each kind counts alike. Tests, tables and plots use these.

--- a/cmd/galena-load/main.go
+++ b/cmd/galena-load/main.go
@@ -73,7 +73,7 @@
 	fs.StringVar(&o.disabledMechanisms, "without", "", "mechanisms to disable in the "+placement.DefaultScorer+" scorer on -pattern, comma-separated: "+strings.Join(dispatch.MechanismNames(), ", "))
 	fs.StringVar(&o.plotPath, "plot", "", "PNG file for a plot of the times to the first event on -pattern")
 	fs.IntVar(&o.ablationSeeds, "ablate", 0, "number of seeds over which -pattern is replayed with each mechanism disabled in turn; 0 disables the ablation")
-	fs.StringVar(&o.timelinePath, "timeline", "", "PNG file for a plot of credit, refusals, and expected and actual waits over time on -pattern")
+	fs.StringVar(&o.timelinePath, "timeline", "", "PNG file for a plot of responses on time, refusals, and expected and actual waits over time on -pattern")
 	fs.StringVar(&o.tableDir, "table", "", "directory of reports to summarize as a table and plots; then exit")
 	fs.StringVar(&o.controlURLs, "control", "http://127.0.0.1:8090", "base URLs of the control replicas, comma-separated")
 	fs.StringVar(&o.entryURLs, "entries", "http://127.0.0.1:8080", "base URLs of the entries' client listeners, comma-separated")
--- a/emulator/ablation.go
+++ b/emulator/ablation.go
@@ -11,31 +11,31 @@
 
 // WriteAblation simulates a pattern with all mechanisms enabled and with each one
 // disabled in turn, for the given number of seeds starting at the seed of the pattern.
-// It writes the mean credit share, its standard deviation over the seeds and the
-// credit share that each mechanism adds.
+// It writes the mean share of requests on time, its standard deviation over the seeds and
+// the share that each mechanism adds.
 func WriteAblation(w io.Writer, p *Pattern, seeds int) error {
-	full, stddev, err := meanCreditWithout(p, "", seeds)
+	full, stddev, err := meanOnTimeWithout(p, "", seeds)
 	if err != nil {
 		return err
 	}
-	if _, err := fmt.Fprintf(w, "%-14s %-18s %7s %7s %7s\n%-14s %-18s %7.3f %7.3f\n", "pattern", "without", "credit", "spread", "worth", p.Name, "nothing", full, stddev); err != nil {
+	if _, err := fmt.Fprintf(w, "%-14s %-18s %7s %7s %7s\n%-14s %-18s %7.3f %7.3f\n", "pattern", "without", "on time", "spread", "gain", p.Name, "nothing", full, stddev); err != nil {
 		return err
 	}
 	for _, name := range dispatch.MechanismNames() {
-		credit, stddev, err := meanCreditWithout(p, name, seeds)
+		onTime, stddev, err := meanOnTimeWithout(p, name, seeds)
 		if err != nil {
 			return err
 		}
-		if _, err := fmt.Fprintf(w, "%-14s %-18s %7.3f %7.3f %7.3f\n", p.Name, name, credit, stddev, full-credit); err != nil {
+		if _, err := fmt.Fprintf(w, "%-14s %-18s %7.3f %7.3f %7.3f\n", p.Name, name, onTime, stddev, full-onTime); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// meanCreditWithout returns the mean credit share with one mechanism disabled, and
+// meanOnTimeWithout returns the mean share on time with one mechanism disabled, and
 // its standard deviation over the seeds. An empty name disables none.
-func meanCreditWithout(p *Pattern, name string, seeds int) (mean, stddev float64, err error) {
+func meanOnTimeWithout(p *Pattern, name string, seeds int) (mean, stddev float64, err error) {
 	decisions, err := dispatch.Without(name)
 	if err != nil {
 		return 0, 0, err
@@ -44,7 +44,7 @@
 	for seed := range seeds {
 		seeded := *p
 		seeded.Seed = p.Seed + uint64(seed)
-		share := Simulate(&seeded, Policy{Name: name, Scorer: placement.ExpectedTime{}, Mechanisms: decisions}).CreditShare()
+		share := Simulate(&seeded, Policy{Name: name, Scorer: placement.ExpectedTime{}, Mechanisms: decisions}).OnTimeShare()
 		mean, meanSquare = mean+share/float64(seeds), meanSquare+share*share/float64(seeds)
 	}
 	return mean, math.Sqrt(max(0, meanSquare-mean*mean)), nil
--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -14,18 +14,23 @@
 	"github.com/galenaarch/galenaarch/placement"
 )
 
-// Limits derived from the users' requirements.
+// Limits on what clients get.
 const (
-	// minCalmShare is the credit share that each kind must exceed in the pattern calm.
+	// minCalmShare is the share on time that each kind must exceed in the pattern calm.
 	minCalmShare = 0.95
-	// maxCreditLoss is how far the credit share of a kind may fall below its share
-	// under the baseline policy. The users' rules allow a twentieth between kinds.
-	maxCreditLoss = 0.05
-	// maxUrgencyInversion is how far the credit share of a kind may fall below that of
+	// minCalmServedShare is the share that must be served at all there.
+	minCalmServedShare = 0.99
+	// maxServedLoss is how far the share of served requests may fall below that under a baseline
+	// policy, which refuses nobody.
+	maxServedLoss = 0.05
+	// maxOnTimeLoss is how far the share on time of a kind may fall below its share
+	// under the baseline policy: no kind pays for the others.
+	maxOnTimeLoss = 0.05
+	// maxUrgencyInversion is how far the share on time of a kind may fall below that of
 	// a less urgent kind.
-	maxUrgencyInversion = 0.15
-	// minMechanismGain is the credit share that a mechanism must add on the load that
-	// it is meant for. The users' requirements treat smaller differences as noise.
+	maxUrgencyInversion = 0.05
+	// minMechanismGain is the share on time that a mechanism must add on the load that
+	// it is meant for. Smaller differences come with the seed as well.
 	minMechanismGain = 0.03
 )
 
@@ -54,17 +59,16 @@
 	return Policy{Name: "without " + names, Scorer: placement.ExpectedTime{}, Mechanisms: p}
 }
 
-func (k *KindResult) creditShare() float64 { return k.Credit / k.MaxCredit }
-
-func TestEachKindEarnsCreditUnderCalmLoad(t *testing.T) {
+func TestEachKindIsOnTimeUnderCalmLoad(t *testing.T) {
 	r := Simulate(readPattern(t, "calm"), expectedTime)
 	for i := range r.Kinds {
-		require.Greater(t, r.Kinds[i].creditShare(), minCalmShare, r.Kinds[i].Name)
+		require.Greater(t, r.Kinds[i].OnTimeShare(), minCalmShare, r.Kinds[i].Name)
+		require.Greater(t, r.Kinds[i].ServedShare(), minCalmServedShare, r.Kinds[i].Name)
 	}
 }
 
 // TestExpectedTimeIsNotWorseThanBaselines checks that neither prefix affinity nor
-// least load alone earns more credit on any of the patterns.
+// least load alone serves more on time in any of the patterns.
 func TestExpectedTimeIsNotWorseThanBaselines(t *testing.T) {
 	paths, err := filepath.Glob("patterns/*.json")
 	require.NoError(t, err)
@@ -73,9 +77,9 @@
 		name := strings.TrimSuffix(filepath.Base(path), ".json")
 		t.Run(name, func(t *testing.T) {
 			p := readPattern(t, name)
-			got := Simulate(p, expectedTime).CreditShare()
-			require.GreaterOrEqual(t, got, Simulate(p, prefixAffinity).CreditShare())
-			require.GreaterOrEqual(t, got, Simulate(p, leastLoad).CreditShare())
+			got := Simulate(p, expectedTime).OnTimeShare()
+			require.GreaterOrEqual(t, got, Simulate(p, prefixAffinity).OnTimeShare())
+			require.GreaterOrEqual(t, got, Simulate(p, leastLoad).OnTimeShare())
 		})
 	}
 }
@@ -87,14 +91,19 @@
 	for _, name := range []string{"burst", "calm", "dark", "failing", "flood", "memory", "slow"} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			var ours, byAffinity, byLoad float64
+			var ours, byAffinity, byLoad, served, servedByAffinity, servedByLoad float64
 			for seed := range seeds {
 				p := readPattern(t, name)
 				p.Seed = uint64(seed) + 1
-				ours += Simulate(p, expectedTime).CreditShare()
-				byAffinity += Simulate(p, prefixAffinity).CreditShare()
-				byLoad += Simulate(p, leastLoad).CreditShare()
+				add := func(onTime, served *float64, policy Policy) {
+					r := Simulate(p, policy)
+					*onTime, *served = *onTime+r.OnTimeShare(), *served+r.ServedShare()
+				}
+				add(&ours, &served, expectedTime)
+				add(&byAffinity, &servedByAffinity, prefixAffinity)
+				add(&byLoad, &servedByLoad, leastLoad)
 			}
+			require.GreaterOrEqual(t, served, max(servedByAffinity, servedByLoad)-seeds*maxServedLoss)
 			require.GreaterOrEqual(t, ours, byAffinity)
 			require.GreaterOrEqual(t, ours, byLoad)
 		})
@@ -105,46 +114,46 @@
 	for _, name := range []string{"dark", "slow", "failing"} {
 		ours, baseline := Simulate(readPattern(t, name), expectedTime), Simulate(readPattern(t, name), prefixAffinity)
 		for i := range ours.Kinds {
-			require.Greater(t, ours.Kinds[i].creditShare(), baseline.Kinds[i].creditShare()-maxCreditLoss, "%s, %s", name, ours.Kinds[i].Name)
+			require.Greater(t, ours.Kinds[i].OnTimeShare(), baseline.Kinds[i].OnTimeShare()-maxOnTimeLoss, "%s, %s", name, ours.Kinds[i].Name)
 		}
 	}
 }
 
 // TestShortPromptsAreNotStarvedByLongOnes sends a burst while few prefixes are cached.
 // Unless the placement cost of a long prompt includes the delay of the short prompts
-// queued behind it, both kinds earn only half of their credit, less than under prefix
+// queued behind it, both kinds are on time half as often, less than under prefix
 // affinity.
 func TestShortPromptsAreNotStarvedByLongOnes(t *testing.T) {
 	t.Parallel()
 	r := Simulate(readPattern(t, "burst"), expectedTime)
 	long, short := &r.Kinds[0], &r.Kinds[1]
-	require.Greater(t, short.creditShare(), long.creditShare()-maxUrgencyInversion)
-	require.Greater(t, r.CreditShare(), Simulate(readPattern(t, "burst"), prefixAffinity).CreditShare())
+	require.Greater(t, short.OnTimeShare(), long.OnTimeShare()-maxUrgencyInversion)
+	require.Greater(t, r.OnTimeShare(), Simulate(readPattern(t, "burst"), prefixAffinity).OnTimeShare())
 }
 
-// TestMemoryAwarePlacementGainsCredit sends long prompts with long outputs. If
+// TestMemoryAwarePlacementServesMoreOnTime sends long prompts with long outputs. If
 // placement ignores the memory of running requests, they accumulate on a few servers
 // and wait for memory there.
-func TestMemoryAwarePlacementGainsCredit(t *testing.T) {
+func TestMemoryAwarePlacementServesMoreOnTime(t *testing.T) {
 	t.Parallel()
 	p := readPattern(t, "memory")
 	got := Simulate(p, expectedTime)
 	withoutMemory := Simulate(p, expectedTimeWithout(t, "run-memory"))
-	require.Greater(t, got.CreditShare(), withoutMemory.CreditShare()+minMechanismGain)
+	require.Greater(t, got.OnTimeShare(), withoutMemory.OnTimeShare()+minMechanismGain)
 }
 
-// TestDeferringLateRequestsGainsCredit overloads the servers for some seconds.
+// TestDeferringLateRequestsServesMoreOnTime overloads the servers for some seconds.
 // If requests are served in order of arrival, each response is late by the queueing
 // delay.
-func TestDeferringLateRequestsGainsCredit(t *testing.T) {
+func TestDeferringLateRequestsServesMoreOnTime(t *testing.T) {
 	t.Parallel()
 	firstComeFirstServed := expectedTimeWithout(t, "behind,turn-away")
 	for _, name := range []string{"burst", "flood"} {
 		p := readPattern(t, name)
 		ours, baseline := Simulate(p, expectedTime), Simulate(p, firstComeFirstServed)
-		require.Greater(t, ours.CreditShare(), baseline.CreditShare()+minMechanismGain, name)
+		require.Greater(t, ours.OnTimeShare(), baseline.OnTimeShare()+minMechanismGain, name)
 		for i := range ours.Kinds {
-			require.Greater(t, ours.Kinds[i].creditShare(), baseline.Kinds[i].creditShare()-maxCreditLoss, "%s, %s", name, ours.Kinds[i].Name)
+			require.Greater(t, ours.Kinds[i].OnTimeShare(), baseline.Kinds[i].OnTimeShare()-maxOnTimeLoss, "%s, %s", name, ours.Kinds[i].Name)
 		}
 	}
 }
--- a/emulator/pattern.go
+++ b/emulator/pattern.go
@@ -84,11 +84,6 @@
 	// ClientTimeoutMS is how long a client waits for the start of the response; 0 means
 	// until the deadline.
 	ClientTimeoutMS float64 `json:"bears_ms"`
-	// OnTimeCredit is the credit for one response within the objective, LateCredit that
-	// for a later one. Credit has no unit; only its share of the possible credit is
-	// compared.
-	OnTimeCredit float64 `json:"worth"`
-	LateCredit   float64 `json:"late_worth"`
 	// PrefixTokens is the length of the prefix that a request shares with others.
 	// Each request picks one of PrefixCount prefixes at random.
 	PrefixTokens  int     `json:"shared_tokens"`
--- a/emulator/recovery_test.go
+++ b/emulator/recovery_test.go
@@ -9,7 +9,7 @@
 
 // Limits on recovery, derived from the users' requirements.
 const (
-	// recoveredShare is the part of the credit share before the fault that counts as
+	// recoveredShare is the part of the share on time before the fault that counts as
 	// recovered, recoveryLimit the time allowed for it after the fault has ended.
 	recoveredShare = 0.9
 	recoveryLimit  = 3 * time.Second
@@ -30,9 +30,9 @@
 }
 
 // recoveryTime returns the time from the end of a fault until recoveredShare of the
-// credit share before the fault is reached again; -1 if it never is.
+// share on time before the fault is reached again; -1 if it never is.
 func recoveryTime(p *Pattern, r *Result, ended time.Duration) time.Duration {
-	shareBefore := r.CreditShareIn(2*time.Second, seconds(faultStartSeconds))
+	shareBefore := r.OnTimeShareIn(2*time.Second, seconds(faultStartSeconds))
 	return r.RecoveryTime(ended, recoveredShare*shareBefore, seconds(p.Seconds))
 }
 
@@ -63,7 +63,7 @@
 				r := Simulate(p, expectedTime)
 				ended := seconds(p.Faults[0].StartSeconds + p.Faults[0].DurationSeconds)
 				recovery := recoveryTime(p, r, ended)
-				t.Logf("seed %d: credit before the fault %.3f, during the fault %.3f, recovered in %v, %d preemptions", seed+1, r.CreditShareIn(2*time.Second, seconds(faultStartSeconds)), r.CreditShareIn(seconds(faultStartSeconds), ended), recovery, r.Preemptions)
+				t.Logf("seed %d: on time before the fault %.3f, during the fault %.3f, recovered in %v, %d preemptions", seed+1, r.OnTimeShareIn(2*time.Second, seconds(faultStartSeconds)), r.OnTimeShareIn(seconds(faultStartSeconds), ended), recovery, r.Preemptions)
 				require.GreaterOrEqual(t, recovery, time.Duration(0), "seed %d: no recovery", seed+1)
 				require.LessOrEqual(t, recovery, recoveryLimit, "seed %d", seed+1)
 				require.Zero(t, r.SentToLeaving+r.SentToPaused, "requests sent to leaving or paused servers")
@@ -72,30 +72,30 @@
 	}
 }
 
-// TestLateBindingGainsCreditInBurst sends a burst. Without late binding, prompts are
+// TestLateBindingServesMoreOnTimeInBurst sends a burst. Without late binding, prompts are
 // queued at the engines instead of the entry instances, and running requests fill the
 // engines' memory and preempt each other.
-func TestLateBindingGainsCreditInBurst(t *testing.T) {
+func TestLateBindingServesMoreOnTimeInBurst(t *testing.T) {
 	t.Parallel()
 	full, withoutBinding := 0.0, 0.0
 	for seed := range uint64(3) {
 		p := patternWithFault(t, "returning", seed+1, Fault{Kind: "burst", Magnitude: 3})
-		full += Simulate(p, expectedTime).CreditShare()
-		withoutBinding += Simulate(p, expectedTimeWithout(t, "late-binding,backlog")).CreditShare()
+		full += Simulate(p, expectedTime).OnTimeShare()
+		withoutBinding += Simulate(p, expectedTimeWithout(t, "late-binding,backlog")).OnTimeShare()
 	}
 	require.Greater(t, full/3, withoutBinding/3+minMechanismGain)
 }
 
-// TestRejectionAndDeferralGainCreditInBurst sends more requests than can be served
+// TestRejectionAndDeferralServeMoreOnTimeInBurst sends more requests than can be served
 // on time.
-func TestRejectionAndDeferralGainCreditInBurst(t *testing.T) {
+func TestRejectionAndDeferralServeMoreOnTimeInBurst(t *testing.T) {
 	t.Parallel()
 	for _, name := range []string{"behind,turn-away"} {
 		ours, baseline := 0.0, 0.0
 		for seed := range uint64(3) {
 			p := patternWithFault(t, "returning", seed+1, Fault{Kind: "burst", Magnitude: 3})
-			ours += Simulate(p, expectedTime).CreditShare()
-			baseline += Simulate(p, expectedTimeWithout(t, name)).CreditShare()
+			ours += Simulate(p, expectedTime).OnTimeShare()
+			baseline += Simulate(p, expectedTimeWithout(t, name)).OnTimeShare()
 		}
 		require.Greater(t, ours, baseline, name)
 	}
@@ -151,9 +151,9 @@
 				p := readPattern(t, "returning")
 				p.Seed = seed + 1
 				tt.modify(p)
-				sum += Simulate(p, expectedTime).CreditShare()
+				sum += Simulate(p, expectedTime).OnTimeShare()
 			}
-			t.Logf("credit %.3f", sum/3)
+			t.Logf("on time %.3f", sum/3)
 			require.Greater(t, sum/3, tt.minShare)
 		})
 	}
@@ -182,7 +182,7 @@
 		p := patternWithFault(t, "returning", seed+1, Fault{Kind: "crash", Magnitude: 1, DurationSeconds: 16})
 		p.Seconds = faultStartSeconds + 16
 		r, without := Simulate(p, expectedTime), Simulate(p, expectedTimeWithout(t, "part-quarantine"))
-		t.Logf("seed %d: %d crashes, %d sent later, credit %.3f; without %d, %d, %.3f", seed+1, r.Crashes, r.SentAfterCrashes, r.CreditShare(), without.Crashes, without.SentAfterCrashes, without.CreditShare())
+		t.Logf("seed %d: %d crashes, %d sent later, on time %.3f; without %d, %d, %.3f", seed+1, r.Crashes, r.SentAfterCrashes, r.OnTimeShare(), without.Crashes, without.SentAfterCrashes, without.OnTimeShare())
 		require.Positive(t, r.Crashes)
 		require.LessOrEqual(t, r.SentAfterCrashes, maxSentAfter)
 		require.Zero(t, r.SoundBlocked)
--- a/emulator/result.go
+++ b/emulator/result.go
@@ -38,9 +38,6 @@
 	// from sending a request until its refusal.
 	Refusals   int
 	RefusalP95 time.Duration
-	// Credit is the earned credit, MaxCredit the credit that on-time responses to all
-	// requests would earn.
-	Credit, MaxCredit float64
 	// Latencies are the times from first arrival to the first token of a prompt or the
 	// response of a plain server, ascending.
 	Latencies []time.Duration
@@ -54,7 +51,7 @@
 // EstimatedTTFT and ActualTTFT are sums of estimated and actual times to first token
 // over the EstimatedPrompts prompts for which an estimate was recorded.
 type SecondResult struct {
-	MaxCredit, Credit         float64
+	Requests, OnTime          int
 	Refusals                  int
 	EstimatedPrompts          int
 	EstimatedTTFT, ActualTTFT time.Duration
@@ -78,28 +75,23 @@
 	return &k.Seconds[n]
 }
 
-// recordRequest counts a client's request and adds its possible credit.
+// recordRequest counts a client's request.
 func (r *Result) recordRequest(kind int, at time.Duration) {
 	k := &r.Kinds[kind]
 	k.Requests++
-	k.MaxCredit += k.kind.OnTimeCredit
-	k.secondAt(at).MaxCredit += k.kind.OnTimeCredit
+	k.secondAt(at).Requests++
 }
 
-// recordResponse counts a response as on time or late and adds its credit to the second
-// of arrival.
+// recordResponse counts a response as on time or late, in the second of arrival too.
 func (r *Result) recordResponse(kind int, arrival, latency time.Duration) {
 	k := &r.Kinds[kind]
 	k.Latencies = append(k.Latencies, latency)
-	credit := k.kind.LateCredit
 	if latency <= milliseconds(k.kind.ObjectiveMS) {
 		k.OnTime++
-		credit = k.kind.OnTimeCredit
+		k.secondAt(arrival).OnTime++
 	} else {
 		k.Late++
 	}
-	k.Credit += credit
-	k.secondAt(arrival).Credit += credit
 }
 
 func (r *Result) recordFailure(kind int) { r.Kinds[kind].Failed++ }
@@ -120,29 +112,34 @@
 	s.EstimatedPrompts, s.EstimatedTTFT, s.ActualTTFT = s.EstimatedPrompts+1, s.EstimatedTTFT+estimate, s.ActualTTFT+actual
 }
 
-// CreditShareIn returns the earned share of the maximum credit over the requests that
-// arrived in the seconds that begin in [start, end); 1 if there were none.
-func (r *Result) CreditShareIn(start, end time.Duration) float64 {
-	credit, maxCredit := 0.0, 0.0
+// OnTimeShareIn returns the share of the requests that arrived in the seconds that begin in
+// [start, end) and got their response on time: the mean over the kinds of request; 1 if there were
+// none.
+func (r *Result) OnTimeShareIn(start, end time.Duration) float64 {
+	sum, kinds := 0.0, 0
 	for i := range r.Kinds {
+		requests, onTime := 0, 0
 		for n, s := range r.Kinds[i].Seconds {
 			if at := time.Duration(n) * time.Second; at >= start && at < end {
-				credit, maxCredit = credit+s.Credit, maxCredit+s.MaxCredit
+				requests, onTime = requests+s.Requests, onTime+s.OnTime
 			}
 		}
+		if requests > 0 {
+			sum, kinds = sum+float64(onTime)/float64(requests), kinds+1
+		}
 	}
-	if maxCredit == 0 {
+	if kinds == 0 {
 		return 1
 	}
-	return credit / maxCredit
+	return sum / float64(kinds)
 }
 
 // RecoveryTime returns the time, in whole seconds after a given one, from which the
-// requests of two consecutive seconds earn at least the given credit share; -1 if none
-// do before the end.
+// requests of two consecutive seconds are on time at least in the given share; -1 if none
+// are before the end.
 func (r *Result) RecoveryTime(after time.Duration, share float64, end time.Duration) time.Duration {
 	for at := after; at+2*time.Second <= end; at += time.Second {
-		if r.CreditShareIn(at, at+2*time.Second) >= share {
+		if r.OnTimeShareIn(at, at+2*time.Second) >= share {
 			return at - after
 		}
 	}
@@ -172,41 +169,48 @@
 	return durations[int(q*float64(len(durations)-1))]
 }
 
-// Objective returns the latency up to which a response earns OnTimeCredit.
+// Objective returns the latency up to which a response is on time.
 func (k *KindResult) Objective() time.Duration { return milliseconds(k.kind.ObjectiveMS) }
 
-// OnTimeCredit returns the credit for one response within the objective. It has no
-// unit.
-func (k *KindResult) OnTimeCredit() float64 { return k.kind.OnTimeCredit }
+// OnTimeShare returns the share of the clients whose response began within the objective, and
+// ServedShare that of those who got one before they left; both 0 if there were no requests.
+func (k *KindResult) OnTimeShare() float64 { return share(k.OnTime, k.Requests) }
+
+// ServedShare is described at OnTimeShare.
+func (k *KindResult) ServedShare() float64 { return share(k.OnTime+k.Late, k.Requests) }
+
+func share(part, whole int) float64 { return float64(part) / float64(max(1, whole)) }
 
-// CreditShare returns the earned share of the maximum credit over all kinds, from 0 to
-// 1; 0 if there were no requests.
-func (r *Result) CreditShare() float64 {
-	credit, maxCredit := 0.0, 0.0
+// OnTimeShare returns the mean share of requests on time over the kinds, each of which counts alike,
+// however many requests it has.
+func (r *Result) OnTimeShare() float64 { return r.meanOverKinds((*KindResult).OnTimeShare) }
+
+// ServedShare returns the mean share of served requests over the kinds.
+func (r *Result) ServedShare() float64 { return r.meanOverKinds((*KindResult).ServedShare) }
+
+func (r *Result) meanOverKinds(of func(*KindResult) float64) float64 {
+	sum := 0.0
 	for i := range r.Kinds {
-		credit, maxCredit = credit+r.Kinds[i].Credit, maxCredit+r.Kinds[i].MaxCredit
-	}
-	if maxCredit == 0 {
-		return 0
+		sum += of(&r.Kinds[i])
 	}
-	return credit / maxCredit
+	return sum / float64(max(1, len(r.Kinds)))
 }
 
 // WriteTable writes results as a text table with a row for each kind and policy.
 func WriteTable(w io.Writer, results []*Result) error {
 	if _, err := fmt.Fprintf(w, "%-14s %-18s %-14s %7s %7s %6s %7s %8s %7s %7s %10s\n",
-		"pattern", "policy", "kind", "asked", "on time", "late", "failed", "refusals", "credit", "p50 ms", "p95 ms"); err != nil {
+		"pattern", "policy", "kind", "asked", "on time", "late", "failed", "refusals", "served", "p50 ms", "p95 ms"); err != nil {
 		return err
 	}
 	for _, r := range results {
 		for i := range r.Kinds {
 			k := &r.Kinds[i]
 			if _, err := fmt.Fprintf(w, "%-14s %-18s %-14s %7d %7d %6d %7d %8d %7.3f %7d %10d\n", r.Pattern, r.Policy, k.Name, k.Requests, k.OnTime,
-				k.Late, k.Failed, k.Refusals, k.Credit/max(k.MaxCredit, 1e-9), k.Quantile(0.5).Milliseconds(), k.Quantile(0.95).Milliseconds()); err != nil {
+				k.Late, k.Failed, k.Refusals, k.ServedShare(), k.Quantile(0.5).Milliseconds(), k.Quantile(0.95).Milliseconds()); err != nil {
 				return err
 			}
 		}
-		if _, err := fmt.Fprintf(w, "%-14s %-18s all kinds: credit %.3f, runs put out %d\n", r.Pattern, r.Policy, r.CreditShare(), r.Preemptions); err != nil {
+		if _, err := fmt.Fprintf(w, "%-14s %-18s mean of the kinds: on time %.3f, served %.3f, runs put out %d\n", r.Pattern, r.Policy, r.OnTimeShare(), r.ServedShare(), r.Preemptions); err != nil {
 			return err
 		}
 	}
--- a/load/table.go
+++ b/load/table.go
@@ -134,7 +134,7 @@
 }
 
 // PlotPatternTimeline draws the results of a pattern by second of arrival. For each kind
-// and policy it shows the credit share, the refused share, and the estimated and actual
+// and policy it shows the share on time, the refused share, and the estimated and actual
 // times to first token as fractions of the objective.
 func PlotPatternTimeline(path string, results []*emulator.Result) error {
 	var lines []any
@@ -144,12 +144,12 @@
 		for i := range r.Kinds {
 			k := &r.Kinds[i]
 			objective := k.Objective().Seconds()
-			var credit, refused, estimated, actual plotter.XYs
+			var onTime, refused, estimated, actual plotter.XYs
 			for n, s := range k.Seconds {
 				x := float64(n)
-				if s.MaxCredit > 0 {
-					credit = append(credit, plotter.XY{X: x, Y: s.Credit / s.MaxCredit})
-					refused = append(refused, plotter.XY{X: x, Y: float64(s.Refusals) * k.OnTimeCredit() / s.MaxCredit})
+				if s.Requests > 0 {
+					onTime = append(onTime, plotter.XY{X: x, Y: float64(s.OnTime) / float64(s.Requests)})
+					refused = append(refused, plotter.XY{X: x, Y: float64(s.Refusals) / float64(s.Requests)})
 				}
 				if s.EstimatedPrompts > 0 && objective > 0 {
 					estimated = append(estimated, plotter.XY{X: x, Y: s.EstimatedTTFT.Seconds() / float64(s.EstimatedPrompts) / objective})
@@ -159,7 +159,7 @@
 			for _, line := range []struct {
 				name   string
 				points plotter.XYs
-			}{{"credit", credit}, {"refused", refused}, {"expected", estimated}, {"came", actual}} {
+			}{{"on time", onTime}, {"refused", refused}, {"expected", estimated}, {"came", actual}} {
 				if len(line.points) > 0 {
 					lines = append(lines, k.Name+", "+line.name+", "+r.Policy, line.points)
 				}
@@ -172,7 +172,7 @@
 	p := plot.New()
 	p.Title.Text = title
 	p.X.Label.Text = "second"
-	p.Y.Label.Text = "share of the credit or the callers; part of the objective"
+	p.Y.Label.Text = "share of the callers; part of the objective"
 	p.Legend.Top = true
 	if err := plotutil.AddLinePoints(p, lines...); err != nil {
 		return eris.Wrap(err, "add lines to plot")
