entry: a prompt leaves the queue while its first token can still come in time

Callers saw, on the completions surface: a prompt waited for a slot until its whole time for the first token was over, and one whose time was over already got a slot if one was free; an engine then began with work for nobody.

Cause: the queue's deadline was the client's, without the time that the engine needs.

Change: the latest time to get a slot is the client's less the shortest time to a first token that prompts of the deployment took lately (dispatch.RecentTimes, as in the gateway); a request past it is rejected at once.

Packages admission and entry pass.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -111,6 +111,9 @@
 // a slot by its deadline, it is rejected at once. The duration is the retry delay of a
 // rejected request, otherwise 0.
 func (q *Queue) Offer(r *Request, now time.Time) (Outcome, time.Duration) {
+	if now.After(r.Deadline) {
+		return Rejected, minQueueRetryAfter
+	}
 	if q.hasFreeSlot(r.Class) && q.waiting[r.Class].Len() == 0 {
 		q.startRequest(r, now)
 		return Run, 0
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -84,6 +84,12 @@
 	outcome, _ = q.Offer(late, now)
 	require.Equal(t, Wait, outcome)
 	q.Cancel(late)
+	past := request("a", Interactive, 1)
+	past.Deadline = now.Add(-time.Millisecond)
+	q.SetSlots(2, now)
+	outcome, retryAfter = q.Offer(past, now)
+	require.Equal(t, Rejected, outcome, "no slot is used for what comes too late")
+	require.Equal(t, minQueueRetryAfter, retryAfter)
 	require.Zero(t, q.Waiting(Interactive))
 	require.Empty(t, q.lastFinish[Interactive], "no account state without waiting requests")
 }
--- a/entry/admission.go
+++ b/entry/admission.go
@@ -13,6 +13,7 @@
 	"github.com/galenaarch/galenaarch/admission"
 	"github.com/galenaarch/galenaarch/api/refusal"
 	"github.com/galenaarch/galenaarch/config"
+	"github.com/galenaarch/galenaarch/dispatch"
 )
 
 // Admission limits.
@@ -78,6 +79,34 @@
 	// admitted.
 	waiters  map[*admission.Request]chan struct{}
 	lastShed time.Time
+	// starts are the times that prompts of each deployment took from being sent to their first
+	// token.
+	starts map[string]*dispatch.RecentTimes
+}
+
+// recordStart records the time from sending a prompt to its first token.
+func (a *admitter) recordStart(deployment string, took time.Duration, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.starts == nil {
+		a.starts = make(map[string]*dispatch.RecentTimes)
+	}
+	if a.starts[deployment] == nil {
+		a.starts[deployment] = new(dispatch.RecentTimes)
+	}
+	a.starts[deployment].Observe(took, now)
+}
+
+// latestStart returns the latest time to send a prompt so that its first token may still come in
+// time: engines take at least the shortest recent time for it.
+func (a *admitter) latestStart(p *prompt, now time.Time) time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	latest := p.received.Add(p.firstTokenTimeout)
+	if starts := a.starts[p.deployment.Name]; starts != nil {
+		latest = latest.Add(-starts.Shortest(now))
+	}
+	return latest
 }
 
 type admissionMetrics struct {
@@ -288,6 +317,9 @@
 		Cost:     1 + float64(p.tokens)/tokensPerCostUnit,
 		Deadline: p.received.Add(maxQueueTime(p)),
 	}
+	if latest := e.admitter.latestStart(p, now); latest.Before(request.Deadline) {
+		request.Deadline = latest
+	}
 	return e.admitter.acquirePermit(ctx, p, request, e.concurrencyLimit(p.deployment.Name), now, e.withAlternatives)
 }
 
--- a/entry/run.go
+++ b/entry/run.go
@@ -330,8 +330,10 @@
 	covered := (d.CachedBlocks + d.ImportBlocks) * p.deployment.BlockTokens
 	clearPending, end := d.Server.StartRun(int64(max(0, p.tokens-covered)), p.priority == config.PriorityBatch)
 	defer end()
+	startedAt := time.Now()
 	onFirstToken := sync.OnceFunc(func() {
 		clearPending()
+		e.admitter.recordStart(p.deployment.Name, time.Since(startedAt), time.Now())
 		e.recordPrefill(p, d.Decision)
 	})
 	id := relay.Attempt{RequestID: p.request.requestID, Number: r.attemptNumber}
