--- a/faults/stream_client_test.go
+++ b/faults/stream_client_test.go
@@ -96,6 +96,9 @@
 	net.Conn
 	reader *bufio.Reader
 	used   int
+	// ignoresClose is set for a client that sends further requests after a response that announces
+	// the end of the connection, until that is closed.
+	ignoresClose bool
 }
 
 func dialGateway(ctx context.Context, address string) (*connection, error) {
@@ -150,7 +153,7 @@
 		r.wrong = fmt.Sprintf("%d bytes after the response", n)
 		return false
 	}
-	return !response.Close
+	return !response.Close || c.ignoresClose
 }
 
 func earlier(a, b time.Time) time.Time {
--- a/faults/stream_soak_test.go
+++ b/faults/stream_soak_test.go
@@ -66,6 +66,8 @@
 	// server has ended.
 	nextSoftware func(server *soakServer, id string) (software string, downtime time.Duration)
 
+	// ignoreClose is set if half of the connections are used until the gateway has closed them.
+	ignoreClose bool
 	// lastAck is the control replica that acknowledged the last call.
 	lastAck atomic.Int64
 
@@ -234,6 +236,7 @@
 				time.Sleep(refusedPause)
 				continue
 			}
+			c.ignoresClose = s.ignoreClose && rand.IntN(2) == 0
 		}
 		r := next(gateway, n)
 		if !s.exchange(c, r) {
--- a/faults/upgrade_soak_test.go
+++ b/faults/upgrade_soak_test.go
@@ -90,7 +90,7 @@
 // TestUpgradeSoak guards against builds that do not understand each other's messages or data: a day
 // begins with an older one, and processes are replaced one after the other by the current build, and
 // back, beside everything that the stream soak does. Clients use their connections until these are
-// closed.
+// closed, half of them also after a response that announces that.
 func TestUpgradeSoak(t *testing.T) {
 	t.Parallel()
 	c := soakSettingsFromEnv(t, upgradeSoakDuration)
@@ -109,6 +109,7 @@
 		clients.Wait()
 	}()
 	s := newStreamSoakFrom(t, older, c, soakRoutes)
+	s.ignoreClose = true
 	s.start(ctx, streamSoakServers, &workers)
 	defer s.summary(c.seed)
 	for gateway := range c.gateways {
