dispatch: servers state how slow their machine is

Cause: the load header of servers that share their machine has four figures. It was dropped whole, so no load of these servers was known, and each response logged a line.

Change: each figure of the header counts if it is sound. The fourth is the slowness of the machine; placement extends the time of prefill, of queued work and of a request at the server by it.

--- a/dispatch/backend_state.go
+++ b/dispatch/backend_state.go
@@ -148,6 +148,8 @@
 	concurrencyLimit int
 	// transfersEndAt is when the transfers in progress complete.
 	transfersEndAt time.Time
+	// slowness is that of the server's machine.
+	slowness Slowness
 	// room is used while the service is brittle.
 	room brittleRoom
 }
@@ -218,6 +220,9 @@
 	b.room.reported(r, now)
 }
 
+// StateSlowness records how long work takes at the server, as a multiple of the usual time.
+func (b *BackendState) StateSlowness(factor float64, now time.Time) { b.slowness.State(factor, now) }
+
 // SetUnreported records whether every control instance has stopped reporting the server.
 func (b *BackendState) SetUnreported(unreported bool) { b.unreported = unreported }
 
@@ -402,6 +407,9 @@
 // instances report, zone the failure domain of this instance.
 func (b *BackendState) View(s *placement.Server, p *Policy, others Load, zone string, now time.Time) {
 	*s = placement.Server{SameDomain: b.Zone == zone, Slots: b.Slots, MeanTime: b.meanTime, Cold: now.Before(b.ColdUntil)}
+	if p.Enabled(ServerSlowness) {
+		s.Slowdown = b.slowness.Factor(now) - 1
+	}
 	if b.awaitingFirstByte > 0 && p.Enabled(SilencePenalty) {
 		s.Silence = b.Silence(now)
 	}
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -37,6 +37,7 @@
 	PartQuarantine
 	PeerForwarding
 	BrittleRoom
+	ServerSlowness
 	mechanismCount
 )
 
@@ -71,6 +72,7 @@
 	RateLimits:           {"rate-limits", "servers that state how many requests per second they take from all instances"},
 	PartQuarantine:       {"part-quarantine", "prompts with a part that crashes every server that begins to respond to it"},
 	PeerForwarding:       {"peer-forwarding", "entry instances that are cut off from servers which others reach"},
+	ServerSlowness:       {"server-slowness", "servers that share their machine with other work and state how long theirs takes"},
 	BrittleRoom:          {"brittle-room", "servers that end when they have to reject more than a few requests in a second"},
 }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -272,7 +272,9 @@
 	a.response = c.gateway.dialect.DecodeResponse(a.status, a.exchange.Response.Header)
 	a.applyServerDirectives(c)
 	if len(a.response.IgnoredHeaders) > 0 {
-		c.gateway.logger.Info("unparsable headers ignored", slog.String("request", c.request.ID), slog.String("server", a.backend.server), slog.Any("headers", a.response.IgnoredHeaders))
+		if logged, ignored := a.backend.ignoredHeaders.logNow(now); logged {
+			c.gateway.logger.Info("unparsable headers ignored", slog.String("request", c.request.ID), slog.String("server", a.backend.server), slog.Any("headers", a.response.IgnoredHeaders), slog.Int64("responses", ignored))
+		}
 	}
 	if a.response.RequestID != c.request.ID {
 		a.result, a.err = maybeRun, errWrongRequestID
@@ -319,6 +321,9 @@
 		others := c.gateway.peers.othersLoad()[a.backend.server]
 		a.backend.update(func(tracker *dispatch.BackendState) { tracker.ApplyReport(dispatch.Report(*l), others, now) })
 	}
+	if factor := a.response.Slowness; factor > 0 {
+		a.backend.update(func(tracker *dispatch.BackendState) { tracker.StateSlowness(factor, now) })
+	}
 }
 
 // recordAttempt updates the counters and the server state after an attempt, and logs
--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -40,6 +40,8 @@
 	brokenAt atomic.Int64
 	// rateLimit is the rate limit of the incarnation; nil if it never stated one.
 	rateLimit atomic.Pointer[serverLimit]
+	// ignoredHeaders limits the log lines on headers of the server that cannot be parsed.
+	ignoredHeaders headerLog
 }
 
 func newBackend(a *fleetv1.Announcement, s *site.Service, state *serviceState, connections int, now time.Time) *backend {
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -85,6 +85,9 @@
 	NotRun bool
 	// Load is nil if the server does not report it.
 	Load *ServerLoad
+	// Slowness is how long work takes at the server now, as a multiple of the usual time; 0
+	// if the server does not state it.
+	Slowness float64
 	// WeightVersion is 0 if the server does not report it.
 	WeightVersion uint64
 	// Leaving is set if the server has announced that it wants no new requests.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -47,6 +47,9 @@
 	Running, Waiting float64
 	// MeanTime is the average time of a request at the server; 0 if unknown.
 	MeanTime time.Duration
+	// Slowdown is how much longer work takes at the server now than usual, as a share of the
+	// usual time: 0 as usual, 1 twice as long, negative if it takes less.
+	Slowdown float64
 	// PrefillTokens are the prompt tokens sent to the server and not yet prefilled,
 	// DeferredTokens further ones that it prefills only when nothing else is pending.
 	PrefillTokens, DeferredTokens int
@@ -124,7 +127,7 @@
 		cost += silenceFactor * max(0, s.Silence-silenceThreshold)
 	}
 	if j.PromptTokens > 0 {
-		cost += j.Overhead + prefillDelay(s, j) + memoryWait(s, j)
+		cost += s.slowed(j.Overhead) + prefillDelay(s, j) + memoryWait(s, j)
 		if !s.Home {
 			cost += nonHomePenalty
 		}
@@ -137,10 +140,10 @@
 	}
 	if s.Slots > 0 {
 		if over := s.Running + s.Waiting + 1 - float64(s.Slots); over > 0 {
-			cost += time.Duration(over / float64(s.Slots) * float64(s.MeanTime))
+			cost += time.Duration(over / float64(s.Slots) * float64(s.slowed(s.MeanTime)))
 		}
 		// A full batch slows down every request in it slightly.
-		cost += time.Duration(s.Running * float64(s.MeanTime) / float64(4*s.Slots))
+		cost += time.Duration(s.Running * float64(s.slowed(s.MeanTime)) / float64(4*s.Slots))
 	}
 	if s.Cold {
 		cost += s.MeanTime
@@ -152,14 +155,22 @@
 	return cost
 }
 
+// slowed returns the time at the server for work that usually takes d.
+func (s *Server) slowed(d time.Duration) time.Duration {
+	if s.Slowdown == 0 {
+		return d
+	}
+	return time.Duration((1 + s.Slowdown) * float64(d))
+}
+
 // prefillDelay returns the time until a prompt is prefilled: the backlog first, then
 // the tokens that are not cached, some of which may be transferred instead.
 func prefillDelay(s *Server, j *Job) time.Duration {
 	uncached := j.PromptTokens - s.CachedTokens
 	backlog := backlogTime(s, j)
-	prefill := j.prefillDuration(uncached)
+	prefill := s.slowed(j.prefillDuration(uncached))
 	if s.FetchTokens > 0 {
-		remaining := j.prefillDuration(uncached - min(s.FetchTokens, uncached))
+		remaining := s.slowed(j.prefillDuration(uncached - min(s.FetchTokens, uncached)))
 		prefill = min(prefill, s.FetchTime+remaining)
 	}
 	return backlog + prefill
@@ -174,7 +185,7 @@
 	if s.MemoryTokens == 0 || shortfall <= 0 {
 		return 0
 	}
-	return time.Duration(float64(s.RunTime) * float64(shortfall) / float64(s.MemoryTokens))
+	return time.Duration(float64(s.slowed(s.RunTime)) * float64(shortfall) / float64(s.MemoryTokens))
 }
 
 const (
@@ -206,13 +217,13 @@
 	if tokens == 0 {
 		return 0
 	}
-	return j.prefillDuration(tokens)
+	return s.slowed(j.prefillDuration(tokens))
 }
 
 // PrefillWork returns the prefill work of a prompt at a server in tokens, including the
 // step and the equivalent of its transfers.
 func PrefillWork(s Server, j Job) int {
-	s.PrefillTokens, s.DeferredTokens = 0, 0
+	s.PrefillTokens, s.DeferredTokens, s.Slowdown = 0, 0, 0
 	return int(prefillDelay(&s, &j).Seconds()*1000*j.PrefillRate) + j.StepTokens
 }
 
