evacuation: rules of orders that empty a failure domain

An operator had no way to take the servers of a failure domain out of use: nothing in the system knew such an order.

--- a/config/site/site.go
+++ b/config/site/site.go
@@ -18,6 +18,10 @@
 // version of a model; the model name follows it.
 const WeightsPrefix = "weights/"
 
+// EvacuationPrefix is the name prefix of documents by which operators empty a
+// failure domain or withdraw such an order; the domain's name follows it.
+const EvacuationPrefix = "evacuation/"
+
 // WeightsModel returns the model of a weight version document, by the name of
 // the document.
 func WeightsModel(document string) (model string, ok bool) {
