--- a/upstream/identify.go
+++ b/upstream/identify.go
@@ -89,6 +89,16 @@
 	return &Error{Phase: PhaseIdentify, Address: p.address, Err: cause(ctx, err)}
 }
 
+// admit calls f, and keeps the connection for other requests if this one must not be sent.
+func (p *Pool) admit(c *conn, f func() error) error {
+	err := f()
+	if err == nil {
+		return nil
+	}
+	p.putIdle(c)
+	return &Error{Phase: PhaseIdentify, Address: p.address, Err: err}
+}
+
 // identify exchanges an identification on a new connection.
 func (p *Pool) identify(c *conn, i *Identification) error {
 	if err := c.writeRequest(&i.Request); err != nil {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -107,6 +107,9 @@
 	// Confirm, if it is set, is called while a connection is open whose dial began at openedAt, before
 	// anything of the request is sent on it. If it returns an error the request is not sent.
 	Confirm func(ctx context.Context, openedAt time.Time) error
+	// Admit, if it is set, is called immediately before the request is written. If it returns an error
+	// nothing is sent and the connection is kept.
+	Admit func() error
 }
 
 // conn is one connection; it carries one exchange at a time.
@@ -404,6 +407,9 @@
 	if err == nil && r.Confirm != nil {
 		err = p.confirm(ctx, c, r.Confirm)
 	}
+	if err == nil && r.Admit != nil {
+		err = p.admit(c, r.Admit)
+	}
 	if err != nil {
 		return nil, err
 	}
