gateway: nothing is sent to servers of failure domains that are emptied

Cause: entry instances knew no order on a failure domain. Change: servers of emptied domains stay known and are in no service's list, so that no request, retry, continuation, replacement or probe goes there; requests that wait are decided anew, and one that was about to be sent is checked once more with its connection open. Requests that run there end in their time. A service with servers in emptied domains only refuses at once, with a reason of its own. An instance that starts applies its first site document together with the known orders. Nothing is saved to stores there.

--- a/contexts/plan.go
+++ b/contexts/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/galenaarch/galenaarch/placement"
@@ -53,6 +54,9 @@
 	MaxTransferWait time.Duration
 	// PrefillRate is the prefill rate in prompt tokens per millisecond.
 	PrefillRate float64
+	// Emptied reports whether operators empty a failure domain: nothing is saved to stores
+	// there. nil if there is none.
+	Emptied func(domain string) bool
 }
 
 // maxTransferRatio bounds the time of a transfer as a multiple of the prefill time
@@ -121,7 +125,7 @@
 
 // planSave selects the store that saves part i, if there is one.
 func (t *Transfers) planSave(i int, holders []*HolderState, p Part, to Target, now time.Time) {
-	if target := saveTarget(holders, p, now); target != nil {
+	if target := saveTarget(to.mayReceive(holders), p, now); target != nil {
 		target.pendingSaves[p.Key] = pendingSave{tokens: p.Tokens, startedAt: now}
 		t.Save[i] = target.Address
 		return
@@ -129,6 +133,15 @@
 	t.UnsavedParts++
 }
 
+// mayReceive returns the holders without those in failure domains that are emptied.
+func (to *Target) mayReceive(holders []*HolderState) []*HolderState {
+	emptied := func(s *HolderState) bool { return to.Emptied(s.Zone) }
+	if to.Emptied == nil || !slices.ContainsFunc(holders, emptied) {
+		return holders
+	}
+	return slices.DeleteFunc(slices.Clone(holders), emptied)
+}
+
 // maxNominal bounds a nominal transfer time. It is far above the time of any transfer that
 // is worth making, and keeps multiples of it within the range of time.Duration.
 const maxNominal = time.Hour
--- a/fleetview/documents.go
+++ b/fleetview/documents.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/galenaarch/galenaarch/api/controlv1"
@@ -85,6 +86,18 @@
 	return documents
 }
 
+// awaitedDocuments lists the documents that control instances have reported and that are not
+// released, sorted. The caller holds the lock.
+func (v *View) awaitedDocuments(released map[string]*controlv1.PublishedDocument) (names []string) {
+	for name := range v.fetches {
+		if released[name] == nil {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // noteVersion records that a version exists and starts to fetch it. The caller
 // holds the lock.
 func (v *View) noteVersion(s *source, name string, version uint64) {
--- a/fleetview/view.go
+++ b/fleetview/view.go
@@ -46,6 +46,8 @@
 	Servers map[string]*fleetv1.Announcement
 	// Documents holds the newest version of each document by name.
 	Documents map[string]*controlv1.PublishedDocument
+	// Awaited lists the documents that exist and are not among Documents yet.
+	Awaited []string
 	// Entries holds the entry instances known to at least one control instance.
 	Entries map[string]*fleetv1.EntryInstance
 	// ReachableControls counts the control instances that currently respond.
@@ -416,6 +418,7 @@
 		Servers: make(map[string]*fleetv1.Announcement), Documents: v.releasedDocuments(),
 		Entries: make(map[string]*fleetv1.EntryInstance), KnownControls: len(v.sources),
 	}
+	next.Awaited = v.awaitedDocuments(next.Documents)
 	for _, s := range v.sources {
 		next.ControlURLs = append(next.ControlURLs, s.url)
 		if !s.unreachable && !s.lastResponse.IsZero() {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -107,7 +107,7 @@
 	timer := c.startAttemptTimer(ctx, a, timeout)
 	x, err := b.pool.Send(ctx, &upstream.Request{
 		Method: r.Method, Target: c.target, Host: r.Host, Header: c.gateway.dialect.OutboundHeader(r.Header, d), Body: c.body,
-		Identify: c.identification(b), Confirm: c.confirmation(b),
+		Identify: c.identification(b), Confirm: c.confirmation(b), Admit: func() error { return c.gateway.mayReceive(b) },
 	})
 	inTime := timer.stop()
 	a.abandoned = ctx.Err() != nil && (err != nil || !inTime)
@@ -368,7 +368,7 @@
 		// The server is full or executes a control operation; that is no failure.
 		cooldown = b.recordRejection(a.response.Load, now)
 		c.gateway.recordRoomRejection(b, a.response.Load, now)
-	case errors.Is(a.err, upstream.ErrConnectionLimit) || errors.Is(a.err, errNotConfirmed):
+	case errors.Is(a.err, upstream.ErrConnectionLimit) || errors.Is(a.err, errNotConfirmed) || errors.Is(a.err, errEvacuated):
 	case errors.Is(a.err, errOtherIncarnation):
 		b.retired.Store(true)
 	default:
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -328,7 +328,7 @@
 	pending, rate := b.tracker.PendingTransferTime(time.Now()), c.state.prefill.Rate()
 	c.state.mu.Unlock()
 	if shared := saltedParts(salt, c.sharedParts()); c.worthImporting(shared) {
-		t = c.gateway.stores.Plan(shared, contexts.Target{Address: b.address, Zone: b.zone, PendingTransferTime: pending, MaxTransferWait: time.Duration(transferTimeShare * float64(c.targetLatency())), PrefillRate: rate})
+		t = c.gateway.stores.Plan(shared, contexts.Target{Address: b.address, Zone: b.zone, PendingTransferTime: pending, MaxTransferWait: time.Duration(transferTimeShare * float64(c.targetLatency())), PrefillRate: rate, Emptied: c.gateway.routing.Load().evacuations.Empties})
 	}
 	for len(t.Fetch) < len(c.prompt.Parts) {
 		t.Fetch, t.Save = append(t.Fetch, ""), append(t.Save, "")
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -9,6 +9,7 @@
 	"github.com/galenaarch/galenaarch/config/site"
 	"github.com/galenaarch/galenaarch/contextrelay"
 	"github.com/galenaarch/galenaarch/dispatch"
+	"github.com/galenaarch/galenaarch/evacuation"
 	"github.com/galenaarch/galenaarch/fleetview"
 	"github.com/galenaarch/galenaarch/placement"
 	"github.com/galenaarch/galenaarch/registry"
@@ -43,6 +44,8 @@
 	// movedRoutes is when the services to which a route of streams leads last changed, within
 	// maxResumeTime.
 	movedRoutes map[string]time.Time
+	// evacuations are the operators' orders that empty failure domains.
+	evacuations evacuation.Orders
 	// forwardPeers are the instances to which requests may be passed on.
 	forwardPeers []*forwardPeer
 	// resumeTime is how long after its start a stream may be resumed.
@@ -55,7 +58,7 @@
 	old := g.routing.Load()
 	next := &routingState{weightRolloutTime: g.weightRolloutTime, backends: make(map[string]*backend), services: make(map[string][]*backend), targetVersions: make(map[string]uint64), targetSince: make(map[string]time.Time)}
 	next.table, next.examinedDocument = g.compileDocument(s, old), s.Documents[site.DocumentName].GetVersion()
-	next.forwardPeers = g.listForwardPeers(s, old)
+	next.forwardPeers, next.evacuations = g.listForwardPeers(s, old), evacuation.FromDocuments(s.Documents)
 	next.entryCount = countEntries(len(s.Entries), old.entryCount)
 	for name, d := range s.Documents {
 		if model, ok := site.WeightsModel(name); ok {
@@ -72,6 +75,7 @@
 	}
 	g.routing.Store(next)
 	g.metrics.document.Set(float64(next.documentVersion()))
+	g.logEvacuations(old, next)
 	g.streams.sendOlder(time.Now(), next.resumeTime, moved)
 	g.attachRateLimits(next)
 	g.closeRemoved(old, next)
@@ -147,7 +151,7 @@
 		current = old.table
 	}
 	d := s.Documents[site.DocumentName]
-	if d == nil || (current != nil && d.Version <= current.Version) {
+	if d == nil || (current != nil && d.Version <= current.Version) || (current == nil && awaitsEvacuations(s)) {
 		return current
 	}
 	decoded, err := g.dialect.DecodeDocument(d.Content)
@@ -196,7 +200,7 @@
 		service := next.table.Service(a.Service)
 		b := g.backendFor(a, service, connectionLimit(service, next.entryCount), old, now)
 		next.backends[a.Server] = b
-		if !b.retired.Load() {
+		if !b.retired.Load() && !next.evacuations.Empties(a.Zone) {
 			next.services[a.Service] = append(next.services[a.Service], b)
 		}
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -70,6 +70,8 @@
 	streams   *streamRecords
 	workTimes workTimes
 	inflight  atomic.Int64
+	// emptyDomains are the emptied failure domains without requests in progress. Only Run uses it.
+	emptyDomains map[string]bool
 	// lastArrival is when the last request arrived, in nanoseconds of Unix time.
 	lastArrival      atomic.Int64
 	promptMix        placement.LengthMix
@@ -97,7 +99,7 @@
 	g := &Gateway{
 		dialect: deps.Dialect, view: deps.View, stores: deps.Stores, follower: deps.Follower, peers: deps.peers, scorer: deps.Scorer, policy: deps.Policy,
 		instance: s.Instance, zone: s.FailureDomain, retryLimits: s.RetryLimits, announceInterval: s.AnnounceInterval, weightRolloutTime: s.WeightRolloutTime,
-		logger: logger, metrics: m, started: time.Now(), accessLogLimiter: rate.NewLimiter(accessLogRate, accessLogBurst), unansweredLogLimiter: newUnansweredLogLimiter(), retryBudgets: make(map[string]*retryBudget),
+		logger: logger, metrics: m, started: time.Now(), accessLogLimiter: rate.NewLimiter(accessLogRate, accessLogBurst), unansweredLogLimiter: newUnansweredLogLimiter(), retryBudgets: make(map[string]*retryBudget), emptyDomains: make(map[string]bool),
 	}
 	g.stopping, g.stopRequests = context.WithCancel(context.Background())
 	g.permits, g.evidence, g.streams = newPermitClient(g), newCrashEvidence(g), newStreamRecords(g.view, logger)
@@ -127,6 +129,7 @@
 			g.leaving.removeOld(now)
 			g.logInterruptions(now)
 			g.updateRetryBudgets(now)
+			g.recordEvacuatedRequests(g.routing.Load())
 		}
 	}
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -43,6 +43,10 @@
 	// forwards counts requests passed on to other instances by outcome, probes connections
 	// opened to learn whether servers are reachable.
 	forwards, probes *prometheus.CounterVec
+	// evacuated is the number of failure domains that are emptied, evacuatedRequests the requests
+	// in progress there by domain.
+	evacuated         prometheus.Gauge
+	evacuatedRequests *prometheus.GaugeVec
 }
 
 // Outcomes of passing a request on, as label values of a metric.
@@ -108,7 +112,9 @@
 	m.retryBudget = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "galena_gateway_retry_budget", Help: "Retries that this instance's budget for a service allows in a window, and those that count now."}, []string{"service", "value"})
 	m.forwards = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_forwards_total", Help: "Requests passed on to other entry instances because servers are unreachable, by outcome."}, []string{"outcome"})
 	m.probes = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_probes_total", Help: "Connections opened to learn whether servers are reachable, by outcome."}, []string{"outcome"})
-	r.MustRegister(m.brittle, m.roomRejections, m.forwards, m.probes, m.retries, m.retryBudget, m.begun, m.resumed, m.aborted, m.unanswered, m.quarantined, m.interrupted, m.serversEnded, m.directives, m.rateLimits, m.permitsIssued, m.permitRequests, m.outcomes, m.failedAttempts, m.firstByte, m.unlogged, m.panics, m.queued, m.estimateErrors, m.document)
+	m.evacuated = prometheus.NewGauge(prometheus.GaugeOpts{Name: "galena_gateway_evacuated_domains", Help: "Failure domains to whose servers nothing is sent, by operators' orders."})
+	m.evacuatedRequests = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "galena_gateway_evacuated_requests", Help: "Requests of this instance in progress at servers of a failure domain that is emptied."}, []string{"domain"})
+	r.MustRegister(m.evacuated, m.evacuatedRequests, m.brittle, m.roomRejections, m.forwards, m.probes, m.retries, m.retryBudget, m.begun, m.resumed, m.aborted, m.unanswered, m.quarantined, m.interrupted, m.serversEnded, m.directives, m.rateLimits, m.permitsIssued, m.permitRequests, m.outcomes, m.failedAttempts, m.firstByte, m.unlogged, m.panics, m.queued, m.estimateErrors, m.document)
 	return m
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -180,6 +180,9 @@
 
 // resolveReason returns the final reason why there is no server for the request.
 func (c *call) resolveReason(reason rejectReason) rejectReason {
+	if reason == reasonNoServer && c.gateway.routing.Load().allEvacuated(c.service.Name) {
+		return reasonEvacuated
+	}
 	if reason == reasonNoServer && c.boundElsewhere() {
 		return reasonNoSameSoftware
 	}
@@ -254,7 +257,7 @@
 	switch reason {
 	case reasonStopping:
 		after = drainRetryAfter
-	case reasonSoftwareUnknown, reasonNoSameSoftware:
+	case reasonSoftwareUnknown, reasonNoSameSoftware, reasonEvacuated:
 		after = c.gateway.announceInterval
 	}
 	switch {
