registrar, platform: operators empty failure domains and restore them

POST and DELETE /evacuations/ZONE record an order at the leader and are acknowledged once a majority has it; without a leader 503, for an unknown zone 404 with the known ones. Known are those of -failure-domains (new, from the deployment's zones), of listed servers and of entry instances. The fake control plane of odd_entries_test.go gains the new methods; startControlWith is split for a setting.

--- a/registrar/platform.go
+++ b/registrar/platform.go
@@ -28,6 +28,12 @@
 	// NewestDocument returns the newest version of a document, nil if there is
 	// none.
 	NewestDocument(ctx context.Context, name string) (*controlv1.PublishedDocument, error)
+	// Evacuate orders that no request be sent to the backend servers of a failure
+	// domain, and EndEvacuation withdraws the order. author names the operator. An
+	// *evacuation.UnknownDomainError means that there is no such domain. After another
+	// error the order may or may not take force.
+	Evacuate(ctx context.Context, domain, author string) error
+	EndEvacuation(ctx context.Context, domain, author string) error
 	// Announce applies a server's announcement.
 	Announce(a *fleetv1.Announcement)
 	// MarkGone records that a server has ended. bornUnixMS identifies its
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -20,6 +20,7 @@
 	"github.com/galenaarch/galenaarch/control"
 	"github.com/galenaarch/galenaarch/control/state"
 	"github.com/galenaarch/galenaarch/dispatch"
+	"github.com/galenaarch/galenaarch/evacuation"
 	"github.com/galenaarch/galenaarch/fleetview"
 	"github.com/galenaarch/galenaarch/httpclient"
 	"github.com/galenaarch/galenaarch/httpserver"
@@ -67,6 +68,9 @@
 	// WeightRolloutTime is the time within which all servers must run the requested
 	// weights.
 	WeightRolloutTime time.Duration
+	// FailureDomains lists failure domains that operators may empty before a server
+	// or an entry instance is known there; comma-separated.
+	FailureDomains string
 }
 
 // RegisterFlags implements settings.Set.
@@ -76,6 +80,7 @@
 	fs.StringVar(&s.DirectoryListen, "directory-listen", "", "IP:port for clients that ask where to connect")
 	fs.DurationVar(&s.AnnounceInterval, "announce-interval", time.Second, "interval at which backend servers announce themselves")
 	fs.DurationVar(&s.OrderLease, "order-lease", 3*time.Second, "how long a new leader waits before it orders weights")
+	fs.StringVar(&s.FailureDomains, "failure-domains", "", "names of failure domains that operators may empty, comma-separated; those of servers and entry instances are known without")
 	fs.DurationVar(&s.WeightRolloutTime, "weights-within", 8*time.Second, "time within which all servers must run the requested weights")
 }
 
@@ -87,6 +92,11 @@
 	checker.Address("surface-listen", s.Listen)
 	checker.Address("directory-listen", s.DirectoryListen)
 	settings.Positive(checker, "announce-interval", s.AnnounceInterval, "duration")
+	for _, domain := range settings.SplitList(s.FailureDomains) {
+		if err := evacuation.CheckDomain(domain); err != nil {
+			checker.Add("failure-domains", "%v", err)
+		}
+	}
 }
 
 // Registrar is the kernel component that runs in a control process.
