galenactl: zones, evacuate and restore

Operators empty a failure domain through control's RPC and see what is left there: zones lists the failure domains with the orders on them and the requests in progress, evacuate -wait prints a line at each change until no entry instance has work in the domain. Entries.GetDomainWork lists the busy servers of one domain.

--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -1,10 +1,10 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"slices"
 	"strings"
 
@@ -70,7 +70,8 @@
 	}
 }
 
-// domainWork returns this instance's work at the servers of a failure domain.
+// domainWork returns this instance's work at the servers of a failure domain, with the list of the
+// busy ones.
 func (rs *routingState) domainWork(domain string) *fleetv1.DomainWork {
 	work := &fleetv1.DomainWork{Domain: domain, EvacuationVersion: rs.evacuations[domain].Version}
 	for _, b := range rs.backends {
@@ -79,9 +80,11 @@
 			if requests := b.ownRequests(); requests > 0 {
 				work.BusyServers++
 				work.Requests += uint32(requests)
+				work.Busy = append(work.Busy, b.server)
 			}
 		}
 	}
+	slices.Sort(work.Busy)
 	return work
 }
 
@@ -92,28 +95,32 @@
 	return b.tracker.OwnLoad().Requests
 }
 
-// allDomainWork returns this instance's work at the servers of each failure domain that has
-// servers or an order.
-func (g *Gateway) allDomainWork() *fleetv1.GetDomainWorkResponse {
+// domainsWork returns this instance's work at the servers of one failure domain, or, without a name,
+// of each one that has servers or an order.
+func (g *Gateway) domainsWork(domain string) *fleetv1.GetDomainWorkResponse {
 	rs := g.routing.Load()
+	if domain != "" {
+		return &fleetv1.GetDomainWorkResponse{Domains: []*fleetv1.DomainWork{rs.domainWork(domain)}}
+	}
 	domains := make(map[string]bool)
 	for _, b := range rs.backends {
 		domains[b.zone] = true
 	}
-	for domain := range rs.evacuations {
-		domains[domain] = true
+	for name := range rs.evacuations {
+		domains[name] = true
 	}
 	response := &fleetv1.GetDomainWorkResponse{}
-	for domain := range domains {
-		response.Domains = append(response.Domains, rs.domainWork(domain))
+	for _, name := range slices.Sorted(maps.Keys(domains)) {
+		work := rs.domainWork(name)
+		work.Busy = nil
+		response.Domains = append(response.Domains, work)
 	}
-	slices.SortFunc(response.Domains, func(a, b *fleetv1.DomainWork) int { return cmp.Compare(a.Domain, b.Domain) })
 	return response
 }
 
 // GetDomainWork implements fleetv1.Entries.
-func (p *peers) GetDomainWork(context.Context, *fleetv1.GetDomainWorkRequest) (*fleetv1.GetDomainWorkResponse, error) {
-	return p.domainWork(), nil
+func (p *peers) GetDomainWork(_ context.Context, r *fleetv1.GetDomainWorkRequest) (*fleetv1.GetDomainWorkResponse, error) {
+	return p.domainWork(r.Domain), nil
 }
 
 // mayReceive returns errEvacuated if nothing may be sent to the server now. It is asked again when
--- a/gateway/evacuation_test.go
+++ b/gateway/evacuation_test.go
@@ -123,7 +123,7 @@
 	require.Less(t, time.Since(orderedAt), 200*time.Millisecond)
 	require.Nil(t, decided.backend)
 	require.Equal(t, reasonEvacuated, c.resolveReason(decided.reason))
-	require.Equal(t, uint32(1), h.allDomainWork().Domains[0].Requests, "the request that runs there goes on")
+	require.Equal(t, uint32(1), h.domainsWork("").Domains[0].Requests, "the request that runs there goes on")
 }
 
 // An order takes force between the choice of a server and the sending. Nothing is sent, and the
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -89,8 +89,8 @@
 	evidence    func(since uint64, now time.Time) (*fleetv1.CrashEvidence, uint64)
 	allEvidence func(now time.Time) *fleetv1.CrashEvidence
 	onEvidence  func(e *fleetv1.CrashEvidence, from string)
-	// domainWork returns this instance's work by failure domain.
-	domainWork func() *fleetv1.GetDomainWorkResponse
+	// domainWork returns this instance's work at one failure domain, or at all.
+	domainWork func(domain string) *fleetv1.GetDomainWorkResponse
 	// evidenceNews schedules the evidence in updates to peers, evidenceZones that in
 	// updates to other failure domains.
 	evidenceNews, evidenceZones evidenceSchedule
@@ -117,7 +117,7 @@
 		},
 		evidence:    func(uint64, time.Time) (*fleetv1.CrashEvidence, uint64) { return nil, 0 },
 		allEvidence: func(time.Time) *fleetv1.CrashEvidence { return nil }, onEvidence: func(*fleetv1.CrashEvidence, string) {},
-		domainWork: func() *fleetv1.GetDomainWorkResponse { return &fleetv1.GetDomainWorkResponse{} },
+		domainWork: func(string) *fleetv1.GetDomainWorkResponse { return &fleetv1.GetDomainWorkResponse{} },
 		updates:    make(map[string]*peerUpdate), backoffUntil: make(map[string]time.Time), clients: make(map[string]fleetv1.Entries),
 	}
 	p.totals.Store(&map[string]dispatch.Load{})
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net/http"
 	"strings"
 	"time"
 
@@ -113,6 +114,7 @@
 		Subcommands: []*ffcli.Command{
 			cli.validateCommand(), cli.diffCommand(), cli.applyCommand(), cli.promoteCommand(),
 			cli.statusCommand(), cli.historyCommand(), cli.watchCommand(), cli.entriesCommand(), cli.drainCommand(), cli.capacityCommand(),
+			cli.zonesCommand(), cli.evacuateCommand(), cli.restoreCommand(),
 			cli.hashKeyCommand(),
 		},
 		Exec: func(_ context.Context, args []string) error {
@@ -165,6 +167,16 @@
 	if cli.Connect != nil {
 		return cli.Connect()
 	}
+	httpClient, err := cli.httpClient()
+	if err != nil {
+		return nil, err
+	}
+	return client.New(settings.SplitList(cli.controlURLs), httpClient), nil
+}
+
+// httpClient validates the flags on connections and returns an HTTP client for calls to the system's
+// processes.
+func (cli *CLI) httpClient() (*http.Client, error) {
 	var c settings.Checker
 	c.Required("control", cli.controlURLs)
 	c.URLs("control", cli.controlURLs)
@@ -176,7 +188,7 @@
 	if err != nil {
 		return nil, usageError("%v", err)
 	}
-	return client.New(settings.SplitList(cli.controlURLs), tlsTransport.Client()), nil
+	return tlsTransport.Client(), nil
 }
 
 // requireEnvironment returns an error if -environment is not set.
