dispatch: limit on the requests to cold servers

Cause: a server that starts, or whose failure domain returns, bears few requests a second. Each instance sent to it as to any idle server.

Change: while a server announces that it is cold, in a service that states what a cold server bears, requests need permits of its issuer, as at a server that states a rate limit; the stricter of both limits is in force. Each instance derives it from the announcement and the document. An issuer of a server that turns cold issues at once if the list of issuers has been the same for the time that it would wait. Permits of a cold server are asked for only if the decision would have chosen it. The switch is the mechanism cold-limits; services without a rate are not limited.

--- a/config/site/site.go
+++ b/config/site/site.go
@@ -125,6 +125,9 @@
 	// MaxConnections is the number of connections that one server accepts from
 	// all peers together; 0 for no limit.
 	MaxConnections int
+	// ColdPerSecond is the number of requests per second that a cold server bears from all
+	// peers together; 0 for no limit.
+	ColdPerSecond float64
 	// Engine is nil for plain services; Store is nil for all services except
 	// stores.
 	Engine *Engine
--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -19,6 +19,8 @@
 	// lacks, without a response from an issuer since; zero if none is missing.
 	unansweredSince time.Time
 	fallback        fallbackTurns
+	// expired counts the permits that were not used in time.
+	expired int
 }
 
 type permitGrant struct {
@@ -60,10 +62,21 @@
 // Available reports whether a request may be sent now. If not, the instance lacks a
 // permit, which Wanted reports.
 func (p *Permits) Available(f Fallback, now time.Time) bool {
-	p.dropExpired(now)
-	if len(p.grants) > 0 || p.useFallback(f, now) {
+	if p.Usable(f, now) {
 		return true
 	}
+	p.Lack(now)
+	return false
+}
+
+// Usable reports whether a request may be sent now; if not, none is asked for.
+func (p *Permits) Usable(f Fallback, now time.Time) bool {
+	p.dropExpired(now)
+	return len(p.grants) > 0 || p.useFallback(f, now)
+}
+
+// Lack records that a decision would have used a permit.
+func (p *Permits) Lack(now time.Time) {
 	p.lacking, p.lackedAt = p.lacking+1, now
 	if p.unansweredSince.IsZero() {
 		p.unansweredSince = now
@@ -71,7 +84,14 @@
 			p.unansweredSince = p.askAfter
 		}
 	}
-	return false
+}
+
+// TakeExpired returns how many permits have expired unused since the last call.
+func (p *Permits) TakeExpired(now time.Time) int {
+	p.dropExpired(now)
+	n := p.expired
+	p.expired = 0
+	return n
 }
 
 // Take uses up the permit for one request, the one that expires first. It returns false if
@@ -101,6 +121,7 @@
 
 func (p *Permits) dropExpired(now time.Time) {
 	for len(p.grants) > 0 && !now.Before(p.grants[0].expiresAt) {
+		p.expired += p.grants[0].count
 		p.grants = p.grants[1:]
 	}
 }
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -38,6 +38,7 @@
 	PeerForwarding
 	BrittleRoom
 	ServerSlowness
+	ColdLimits
 	mechanismCount
 )
 
@@ -73,6 +74,7 @@
 	PartQuarantine:       {"part-quarantine", "prompts with a part that crashes every server that begins to respond to it"},
 	PeerForwarding:       {"peer-forwarding", "entry instances that are cut off from servers which others reach"},
 	ServerSlowness:       {"server-slowness", "servers that share their machine with other work and state how long theirs takes"},
+	ColdLimits:           {"cold-limits", "servers that return cold, and to which all instances would send at the same moment"},
 	BrittleRoom:          {"brittle-room", "servers that end when they have to reject more than a few requests in a second"},
 }
 
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -225,6 +225,7 @@
 	leaving := a.Leaving || g.leaving.contains(b.incarnation)
 	b.update(func(tracker *dispatch.BackendState) {
 		tracker.SetUnreported(a.Silent)
+		tracker.ColdUntil = time.UnixMilli(a.ColdUntilUnixMs)
 		if leaving {
 			tracker.MarkLeaving()
 		}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -19,6 +19,8 @@
 	estimateErrors *prometheus.HistogramVec
 	directives     *prometheus.CounterVec
 	rateLimits     *prometheus.GaugeVec
+	coldServers    prometheus.Gauge
+	coldPermits    *prometheus.CounterVec
 	// brittle is the number of rejections that the servers of a brittle service survive;
 	// roomRejections counts what they rejected.
 	brittle        *prometheus.GaugeVec
@@ -98,6 +100,8 @@
 	}
 	m.document = prometheus.NewGauge(prometheus.GaugeOpts{Name: "galena_gateway_document_version", Help: "Version of the site document by which requests are routed; 0 before the first."})
 	m.directives = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_server_directives_total", Help: "Responses by which a server directs how it is used, by directive."}, []string{"directive"})
+	m.coldServers = prometheus.NewGauge(prometheus.GaugeOpts{Name: "galena_gateway_cold_servers", Help: "Servers whose requests are limited because they are cold."})
+	m.coldPermits = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_cold_permits_total", Help: "Permits of this instance for cold servers, by outcome: used, expired."}, []string{"outcome"})
 	m.rateLimits = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "galena_gateway_server_rate_limit", Help: "Requests a second that a server takes from all instances together, while it states a limit."}, []string{"server"})
 	m.brittle = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "galena_gateway_service_brittle", Help: "Rejections for want of room in a second that a server of the service survives, while one states it."}, []string{"service"})
 	m.roomRejections = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_room_rejections_total", Help: "Requests of this instance that servers rejected while their service was brittle."}, []string{"service"})
@@ -114,7 +118,7 @@
 	m.probes = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_probes_total", Help: "Connections opened to learn whether servers are reachable, by outcome."}, []string{"outcome"})
 	m.evacuated = prometheus.NewGauge(prometheus.GaugeOpts{Name: "galena_gateway_evacuated_domains", Help: "Failure domains to whose servers nothing is sent, by operators' orders."})
 	m.evacuatedRequests = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "galena_gateway_evacuated_requests", Help: "Requests of this instance in progress at servers of a failure domain that is emptied."}, []string{"domain"})
-	r.MustRegister(m.evacuated, m.evacuatedRequests, m.brittle, m.roomRejections, m.forwards, m.probes, m.retries, m.retryBudget, m.begun, m.resumed, m.aborted, m.unanswered, m.quarantined, m.interrupted, m.serversEnded, m.directives, m.rateLimits, m.permitsIssued, m.permitRequests, m.outcomes, m.failedAttempts, m.firstByte, m.unlogged, m.panics, m.queued, m.estimateErrors, m.document)
+	r.MustRegister(m.evacuated, m.evacuatedRequests, m.brittle, m.roomRejections, m.forwards, m.probes, m.retries, m.retryBudget, m.begun, m.resumed, m.aborted, m.unanswered, m.quarantined, m.interrupted, m.serversEnded, m.directives, m.rateLimits, m.coldServers, m.coldPermits, m.permitsIssued, m.permitRequests, m.outcomes, m.failedAttempts, m.firstByte, m.unlogged, m.panics, m.queued, m.estimateErrors, m.document)
 	return m
 }
 
--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -22,6 +22,9 @@
 	// permitInterval is the longest time between updates of the roles and reports of
 	// limits.
 	permitInterval = 100 * time.Millisecond
+	// unlimitedRetry is how soon an instance may ask again for a server of which the issuer
+	// does not know that it is limited.
+	unlimitedRetry = 20 * time.Millisecond
 	// entryListTTL is how long the list of entry instances is reused.
 	entryListTTL = 100 * time.Millisecond
 )
@@ -40,6 +43,10 @@
 	// granted is closed and replaced when permits arrive.
 	granted chan struct{}
 	entries entryList
+	// steady is since when this instance has been a candidate in the same list of issuers,
+	// steadySince its last result.
+	steady      dispatch.SteadyList
+	steadySince time.Time
 	// failureLoggedAt is when a failed request to each peer was last logged.
 	failureLoggedAt map[string]time.Time
 }
@@ -144,7 +151,12 @@
 // updateRole updates whether this instance issues the permits of a server. The caller
 // holds l.mu.
 func (c *permitClient) updateRole(l *serverLimit, leads bool, now time.Time) bool {
-	issuing := l.role.Update(leads, now)
+	var issuing bool
+	if l.cold.Active(now) {
+		issuing = l.role.UpdateSteady(leads, c.listSteadySince(), now)
+	} else {
+		issuing = l.role.Update(leads, now)
+	}
 	if issuing != l.issuing {
 		l.issuing, l.issuer = issuing, dispatch.PermitIssuer{}
 		c.gateway.logger.Info("permit issuer changed", slog.String("server", l.server), slog.Bool("issuing", issuing))
@@ -152,6 +164,20 @@
 	return issuing
 }
 
+// noteList records the current list of issuers.
+func (c *permitClient) noteList(now time.Time) {
+	list := c.currentEntries(now)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.steadySince = c.steady.Update(list.version, list.eligible, now)
+}
+
+func (c *permitClient) listSteadySince() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.steadySince
+}
+
 // permitTarget is what is asked of one issuer.
 type permitTarget struct {
 	entry    *fleetv1.EntryInstance
@@ -164,14 +190,16 @@
 	targets := make(map[string]*permitTarget)
 	next = now.Add(permitInterval)
 	arrived := false
+	c.noteList(now)
 	for _, l := range c.gateway.limits.all() {
-		if !l.limited() {
+		arrived = c.gateway.endCold(l, now) || arrived
+		if !l.limited(now) {
 			continue
 		}
 		l.mu.Lock()
 		first, leads := c.firstIssuer(l, now)
 		issuing := c.updateRole(l, leads, now)
-		wanted := l.permits.Wanted(l.stated.RateLimit, now)
+		wanted := l.permits.Wanted(l.inForce(now), now)
 		switch {
 		case wanted == 0:
 		case issuing:
@@ -199,7 +227,7 @@
 
 // issue issues permits of a server to an instance. The caller holds l.mu.
 func (c *permitClient) issue(l *serverLimit, instance string, wanted int, now time.Time) (granted int, retryAfter time.Duration) {
-	granted, retryAfter = l.issuer.Issue(l.stated.RateLimit, instance, wanted, now)
+	granted, retryAfter = l.issuer.Issue(l.inForce(now), instance, wanted, now)
 	c.gateway.metrics.permitsIssued.Add(float64(granted))
 	return granted, retryAfter
 }
@@ -289,9 +317,11 @@
 		_, leads := c.firstIssuer(l, now)
 		grant.Issuing = c.updateRole(l, leads, now)
 		grant.Limit = registry.EncodeRateLimit(l.stated)
-		if grant.Issuing && l.stated.Limited {
+		if grant.Issuing && l.inForce(now).Limited {
 			granted, retryAfter := c.issue(l, r.Entry, int(request.Wanted), now)
 			grant.Granted, grant.RetryMs = uint32(granted), uint32(retryAfter.Milliseconds())
+		} else if grant.Issuing {
+			grant.RetryMs = uint32(unlimitedRetry.Milliseconds())
 		}
 		l.mu.Unlock()
 	}
--- a/gateway/rate_limits.go
+++ b/gateway/rate_limits.go
@@ -37,6 +37,7 @@
 	// mu guards the fields below.
 	mu      sync.Mutex
 	stated  dispatch.StatedLimit
+	cold    dispatch.ColdLimit
 	permits dispatch.Permits
 	issuer  dispatch.PermitIssuer
 	role    dispatch.IssuerRole
@@ -52,16 +53,21 @@
 	// one is reported at reportAt.
 	reportedRevision uint64
 	reportAt         time.Time
+	// coldNow is whether the server counted as cold when that was last examined.
+	coldNow bool
 }
 
-// limited reports whether the server states a limit now.
-func (l *serverLimit) limited() bool {
-	if l == nil {
-		return false
-	}
+// limited reports whether a limit is in force.
+func (l *serverLimit) limited(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.stated.Limited
+	return l.inForce(now).Limited
+}
+
+// inForce returns the stricter of the limit that the server states and that of a cold server.
+// The caller holds l.mu.
+func (l *serverLimit) inForce(now time.Time) dispatch.RateLimit {
+	return l.cold.Limit(l.stated.RateLimit, now)
 }
 
 func (l *serverLimit) current() dispatch.StatedLimit {
@@ -252,7 +258,10 @@
 	}
 	g.logger.Info("server rate limit changed", slog.String("server", l.server), slog.Bool("limited", to.Limited), slog.Float64("per_second", to.PerSecond),
 		slog.Bool("was_limited", from.Limited), slog.Float64("was_per_second", from.PerSecond), slog.Uint64("revision", to.Revision), source)
-	g.limitPolling(l, to.RateLimit)
+	l.mu.Lock()
+	inForce := l.inForce(time.Now())
+	l.mu.Unlock()
+	g.limitPolling(l, inForce)
 	g.permits.notify()
 }
 
@@ -272,35 +281,47 @@
 			continue
 		}
 		b.rateLimit.Store(l)
-		g.limitPolling(l, l.current().RateLimit)
+		l.mu.Lock()
+		inForce := l.inForce(time.Now())
+		l.mu.Unlock()
+		g.limitPolling(l, inForce)
 	}
+	g.applyCold(rs, time.Now())
 	g.applyBrittleness(time.Now())
 }
 
 // fallback returns the part of a limit that this instance may use without permits.
-func (g *Gateway) fallback(l *serverLimit) dispatch.Fallback {
-	return dispatch.Fallback{Limit: l.stated.RateLimit, Instances: g.routing.Load().entryCount, Jitter: rand.Float64()}
+func (g *Gateway) fallback(l *serverLimit, now time.Time) dispatch.Fallback {
+	return dispatch.Fallback{Limit: l.cold.FallbackLimit(l.stated.RateLimit, now), Instances: g.routing.Load().entryCount, Jitter: rand.Float64()}
 }
 
 // mayUse reports whether a server's rate limit allows a request of this instance now. If
-// not, permits are asked for.
+// not, permits are asked for; those of cold servers only by askCold.
 func (g *Gateway) mayUse(b *backend, now time.Time) bool {
 	l := b.rateLimit.Load()
 	if l == nil || !g.policy.Enabled(dispatch.RateLimits) {
 		return true
 	}
-	if !g.permitAvailable(l, now) {
+	available, ask := g.permitAvailable(l, now)
+	if ask {
 		g.permits.notify()
-		return false
 	}
-	return true
+	return available
 }
 
-// permitAvailable reports whether a server's rate limit allows a request now.
-func (g *Gateway) permitAvailable(l *serverLimit, now time.Time) bool {
+// permitAvailable reports whether a server's rate limit allows a request now, and if not,
+// whether permits are to be asked for.
+func (g *Gateway) permitAvailable(l *serverLimit, now time.Time) (available, ask bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return !l.stated.Limited || l.permits.Available(g.fallback(l), now)
+	switch {
+	case !l.inForce(now).Limited:
+		return true, false
+	case l.cold.Active(now):
+		return l.permits.Usable(g.fallback(l, now), now), false
+	}
+	available = l.permits.Available(g.fallback(l, now), now)
+	return available, !available
 }
 
 // takePermit uses up a permit for a request to a server; false if there is none.
@@ -311,16 +332,27 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return !l.stated.Limited || l.permits.Take(g.fallback(l), now)
+	if !l.inForce(now).Limited {
+		return true
+	}
+	if !l.permits.Take(g.fallback(l, now), now) {
+		return false
+	}
+	if l.cold.Active(now) {
+		g.metrics.coldPermits.WithLabelValues("used").Inc()
+	}
+	return true
 }
 
 // returnRate returns this instance's share of the rate at which the rate-limited servers
 // of a list take requests.
 func (g *Gateway) returnRate(limited []*backend) float64 {
-	total := 0.0
+	total, now := 0.0, time.Now()
 	for _, b := range limited {
 		if l := b.rateLimit.Load(); l != nil {
-			total += l.current().PerSecond
+			l.mu.Lock()
+			total += l.inForce(now).PerSecond
+			l.mu.Unlock()
 		}
 	}
 	return total / float64(g.routing.Load().entryCount)
--- a/gateway/service_state.go
+++ b/gateway/service_state.go
@@ -50,7 +50,7 @@
 	peerBackends map[string]*backend
 
 	// cellScratch and allScratch are reused buffers of a decision.
-	cellScratch, allScratch candidateSet
+	cellScratch, allScratch, coldScratch candidateSet
 }
 
 // candidateSet holds the servers of a decision and their description for the scorer.
@@ -357,15 +357,19 @@
 		return everyServer
 	}
 	d, outsideCell := g.policy.Decide(g.scorer, inCell, all, req, rand.Float64())
+	chosen := &s.cellScratch
+	if outsideCell {
+		chosen, cell = &s.allScratch, nil
+	}
 	switch {
 	case d.Action == dispatch.Forward:
 		return d, s.peerBackend(c, forwardPeers[d.Peer], now)
 	case d.Server < 0:
+		g.askCold(rs, c, cell, nil, now)
 		return d, nil
-	case outsideCell:
-		return d, s.allScratch.backends[d.Server]
 	}
-	return d, s.cellScratch.backends[d.Server]
+	g.askCold(rs, c, cell, &chosen.servers[d.Server], now)
+	return d, chosen.backends[d.Server]
 }
 
 // excludeOutdated removes the servers on older weights from those that may be used and from
