--- a/dispatch/cold_test.go
+++ b/dispatch/cold_test.go
@@ -57,6 +57,7 @@
 	asked   time.Time
 	wanted  int
 	waiting []time.Time // when requests give up waiting for a permit
+	unheard bool        // does not know that the server is cold
 }
 
 // coldRun is a server that stays cold under the demand of many instances.
@@ -107,7 +108,12 @@
 	}
 	fallback := Fallback{Limit: cold.FallbackLimit(RateLimit{}, now), Instances: len(r.instances), Jitter: r.random.Float64()}
 	for demand := e.demand / 1000; demand > 0; demand-- {
-		if r.random.Float64() < demand {
+		if r.random.Float64() >= demand {
+			continue
+		}
+		if e.unheard {
+			r.arrivals = append(r.arrivals, t)
+		} else {
 			e.waiting = append(e.waiting, now.Add(MaxPermitWait))
 			if !e.permits.Usable(fallback, now) {
 				e.permits.Lack(now)
@@ -178,6 +184,10 @@
 					}
 				}
 			},
+			"one has not heard, at its part of what a warm server gets": func(r *coldRun) func(time.Duration) {
+				r.instances[0].unheard, r.instances[0].demand = true, perSecond/float64(n)
+				return nil
+			},
 			"burst at one instance": func(r *coldRun) func(time.Duration) {
 				return func(t time.Duration) {
 					r.instances[0].demand = 10
