--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -57,7 +57,7 @@
 	if !cold.Active(now) || l.coldNow {
 		return false, limit // endCold notes its end
 	}
-	l.coldNow = true
+	l.coldNow, l.coldUsed, l.coldExpired = true, 0, 0
 	g.metrics.coldServers.Inc()
 	limit = l.inForce(now)
 	if from.Limited {
@@ -74,10 +74,11 @@
 	var expired int
 	if l.coldNow {
 		expired = l.permits.TakeExpired(now)
+		l.coldExpired += expired
 	}
 	ended := l.coldNow && !l.cold.Active(now)
 	l.coldNow = l.coldNow && !ended
-	limit := l.inForce(now)
+	limit, used, allExpired := l.inForce(now), l.coldUsed, l.coldExpired
 	l.mu.Unlock()
 	g.metrics.coldPermits.WithLabelValues("expired").Add(float64(expired))
 	if !ended {
@@ -85,7 +86,7 @@
 	}
 	g.metrics.coldServers.Dec()
 	g.limitPolling(l, limit)
-	g.logger.Info("server is warm", slog.String("server", l.server), slog.Int64("born_unix_ms", l.startedMs))
+	g.logger.Info("server is warm", slog.String("server", l.server), slog.Int64("born_unix_ms", l.startedMs), slog.Int("permits_used", used), slog.Int("permits_expired", allExpired))
 	return true
 }
 
--- a/gateway/rate_limits.go
+++ b/gateway/rate_limits.go
@@ -55,6 +55,8 @@
 	reportAt         time.Time
 	// coldNow is whether the server counted as cold when that was last examined.
 	coldNow bool
+	// coldUsed and coldExpired count this instance's permits in the cold time.
+	coldUsed, coldExpired int
 }
 
 // limited reports whether a limit is in force.
@@ -339,6 +341,7 @@
 		return false
 	}
 	if l.cold.Active(now) {
+		l.coldUsed++
 		g.metrics.coldPermits.WithLabelValues("used").Inc()
 	}
 	return true
