Homes of shared parts over the whole fleet

Cause: with more than five entry instances the home of a shared part was chosen among the servers of an instance's cell, so that each cell read and kept its own copy of every part.

Change: the homes of a part are the first two servers of its rendezvous order over all servers of the service for the prompt's length; the instance's cell follows. Which servers are for short prompts is agreed on by telling each other the mix of lengths with the updates that are sent anyway: estimates of single instances differ, and the servers between them got both lengths. The emulator knows failure domains, cells, late words and the spread of load. Mechanism fleet-homes; fleets with one cell or none decide as before (TestFleetsWithoutCellsDecideAsBefore).

--- a/dispatch/backend_state.go
+++ b/dispatch/backend_state.go
@@ -397,6 +397,12 @@
 	return float64(b.ownLoad.Requests+others.Requests) + unattributed, unattributed
 }
 
+// Requests returns the estimated number of requests at the server.
+func (b *BackendState) Requests(others Load, now time.Time) float64 {
+	total, _ := b.requests(others, now)
+	return total
+}
+
 // FreeSlots returns the estimated number of requests that the server could begin to run at once.
 func (b *BackendState) FreeSlots(others Load, now time.Time) float64 {
 	total, _ := b.requests(others, now)
--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -77,8 +77,10 @@
 	// PrefillTokens is the prefill work of this prompt at the server, QueuedTokens the
 	// prefill work queued there before it.
 	PrefillTokens, QueuedTokens int
-	// Home is set if the server is the home of the prompt's shared prefix.
-	Home bool
+	// Home is set if the server is the home of the prompt's shared prefix; Alternate is that
+	// of placement.Server.
+	Home      bool
+	Alternate int
 }
 
 // Decide places a request at another entry instance if this one reaches nearly no server, or
@@ -176,7 +178,7 @@
 		d.Action = Reject
 	}
 	s := &c.Servers[d.Server]
-	d.PrefillTokens, d.Home, d.QueuedTokens = placement.PrefillWork(*s, job), s.Home, s.PrefillTokens
+	d.PrefillTokens, d.Home, d.Alternate, d.QueuedTokens = placement.PrefillWork(*s, job), s.Home, s.Alternate, s.PrefillTokens
 	return d
 }
 
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -39,6 +39,7 @@
 	BrittleRoom
 	ServerSlowness
 	ColdLimits
+	FleetHomes
 	mechanismCount
 )
 
@@ -76,6 +77,7 @@
 	ServerSlowness:       {"server-slowness", "servers that share their machine with other work and state how long theirs takes"},
 	ColdLimits:           {"cold-limits", "servers that return cold, and to which all instances would send at the same moment"},
 	BrittleRoom:          {"brittle-room", "servers that end when they have to reject more than a few requests in a second"},
+	FleetHomes:           {"fleet-homes", "shared prefixes that each cell of a large fleet would read and keep again"},
 }
 
 // String implements fmt.Stringer.
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -101,7 +101,7 @@
 		return
 	}
 	s.removeFinished()
-	s.admit(r.now)
+	r.admit(s)
 	if len(e.running) == 0 {
 		return
 	}
@@ -136,8 +136,8 @@
 
 // admit starts queued prompts as far as slots and memory allow. A prompt that does
 // not fit into memory preempts requests of lower priority.
-func (s *server) admit(now time.Duration) {
-	e := &s.engine
+func (r *simulation) admit(s *server) {
+	e, now := &s.engine, r.now
 	for e.waiting.Len() > 0 {
 		q := e.waiting.Peek()
 		if q.abandoned || q.finished {
@@ -162,10 +162,22 @@
 		}
 		q.prefillLeft = q.memory() - min(q.kind.PrefixTokens, cachedTokens)
 		e.running = append(e.running, q)
+		r.countReread(q, cachedTokens)
 		s.cachePrefix(cachedPrefix{q.prefix, q.kind.PrefixTokens}, s.memoryInUse()-q.kind.PrefixTokens)
 	}
 }
 
+// countReread counts the tokens of a shared prefix that are prefilled once more.
+func (r *simulation) countReread(q *engineRequest, cachedTokens int) {
+	if q.kind.PrefixCount == 0 {
+		return
+	}
+	if r.readPrefixes[q.prefix] {
+		r.result.RereadTokens += max(0, q.kind.PrefixTokens-cachedTokens)
+	}
+	r.readPrefixes[q.prefix] = true
+}
+
 // preemptBelow returns the most recently admitted request of the lowest priority to
 // the queue, to be prefilled again. It reports false if no running request has a lower
 // priority than the given rank.
--- a/emulator/entry.go
+++ b/emulator/entry.go
@@ -55,6 +55,7 @@
 	// while it is about to tell the others.
 	evidence dispatch.CrashEvidence
 	telling  bool
+	fleet    fleetMember
 	// resetAt is the virtual time when the instance last lost its state.
 	resetAt time.Duration
 }
@@ -69,7 +70,7 @@
 
 // newServerState returns the state of a server that the instance discovers at since.
 func newServerState(s *server, since time.Duration) *serverState {
-	announced := dispatch.BackendInfo{Slots: s.slots}
+	announced := dispatch.BackendInfo{Slots: s.slots, Zone: s.domain}
 	if s.engineConfig != nil {
 		announced.MemoryTokens = s.engineConfig.MemoryTokens
 	}
--- a/emulator/pattern.go
+++ b/emulator/pattern.go
@@ -9,8 +9,8 @@
 //     Running requests take memory first, and cached prefixes use the rest. Requests
 //     that exceed the memory are preempted and prefilled again.
 //   - Prefixes are imported from one store at the bandwidth of the engine's link.
-//   - Entry instances know without delay what engines have cached and what the other
-//     instances have sent.
+//   - Entry instances know without delay what engines have cached and, unless the
+//     pattern divides them into failure domains, what the other instances have sent.
 //
 // The results show which of two policies does better and how queueing times develop.
 // They do not predict the absolute figures of a deployment; docs/MEASUREMENTS.md
@@ -35,6 +35,7 @@
 	Seconds float64 `json:"seconds"`
 	// Entries is the number of entry instances that requests are spread over.
 	Entries      int           `json:"entries"`
+	Fleet        Fleet         `json:"fleet"`
 	Engines      Engines       `json:"engines"`
 	PlainServers PlainServers  `json:"plain"`
 	Kinds        []RequestKind `json:"kinds"`
@@ -62,6 +63,11 @@
 	ImportTokensPerMS float64 `json:"bring_per_ms"`
 	// StoreTokens is the capacity of the store in tokens.
 	StoreTokens int `json:"store_tokens"`
+	// NoiseShare is the share of the time in which an engine takes NoiseFactor times as
+	// long, by its machine's other work; it changes every NoiseMS.
+	NoiseShare  float64 `json:"noise_share"`
+	NoiseFactor float64 `json:"noise_x"`
+	NoiseMS     float64 `json:"noise_every_ms"`
 }
 
 // PlainServers describes the servers of a service without prompts.
@@ -86,8 +92,10 @@
 	ClientTimeoutMS float64 `json:"bears_ms"`
 	// PrefixTokens is the length of the prefix that a request shares with others.
 	// Each request picks one of PrefixCount prefixes at random.
-	PrefixTokens  int     `json:"shared_tokens"`
-	PrefixCount   int     `json:"things"`
+	PrefixTokens int `json:"shared_tokens"`
+	PrefixCount  int `json:"things"`
+	// HotShare is the share of requests that use the first of the prefixes instead.
+	HotShare      float64 `json:"hot_share"`
 	SuffixTokens  int     `json:"own_tokens"`
 	OutputTokens  int     `json:"out_tokens"`
 	ServiceTimeMS float64 `json:"work_ms"`
--- a/emulator/result.go
+++ b/emulator/result.go
@@ -26,6 +26,12 @@
 	Crashes, SentAfterCrashes, SoundBlocked int
 	// Preemptions is the number of preemptions at all engines.
 	Preemptions int
+	// RereadTokens is the number of tokens of shared prefixes that an engine prefilled
+	// although one had done so before.
+	RereadTokens int
+	// Spread is how evenly the work was spread over the engines, if the pattern divides
+	// them into failure domains.
+	Spread Spread
 }
 
 // KindResult is the result for the clients of one kind of request.
@@ -146,8 +152,9 @@
 	return -1
 }
 
-// finish sorts the latencies and sets RefusalP95.
+// finish sorts the latencies and sets RefusalP95 and Spread.
 func (r *Result) finish() {
+	r.Spread.finish()
 	for i := range r.Kinds {
 		k := &r.Kinds[i]
 		slices.Sort(k.Latencies)
--- a/emulator/run.go
+++ b/emulator/run.go
@@ -59,8 +59,14 @@
 	// remaining capacity.
 	storedPrefixes  map[int]bool
 	storeFreeTokens int
-	result          *Result
-	crashesAt       []time.Duration
+	// readPrefixes holds the prefixes that an engine has prefilled.
+	readPrefixes map[int]bool
+	// toldDomain and toldFar are the sums of what the instances of each domain have told
+	// their own domain and others; groupPositions is that of placement.GroupPositions.
+	toldDomain, toldFar []words
+	groupPositions      []float64
+	result              *Result
+	crashesAt           []time.Duration
 }
 
 // Simulate simulates a pattern under a policy. The same pattern and policy always give
@@ -69,8 +75,10 @@
 	if policy.Mechanisms == nil {
 		policy.Mechanisms = &dispatch.Policy{}
 	}
-	r := &simulation{pattern: p, policy: policy, random: newRandom(p.Seed), events: priority.New(earlier), storedPrefixes: make(map[int]bool), storeFreeTokens: p.Engines.StoreTokens, result: newResult(p, policy.Name)}
+	r := &simulation{pattern: p, policy: policy, random: newRandom(p.Seed), events: priority.New(earlier), storedPrefixes: make(map[int]bool), readPrefixes: make(map[int]bool), storeFreeTokens: p.Engines.StoreTokens, result: newResult(p, policy.Name)}
 	r.buildModel()
+	r.buildFleet()
+	r.scheduleSpread()
 	for i := range p.Kinds {
 		r.scheduleArrival(i)
 	}
@@ -101,7 +109,7 @@
 func (r *simulation) buildModel() {
 	p := r.pattern
 	for i := range p.Engines.Count {
-		r.engines = append(r.engines, &server{id: fmt.Sprint("engine-", i), slots: p.Engines.Slots, engineConfig: &p.Engines, engine: engine{waiting: priority.New(higherPriority)}, faults: serverFaults(p, i, p.Engines.Count)})
+		r.engines = append(r.engines, &server{id: fmt.Sprint("engine-", i), index: i, domain: p.domainName(i), homeHash: placement.HomeHash(fmt.Sprint("engine-", i)), slots: p.Engines.Slots, engineConfig: &p.Engines, engine: engine{waiting: priority.New(higherPriority)}, faults: serverFaults(p, i, p.Engines.Count)})
 	}
 	for i := range p.PlainServers.Count {
 		r.plainServers = append(r.plainServers, &server{id: fmt.Sprint("plain-", i), slots: p.PlainServers.Slots, queueLimit: p.PlainServers.Queue, slotFreeAt: make([]time.Duration, p.PlainServers.Slots), faults: serverFaults(p, i, p.PlainServers.Count)})
@@ -165,6 +173,9 @@
 		req := &request{kind: kind, firstArrival: r.now, deadline: r.now + milliseconds(k.DeadlineMS), returnsLeft: k.MaxClientRetries}
 		if k.PrefixCount > 0 {
 			req.prefix = kind<<20 | r.random.IntN(k.PrefixCount)
+			if k.HotShare > 0 && r.random.Float64() < k.HotShare {
+				req.prefix = kind << 20
+			}
 		}
 		r.result.recordRequest(kind, r.now)
 		r.arrive(req)
@@ -302,31 +313,66 @@
 		}
 	}
 	servers = e.available(servers, r.now, r.policy.Mechanisms)
+	candidates := func(servers []*server, homes []int) *dispatch.Candidates {
+		views := r.describe(req, k, routed, servers, homes)
+		return &dispatch.Candidates{Servers: views, Tried: func(i int) bool { return req.tried[servers[i]] }, Claimed: func(i int) bool { return claimed[servers[i].id] }}
+	}
+	var homes placement.Homes
+	if k.isPrompt() && r.fleetHomes(e) {
+		homes = r.homesAmong(req.prefix, servers, r.groupShare(e), routed.Job.Long)
+	}
+	var near func() *dispatch.Candidates
+	nearServers := servers
+	if k.isPrompt() && e.fleet.cell != nil {
+		near = func() *dispatch.Candidates {
+			nearServers = e.nearServers(servers, homes.Servers())
+			return candidates(nearServers, inOrder[:len(homes.Servers())])
+		}
+	}
+	d, outsideCell := r.policy.Mechanisms.Decide(r.policy.Scorer, near, func() *dispatch.Candidates { return candidates(servers, homes.Servers()) }, routed, r.random.Float64())
+	req.decision = d
+	switch {
+	case d.Server < 0:
+		return nil
+	case outsideCell:
+		return servers[d.Server]
+	}
+	return nearServers[d.Server]
+}
+
+// inOrder are the indices of the homes among the servers that nearServers returns.
+var inOrder = func() (indices [placement.HomeCount]int) {
+	for i := range indices {
+		indices[i] = i
+	}
+	return indices
+}()
+
+// describe returns the views of servers for a decision. homes are those of the prefix over
+// the whole fleet.
+func (r *simulation) describe(req *request, k *RequestKind, routed *dispatch.Request, servers []*server, homes []int) []placement.Server {
+	e := req.instance
 	views := make([]placement.Server, len(servers))
 	for i, s := range servers {
-		e.states[s].View(&views[i], r.policy.Mechanisms, r.othersLoad(e, s), "", toTime(r.now))
+		e.states[s].View(&views[i], r.policy.Mechanisms, r.othersLoad(e, s), r.pattern.domainName(e.fleet.domain), toTime(r.now))
 	}
 	if k.isPrompt() {
-		r.addPromptState(req, k, servers, views, routed.Job.Long)
+		r.addPromptState(req, k, servers, views, routed.Job.Long, homes)
 		position := r.queuePosition(req)
 		if req.waiter != nil {
 			position = req.waiter.Position
 		}
 		routed.QueueWait = dispatch.TimeToFree(views, e.queue.MemoryAhead(position))
 	}
-	candidates := func() *dispatch.Candidates {
-		return &dispatch.Candidates{Servers: views, Tried: func(i int) bool { return req.tried[servers[i]] }, Claimed: func(i int) bool { return claimed[servers[i].id] }}
-	}
-	req.decision, _ = r.policy.Mechanisms.Decide(r.policy.Scorer, nil, candidates, routed, r.random.Float64())
-	if req.decision.Server < 0 {
-		return nil
-	}
-	return servers[req.decision.Server]
+	return views
 }
 
 // othersLoad returns the sum of the loads that the other entry instances have placed
 // on a server.
 func (r *simulation) othersLoad(e *entryInstance, s *server) (sum dispatch.Load) {
+	if r.toldFar != nil && s.engineConfig != nil {
+		return r.toldLoad(e, s)
+	}
 	for _, other := range r.entries {
 		if other == e {
 			continue
@@ -340,9 +386,14 @@
 // addPromptState adds to the views what only matters to prompts: cached and importable
 // prefixes, length groups and the home server. long reports whether the prompt belongs
 // to the group of long ones.
-func (r *simulation) addPromptState(req *request, k *RequestKind, candidates []*server, views []placement.Server, long bool) {
-	policy := r.policy.Mechanisms
-	if policy.Enabled(dispatch.LengthGroups) {
+func (r *simulation) addPromptState(req *request, k *RequestKind, candidates []*server, views []placement.Server, long bool, homes []int) {
+	policy, fleetHomes := r.policy.Mechanisms, r.fleetHomes(req.instance)
+	if fleetHomes {
+		share := r.groupShare(req.instance)
+		for i, s := range candidates {
+			views[i].Group = placement.GroupAt(r.groupPositions[s.index], share)
+		}
+	} else if policy.Enabled(dispatch.LengthGroups) {
 		placement.AssignGroups(views, req.instance.promptMix.ShortShare(), func(i int) string { return candidates[i].id })
 	}
 	home, bestRank := -1, uint64(0)
@@ -354,10 +405,16 @@
 		if views[i].Group != placement.GroupAny && (views[i].Group == placement.GroupLong) != long {
 			continue
 		}
+		if fleetHomes {
+			continue
+		}
 		if rank := placement.Rank(fmt.Sprint(req.prefix), s.id); rank >= bestRank {
 			home, bestRank = i, rank
 		}
 	}
+	for order, i := range homes {
+		views[i].Home, views[i].Alternate = order == 0, order
+	}
 	if home >= 0 && policy.Enabled(dispatch.PrefixHomes) {
 		views[home].Home = true
 	}
--- a/emulator/send.go
+++ b/emulator/send.go
@@ -125,6 +125,9 @@
 		q.importedAt = s.engine.linkFreeAt
 		r.schedule(q.importedAt, func() { r.startStep(s) })
 	}
+	if r.pattern.Fleet.Domains > 0 {
+		r.result.Spread.sent(req.kind, s)
+	}
 	decision := req.decision
 	q.onFirstToken = func(failed bool) {
 		state.ResponseStarted(work, toTime(r.now))
--- a/emulator/server.go
+++ b/emulator/server.go
@@ -6,12 +6,17 @@
 	"time"
 
 	"github.com/galenaarch/galenaarch/dispatch"
+	"github.com/galenaarch/galenaarch/placement"
 )
 
 // server models one backend server.
 type server struct {
 	id    string
 	slots int
+	// index is the place among the engines, homeHash that of placement.HomeHash.
+	index    int
+	domain   string
+	homeHash uint64
 	// slotFreeAt holds the virtual times when the slots of a plain server are free
 	// again, endTimes those when its accepted requests end.
 	slotFreeAt []time.Duration
@@ -97,7 +102,7 @@
 // server responds again, 0 if it responds now; the factor by which work takes longer;
 // and the probability that a request fails.
 func (s *server) conditions(at time.Duration) (respondsAt time.Duration, slowdown, failureRate float64) {
-	slowdown = 1
+	slowdown = s.noise(at)
 	for i := range s.faults {
 		f := &s.faults[i]
 		if !f.active(at) {
@@ -115,6 +120,19 @@
 	return respondsAt, slowdown, failureRate
 }
 
+// noise returns the factor by which an engine's work takes longer by other work on its
+// machine.
+func (s *server) noise(at time.Duration) float64 {
+	if s.engineConfig == nil || s.engineConfig.NoiseMS == 0 {
+		return 1
+	}
+	span := uint64(at / milliseconds(s.engineConfig.NoiseMS))
+	if float64(placement.HomeRank(span, s.homeHash)>>11)/(1<<53) < s.engineConfig.NoiseShare {
+		return s.engineConfig.NoiseFactor
+	}
+	return 1
+}
+
 // load returns the number of running and waiting requests. At a plain server, it forgets
 // the requests that have ended.
 func (s *server) load(at time.Duration) (running, waiting int) {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -319,7 +319,10 @@
 func (a *attempt) updateLoad(c *call, now time.Time) {
 	if l := a.response.Load; l != nil {
 		others := c.gateway.peers.othersLoad()[a.backend.server]
-		a.backend.update(func(tracker *dispatch.BackendState) { tracker.ApplyReport(dispatch.Report(*l), others, now) })
+		a.backend.update(func(tracker *dispatch.BackendState) {
+			c.gateway.metrics.spread.recordBelief(a.backend.zone == c.gateway.zone, float64(l.Running+l.Waiting), tracker.Requests(others, now))
+			tracker.ApplyReport(dispatch.Report(*l), others, now)
+		})
 	}
 	if factor := a.response.Slowness; factor > 0 {
 		a.backend.update(func(tracker *dispatch.BackendState) { tracker.StateSlowness(factor, now) })
--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -9,6 +9,7 @@
 	"github.com/galenaarch/galenaarch/api/fleetv1"
 	"github.com/galenaarch/galenaarch/config/site"
 	"github.com/galenaarch/galenaarch/dispatch"
+	"github.com/galenaarch/galenaarch/placement"
 	"github.com/galenaarch/galenaarch/upstream"
 )
 
@@ -33,6 +34,13 @@
 	// retired is set when the server must get no more requests.
 	retired atomic.Bool
 
+	// homeHash is that of the server's name for the homes of shared parts; groupPosition is
+	// its place in the order of placement.GroupRank as the bits of a float64 from 0 to 1,
+	// and inCell is set if it is in this instance's cell. All three are for fleets with cells.
+	homeHash      uint64
+	groupPosition atomic.Uint64
+	inCell        atomic.Bool
+
 	tracker dispatch.BackendState
 	weights map[string]uint64
 	// brokenAt is when a connection to the server last broke or was refused, in nanoseconds of
@@ -53,7 +61,7 @@
 		}
 	}
 	return &backend{
-		incarnation: incarnation{a.Server, a.BornUnixMs}, address: a.Address, zone: a.Zone, service: s, software: dispatch.Software{Service: s.Name, Version: a.Software}, state: state,
+		incarnation: incarnation{a.Server, a.BornUnixMs}, homeHash: placement.HomeHash(a.Server), address: a.Address, zone: a.Zone, service: s, software: dispatch.Software{Service: s.Name, Version: a.Software}, state: state,
 		pool: upstream.NewPool(a.Address, connections), tracker: dispatch.NewBackendState(announced, now), weights: make(map[string]uint64),
 	}
 }
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -253,6 +253,7 @@
 		}
 		if cell := placement.CellServers(g.instance, entries, servers); cell != nil {
 			next.cells[name] = cell
+			placeServers(list, cell)
 		}
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -120,6 +120,7 @@
 		case <-changed:
 		case now := <-ticker.C:
 			g.closeIdle(now)
+			g.observeSpread(now)
 			for _, server := range g.limits.removeOld(g.routing.Load(), now) {
 				g.metrics.rateLimits.DeleteLabelValues(server)
 			}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -42,6 +42,7 @@
 	retryBudget *prometheus.GaugeVec
 	// quarantined counts what is quarantined by kind of cause.
 	quarantined *prometheus.GaugeVec
+	spread      spreadMetrics
 	// forwards counts requests passed on to other instances by outcome, probes connections
 	// opened to learn whether servers are reachable.
 	forwards, probes *prometheus.CounterVec
@@ -98,6 +99,7 @@
 		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "galena_gateway_first_byte_seconds", Help: "Time from a request's arrival to the server's first byte.",
 			Buckets: []float64{.005, .01, .025, .05, .1, .2, .3, .5, .8, 1.5, 3, 10}}, []string{"kind"}),
 	}
+	m.spread = newSpreadMetrics(r)
 	m.document = prometheus.NewGauge(prometheus.GaugeOpts{Name: "galena_gateway_document_version", Help: "Version of the site document by which requests are routed; 0 before the first."})
 	m.directives = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_server_directives_total", Help: "Responses by which a server directs how it is used, by directive."}, []string{"directive"})
 	m.coldServers = prometheus.NewGauge(prometheus.GaugeOpts{Name: "galena_gateway_cold_servers", Help: "Servers whose requests are limited because they are cold."})
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -51,6 +51,7 @@
 	sequence   uint64
 	receivedAt time.Time
 	load       map[string]dispatch.Load
+	mix        placement.MixWork
 }
 
 // peers exchanges the load at engines and the leaving servers between entry
@@ -74,6 +75,10 @@
 	// often than decisions are made.
 	totals      atomic.Pointer[map[string]dispatch.Load]
 	totalsStale atomic.Bool
+	// othersMix is the work of the other instances' prompts by length, with the totals;
+	// ownMix returns that of this instance.
+	othersMix atomic.Pointer[placement.MixWork]
+	ownMix    func(now time.Time) placement.MixWork
 	// onUpdate is called after an update from another instance, with the incarnations
 	// that it reports as leaving.
 	onUpdate func(leaving []incarnation, from string)
@@ -111,6 +116,7 @@
 func newPeers(self *fleetv1.EntryInstance, client *http.Client, logger *slog.Logger) *peers {
 	p := &peers{
 		self: self, client: client, logger: logger, changed: make(chan struct{}, 1), ownLoad: make(map[string]dispatch.Load), zoneUpdates: make(map[string]*peerUpdate), onUpdate: func([]incarnation, string) {},
+		ownMix: func(time.Time) placement.MixWork { return placement.MixWork{} },
 		limits: func(time.Time) []*fleetv1.ServerRateLimit { return nil }, onLimit: func(incarnation, dispatch.StatedLimit, string) {},
 		servePermits: func(*fleetv1.AcquirePermitsRequest) *fleetv1.AcquirePermitsResponse {
 			return &fleetv1.AcquirePermitsResponse{}
@@ -121,6 +127,7 @@
 		updates:    make(map[string]*peerUpdate), backoffUntil: make(map[string]time.Time), clients: make(map[string]fleetv1.Entries),
 	}
 	p.totals.Store(&map[string]dispatch.Load{})
+	p.othersMix.Store(&placement.MixWork{})
 	return p
 }
 
@@ -176,6 +183,12 @@
 	return *p.totals.Load()
 }
 
+// othersMixWork returns the work of the other instances' recent prompts by length.
+func (p *peers) othersMixWork() placement.MixWork {
+	p.othersLoad()
+	return *p.othersMix.Load()
+}
+
 // zoneKnown reports whether the load of a failure domain's instances is known; that
 // of the own domain always is.
 func (p *peers) zoneKnown(zone string, now time.Time) bool {
@@ -187,13 +200,14 @@
 
 // recomputeTotals updates the totals and forgets expired updates; the caller holds p.mu.
 func (p *peers) recomputeTotals(now time.Time) {
-	totals := make(map[string]dispatch.Load)
+	totals, mix := make(map[string]dispatch.Load), placement.MixWork{}
 	for name, u := range p.updates {
 		if now.Sub(u.receivedAt) > updateTTL {
 			delete(p.updates, name)
 			continue
 		}
 		addLoads(totals, u.load)
+		mix = mix.Plus(u.mix)
 	}
 	for zone, u := range p.zoneUpdates {
 		if now.Sub(u.receivedAt) > zoneUpdateTTL {
@@ -201,8 +215,10 @@
 			continue
 		}
 		addLoads(totals, u.load)
+		mix = mix.Plus(u.mix)
 	}
 	p.totals.Store(&totals)
+	p.othersMix.Store(&mix)
 }
 
 // addLoads adds loads to totals, server by server.
@@ -258,7 +274,7 @@
 		return false
 	}
 	now := time.Now()
-	p.updates[r.Entry] = &peerUpdate{startedMs: r.StartedUnixMs, sequence: r.Sequence, receivedAt: now, load: decodeWork(r.Work)}
+	p.updates[r.Entry] = &peerUpdate{startedMs: r.StartedUnixMs, sequence: r.Sequence, receivedAt: now, load: decodeWork(r.Work), mix: decodeMix(r.Mix)}
 	p.totalsStale.Store(true)
 	return true
 }
@@ -270,11 +286,19 @@
 		return false
 	}
 	now := time.Now()
-	p.zoneUpdates[r.Zone] = &peerUpdate{receivedAt: now, load: decodeWork(r.Work)}
+	p.zoneUpdates[r.Zone] = &peerUpdate{receivedAt: now, load: decodeWork(r.Work), mix: decodeMix(r.Mix)}
 	p.totalsStale.Store(true)
 	return true
 }
 
+func decodeMix(m *fleetv1.PromptMix) placement.MixWork {
+	return placement.MixWork{Short: float64(m.GetShortTokens()), Long: float64(m.GetLongTokens())}
+}
+
+func encodeMix(m placement.MixWork) *fleetv1.PromptMix {
+	return &fleetv1.PromptMix{ShortTokens: uint64(m.Short), LongTokens: uint64(m.Long)}
+}
+
 func decodeWork(work []*fleetv1.ServerWork) map[string]dispatch.Load {
 	load := make(map[string]dispatch.Load, len(work))
 	for _, s := range work {
@@ -337,10 +361,13 @@
 // other instances, with cells only to those of its failure domain. It does not wait for
 // the responses. entries is keyed by instance name.
 func (p *peers) sendUpdates(ctx context.Context, entries map[string]*fleetv1.EntryInstance) {
-	limits, evidence := p.limits(time.Now()), p.evidenceNewsFor(&p.evidenceNews)
+	limits, evidence, mix := p.limits(time.Now()), p.evidenceNewsFor(&p.evidenceNews), p.ownMix(time.Now())
 	p.mu.Lock()
 	p.sequence++
 	req := &fleetv1.TellRequest{Entry: p.self.Name, StartedUnixMs: p.self.StartedUnixMs, Sequence: p.sequence, Limits: limits, Evidence: evidence}
+	if placement.UsesCells(len(entries)) {
+		req.Mix = encodeMix(mix)
+	}
 	req.Work = encodeWork(p.ownLoad)
 	for _, id := range p.leaving {
 		req.Leaving = append(req.Leaving, &fleetv1.ServerLife{Server: id.server, BornUnixMs: id.startedMs})
@@ -379,7 +406,7 @@
 	if !placement.UsesCells(len(entries)) {
 		return
 	}
-	byZone, limits := make(map[string][]string), p.limits(time.Now())
+	byZone, limits, mix := make(map[string][]string), p.limits(time.Now()), p.ownMix(time.Now())
 	for name, e := range entries {
 		if e.Zone != p.self.Zone && e.PeerUrl != "" {
 			byZone[e.Zone] = append(byZone[e.Zone], name)
@@ -391,10 +418,11 @@
 	for _, u := range p.updates {
 		if now.Sub(u.receivedAt) <= updateTTL {
 			addLoads(work, u.load)
+			mix = mix.Plus(u.mix)
 		}
 	}
 	p.rotation++
-	req := &fleetv1.TellRequest{Entry: p.self.Name, StartedUnixMs: p.self.StartedUnixMs, Zone: p.self.Zone, Work: encodeWork(work), Limits: limits}
+	req := &fleetv1.TellRequest{Entry: p.self.Name, StartedUnixMs: p.self.StartedUnixMs, Zone: p.self.Zone, Work: encodeWork(work), Limits: limits, Mix: encodeMix(mix)}
 	p.mu.Unlock()
 	turn := p.evidenceZones.takeTurn(len(byZone), now)
 	for i, zone := range slices.Sorted(maps.Keys(byZone)) {
--- a/gateway/service_state.go
+++ b/gateway/service_state.go
@@ -57,6 +57,13 @@
 type candidateSet struct {
 	backends []*backend
 	servers  []placement.Server
+	// fleetHomes is set if shared parts have their homes among all servers of the service:
+	// homes are then those of the prompt, as indices, and shortShare is the share of the
+	// service's servers for short prompts. list is a reused buffer for backends.
+	fleetHomes bool
+	homes      []int
+	shortShare float64
+	list       []*backend
 }
 
 // reset sets the servers and resizes their descriptions, which keep old values until
@@ -278,6 +285,9 @@
 	}
 	c.work = dispatch.Work{PrefillTokens: d.PrefillTokens, MemoryTokens: c.job().MemoryTokens, Deferred: c.deferred()}
 	b.tracker.Sent(c.work, now)
+	if c.prompt != nil && len(c.sharedParts()) > 0 {
+		g.metrics.spread.recordPlace(&d)
+	}
 	g.publishLoad(b)
 	return placementResult{backend: b}, false
 }
@@ -338,7 +348,23 @@
 	}
 	var inCell func() *dispatch.Candidates
 	cell := rs.cells[c.service.Name]
-	if cell != nil && c.prompt != nil {
+	fleetHomes := c.prompt != nil && g.hasFleetHomes(rs, c.service.Name)
+	s.cellScratch.fleetHomes, s.allScratch.fleetHomes = fleetHomes, fleetHomes
+	loadKnown := func(b *backend) bool { return cell[b.server] || g.peers.zoneKnown(b.zone, now) }
+	switch {
+	case fleetHomes:
+		share := g.groupShare(now)
+		homes := c.fleetHomesAmong(usable, share)
+		s.cellScratch.shortShare, s.allScratch.shortShare = share, share
+		s.allScratch.homes = append(s.allScratch.homes[:0], homes.Servers()...)
+		inCell = func() *dispatch.Candidates {
+			set := &s.cellScratch
+			set.nearServers(usable, homes.Servers())
+			near := candidates(set, set.list)
+			placement.FillUnknownLoad(near.Servers, func(i int) bool { return loadKnown(set.backends[i]) })
+			return near
+		}
+	case cell != nil && c.prompt != nil:
 		inCell = func() *dispatch.Candidates {
 			list := make([]*backend, 0, len(cell))
 			for _, b := range usable {
@@ -352,7 +378,7 @@
 	all := func() *dispatch.Candidates {
 		everyServer := candidates(&s.allScratch, usable)
 		if inCell != nil {
-			placement.FillUnknownLoad(everyServer.Servers, func(i int) bool { return cell[usable[i].server] || g.peers.zoneKnown(usable[i].zone, now) })
+			placement.FillUnknownLoad(everyServer.Servers, func(i int) bool { return loadKnown(usable[i]) })
 		}
 		return everyServer
 	}
@@ -438,7 +464,7 @@
 	if g.policy.Enabled(dispatch.StaleWeightsPenalty) {
 		rs.penalizeOutdated(c.prompt.Model, set.backends, set.servers)
 	}
-	c.fillCachedTokens(set.backends, set.servers, now)
+	c.fillCachedTokens(set, now)
 }
 
 // usableBackends returns the servers that requests may be sent to: the reachable ones,
--- a/gateway/service_state_test.go
+++ b/gateway/service_state_test.go
@@ -32,7 +32,7 @@
 	service *site.Service
 }
 
-func newTestGateway(t *testing.T, engines int) *testGateway {
+func newTestGateway(t testing.TB, engines int) *testGateway {
 	t.Helper()
 	logger := slog.New(slog.DiscardHandler)
 	h := &testGateway{service: &site.Service{Name: "llm", Engine: &site.Engine{Slots: 64, MemoryTokens: testMemory}}}
@@ -151,6 +151,7 @@
 		b.tracker.Sent(dispatch.Work{PrefillTokens: tokens}, time.Now())
 		b.tracker.Sent(dispatch.Work{PrefillTokens: tokens, Deferred: true}, time.Now())
 	}
+	placeServers(h.routing.services["llm"], h.routing.cells["llm"])
 	d, chosen := h.decide(c, nil, time.Now())
 	return h.routing.cells["llm"][chosen.server], d.Verdict
 }
--- a/internal/priority/queue.go
+++ b/internal/priority/queue.go
@@ -2,7 +2,10 @@
 // they reach the front.
 package priority
 
-import "container/heap"
+import (
+	"container/heap"
+	"iter"
+)
 
 // Item is an entry of a Queue. It is in at most one queue at a time.
 type Item[T any] struct {
@@ -34,6 +37,17 @@
 	return i
 }
 
+// All returns an iterator over the values, in no order.
+func (q *Queue[T]) All() iter.Seq[T] {
+	return func(yield func(T) bool) {
+		for _, i := range q.heap.list {
+			if !yield(i.Value) {
+				return
+			}
+		}
+	}
+}
+
 // Peek returns the value that Pop would remove. The queue must not be empty.
 func (q *Queue[T]) Peek() T { return q.heap.list[0].Value }
 
--- a/placement/group.go
+++ b/placement/group.go
@@ -44,6 +44,35 @@
 // GroupRank orders servers by group: those with the highest ranks take short prompts.
 func GroupRank(server string) uint64 { return Rank("short prompts", server) }
 
+// GroupPositions returns the place of each of n servers in the order of GroupRank: 0.5/n for the
+// highest rank, the next ones each 1/n higher.
+func GroupPositions(n int, id func(i int) string) []float64 {
+	order, ranks, positions := make([]int, n), make([]uint64, n), make([]float64, n)
+	for i := range n {
+		order[i], ranks[i] = i, GroupRank(id(i))
+	}
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(ranks[b], ranks[a]) })
+	for place, i := range order {
+		positions[i] = (float64(place) + 0.5) / float64(n)
+	}
+	return positions
+}
+
+// GroupAt returns the group of a server at a place, see GroupPositions. shortShare is the
+// share of servers for short prompts; 0 for no groups.
+func GroupAt(position, shortShare float64) LengthGroup {
+	switch {
+	case shortShare <= 0:
+		return GroupAny
+	case position < shortShare:
+		return GroupShort
+	}
+	return GroupLong
+}
+
+// Serves reports whether servers of the group are meant for prompts of a length.
+func (g LengthGroup) Serves(long bool) bool { return g == GroupAny || (g == GroupLong) == long }
+
 // AssignGroups assigns the servers to groups. shortShare is the share of servers for
 // short prompts, see LengthMix.ShortShare: entry instances with the same share assign
 // the same groups. With fewer than three servers, or a share of 0, there are none.
--- a/placement/mix.go
+++ b/placement/mix.go
@@ -46,16 +46,41 @@
 	m.shortWork += work
 }
 
-// ShortShare returns the share of servers for short prompts, from minShare to maxShare;
-// 0 if one length hardly occurs, so that no server needs to be reserved.
+// ShortShare returns the share of servers for short prompts by the prompts observed, see
+// MixWork.ShortShare.
 func (m *LengthMix) ShortShare() float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	total := m.shortWork + m.longWork
+	return MixWork{m.shortWork, m.longWork}.ShortShare()
+}
+
+// Work returns the prefill work observed, as of now.
+func (m *LengthMix) Work(now time.Time) MixWork {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	decay := 1.0
+	if d := now.Sub(m.updatedAt); d > 0 {
+		decay = math.Exp2(-float64(d) / float64(mixHalfLife))
+	}
+	return MixWork{m.shortWork * decay, m.longWork * decay}
+}
+
+// MixWork is prefill work by the length of prompts, in tokens. Instances of a large fleet
+// tell each other theirs: each sees few prompts, and servers that some of them count to
+// one group and some to the other would get both lengths.
+type MixWork struct{ Short, Long float64 }
+
+// Plus returns the sum of two.
+func (w MixWork) Plus(v MixWork) MixWork { return MixWork{w.Short + v.Short, w.Long + v.Long} }
+
+// ShortShare returns the share of servers for short prompts, from minShare to maxShare;
+// 0 if one length hardly occurs, so that no server needs to be reserved.
+func (w MixWork) ShortShare() float64 {
+	total := w.Short + w.Long
 	if total == 0 {
 		return 0
 	}
-	share := m.shortWork / total
+	share := w.Short / total
 	if share < negligibleShare || share > 1-negligibleShare {
 		return 0
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -79,8 +79,10 @@
 	// Group is the prompt length that the server is reserved for.
 	Group LengthGroup
 	// Home marks the server that this prompt's shared prefix is assigned to; a prefix
-	// that is not cached yet is placed there first.
-	Home bool
+	// that is not cached yet is placed there first. Alternate is the place of another
+	// server in the order of the prefix's homes, from 1; 0 if it is none of them.
+	Home      bool
+	Alternate int
 }
 
 // Job is the scorer's description of the request to be placed.
@@ -128,9 +130,7 @@
 	}
 	if j.PromptTokens > 0 {
 		cost += s.slowed(j.Overhead) + prefillDelay(s, j) + memoryWait(s, j)
-		if !s.Home {
-			cost += nonHomePenalty
-		}
+		cost += awayPenalty(s)
 		if s.Group == GroupShort && j.Long {
 			cost += longOnShortCost(backlogTime(s, j))
 		}
