Bookings of long prompts

Cause: what instances of a large fleet tell each other of their load is older than a long prompt takes, so that two often meet at one server while others idle.

Change: each server has an account of the reading booked there, kept by one entry instance. An instance books a long prompt before it sends it, and decides again with what is booked if that is more than it assumed; after two refusals it is sent all the same. Booked work ends by the clock; without a keeper prompts are placed as before. Metrics of places, bookings, spread and belief errors.

--- a/dispatch/backend_state.go
+++ b/dispatch/backend_state.go
@@ -146,6 +146,8 @@
 	// bounds the requests in progress; 0 for no bound.
 	pausedUntil      time.Time
 	concurrencyLimit int
+	// bookedUntil is when the server has done the work that the keeper of its account knows of.
+	bookedUntil time.Time
 	// transfersEndAt is when the transfers in progress complete.
 	transfersEndAt time.Time
 	// slowness is that of the server's machine.
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -40,6 +40,7 @@
 	ServerSlowness
 	ColdLimits
 	FleetHomes
+	WorkBooking
 	mechanismCount
 )
 
@@ -78,6 +79,7 @@
 	ColdLimits:           {"cold-limits", "servers that return cold, and to which all instances would send at the same moment"},
 	BrittleRoom:          {"brittle-room", "servers that end when they have to reject more than a few requests in a second"},
 	FleetHomes:           {"fleet-homes", "shared prefixes that each cell of a large fleet would read and keep again"},
+	WorkBooking:          {"bookings", "long prompts that entry instances of a large fleet send to the same server before they know of each other's"},
 }
 
 // String implements fmt.Stringer.
--- a/emulator/even_load_test.go
+++ b/emulator/even_load_test.go
@@ -19,7 +19,7 @@
 // failure domains. An engine's memory holds six of the long prefixes.
 func fleetPattern(size fleetSize) *Pattern {
 	share := float64(size.engines) / 60
-	return &Pattern{
+	p := &Pattern{
 		Name: fmt.Sprint("fleet-", size.entries), Seed: 1, Seconds: 20, Entries: size.entries,
 		Fleet:   Fleet{Domains: 3, DomainUpdateMS: size.domainUpdateMS, FarUpdateMS: size.farUpdateMS},
 		Engines: Engines{Count: size.engines, Slots: 24, MemoryTokens: 79_099, TokensPerMS: 56.6, StepMS: 3.79, StepMSPerRequest: 0.09, ChunkTokens: 4096, ImportTokensPerMS: 400, StoreTokens: int(2_500_000 * share)},
@@ -28,6 +28,13 @@
 			{Name: "short", PerSecond: 889 * share, ObjectiveMS: 500, DeadlineMS: 4000, PrefixTokens: 301, PrefixCount: int(6304 * share), SuffixTokens: 82, OutputTokens: 6, Retryable: true, MaxClientRetries: 1},
 		},
 	}
+	if size == fleetOf89 {
+		// Slower engines, and long prompts that take half of what they can do.
+		p.Engines.Slots, p.Engines.MemoryTokens, p.Engines.TokensPerMS, p.Engines.StepMS, p.Engines.ChunkTokens, p.Engines.StoreTokens = 12, 71_903, 36.7, 4.34, 2048, 3_700_000
+		p.Kinds[0].PerSecond, p.Kinds[0].PrefixCount, p.Kinds[0].ObjectiveMS = 138, 1252, 1000
+		p.Kinds[1].PerSecond, p.Kinds[1].PrefixCount = 532, 4840
+	}
+	return p
 }
 
 var (
@@ -57,7 +64,7 @@
 // BenchmarkSpread measures the table of docs/measurements/even-load.md:
 // go test ./emulator -run '^$' -bench Spread -benchtime 1x.
 func BenchmarkSpread(b *testing.B) {
-	for _, without := range []string{"fleet-homes", ""} {
+	for _, without := range []string{"fleet-homes", "bookings", ""} {
 		for _, size := range []fleetSize{smallFleet, fleetOf23, fleetOf89} {
 			for _, c := range fleetCases {
 				b.Run(fmt.Sprintf("without=%s/%d/%s", without, size.entries, c.name), func(b *testing.B) {
@@ -107,3 +114,27 @@
 		require.GreaterOrEqual(t, overFleet.Kinds[i].OnTimeShare(), inCells.Kinds[i].OnTimeShare()-0.005)
 	}
 }
+
+// maxShortLoss is how far the share of short prompts on time may fall by bookings: long ones that
+// find the servers for their length booked go to those for short ones a little more often.
+const maxShortLoss = 0.01
+
+// TestBookedLongPromptsAreOnTime sends long prompts through 89 instances whose knowledge of each
+// other is as old as half a prompt. Without bookings, two often meet at one server while others
+// idle.
+func TestBookedLongPromptsAreOnTime(t *testing.T) {
+	t.Parallel()
+	for _, c := range fleetCases {
+		if c.name != "even" && c.name != "noise" && c.name != "hot part" {
+			continue
+		}
+		p := fleetPattern(fleetOf89)
+		p.Seconds = 8
+		c.change(p)
+		without := Simulate(p, expectedTimeWithout(t, "bookings"))
+		with := Simulate(p, expectedTime)
+		require.Greater(t, with.Kinds[0].OnTimeShare(), without.Kinds[0].OnTimeShare(), c.name)
+		require.Less(t, mean(with.Spread.Ahead[0]), mean(without.Spread.Ahead[0])/2, c.name)
+		require.GreaterOrEqual(t, with.Kinds[1].OnTimeShare(), without.Kinds[1].OnTimeShare()-maxShortLoss, c.name)
+	}
+}
--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -174,3 +174,23 @@
 	}
 	return near
 }
+
+// booked books a prompt at its server and reports whether it is sent there. It is true for
+// requests that are not booked.
+func (r *simulation) booked(req *request, s *server, refusals int) bool {
+	e, k := req.instance, &r.pattern.Kinds[req.kind]
+	if s == nil || !k.isPrompt() || !r.fleetHomes(e) {
+		return true
+	}
+	job := placement.Job{Long: k.PrefixTokens+k.SuffixTokens >= placement.LongPromptTokens, PrefillRate: e.prefillModel.Rate()}
+	booking, wanted := r.policy.Mechanisms.NewBooking(&job, &req.decision, refusals)
+	if !wanted {
+		return true
+	}
+	ahead, booked := r.ledger.Book(s.id, booking.Work, booking.Limit, toTime(r.now))
+	if booked {
+		ahead += booking.Work
+	}
+	e.states[s].Booked(ahead, toTime(r.now))
+	return booked
+}
--- a/emulator/run.go
+++ b/emulator/run.go
@@ -61,6 +61,8 @@
 	storeFreeTokens int
 	// readPrefixes holds the prefixes that an engine has prefilled.
 	readPrefixes map[int]bool
+	// ledger holds the accounts of all servers.
+	ledger dispatch.WorkLedger
 	// toldDomain and toldFar are the sums of what the instances of each domain have told
 	// their own domain and others; groupPositions is that of placement.GroupPositions.
 	toldDomain, toldFar []words
@@ -274,6 +276,9 @@
 		return true
 	}
 	s := r.decide(req, claimed)
+	for refusals := 0; !r.booked(req, s, refusals); refusals++ {
+		s = r.decide(req, claimed)
+	}
 	switch req.decision.Action {
 	case dispatch.NoServer, dispatch.Reject:
 		r.refuse(req)
@@ -355,6 +360,7 @@
 	views := make([]placement.Server, len(servers))
 	for i, s := range servers {
 		e.states[s].View(&views[i], r.policy.Mechanisms, r.othersLoad(e, s), r.pattern.domainName(e.fleet.domain), toTime(r.now))
+		e.states[s].AddBooked(&views[i], routed.Job.PrefillRate, toTime(r.now))
 	}
 	if k.isPrompt() {
 		r.addPromptState(req, k, servers, views, routed.Job.Long, homes)
--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -40,6 +40,8 @@
 	homeHash      uint64
 	groupPosition atomic.Uint64
 	inCell        atomic.Bool
+	// keeper is the instance that keeps the account of the server's work; nil for none.
+	keeper atomic.Pointer[fleetv1.EntryInstance]
 
 	tracker dispatch.BackendState
 	weights map[string]uint64
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -92,6 +92,9 @@
 	waiter        *dispatch.Waiter
 	awaitedServer string
 	queueTime     time.Duration
+	// bookingsRefused counts the servers that it was not sent to because more was booked
+	// there than this instance knew of.
+	bookingsRefused int
 	// pausedUntil is when the first server accepts requests again if none does now.
 	pausedUntil time.Time
 	// rateLimited are the servers that the last decision left out because this instance
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -71,6 +71,9 @@
 		g.applyReports(s)
 		g.listBackends(s, old, next)
 		g.chooseCells(s, next)
+		for name := range next.services {
+			g.logHomes(old, next, name)
+		}
 		g.followContexts(ctx, s, next)
 	}
 	g.routing.Store(next)
@@ -254,6 +257,7 @@
 		if cell := placement.CellServers(g.instance, entries, servers); cell != nil {
 			next.cells[name] = cell
 			placeServers(list, cell)
+			chooseKeepers(list, s)
 		}
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -66,6 +66,7 @@
 	// they say about requests and parts of prompts.
 	interruptions interruptions
 	evidence      *crashEvidence
+	bookings      *bookings
 	// streams hold which software began the streams that clients may resume.
 	streams   *streamRecords
 	workTimes workTimes
@@ -103,6 +104,7 @@
 	}
 	g.stopping, g.stopRequests = context.WithCancel(context.Background())
 	g.permits, g.evidence, g.streams = newPermitClient(g), newCrashEvidence(g), newStreamRecords(g.view, logger)
+	g.bookings = newBookings(g, m)
 	g.routing.Store(&routingState{entryCount: 1})
 	return g
 }
--- a/gateway/homes.go
+++ b/gateway/homes.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"log/slog"
 	"math"
 	"slices"
 	"time"
@@ -28,6 +29,17 @@
 		g.policy.Enabled(dispatch.FleetHomes) && g.policy.Enabled(dispatch.PrefixHomes) && g.policy.Enabled(dispatch.Cells)
 }
 
+// logHomes logs where the shared parts of a service's prompts have their homes, if that has
+// changed.
+func (g *Gateway) logHomes(old, next *routingState, service string) {
+	before, now := old != nil && g.hasFleetHomes(old, service), g.hasFleetHomes(next, service)
+	if before == now {
+		return
+	}
+	g.logger.Info("homes of shared parts", slog.String("backend", service), slog.Bool("over_the_fleet", now),
+		slog.Int("servers", len(next.services[service])), slog.Int("cell", len(next.cells[service])), slog.Bool("bookings", g.policy.Enabled(dispatch.WorkBooking)))
+}
+
 // groupShare returns the share of all servers for short prompts, by the prompts of this
 // instance and of those that have told theirs; 0 for no groups.
 func (g *Gateway) groupShare(now time.Time) float64 {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -153,6 +153,9 @@
 // recordServed counts a served request and its time to the first byte.
 func (m *metrics) recordServed(c *call, a *attempt) {
 	m.recordOutcome(c, "served")
+	if c.prompt != nil && len(c.sharedParts()) > 0 {
+		m.spread.recordPlace(&c.decision)
+	}
 	m.firstByte.WithLabelValues(kindOf(c)).Observe(a.headersAt.Sub(c.startedAt).Seconds())
 }
 
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -88,6 +88,8 @@
 	limits       func(now time.Time) []*fleetv1.ServerRateLimit
 	onLimit      func(id incarnation, limit dispatch.StatedLimit, from string)
 	servePermits func(r *fleetv1.AcquirePermitsRequest) *fleetv1.AcquirePermitsResponse
+	// serveBooking responds to the booking of a prompt.
+	serveBooking func(r *fleetv1.BookWorkRequest) *fleetv1.BookWorkResponse
 	// evidence returns what this instance has observed of crashes after a revision, and
 	// allEvidence what it knows; nil for none. onEvidence is called for the evidence in an
 	// update from another instance.
@@ -121,6 +123,9 @@
 		servePermits: func(*fleetv1.AcquirePermitsRequest) *fleetv1.AcquirePermitsResponse {
 			return &fleetv1.AcquirePermitsResponse{}
 		},
+		serveBooking: func(*fleetv1.BookWorkRequest) *fleetv1.BookWorkResponse {
+			return &fleetv1.BookWorkResponse{Booked: true}
+		},
 		evidence:    func(uint64, time.Time) (*fleetv1.CrashEvidence, uint64) { return nil, 0 },
 		allEvidence: func(time.Time) *fleetv1.CrashEvidence { return nil }, onEvidence: func(*fleetv1.CrashEvidence, string) {},
 		domainWork: func(string) *fleetv1.GetDomainWorkResponse { return &fleetv1.GetDomainWorkResponse{} },
@@ -255,7 +260,12 @@
 	return p.servePermits(r), nil
 }
 
-// permitClient returns the client for requests for permits to a peer.
+// BookWork implements fleetv1.Entries.
+func (p *peers) BookWork(_ context.Context, r *fleetv1.BookWorkRequest) (*fleetv1.BookWorkResponse, error) {
+	return p.serveBooking(r), nil
+}
+
+// permitClient returns the client for requests for permits, and for bookings, to a peer.
 func (p *peers) permitClient(url string) fleetv1.Entries {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -209,7 +209,7 @@
 		attributes = append(attributes, slog.Int("prompt_tokens", c.prompt.Tokens), slog.Int("expected_reading", a.work.PrefillTokens), slog.Uint64("weights", a.weightVersion),
 			slog.Int("fetched_tokens", a.fetchedTokens), slog.Duration("expected_fetch", a.expectedFetchTime), slog.Int("saved_parts", a.savedParts), slog.Int("dismissed_tokens", a.declinedTokens), slog.Int("unkept_parts", a.unsavedParts),
 			slog.Int("ahead_tokens", c.decision.QueuedTokens), slog.String("verdict", c.decision.Verdict.String()), slog.Duration("in_turn", c.decision.Estimate.ArrivalOrderWait),
-			slog.Duration("held", c.queueTime), slog.Bool("home", c.decision.Home))
+			slog.Duration("held", c.queueTime), slog.Bool("home", c.decision.Home), slog.Int("alternate", c.decision.Alternate), slog.Int("bookings_refused", c.bookingsRefused))
 	}
 	c.gateway.logger.LogAttrs(context.Background(), slog.LevelInfo, "request served", attributes...)
 }
--- a/gateway/service_state.go
+++ b/gateway/service_state.go
@@ -125,11 +125,17 @@
 // to dispatch.MaxPermitWait for a permit. Without a server, the backend is nil and the
 // reason is set.
 func (g *Gateway) place(ctx context.Context, c *call) placementResult {
-	deadline := time.Now().Add(dispatch.MaxPermitWait)
+	deadline, refused := time.Now().Add(dispatch.MaxPermitWait), 0
 	for {
 		c.prepareCauses() // evidence may have come during the wait
 		arrival := g.permits.arrival()
 		result := g.placeOnce(ctx, c)
+		if result.backend != nil && !g.bookings.confirm(ctx, c, result.backend, refused) {
+			c.undoReservation(result.backend)
+			refused++
+			c.bookingsRefused++
+			continue
+		}
 		if result.backend != nil || result.reason != reasonNoServer || len(c.rateLimited) == 0 || !g.permits.await(ctx, arrival, c.rateLimited, deadline) {
 			return result
 		}
@@ -285,9 +291,6 @@
 	}
 	c.work = dispatch.Work{PrefillTokens: d.PrefillTokens, MemoryTokens: c.job().MemoryTokens, Deferred: c.deferred()}
 	b.tracker.Sent(c.work, now)
-	if c.prompt != nil && len(c.sharedParts()) > 0 {
-		g.metrics.spread.recordPlace(&d)
-	}
 	g.publishLoad(b)
 	return placementResult{backend: b}, false
 }
@@ -461,6 +464,9 @@
 	if c.prompt == nil {
 		return
 	}
+	for i, b := range set.backends {
+		b.tracker.AddBooked(&set.servers[i], c.state.prefill.Rate(), now)
+	}
 	if g.policy.Enabled(dispatch.StaleWeightsPenalty) {
 		rs.penalizeOutdated(c.prompt.Model, set.backends, set.servers)
 	}
--- a/gateway/spread.go
+++ b/gateway/spread.go
@@ -20,6 +20,9 @@
 type spreadMetrics struct {
 	// places counts prompts with shared parts by where they are placed.
 	places *prometheus.CounterVec
+	// bookings and accounts count the bookings of this instance and those that it decided on as
+	// keeper, by outcome.
+	bookings, accounts *prometheus.CounterVec
 	// variation is the coefficient of variation of the prefill work at a service's servers.
 	variation *prometheus.GaugeVec
 	// beliefErrors are the numbers of requests that servers report less those that this
@@ -30,11 +33,13 @@
 func newSpreadMetrics(r prometheus.Registerer) spreadMetrics {
 	m := spreadMetrics{
 		places:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_prompt_places_total", Help: "Prompts with shared parts, by whether they are sent to the home of the last one, to the server that is next in order, or elsewhere."}, []string{"place"}),
+		bookings:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_bookings_total", Help: "Bookings of long prompts with the keepers of the servers' accounts, by outcome."}, []string{"outcome"}),
+		accounts:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_account_bookings_total", Help: "Bookings that this instance decided on as the keeper of a server's account, by outcome."}, []string{"outcome"}),
 		variation: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "galena_gateway_load_variation", Help: "Standard deviation of the prefill work at the servers of a service, as this instance knows it, by its mean."}, []string{"service"}),
 		beliefErrors: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "galena_gateway_belief_error_requests", Help: "Requests that a server reports less those that this instance assumed there, by whether the server is in its failure domain.",
 			Buckets: []float64{-8, -4, -2, -1, -.5, .5, 1, 2, 4, 8}}, []string{"domain"}),
 	}
-	r.MustRegister(m.places, m.variation, m.beliefErrors)
+	r.MustRegister(m.places, m.bookings, m.accounts, m.variation, m.beliefErrors)
 	return m
 }
 
