gateway: prompts are booked again once a server takes no permits

A server that was cold keeps its record of limits for good; bookings asked whether there is a record, not whether a limit is in force, and would have stopped at every server that had once been cold.

--- a/gateway/bookings.go
+++ b/gateway/bookings.go
@@ -71,7 +71,7 @@
 func (k *bookings) confirm(ctx context.Context, c *call, b *backend, refusals int) bool {
 	g := k.gateway
 	keeper := b.keeper.Load()
-	if c.prompt == nil || b.peer != nil || keeper == nil || b.rateLimit.Load() != nil || g.evidence.relevant.Load() || c.lastEventAt.Load() != 0 || !g.hasFleetHomes(g.routing.Load(), c.service.Name) {
+	if c.prompt == nil || b.peer != nil || keeper == nil || b.isRateLimited(time.Now()) || g.evidence.relevant.Load() || c.lastEventAt.Load() != 0 || !g.hasFleetHomes(g.routing.Load(), c.service.Name) {
 		return true
 	}
 	c.state.mu.Lock()
@@ -97,6 +97,13 @@
 	return true
 }
 
+// isRateLimited reports whether requests to the server take permits: one that was taken for a
+// prompt is not returned.
+func (b *backend) isRateLimited(now time.Time) bool {
+	l := b.rateLimit.Load()
+	return l != nil && l.limited(now)
+}
+
 // book asks the keeper of a server's account; known is false if it does not answer in time.
 func (k *bookings) book(ctx context.Context, keeper *fleetv1.EntryInstance, server string, booking dispatch.Booking) (ahead time.Duration, booked, known bool) {
 	if keeper.Name == k.gateway.instance {
--- a/gateway/bookings_test.go
+++ b/gateway/bookings_test.go
@@ -98,6 +98,25 @@
 	require.NotContains(t, h.peers.backoffUntil, "keeper", "it still hears of load")
 }
 
+// Permits are not returned, so prompts to servers that take permits are not booked; those to a
+// server that states no limit any more are.
+func TestPromptsToServersWithPermitsAreNotBooked(t *testing.T) {
+	h := newCellGateway(t, 20, 5)
+	keeper := startKeeper(t, h, passThrough)
+	for _, limited := range []bool{true, false} {
+		c := h.sharedCall("part")
+		b := h.place(t.Context(), c).backend
+		h.undoPlacement(c, b)
+		l := h.limits.getOrAdd(b.incarnation, time.Now())
+		l.stated.Limited, l.stated.PerSecond = limited, 100
+		b.rateLimit.Store(l)
+		before, _ := keeper.bookings.decide(b.server, dispatch.Booking{})
+		require.True(t, h.bookings.confirm(t.Context(), c, b, dispatch.MaxBookingRefusals))
+		after, _ := keeper.bookings.decide(b.server, dispatch.Booking{})
+		require.Equal(t, limited, after <= before)
+	}
+}
+
 func TestShortPromptsAndFleetsWithoutCellsBookNothing(t *testing.T) {
 	h := newTestGateway(t, 20)
 	startKeeper(t, h, passThrough)
