--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -158,6 +158,7 @@
 	if err != nil {
 		return err
 	}
+	r.logger.Info("platform configured", slog.String("platform", r.settings.Platform), slog.Any("failure_domains", settings.SplitList(r.settings.FailureDomains)))
 	r.view = fleetview.New([]string{r.replica.URL()}, nil, r.client, r.logger)
 	if err := ctx.Registry.Register(r.view); err != nil {
 		return eris.Wrap(err, "register the metrics of the fleet view")
