intake: one budget for what a process holds for its peers

A process buffered each body whole, let it grow by copies and bounded each head by itself; nothing bounded the sum, and readiness took heads of a megabyte. Package intake counts heads, bodies and buffered responses at every listener against one budget that follows from -memory-mb, and the connections against -max-descriptors. When there is no room, the connection that brings least gives way, never one whose request is whole: it gets 503, or is closed before its request is read. A body has until the deadline of its request and then gets 408; one that is announced over the limit gets 413 at once. Bodies of unknown length grow in segments that are joined once. An unread body keeps its connection a second at most.

Without -memory-mb nothing but connections is bounded, and a process without a budget serves as before.

--- a/control/process.go
+++ b/control/process.go
@@ -5,6 +5,7 @@
 	"errors"
 	"flag"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/netip"
 	"path/filepath"
@@ -227,11 +228,12 @@
 	if err := r.awaitRoom(ctx); err != nil {
 		return err
 	}
-	listener, err := r.tlsTransport.Listen(r.settings.Listen)
+	listener, err := net.Listen("tcp", r.settings.Listen)
 	if err != nil {
-		return err
+		return eris.Wrapf(err, "listen on %s", r.settings.Listen)
 	}
 	r.server = httpserver.New(r.routes(), httpserver.InternalLimits)
+	listener = r.tlsTransport.Secure(r.kernel.Intake.Protect(r.server, listener, "control"))
 	go func() {
 		if err := r.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			r.logger.Error("listener failed", slog.Any("error", err))
--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -89,6 +89,15 @@
 	return text, 3 * len(text)
 }
 
+// shortLines returns header lines of different names, which take many times their size in a map.
+var shortLines = sync.OnceValue(func() []byte {
+	var lines bytes.Buffer
+	for i := 0; lines.Len() < 1<<20; i++ {
+		fmt.Fprintf(&lines, "a%x:\r\n", i)
+	}
+	return lines.Bytes()
+})
+
 var kinds = []kind{
 	{"head in one line", func(c io.Writer, to target) {
 		_, _ = io.WriteString(c, to.head("1.1", "X-Long: "))
@@ -96,19 +105,11 @@
 	}},
 	{"head in many lines", func(c io.Writer, to target) {
 		_, _ = io.WriteString(c, to.head("1.1", "")) // what follows shows a broken connection
-		var lines bytes.Buffer
-		for i := 0; lines.Len() < 1<<20; i++ {
-			fmt.Fprintf(&lines, "a%x:\r\n", i)
-		}
-		_, _ = c.Write(lines.Bytes())
+		_, _ = c.Write(shortLines())
 	}},
 	{"many lines just short of the end", func(c io.Writer, to target) {
-		var lines bytes.Buffer
-		lines.WriteString(to.head("1.1", ""))
-		for i := 0; lines.Len() < 60<<10; i++ {
-			fmt.Fprintf(&lines, "a%x:\r\n", i)
-		}
-		_, _ = c.Write(lines.Bytes())
+		h := []byte(to.head("1.1", ""))
+		_, _ = c.Write(append(h, shortLines()[:60<<10-len(h)]...))
 	}},
 	{"empty lines", func(c io.Writer, _ target) { repeat(c, "\r\n", 4<<20) }},
 	{"one-byte chunks", func(c io.Writer, to target) {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -1,10 +1,6 @@
 package gateway
 
 import (
-	"context"
-	"errors"
-	"io"
-	"log/slog"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -144,49 +140,6 @@
 	return size
 }
 
-// readBody buffers the whole request body so that it can be resent. On failure it
-// responds to the client and returns false.
-func (c *call) readBody(rw http.ResponseWriter, r *http.Request) bool {
-	c.method, c.target, c.stage = r.Method, rawTarget(r), stageBody
-	limit := int64(c.routing.table.Limits.MaxBodyBytes)
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	endWatch := context.AfterFunc(c.gateway.stopping, func() {
-		// A connection without deadlines is closed when the process exits.
-		_ = http.NewResponseController(rw).SetReadDeadline(time.Now())
-	})
-	body := http.MaxBytesReader(rw, r.Body, limit)
-	var err error
-	if r.ContentLength > 0 && r.ContentLength <= limit {
-		c.body = make([]byte, r.ContentLength)
-		_, err = io.ReadFull(body, c.body)
-	} else {
-		c.body, err = io.ReadAll(body)
-	}
-	// The read deadline also ends r.Context, even if the body has just been read whole.
-	stopping := !endWatch()
-	if err == nil && !stopping {
-		return true
-	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		c.gateway.reject(rw, c, http.StatusRequestEntityTooLarge, "body too large", 0, nil)
-		return false
-	}
-	if stopping {
-		rw.Header().Set("Connection", "close")
-		c.gateway.reject(rw, c, http.StatusServiceUnavailable, string(reasonStopping), drainRetryAfter, err)
-		return false
-	}
-	c.gateway.logger.Info("request body not read", slog.String("request", c.request.ID), slog.Any("error", err))
-	c.gateway.metrics.recordOutcome(c, "not read")
-	panic(http.ErrAbortHandler)
-}
-
-// defaultMaxBodyBytes limits a request body if the site document sets no limit.
-const defaultMaxBodyBytes = 4 << 20
-
 // job describes the request to the placement scorer. The caller holds the state's
 // lock.
 func (c *call) job() placement.Job {
--- a/gateway/forward_serve.go
+++ b/gateway/forward_serve.go
@@ -90,7 +90,7 @@
 // isOfInstance reports whether another instance may serve a request that this one rejects.
 func (r rejectReason) isOfInstance() bool {
 	switch r {
-	case reasonNoServer, reasonStopping, reasonOlderDocument, reasonNoDocument, reasonOtherRoute:
+	case reasonNoServer, reasonStopping, reasonOlderDocument, reasonNoDocument, reasonOtherRoute, reasonNoMemory:
 		return true
 	}
 	return false
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -21,6 +21,7 @@
 	"github.com/galenaarch/galenaarch/fleetview"
 	"github.com/galenaarch/galenaarch/httpclient"
 	"github.com/galenaarch/galenaarch/httpserver"
+	"github.com/galenaarch/galenaarch/intake"
 	"github.com/galenaarch/galenaarch/kernel"
 	"github.com/galenaarch/galenaarch/kernel/settings"
 	"github.com/galenaarch/galenaarch/placement"
@@ -143,6 +144,7 @@
 type Process struct {
 	settings     Settings
 	logger       *slog.Logger
+	intake       *intake.Budget
 	gateway      *Gateway
 	view         *fleetview.View
 	clientServer *http.Server
@@ -163,7 +165,7 @@
 
 // Provision implements kernel.Provisioner.
 func (p *Process) Provision(ctx *kernel.Context) error {
-	p.logger = ctx.Logger
+	p.logger, p.intake = ctx.Logger, ctx.Intake
 	dialect, err := kernel.New[Dialect](kernel.ID("gateway.dialect." + p.settings.Dialect))
 	if err != nil {
 		return err
@@ -237,19 +239,22 @@
 		Handler: p.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(p.logger.Handler(), slog.LevelDebug),
 	}
-	p.readyServer = &http.Server{Handler: http.HandlerFunc(p.serveReady), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	p.readyServer = &http.Server{
+		Handler: http.HandlerFunc(p.serveReady), ReadTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: p.clientServer.ErrorLog,
+	}
 	var err error
-	if p.clientListener, err = p.serve(p.clientServer, p.settings.Listen); err != nil {
+	if p.clientListener, err = p.serve("clients", p.clientServer, p.settings.Listen); err != nil {
 		return err
 	}
-	if _, err := p.serve(p.readyServer, p.settings.ReadinessListen); err != nil {
+	if _, err := p.serve("readiness", p.readyServer, p.settings.ReadinessListen); err != nil {
 		return err
 	}
 	mux := http.NewServeMux()
 	mux.Handle(fleetv1.EntriesPathPrefix, fleetv1.NewEntriesServer(p.peers))
 	p.peerServer = httpserver.New(p.acceptForwarded(mux), httpserver.InternalLimits)
 	p.peerServer.MaxHeaderBytes = maxHeaderBytes + maxForwardHeaderBytes
-	if _, err := p.serve(p.peerServer, p.settings.PeerListen); err != nil {
+	if _, err := p.serve("peers", p.peerServer, p.settings.PeerListen); err != nil {
 		return err
 	}
 	p.view.Start(ctx)
@@ -286,14 +291,15 @@
 
 // serve listens on an address and serves its connections in the background. A later
 // failure of the listener is only logged.
-func (p *Process) serve(s *http.Server, address string) (net.Listener, error) {
+func (p *Process) serve(name string, s *http.Server, address string) (net.Listener, error) {
 	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: clientKeepAliveIdle, Interval: time.Second}}
 	listener, err := config.Listen(context.Background(), "tcp4", address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen on %s", address)
 	}
+	counted := p.intake.Protect(s, userTimeoutListener{listener}, name)
 	go func() {
-		if err := s.Serve(userTimeoutListener{listener}); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		if err := s.Serve(counted); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			p.logger.Error("listener failed", slog.String("address", address), slog.Any("error", err))
 		}
 	}()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -15,6 +15,7 @@
 
 	"github.com/galenaarch/galenaarch/config/site"
 	"github.com/galenaarch/galenaarch/dispatch"
+	"github.com/galenaarch/galenaarch/intake"
 )
 
 // Buffer sizes and response limits, in bytes.
@@ -125,8 +126,8 @@
 		c.respondInterrupted(rw, r, a, errors.New("status implies that the request has not run, but the server does not state it"))
 		return true
 	}
-	body, err := io.ReadAll(io.LimitReader(a.exchange, maxBufferedResponse+1))
-	if err == nil && len(body) <= maxBufferedResponse {
+	body, whole, err := intake.ReadResponse(r, a.exchange, maxBufferedResponse+1)
+	if whole = whole && len(body) <= maxBufferedResponse; err == nil && whole {
 		err = a.checkEnd(r.Context())
 	}
 	if err != nil {
@@ -139,7 +140,7 @@
 		return true
 	}
 	c.gateway.dialect.CopyResponseHeader(rw.Header(), a.exchange.Response.Header)
-	if len(body) > maxBufferedResponse {
+	if !whole {
 		return c.relayUnbuffered(r.Context(), s, a, body)
 	}
 	c.markWhole(a, len(body))
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -83,6 +83,8 @@
 	reasonRateLimited  rejectReason = "rate limited"
 	reasonNoRoom       rejectReason = "servers have no room"
 	reasonStopping     rejectReason = "stopping"
+	reasonNoMemory     rejectReason = "no memory for the request"
+	reasonBodyLate     rejectReason = "body is late"
 	reasonNoDocument   rejectReason = "no document yet"
 	reasonRepeatUnsafe rejectReason = "may end another server"
 
--- /dev/null
+++ b/intake/conn.go
@@ -0,0 +1,209 @@
+package intake
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+)
+
+// Phases of a connection. Only a connection whose request is not whole gives way: another may
+// already run.
+const (
+	phaseHead int32 = iota
+	phaseBody
+	phaseWhole
+	phaseGaveWay
+)
+
+// Conn is an accepted connection whose bytes are counted. A nil Conn counts nothing.
+type Conn struct {
+	net.Conn
+	listener *Listener
+	// address is the remote IP address.
+	address string
+	phase   atomic.Int32
+	// held is what the present request holds, by kind.
+	held [kindCount]atomic.Int64
+	// pace is the connection's pace in nanoseconds of Unix time.
+	pace atomic.Int64
+	// leavingBytes is what the connection held when it was told to give way.
+	leavingBytes atomic.Int64
+	closed       atomic.Bool
+}
+
+// connKey is the key of a Conn in the context of its requests.
+type connKey struct{}
+
+// FromContext returns the connection of a request, nil if it is not counted.
+func FromContext(ctx context.Context) *Conn {
+	c, _ := ctx.Value(connKey{}).(*Conn)
+	return c
+}
+
+// heldBytes returns what the present request holds.
+func (c *Conn) heldBytes() (sum int64) {
+	for i := range c.held {
+		sum += c.held[i].Load()
+	}
+	return sum
+}
+
+// Read implements net.Conn. It counts heads, which net/http reads by itself.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n <= 0 {
+		return n, err
+	}
+	now := time.Now()
+	inHead := c.phase.Load() == phaseHead
+	if inHead && c.held[Heads].Load() == 0 {
+		c.pace.Store(now.UnixNano()) // the time between requests is no lag
+	}
+	c.pace.Store(pace{time.Unix(0, c.pace.Load())}.advance(n, now).at.UnixNano())
+	if inHead {
+		size := headFactor*n + headLineBytes*bytes.Count(p[:n], []byte{'\n'})
+		if c.listener.budget.take(c, Heads, int64(size)) != nil {
+			_ = c.Close() // its request has not been read
+			return 0, net.ErrClosed
+		}
+		if c.closed.Load() {
+			c.release()
+		}
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	if !c.closed.Swap(true) {
+		c.listener.budget.remove(c)
+		c.release()
+	}
+	return c.Conn.Close()
+}
+
+// CloseWrite ends the sending side, so that net/http can wait for the peer to read an error.
+func (c *Conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
+// SetLinger sets how Close treats unsent bytes: see net.TCPConn.
+func (c *Conn) SetLinger(seconds int) error {
+	if l, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
+		return l.SetLinger(seconds)
+	}
+	return nil
+}
+
+// mayGiveWay reports whether the connection's request is not whole.
+func (c *Conn) mayGiveWay() bool {
+	phase := c.phase.Load()
+	return phase == phaseHead || phase == phaseBody
+}
+
+// giveWay ends the reading of the request. A connection without a whole head is closed. The caller
+// holds the budget's lock.
+func (c *Conn) giveWay() {
+	budget := c.listener.budget
+	if c.phase.CompareAndSwap(phaseBody, phaseGaveWay) {
+		// The handler responds.
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails if the connection is closed
+	} else if c.phase.CompareAndSwap(phaseHead, phaseGaveWay) {
+		go c.Close() // takes the budget's lock
+	} else {
+		return
+	}
+	held := c.heldBytes()
+	c.leavingBytes.Store(held)
+	budget.leaving.Add(held)
+	budget.countRefusal(reasonSlow)
+}
+
+// begin starts the handling of a request whose head has been read, and reports whether it may go
+// on. whole is set if it has no body.
+func (c *Conn) begin(whole bool) bool {
+	next := phaseBody
+	if whole {
+		next = phaseWhole
+	}
+	return c.phase.CompareAndSwap(phaseHead, next)
+}
+
+// complete marks the request as whole. It returns false if the request has given way.
+func (c *Conn) complete() bool {
+	return c == nil || c.phase.CompareAndSwap(phaseBody, phaseWhole) || c.phase.Load() == phaseWhole
+}
+
+// end ends a request. A connection that has given way keeps its phase.
+func (c *Conn) end() {
+	c.release()
+	c.pace.Store(time.Now().UnixNano())
+	if !c.phase.CompareAndSwap(phaseWhole, phaseHead) {
+		c.phase.CompareAndSwap(phaseBody, phaseHead)
+	}
+}
+
+// release returns what the request holds.
+func (c *Conn) release() {
+	budget := c.listener.budget
+	for kind := range c.held {
+		if n := c.held[kind].Swap(0); n != 0 {
+			budget.add(Kind(kind), -n)
+		}
+	}
+	if c.phase.Load() == phaseGaveWay {
+		budget.mu.Lock() // giveWay may not have finished
+		defer budget.mu.Unlock()
+		budget.leaving.Add(-c.leavingBytes.Swap(0))
+	}
+}
+
+// take counts n bytes for the present request, or returns ErrNoRoom.
+func (c *Conn) take(kind Kind, n int64) error {
+	if c == nil {
+		return nil
+	}
+	return c.listener.budget.take(c, kind, n)
+}
+
+// put counts n bytes whether there is room or not.
+func (c *Conn) put(kind Kind, n int64) {
+	if c != nil {
+		c.listener.budget.add(kind, n)
+		c.held[kind].Add(n)
+	}
+}
+
+// Listener accepts connections within a budget.
+type Listener struct {
+	net.Listener
+	name   string
+	budget *Budget
+}
+
+// Accept implements net.Listener. Connections beyond the bounds are closed.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		now := time.Now()
+		c := &Conn{Conn: raw, listener: l, address: raw.RemoteAddr().String()}
+		if host, _, err := net.SplitHostPort(c.address); err == nil {
+			c.address = host
+		}
+		c.pace.Store(now.UnixNano())
+		why := l.budget.admit(c, now)
+		if why == "" {
+			return c, nil
+		}
+		l.budget.refuse(why)
+		_ = raw.Close() // nothing has been read
+	}
+}
--- a/kernel/app.go
+++ b/kernel/app.go
@@ -13,6 +13,8 @@
 	"github.com/qmuntal/stateless"
 	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/trace"
+
+	"github.com/galenaarch/galenaarch/intake"
 )
 
 // Context holds the process-wide services passed to a component when it is
@@ -21,6 +23,8 @@
 	Logger   *slog.Logger
 	Registry *prometheus.Registry
 	Tracer   trace.Tracer
+	// Intake bounds what the process holds for its peers; nil bounds nothing.
+	Intake *intake.Budget
 }
 
 // Component is a long-lived part of a process. It may also implement any of
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -24,6 +24,7 @@
 	"github.com/galenaarch/galenaarch/fleetview"
 	"github.com/galenaarch/galenaarch/httpclient"
 	"github.com/galenaarch/galenaarch/httpserver"
+	"github.com/galenaarch/galenaarch/intake"
 	"github.com/galenaarch/galenaarch/kernel"
 	"github.com/galenaarch/galenaarch/kernel/settings"
 	"github.com/galenaarch/galenaarch/registry"
@@ -112,6 +113,7 @@
 	servers       []*http.Server
 	listeners     []net.Listener
 	requests      httpserver.Requests
+	intake        *intake.Budget
 	client        *http.Client
 	// leaderConnections is the client for operators' requests that are passed on.
 	leaderConnections *http.Client
@@ -138,7 +140,7 @@
 
 // Provision implements kernel.Provisioner.
 func (r *Registrar) Provision(ctx *kernel.Context) error {
-	r.logger = ctx.Logger
+	r.logger, r.intake = ctx.Logger, ctx.Intake
 	r.hub = registry.NewHub(r.settings.AnnounceInterval, &documents{replica: r.replica}, r.logger)
 	r.replica.Mount(fleetv1.FleetPathPrefix, httpserver.GzipHandler(fleetv1.NewFleetServer(r.hub)))
 	if r.settings.Platform == "" {
@@ -190,10 +192,10 @@
 		return err
 	}
 	go r.contextServer.Run(ctx)
-	if err := r.serve(r.settings.Listen, r.platform.ControlHandler(r)); err != nil {
+	if err := r.serve("operators", r.settings.Listen, r.platform.ControlHandler(r)); err != nil {
 		return err
 	}
-	return r.serve(r.settings.DirectoryListen, r.platform.DirectoryHandler(r))
+	return r.serve("directory", r.settings.DirectoryListen, r.platform.DirectoryHandler(r))
 }
 
 // startWeightRunner starts the runner that brings servers to the requested
@@ -212,12 +214,13 @@
 	return nil
 }
 
-func (r *Registrar) serve(address string, h http.Handler) error {
+func (r *Registrar) serve(name, address string, h http.Handler) error {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s", address)
 	}
 	server := httpserver.New(r.requests.Track(h), httpserver.InternalLimits)
+	listener = r.intake.Protect(server, listener, name)
 	r.servers, r.listeners = append(r.servers, server), append(r.listeners, listener)
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
--- a/telemetry/server.go
+++ b/telemetry/server.go
@@ -49,6 +49,7 @@
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s for metrics", s.address)
 	}
+	listener = s.ctx.Intake.Protect(s.server, listener, "metrics")
 	go func() { _ = s.server.Serve(listener) }() // returns after Stop
 	return nil
 }
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -133,10 +133,15 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen on %s", address)
 	}
+	return t.Secure(listener), nil
+}
+
+// Secure returns a listener that uses TLS, if it is enabled, on the connections of another.
+func (t *Transport) Secure(listener net.Listener) net.Listener {
 	if !t.settings.TLSEnabled() {
-		return listener, nil
+		return listener
 	}
-	return tls.NewListener(listener, t.serverConfig()), nil
+	return tls.NewListener(listener, t.serverConfig())
 }
 
 func (t *Transport) serverConfig() *tls.Config {
