--- a/intake/conn.go
+++ b/intake/conn.go
@@ -31,6 +31,8 @@
 	// leavingBytes is what the connection held when it was told to give way.
 	leavingBytes atomic.Int64
 	closed       atomic.Bool
+	// body is that of the present request, nil if it has none; only its handler uses it.
+	body *body
 }
 
 // connKey is the key of a Conn in the context of its requests.
--- a/intake/handler.go
+++ b/intake/handler.go
@@ -67,9 +67,9 @@
 		}
 		defer c.end()
 		if !whole {
-			b := &body{ReadCloser: r.Body, conn: c, header: rw.Header()}
-			r.Body = b
-			defer b.leave()
+			c.body = &body{ReadCloser: r.Body, conn: c, header: rw.Header()}
+			r.Body = c.body
+			defer c.body.leave()
 		}
 		next.ServeHTTP(rw, r)
 	})
@@ -117,6 +117,7 @@
 
 // leave bounds the time for a body that the handler has left unread.
 func (b *body) leave() {
+	b.conn.body = nil
 	if !b.ended && b.conn.phase.Load() != phaseGaveWay {
 		_ = b.conn.SetReadDeadline(time.Now().Add(unreadTimeout)) // fails if the connection is closed
 	}
--- a/intake/read.go
+++ b/intake/read.go
@@ -6,9 +6,9 @@
 	"net/http"
 )
 
-// Sizes of the segments of a body of unknown length, in bytes.
+// Sizes of the segments of content of unknown length, in bytes.
 const (
-	firstSegment = 4 << 10
+	firstSegment = 1 << 10
 	maxSegment   = 128 << 10
 )
 
@@ -20,24 +20,23 @@
 		return nil, nil
 	}
 	c := FromContext(r.Context())
-	b, _ := r.Body.(*body)
-	if b != nil {
-		b.exact = true
+	if c != nil && c.body != nil {
+		c.body.exact = true
 	}
 	var content []byte
 	var err error
 	if length >= 0 {
 		content, err = c.readAnnounced(src, length)
 	} else {
-		content, err = c.readSegments(src)
+		content, _, err = c.readSegments(Bodies, src, -1)
 	}
-	if b != nil && errors.Is(err, ErrNoRoom) {
-		return nil, b.refuse()
+	if c != nil && c.body != nil && errors.Is(err, ErrNoRoom) {
+		return nil, c.body.refuse()
 	}
 	return content, err
 }
 
-// fill reads until the buffer is full or the body ends, and reports whether it has ended.
+// fill reads until the buffer is full or the content ends, and reports whether it has ended.
 func fill(src io.Reader, buffer []byte) (n int, ended bool, err error) {
 	for n < len(buffer) {
 		read, err := src.Read(buffer[n:])
@@ -72,60 +71,56 @@
 	return content, err
 }
 
-// readSegments reads a body of unknown length. Only its last step copies it.
-func (c *Conn) readSegments(src io.Reader) ([]byte, error) {
+// readSegments reads content of unknown length, at most limit bytes of it unless limit is negative,
+// and reports whether it has ended. Only its last step copies. With an error, also ErrNoRoom, it
+// returns what it has read of a response before.
+func (c *Conn) readSegments(kind Kind, src io.Reader, limit int) (content []byte, ended bool, err error) {
 	var segments [][]byte
 	total := 0
-	for size := firstSegment; ; size = min(2*size, maxSegment) {
-		if err := c.take(Bodies, int64(size)); err != nil {
-			return nil, err
+	for size := firstSegment; err == nil && !ended && total != limit; size = min(2*size, maxSegment) {
+		if limit >= 0 {
+			size = min(size, limit-total)
 		}
-		segment := make([]byte, size)
-		n, ended, err := fill(src, segment)
-		if err != nil {
-			return nil, err
+		if err = c.take(kind, int64(size)); err != nil {
+			break
 		}
+		segment := make([]byte, size)
+		var n int
+		n, ended, err = fill(src, segment)
 		total += n
 		segments = append(segments, segment[:n])
-		if ended {
-			return c.join(segments, total), nil
-		}
 	}
+	if err != nil && kind == Bodies {
+		return nil, false, err
+	}
+	return c.join(kind, segments, total), ended, err
 }
 
-// join returns the segments as one body, and counts only that from then on.
-func (c *Conn) join(segments [][]byte, total int) []byte {
+// join returns the segments as one, and counts only that from then on.
+func (c *Conn) join(kind Kind, segments [][]byte, total int) []byte {
+	if len(segments) == 0 {
+		return nil
+	}
 	if len(segments) == 1 {
 		return segments[0]
 	}
-	c.put(Bodies, int64(total))
+	c.put(kind, int64(total))
 	content := make([]byte, 0, total)
 	held := 0
 	for _, s := range segments {
 		content = append(content, s...)
 		held += cap(s)
 	}
-	c.put(Bodies, int64(-held))
+	c.put(kind, int64(-held))
 	return content
 }
 
 // ReadResponse reads at most limit bytes of a server's response for the client of r. whole is not
 // set if the response is longer, or if there is no memory to hold it.
 func ReadResponse(r *http.Request, src io.Reader, limit int) (content []byte, whole bool, err error) {
-	c := FromContext(r.Context())
-	for size := min(firstSegment, limit); ; size = min(2*size, limit) {
-		if c.take(Responses, int64(size-cap(content))) != nil {
-			return content, false, nil
-		}
-		grown := make([]byte, size)
-		n := copy(grown, content)
-		read, ended, err := fill(src, grown[n:])
-		content = grown[:n+read]
-		if ended || err != nil {
-			return content, ended, err
-		}
-		if size == limit {
-			return content, false, nil
-		}
+	content, whole, err = FromContext(r.Context()).readSegments(Responses, src, limit)
+	if errors.Is(err, ErrNoRoom) {
+		return content, false, nil
 	}
+	return content, whole, err
 }
