--- a/intake/handler_test.go
+++ b/intake/handler_test.go
@@ -59,6 +59,27 @@
 	require.Eventually(t, func() bool { return b.held.Load() == b.byKind[Connections].Load() }, 5*time.Second, time.Millisecond)
 }
 
+// Below TLS the connection is counted as well.
+func TestBodiesAreCountedOverTLS(t *testing.T) {
+	b := testBudget(limits{bytes: 16 << 20, total: 100, listener: 100, address: 100})
+	held := make(chan int64, 1)
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		echo(rw, r)
+		held <- b.byKind[Bodies].Load()
+	}))
+	s.Listener = b.Protect(s.Config, s.Listener, "control")
+	s.StartTLS()
+	defer s.Close()
+	r, err := s.Client().Post(s.URL, "text/plain", strings.NewReader(strings.Repeat("x", 100_000)))
+	require.NoError(t, err)
+	got, err := io.ReadAll(r.Body)
+	require.NoError(t, err)
+	r.Body.Close()
+	require.Len(t, got, 100_000)
+	require.Equal(t, int64(100_000), <-held)
+	require.Eventually(t, func() bool { return b.held.Load() == b.byKind[Connections].Load() }, 5*time.Second, time.Millisecond)
+}
+
 // A body that breaks off must not be taken for a whole one.
 func TestBrokenBodyIsNoWholeOne(t *testing.T) {
 	b := testBudget(limits{bytes: 16 << 20, total: 100, listener: 100, address: 100})
