intake: a request that ran keeps its connection until its response is read

Cause, found in review: a connection counted as one without a request as soon as its handler returned. A response that net/http had not written yet was cut when others needed room; an unread body counted as a head, so that a refusal was replaced by a reset; closing idle connections freed nothing by the books, so that all of them were closed for one newcomer; heads that net/http answers by itself stayed counted.

Change: a phase lasts from the end of the handler until the connection is idle. A connection that gives way counts with its own bytes, and no more give way than leaving connections may count for. Bytes are counted before the check, so that several requests cannot pass it together. A body whose turn to give way comes before its deadline is set is refused. The work that is booked at a server is bounded in sum, since bookings of abandoned prompts are not returned.

--- a/dispatch/work_ledger.go
+++ b/dispatch/work_ledger.go
@@ -15,7 +15,8 @@
 // work is done: booked work ends by the clock. It is not safe for concurrent use.
 type WorkLedger struct{ busyUntil map[string]time.Time }
 
-// maxBookedWork bounds the work that one booking adds, whatever it says.
+// maxBookedWork bounds the work that is booked at a server: bookings of prompts that were abandoned
+// or sent again are not returned.
 const maxBookedWork = 10 * time.Second
 
 // maxAccounts bounds the accounts of a ledger. Accounts without work are deleted first; a
@@ -36,7 +37,7 @@
 		l.removeIdle(now)
 	}
 	if _, known := l.busyUntil[server]; known || len(l.busyUntil) < maxAccounts {
-		l.busyUntil[server] = now.Add(ahead + min(max(0, work), maxBookedWork))
+		l.busyUntil[server] = now.Add(min(ahead+max(0, work), maxBookedWork))
 	}
 	return ahead, true
 }
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -40,6 +40,9 @@
 	}
 	connection := http.NewResponseController(rw)
 	_ = connection.SetReadDeadline(c.deadline) // a connection without deadlines is closed when the process exits
+	if intake.FromContext(r.Context()).GaveWay() {
+		return c.rejectBody(rw, intake.ErrNoRoom, false) // the deadline that ends the reading has been replaced
+	}
 	endWatch := context.AfterFunc(c.gateway.stopping, func() { _ = connection.SetReadDeadline(time.Now()) })
 	var err error
 	c.body, err = intake.Read(r, http.MaxBytesReader(rw, r.Body, limit), r.ContentLength)
--- a/intake/budget.go
+++ b/intake/budget.go
@@ -73,13 +73,16 @@
 // take counts n bytes for a connection, or returns ErrNoRoom. Connections that fall behind give
 // way.
 func (b *Budget) take(c *Conn, kind Kind, n int64) error {
-	if !b.fits(c, n) && !b.makeRoom(c, n, time.Now()) && !b.alone(c) {
-		b.refuse(reasonNoRoom)
-		return ErrNoRoom
-	}
+	// Counted before the check, so that several requests cannot pass it together.
 	b.add(kind, n)
 	c.held[kind].Add(n)
-	return nil
+	if b.fits(c, 0) || b.makeRoom(c, 0, time.Now()) || b.alone(c) {
+		return nil
+	}
+	b.add(kind, -n)
+	c.held[kind].Add(-n)
+	b.refuse(reasonNoRoom)
+	return ErrNoRoom
 }
 
 // makeRoom tells connections to give way until n bytes fit, and reports whether they do.
@@ -97,7 +100,7 @@
 	conns, holders := b.candidates("", now)
 	for !b.fits(c, n) {
 		i := pickYielding(holders)
-		if i < 0 || conns[i] == c {
+		if i < 0 || conns[i] == c || float64(b.leaving.Load()) >= leavingShare*float64(b.limits.bytes) {
 			b.nextSearch.Store(now.Add(searchInterval).UnixNano())
 			return false
 		}
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -15,6 +15,9 @@
 	phaseBody
 	phaseWhole
 	phaseGaveWay
+	// phaseResponse lasts from the end of a handler until the next request is read: net/http may
+	// still write the response, or read what the handler has left of the body.
+	phaseResponse
 )
 
 // Conn is an accepted connection whose bytes are counted. A nil Conn counts nothing.
@@ -111,16 +114,20 @@
 // giveWay ends the reading of the request. A connection without a whole head is closed. The caller
 // holds the budget's lock.
 func (c *Conn) giveWay() {
-	budget := c.listener.budget
+	budget, closing := c.listener.budget, false
 	if c.phase.CompareAndSwap(phaseBody, phaseGaveWay) {
 		// The handler responds.
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails if the connection is closed
 	} else if c.phase.CompareAndSwap(phaseHead, phaseGaveWay) {
+		closing = true
 		go c.Close() // takes the budget's lock
 	} else {
 		return
 	}
 	held := c.heldBytes()
+	if closing {
+		held += connectionBytes
+	}
 	c.leavingBytes.Store(held)
 	budget.leaving.Add(held)
 	budget.countRefusal(reasonSlow)
@@ -133,9 +140,12 @@
 	if whole {
 		next = phaseWhole
 	}
-	return c.phase.CompareAndSwap(phaseHead, next)
+	return c.phase.CompareAndSwap(phaseHead, next) || c.phase.CompareAndSwap(phaseResponse, next)
 }
 
+// GaveWay reports whether the present request was told to give way to others.
+func (c *Conn) GaveWay() bool { return c != nil && c.phase.Load() == phaseGaveWay }
+
 // complete marks the request as whole. It returns false if the request has given way.
 func (c *Conn) complete() bool {
 	return c == nil || c.phase.CompareAndSwap(phaseBody, phaseWhole) || c.phase.Load() == phaseWhole
@@ -145,8 +155,8 @@
 func (c *Conn) end() {
 	c.release()
 	c.pace.Store(time.Now().UnixNano())
-	if !c.phase.CompareAndSwap(phaseWhole, phaseHead) {
-		c.phase.CompareAndSwap(phaseBody, phaseHead)
+	if !c.phase.CompareAndSwap(phaseWhole, phaseResponse) {
+		c.phase.CompareAndSwap(phaseBody, phaseResponse)
 	}
 }
 
@@ -209,3 +219,10 @@
 		_ = raw.Close() // nothing has been read
 	}
 }
+
+// rest makes a connection wait for its next request.
+func (c *Conn) rest() {
+	c.release()
+	c.pace.Store(time.Now().UnixNano())
+	c.phase.CompareAndSwap(phaseResponse, phaseHead)
+}
--- a/intake/handler.go
+++ b/intake/handler.go
@@ -27,6 +27,11 @@
 		}
 		return ctx
 	}
+	s.ConnState = func(conn net.Conn, state http.ConnState) {
+		if c := counted(conn); c != nil && state == http.StateIdle {
+			c.rest()
+		}
+	}
 	return b.Listen(l, name)
 }
 
