dispatch: calls without a prompt wait for room, in order

Calls of services without prompts were sent to any server, full or not: they waited there in arrival order, and up to half of a burst was rejected.

An instance now knows the room at such a server from its report, its own sends and the other instances' words, holds calls beyond it by priority and time, and refuses at once what would be late. A refused caller gets a place in a line at the rate at which servers take calls. Mechanism call-room.

--- a/dispatch/backend_state.go
+++ b/dispatch/backend_state.go
@@ -154,6 +154,8 @@
 	slowness Slowness
 	// room is used while the service is brittle.
 	room brittleRoom
+	// calls is used at the servers of services without prompts.
+	calls callRoom
 }
 
 // NewBackendState returns the initial state of a newly announced server.
@@ -169,6 +171,7 @@
 func (b *BackendState) Sent(w Work, now time.Time) {
 	b.ownLoad.add(w, 1)
 	b.room.sent(now)
+	b.calls.sent(now)
 	if w.MemoryTokens > 0 {
 		if b.meanMemory == 0 {
 			b.meanMemory = float64(w.MemoryTokens)
@@ -220,6 +223,7 @@
 	b.unattributed = max(0, float64(r.Running+r.Waiting-b.ownLoad.Requests-others.Requests))
 	b.reportedAt = now
 	b.room.reported(r, now)
+	b.calls.reported(r, b.ownLoad.Requests, now)
 }
 
 // StateSlowness records how long work takes at the server, as a multiple of the usual time.
@@ -274,6 +278,9 @@
 // request would be sent to this server first, at the cost of one retry each.
 func (b *BackendState) Rejected(r *Report, now time.Time) time.Duration {
 	cooldown := shedCooldown
+	if r != nil {
+		b.calls.rejected(*r, now)
+	}
 	if r != nil && r.Running+r.Waiting < r.Slots {
 		cooldown = b.operationTime
 		if b.operationSince.IsZero() {
--- a/dispatch/brittle_room.go
+++ b/dispatch/brittle_room.go
@@ -226,11 +226,12 @@
 	room.waitingLimit, room.learned = limit, true
 }
 
-// ReleasedAt is Release for a server of a brittle service: the instance may use the place again
+// ReleasedAt is Release for a server whose room is bounded: the instance may use the place again
 // before the others know that it is free.
 func (b *BackendState) ReleasedAt(w Work, ran time.Duration, now time.Time) {
 	b.Release(w, ran)
 	b.room.released(now)
+	b.calls.released(now)
 }
 
 // EndBrittleness forgets what was learned while the service was brittle.
--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -13,6 +13,8 @@
 	// Elapsed, Objective and Patience are those of admission.WaitEstimate. They are the same for
 	// a request that was sent before.
 	Elapsed, Objective, Patience time.Duration
+	// CallTime is that of a request without a prompt, if such requests wait in order.
+	CallTime CallTime
 	// Continues is set for a stream of which the client already has events: without a server, the
 	// client loses more than a place in a queue.
 	Continues bool
@@ -44,8 +46,10 @@
 	Full func(i int) bool
 	// Claimed reports servers that requests ahead in the wait queue wait for. A prompt
 	// is not sent to one now, but may still wait for it (Hold) if no server has room. It
-	// does not apply to requests without a prompt.
+	// does not apply to requests without a prompt, unless Ordered is set.
 	Claimed func(i int) bool
+	// Ordered is set if requests without a prompt wait here in the order of their positions.
+	Ordered bool
 }
 
 // Action is what to do with a request now.
@@ -142,6 +146,9 @@
 			d.Action = Send
 		} else if d.Server = placement.Pick(scorer, c.Servers, job, excluded, tieBreak); d.Server >= 0 {
 			d.Action = Hold
+			if c.Ordered {
+				p.judgeCall(&c.Servers[d.Server], req, &d)
+			}
 		}
 		return d
 	}
@@ -183,11 +190,11 @@
 }
 
 // mustWait reports whether a prompt must not be sent to server i now: requests ahead wait
-// for it, its memory has no room, or its backlog is too long. It is false for a job
-// without a prompt.
+// for it, its memory has no room, or its backlog is too long. A job without a prompt only
+// waits for requests ahead, and only if such jobs wait in order.
 func (p *Policy) mustWait(c *Candidates, i int, j *placement.Job) bool {
 	if j.PromptTokens == 0 {
-		return false
+		return c.Ordered && c.Claimed != nil && c.Claimed(i)
 	}
 	s := &c.Servers[i]
 	if c.Claimed != nil && c.Claimed(i) {
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -41,6 +41,7 @@
 	ColdLimits
 	FleetHomes
 	WorkBooking
+	CallRoom
 	mechanismCount
 )
 
@@ -80,6 +81,7 @@
 	BrittleRoom:          {"brittle-room", "servers that end when they have to reject more than a few requests in a second"},
 	FleetHomes:           {"fleet-homes", "shared prefixes that each cell of a large fleet would read and keep again"},
 	WorkBooking:          {"bookings", "long prompts that entry instances of a large fleet send to the same server before they know of each other's"},
+	CallRoom:             {"call-room", "bursts of calls without a prompt before few servers, each of many instances blind for what the others send"},
 }
 
 // String implements fmt.Stringer.
--- a/dispatch/wait_queue.go
+++ b/dispatch/wait_queue.go
@@ -117,6 +117,16 @@
 	return first + time.Duration(ahead)*q.interval
 }
 
+// Rate returns the number of requests of the queue that servers have lately taken in a second;
+// 0 if that is not known.
+func (q *WaitQueue) Rate(now time.Time) float64 {
+	since := now.Sub(q.placedAt)
+	if q.interval == 0 || since > intervalTTL {
+		return 0
+	}
+	return 1 / max(q.interval, since).Seconds()
+}
+
 // Add adds a request behind all those that it does not precede.
 func (q *WaitQueue) Add(w *Waiter, now time.Time) {
 	if len(q.waiting) == 0 {
--- a/emulator/entry.go
+++ b/emulator/entry.go
@@ -44,10 +44,15 @@
 // entryInstance simulates one entry instance. It makes its decisions with package
 // dispatch, the code that the gateway uses.
 type entryInstance struct {
-	states         map[*server]*serverState
-	retryBudget    *retry.Window
-	promptMix      placement.LengthMix
-	queue          dispatch.WaitQueue
+	states      map[*server]*serverState
+	retryBudget *retry.Window
+	promptMix   placement.LengthMix
+	queue       dispatch.WaitQueue
+	// calls holds the waiting plain requests, told is what the instance last told the others
+	// of its load at plain servers.
+	calls          dispatch.WaitQueue
+	returns        dispatch.ReturnLine
+	told           map[*server]dispatch.Load
 	prefillModel   dispatch.PrefillModel
 	estimateErrors []dispatch.EstimateErrors
 	retryScheduled bool
--- a/emulator/pattern.go
+++ b/emulator/pattern.go
@@ -34,8 +34,11 @@
 	// Seconds is the duration over which new requests arrive.
 	Seconds float64 `json:"seconds"`
 	// Entries is the number of entry instances that requests are spread over.
-	Entries      int           `json:"entries"`
-	Fleet        Fleet         `json:"fleet"`
+	Entries int   `json:"entries"`
+	Fleet   Fleet `json:"fleet"`
+	// WordsMS is the time between the words by which an entry instance tells the others what
+	// it has sent to plain servers; 0 if they know it without delay.
+	WordsMS      float64       `json:"words_ms"`
 	Engines      Engines       `json:"engines"`
 	PlainServers PlainServers  `json:"plain"`
 	Kinds        []RequestKind `json:"kinds"`
@@ -123,6 +126,8 @@
 //   - crash: prompts arrive, at a rate of the magnitude, that have a part in common
 //     under which engines crash as they begin to respond. They do not count in the
 //     results.
+//   - deaf: a share of the entry instances hears nothing of the others' calls.
+//   - unsaid: each of the words between entry instances is lost with a probability.
 //   - lost: entry instances lose their state and rediscover the servers one by one
 //     over the duration.
 type Fault struct {
@@ -131,7 +136,7 @@
 	DurationSeconds float64 `json:"for_seconds"`
 	ServerShare     float64 `json:"share"`
 	// Magnitude is the factor of the kinds burst and slow, the probability, from 0 to 1,
-	// of the kind fail, and the requests per second of the kinds limited and crash.
+	// of the kinds fail and unsaid, and the requests per second of the kinds limited and crash.
 	Magnitude float64 `json:"x"`
 }
 
@@ -168,9 +173,9 @@
 	}
 	for _, f := range p.Faults {
 		switch f.Kind {
-		case "burst", "dark", "slow", "fail", "leaving", "busy", "limited", "crash", "lost":
+		case "burst", "dark", "slow", "fail", "leaving", "busy", "limited", "crash", "lost", "deaf", "unsaid":
 		default:
-			return eris.Errorf("pattern %s: unknown kind %q in troubles, want burst, dark, slow, fail, leaving, busy, limited, crash or lost", p.Name, f.Kind)
+			return eris.Errorf("pattern %s: unknown kind %q in troubles, want burst, dark, slow, fail, leaving, busy, limited, crash, lost, deaf or unsaid", p.Name, f.Kind)
 		}
 	}
 	return nil
--- a/emulator/result.go
+++ b/emulator/result.go
@@ -24,14 +24,18 @@
 	// crash; at most 3 of these are allowed. SoundBlocked is the number of requests
 	// without the part that were rejected as if they had it. It should be 0.
 	Crashes, SentAfterCrashes, SoundBlocked int
-	// Preemptions is the number of preemptions at all engines.
-	Preemptions int
+	// Preemptions is the number of preemptions at all engines, RejectedAtServers that of the
+	// requests that plain servers rejected because too many waited.
+	Preemptions, RejectedAtServers int
 	// RereadTokens is the number of tokens of shared prefixes that an engine prefilled
 	// although one had done so before.
 	RereadTokens int
 	// Spread is how evenly the work was spread over the engines, if the pattern divides
 	// them into failure domains.
 	Spread Spread
+	// HeldBesideSlots is the number of plain requests that began to wait at an entry instance
+	// while a server that responds had a free slot.
+	HeldBesideSlots int
 }
 
 // KindResult is the result for the clients of one kind of request.
--- a/emulator/run.go
+++ b/emulator/run.go
@@ -22,9 +22,9 @@
 
 // BaselinePolicy returns a policy for comparison. It avoids servers that are
 // unresponsive or fail, but has no admission control: deferral, rejection, late binding,
-// the backlog limit and the estimate margin are disabled.
+// the backlog limit, the estimate margin and the room for calls are disabled.
 func BaselinePolicy(name string, scorer placement.Scorer) Policy {
-	p, err := dispatch.Without("behind,turn-away,late-binding,backlog,doubt")
+	p, err := dispatch.Without("behind,turn-away,late-binding,backlog,doubt,call-room")
 	if err != nil {
 		panic(err) // the names are constants of the dispatch package
 	}
@@ -48,7 +48,9 @@
 	pattern *Pattern
 	policy  Policy
 	random  *rand.Rand
-	now     time.Duration
+	// callRandom draws for the room of plain servers and for words, apart from all other draws.
+	callRandom *rand.Rand
+	now        time.Duration
 	// sequence numbers the events and the prompts at engines.
 	sequence     int
 	events       *priority.Queue[event]
@@ -77,10 +79,11 @@
 	if policy.Mechanisms == nil {
 		policy.Mechanisms = &dispatch.Policy{}
 	}
-	r := &simulation{pattern: p, policy: policy, random: newRandom(p.Seed), events: priority.New(earlier), storedPrefixes: make(map[int]bool), readPrefixes: make(map[int]bool), storeFreeTokens: p.Engines.StoreTokens, result: newResult(p, policy.Name)}
+	r := &simulation{pattern: p, policy: policy, random: newRandom(p.Seed), callRandom: newRandom(^p.Seed), events: priority.New(earlier), storedPrefixes: make(map[int]bool), readPrefixes: make(map[int]bool), storeFreeTokens: p.Engines.StoreTokens, result: newResult(p, policy.Name)}
 	r.buildModel()
 	r.buildFleet()
 	r.scheduleSpread()
+	r.scheduleWords()
 	for i := range p.Kinds {
 		r.scheduleArrival(i)
 	}
@@ -144,13 +147,16 @@
 func serverFaults(p *Pattern, index, count int) []Fault {
 	var faults []Fault
 	for _, f := range p.Faults {
-		if f.Kind != "burst" && f.Kind != "lost" && f.Kind != "crash" && float64(index) < f.ServerShare*float64(count) {
+		if !slices.Contains(faultsElsewhere, f.Kind) && float64(index) < f.ServerShare*float64(count) {
 			faults = append(faults, f)
 		}
 	}
 	return faults
 }
 
+// faultsElsewhere are the kinds of faults that are not those of a server.
+var faultsElsewhere = []string{"burst", "lost", "crash", "deaf", "unsaid"}
+
 // schedule schedules an action at a virtual time, or now if that has passed.
 func (r *simulation) schedule(when time.Duration, action func()) {
 	r.sequence++
@@ -225,8 +231,9 @@
 // it.
 func (r *simulation) route(req *request) {
 	var claimed map[string]bool
-	if r.pattern.Kinds[req.kind].isPrompt() {
-		claimed = req.instance.queue.Claimed(r.queuePosition(req))
+	queue := req.instance.queueFor(&r.pattern.Kinds[req.kind])
+	if r.pattern.Kinds[req.kind].isPrompt() || r.policy.Mechanisms.Enabled(dispatch.CallRoom) {
+		claimed = queue.Claimed(r.queuePosition(req))
 	}
 	if r.tryRoute(req, claimed) {
 		return
@@ -240,11 +247,12 @@
 		w.Position = r.queuePosition(req)
 		return false, req.waitsForServer
 	}
+	r.countHeld(req)
 	req.waiter = w
-	req.instance.queue.Add(w, toTime(r.now))
+	queue.Add(w, toTime(r.now))
 	r.schedule(req.givesUpAt, func() {
 		if req.waiter != nil {
-			req.instance.queue.Remove(w)
+			queue.Remove(w)
 			req.waiter = nil
 			r.recordFailure(req)
 		}
@@ -262,7 +270,8 @@
 	r.schedule(r.now+queueRetryInterval, func() {
 		e.retryScheduled = false
 		e.queue.Schedule()
-		if e.queue.Len() > 0 {
+		e.calls.Schedule()
+		if e.queue.Len()+e.calls.Len() > 0 {
 			r.scheduleQueueRetry(e)
 		}
 	})
@@ -286,6 +295,9 @@
 		req.waitsForServer = s.id
 		return false
 	case dispatch.Send:
+		if req.waiter != nil && !r.pattern.Kinds[req.kind].isPrompt() {
+			req.instance.calls.Placed(toTime(r.now))
+		}
 		r.send(req, s)
 	}
 	return true
@@ -294,6 +306,9 @@
 // queuePosition returns the position of a request in its instance's queue.
 func (r *simulation) queuePosition(req *request) dispatch.Position {
 	k := &r.pattern.Kinds[req.kind]
+	if !k.isPrompt() {
+		return r.callPosition(req)
+	}
 	prefill := req.instance.prefillModel.Overhead() + time.Duration(float64(k.PrefixTokens+k.SuffixTokens)/req.instance.prefillModel.Rate()*float64(time.Millisecond))
 	startBy := req.lastArrival + milliseconds(k.ObjectiveMS)
 	if req.deferred() {
@@ -317,10 +332,18 @@
 			PromptTokens: k.PrefixTokens + k.SuffixTokens, MemoryTokens: k.peakMemory(), Long: k.PrefixTokens+k.SuffixTokens >= placement.LongPromptTokens,
 		}
 	}
+	ordered := !k.isPrompt() && r.policy.Mechanisms.Enabled(dispatch.CallRoom)
+	if ordered {
+		routed.CallTime, routed.QueueWait = r.callTime(req), e.calls.ExpectedWait(r.callPosition(req), toTime(r.now))
+	}
 	servers = e.available(servers, r.now, r.policy.Mechanisms)
 	candidates := func(servers []*server, homes []int) *dispatch.Candidates {
 		views := r.describe(req, k, routed, servers, homes)
-		return &dispatch.Candidates{Servers: views, Tried: func(i int) bool { return req.tried[servers[i]] }, Claimed: func(i int) bool { return claimed[servers[i].id] }}
+		c := &dispatch.Candidates{Servers: views, Tried: func(i int) bool { return req.tried[servers[i]] }, Claimed: func(i int) bool { return claimed[servers[i].id] }}
+		if ordered {
+			c.Ordered, c.Full = true, func(i int) bool { return !r.hasCallRoom(req, servers[i]) }
+		}
+		return c
 	}
 	var homes placement.Homes
 	if k.isPrompt() && r.fleetHomes(e) {
@@ -374,8 +397,11 @@
 }
 
 // othersLoad returns the sum of the loads that the other entry instances have placed
-// on a server.
+// on a server; nothing if they tell it only after a delay, see toldCalls.
 func (r *simulation) othersLoad(e *entryInstance, s *server) (sum dispatch.Load) {
+	if s.engineConfig == nil && r.pattern.WordsMS > 0 {
+		return sum
+	}
 	if r.toldFar != nil && s.engineConfig != nil {
 		return r.toldLoad(e, s)
 	}
--- a/emulator/send.go
+++ b/emulator/send.go
@@ -78,7 +78,8 @@
 // for it.
 func (r *simulation) finishPlain(req *request, s *server, work dispatch.Work, sentAt time.Duration, outcome plainOutcome) {
 	state, k := req.instance.states[s], &r.pattern.Kinds[req.kind]
-	state.Release(work, r.now-sentAt)
+	state.ReleasedAt(work, r.now-sentAt, toTime(r.now))
+	defer req.instance.calls.Schedule()
 	if r.now >= req.givesUpAt && outcome.responseAt > r.now {
 		state.StopAwaiting(work)
 		r.result.recordFailure(req.kind)
@@ -88,6 +89,7 @@
 	r.recordReport(req, s)
 	switch {
 	case outcome.rejected:
+		r.result.RejectedAtServers++
 		running, waiting := s.load(r.now)
 		state.Rejected(&dispatch.Report{Running: running, Waiting: waiting, Slots: s.slots}, toTime(r.now))
 		r.resend(req)
@@ -209,7 +211,7 @@
 	if !r.policy.Mechanisms.Enabled(dispatch.RetryJitter) {
 		jitter = 0
 	}
-	returnAt := r.now + admission.RetryDelay(req.decision.Estimate, jitter)
+	returnAt := r.now + r.returnDelay(req, jitter)
 	if req.returnsLeft == 0 || returnAt >= req.deadline {
 		r.result.recordFailure(req.kind)
 		return
