gateway: calls without a prompt wait for room at servers that announce slots

Cause: a call went to any server, full or not; at a full one it waited behind all others, or was rejected, and one that may run only once had no further attempt worth the name.

The gateway holds such calls in the service's queue by the decisions of dispatch. Instances share the number of their calls with the updates that they send anyway, at most 20 a second more. A refused caller is told its place in the line.

--- a/dispatch/call_room.go
+++ b/dispatch/call_room.go
@@ -41,7 +41,7 @@
 }
 
 func (r *callRoom) sent(now time.Time) {
-	r.sentAt = now
+	r.sentAt, r.chance = now, 1 // one call for each draw
 	if r.freedAt = dropBefore(r.freedAt, now.Add(-callWordsTime)); len(r.freedAt) > 0 {
 		r.freedAt = r.freedAt[1:]
 	}
@@ -142,11 +142,7 @@
 	if now.Sub(room.drawnAt) >= callWordsTime {
 		room.chance, room.drawnAt = v.Chance, now
 	}
-	if room.chance >= free/float64(v.Instances) {
-		return false
-	}
-	room.chance = 1 // one call for each draw
-	return true
+	return room.chance < free/float64(v.Instances)
 }
 
 // CallTime is the time that a client has for a call.
@@ -192,7 +188,7 @@
 	d.Estimate = admission.WaitEstimate{Elapsed: t.Elapsed, Objective: t.Objective, Patience: t.Patience, ArrivalOrderWait: req.QueueWait + s.MeanTime}
 	d.Estimate.DeferredWait = d.Estimate.ArrivalOrderWait
 	atServer := max(0, s.MeanTime-t.Work)
-	if d.Late = req.QueueWait+atServer > t.spare(); d.Late {
+	if d.Late = req.QueueWait+atServer > t.spare(); d.Late && !req.Continues {
 		if d.Verdict = p.restrictVerdict(req, admission.Reject); d.Verdict == admission.Reject {
 			d.Action = Reject
 		}
--- a/dispatch/time_left.go
+++ b/dispatch/time_left.go
@@ -15,10 +15,13 @@
 // minWorkTime is the least time in which a server is assumed to serve a request.
 const minWorkTime = 40 * time.Millisecond
 
+// WorkTime returns the least time in which a server completes what is left.
+func (t *ClientTime) WorkTime() time.Duration { return max(minWorkTime, t.ToEnd) }
+
 // LatestStart returns the latest time at which a server can begin with what is left and still
 // serve the client. What begins later is of no use to anyone.
 func (t *ClientTime) LatestStart() time.Time {
-	latest := t.Deadline.Add(-max(minWorkTime, t.ToEnd))
+	latest := t.Deadline.Add(-t.WorkTime())
 	if t.LeavesAt.IsZero() {
 		return latest
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -318,8 +318,9 @@
 // updateLoad records the load that a server reports.
 func (a *attempt) updateLoad(c *call, now time.Time) {
 	if l := a.response.Load; l != nil {
-		others := c.gateway.peers.othersLoad()[a.backend.server]
+		all := c.gateway.peers.othersLoad()
 		a.backend.update(func(tracker *dispatch.BackendState) {
+			others := c.gateway.placementLoad(a.backend, all)
 			c.gateway.metrics.spread.recordBelief(a.backend.zone == c.gateway.zone, float64(l.Running+l.Waiting), tracker.Requests(others, now))
 			tracker.ApplyReport(dispatch.Report(*l), others, now)
 		})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -339,6 +339,11 @@
 	if wait > 0 {
 		return wait
 	}
+	if c.prompt == nil && c.state != nil && !c.mayHaveRun && len(c.rateLimited) == 0 {
+		if delay, ok := c.returnDelay(jitter, time.Now()); ok {
+			return delay
+		}
+	}
 	return admission.RetryDelay(c.decision.Estimate, jitter)
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -14,6 +14,10 @@
 	unlogged       prometheus.Counter
 	panics         prometheus.Counter
 	queued         prometheus.Gauge
+	// waitTime is how long requests wait for room, returnsTold counts the callers that were
+	// given a place in the line of those that return, by service.
+	waitTime    *prometheus.HistogramVec
+	returnsTold *prometheus.CounterVec
 	// document is the version of the site document in force.
 	document       prometheus.Gauge
 	estimateErrors *prometheus.HistogramVec
@@ -100,6 +104,9 @@
 			Buckets: []float64{.005, .01, .025, .05, .1, .2, .3, .5, .8, 1.5, 3, 10}}, []string{"kind"}),
 	}
 	m.spread = newSpreadMetrics(r)
+	m.waitTime = prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "galena_gateway_wait_seconds", Help: "Time for which requests waited here for room at a server, by service.",
+		Buckets: []float64{.005, .01, .025, .05, .1, .2, .5, 1, 3}}, []string{"service"})
+	m.returnsTold = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_returns_told_total", Help: "Callers refused for want of room that were given a place in the line of those that return, by service."}, []string{"service"})
 	m.document = prometheus.NewGauge(prometheus.GaugeOpts{Name: "galena_gateway_document_version", Help: "Version of the site document by which requests are routed; 0 before the first."})
 	m.directives = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_server_directives_total", Help: "Responses by which a server directs how it is used, by directive."}, []string{"directive"})
 	m.coldServers = prometheus.NewGauge(prometheus.GaugeOpts{Name: "galena_gateway_cold_servers", Help: "Servers whose requests are limited because they are cold."})
@@ -120,7 +127,7 @@
 	m.probes = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_probes_total", Help: "Connections opened to learn whether servers are reachable, by outcome."}, []string{"outcome"})
 	m.evacuated = prometheus.NewGauge(prometheus.GaugeOpts{Name: "galena_gateway_evacuated_domains", Help: "Failure domains to whose servers nothing is sent, by operators' orders."})
 	m.evacuatedRequests = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "galena_gateway_evacuated_requests", Help: "Requests of this instance in progress at servers of a failure domain that is emptied."}, []string{"domain"})
-	r.MustRegister(m.evacuated, m.evacuatedRequests, m.brittle, m.roomRejections, m.forwards, m.probes, m.retries, m.retryBudget, m.begun, m.resumed, m.aborted, m.unanswered, m.quarantined, m.interrupted, m.serversEnded, m.directives, m.rateLimits, m.coldServers, m.coldPermits, m.permitsIssued, m.permitRequests, m.outcomes, m.failedAttempts, m.firstByte, m.unlogged, m.panics, m.queued, m.estimateErrors, m.document)
+	r.MustRegister(m.waitTime, m.returnsTold, m.evacuated, m.evacuatedRequests, m.brittle, m.roomRejections, m.forwards, m.probes, m.retries, m.retryBudget, m.begun, m.resumed, m.aborted, m.unanswered, m.quarantined, m.interrupted, m.serversEnded, m.directives, m.rateLimits, m.coldServers, m.coldPermits, m.permitsIssued, m.permitRequests, m.outcomes, m.failedAttempts, m.firstByte, m.unlogged, m.panics, m.queued, m.estimateErrors, m.document)
 	return m
 }
 
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -26,6 +26,8 @@
 	// maxPeers instances and costs processing time on both sides.
 	updateDelay     = 8 * time.Millisecond
 	cellUpdateDelay = 25 * time.Millisecond
+	// callUpdateInterval is the longest time for which a change of calls waits for an update.
+	callUpdateInterval = 50 * time.Millisecond
 	// refreshInterval is the time after which an unchanged update is resent while
 	// there is work.
 	refreshInterval = 400 * time.Millisecond
@@ -104,7 +106,9 @@
 
 	mu      sync.Mutex
 	ownLoad map[string]dispatch.Load
-	leaving []incarnation
+	// callsChanged is set while a change of calls in progress waits for the next update.
+	callsChanged bool
+	leaving      []incarnation
 	// zoneUpdates are the updates on whole failure domains; rotation selects the
 	// instance of a domain to send to.
 	zoneUpdates  map[string]*peerUpdate
@@ -153,6 +157,27 @@
 	}
 }
 
+// setCallLoad sets this instance's calls in progress at a server without prompts. It schedules no
+// update: the next one carries them, at the latest the one after callUpdateInterval. Calls come
+// and end far more often.
+func (p *peers) setCallLoad(server string, l dispatch.Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.callsChanged = p.callsChanged || p.ownLoad[server] != l
+	if l == (dispatch.Load{}) {
+		delete(p.ownLoad, server)
+	} else {
+		p.ownLoad[server] = l
+	}
+}
+
+// callsDue reports whether calls have changed since the last update.
+func (p *peers) callsDue() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.callsChanged
+}
+
 // announceLeaving adds a leaving server to the updates and schedules one. Only the last
 // maxLeavingPerUpdate servers are kept.
 func (p *peers) announceLeaving(id incarnation) {
@@ -329,9 +354,10 @@
 
 // run sends updates until the context ends.
 func (p *peers) run(ctx context.Context, view *fleetview.View) {
-	refreshTicker, zoneTicker := time.NewTicker(refreshInterval), time.NewTicker(zoneUpdateInterval)
+	refreshTicker, zoneTicker, callTicker := time.NewTicker(refreshInterval), time.NewTicker(zoneUpdateInterval), time.NewTicker(callUpdateInterval)
 	defer refreshTicker.Stop()
 	defer zoneTicker.Stop()
+	defer callTicker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -345,6 +371,10 @@
 		case <-zoneTicker.C:
 			p.sendZoneUpdates(ctx, view.Current().Entries)
 			continue
+		case <-callTicker.C:
+			if !p.callsDue() {
+				continue
+			}
 		case <-refreshTicker.C:
 			p.mu.Lock()
 			idle := len(p.ownLoad) == 0
@@ -374,6 +404,7 @@
 	limits, evidence, mix := p.limits(time.Now()), p.evidenceNewsFor(&p.evidenceNews), p.ownMix(time.Now())
 	p.mu.Lock()
 	p.sequence++
+	p.callsChanged = false
 	req := &fleetv1.TellRequest{Entry: p.self.Name, StartedUnixMs: p.self.StartedUnixMs, Sequence: p.sequence, Limits: limits, Evidence: evidence}
 	if placement.UsesCells(len(entries)) {
 		req.Mix = encodeMix(mix)
--- a/gateway/reserved_slots.go
+++ b/gateway/reserved_slots.go
@@ -38,7 +38,7 @@
 	return func(b *backend) bool {
 		at, demanded := c.state.lastResumed[b.software.Version]
 		return demanded && now.Sub(at) <= resumeDemandTime && scarce[b.software.Version] &&
-			b.tracker.FreeSlots(others[b.server], now) <= reservedSlotShare*float64(b.tracker.Slots)
+			b.tracker.FreeSlots(c.gateway.placementLoad(b, others), now) <= reservedSlotShare*float64(b.tracker.Slots)
 	}
 }
 
--- a/gateway/service_state.go
+++ b/gateway/service_state.go
@@ -35,6 +35,8 @@
 	brittle dispatch.BrittleService
 	// returns spreads the return of clients rejected because of rate limits.
 	returns dispatch.ReturnSchedule
+	// line is that of the callers refused for want of room.
+	line dispatch.ReturnLine
 	// lastResumed is when a client last resumed a stream of a software version.
 	lastResumed map[string]time.Time
 	// lastRecheck is when a waiting request last had the queue rescheduled. The others
@@ -152,7 +154,9 @@
 	defer g.metrics.queued.Dec()
 	startedAt := time.Now()
 	result = g.await(ctx, c, w, results)
-	c.waiter, c.queueTime = nil, c.queueTime+time.Since(startedAt)
+	waited := time.Since(startedAt)
+	c.waiter, c.queueTime = nil, c.queueTime+waited
+	g.metrics.waitTime.WithLabelValues(c.service.Name).Observe(waited.Seconds())
 	return result
 }
 
@@ -163,7 +167,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var claimed map[string]bool
-	if c.prompt != nil {
+	if c.prompt != nil || c.ordered() {
 		claimed = s.queue.Claimed(c.queuePosition())
 	}
 	result, queued := g.tryPlace(c, claimed, time.Now())
@@ -269,9 +273,12 @@
 	case dispatch.NoServer:
 		return placementResult{reason: reasonNoServer}, false
 	case dispatch.Reject:
+		if c.prompt == nil {
+			return placementResult{reason: reasonNoRoom}, false
+		}
 		return placementResult{reason: reasonNoCapacity}, false
 	case dispatch.Hold:
-		if c.prompt == nil && !c.roomInTime(now) {
+		if c.prompt == nil && !c.ordered() && !c.roomInTime(now) {
 			return placementResult{reason: reasonNoRoom}, false
 		}
 		c.awaitedServer = b.server
@@ -295,11 +302,15 @@
 	return placementResult{backend: b}, false
 }
 
-// publishLoad shares this instance's load at an engine, or at a server of a brittle service,
-// with the other instances. The caller holds the state's lock.
+// publishLoad shares this instance's load at an engine, at a server of a brittle service, or of
+// calls that wait for room, with the other instances. The caller holds the state's lock.
 func (g *Gateway) publishLoad(b *backend) {
-	if b.peer == nil && (b.service.Engine != nil || b.state.brittle.Brittle) {
+	switch {
+	case b.peer != nil:
+	case b.service.Engine != nil || b.state.brittle.Brittle:
 		g.peers.setOwnLoad(b.server, b.tracker.SharedLoad(time.Now()))
+	case g.sharesCalls(b):
+		g.peers.setCallLoad(b.server, dispatch.Load{Requests: b.tracker.OwnLoad().Requests})
 	}
 }
 
@@ -313,6 +324,11 @@
 // queuePosition returns the position of the request in the queue of its service. The caller holds the
 // state's lock.
 func (c *call) queuePosition() dispatch.Position {
+	if c.ordered() {
+		now := time.Now()
+		t := c.callTime(now)
+		return dispatch.Position{Priority: c.priority(), StartBy: t.StartBy(now)}
+	}
 	since, objective := c.awaitedEvent()
 	startBy := since.Add(objective)
 	if c.deferred() {
@@ -334,7 +350,7 @@
 	if c.prompt != nil {
 		usable = c.excludeOutdated(rs, usable, now)
 	}
-	req := g.newDecisionRequest(c, now)
+	req, ordered := g.newDecisionRequest(c, now), c.ordered()
 	forwardPeers := c.forwardCandidates(rs, req, now)
 	candidates := func(set *candidateSet, list []*backend) *dispatch.Candidates {
 		set.reset(list)
@@ -342,11 +358,16 @@
 		if c.prompt != nil && s.queue.Len() > 0 {
 			req.QueueWait = dispatch.TimeToFree(set.servers, s.queue.MemoryAhead(c.currentPosition()))
 		}
+		full := g.full(s, set, now)
+		if ordered {
+			full = g.callRoom(c, set, now)
+		}
 		return &dispatch.Candidates{
 			Servers: set.servers,
 			Tried:   func(i int) bool { return c.onlyPeers || !c.mayUseServer(set.backends[i].server) },
-			Full:    g.full(s, set, now),
+			Full:    full,
 			Claimed: func(i int) bool { return claimed[set.backends[i].server] },
+			Ordered: ordered,
 		}
 	}
 	var inCell func() *dispatch.Candidates
@@ -440,6 +461,9 @@
 		a.Elapsed, a.Objective, a.Patience = now.Sub(since), objective, c.leavesAt(now).Sub(now)
 		a.Errors = &c.state.estimateErrors[c.lengthClass()]
 		a.Discovering = c.discovering(now)
+	} else if c.ordered() {
+		a.CallTime, a.QueueWait = c.callTime(now), c.state.queue.ExpectedWait(c.currentPosition(), now)
+		a.Discovering = c.discovering(now)
 	}
 	return a
 }
@@ -459,7 +483,7 @@
 func (g *Gateway) describeServers(rs *routingState, c *call, set *candidateSet, now time.Time) {
 	others := g.peers.othersLoad()
 	for i, b := range set.backends {
-		b.tracker.View(&set.servers[i], g.policy, others[b.server], g.zone, now)
+		b.tracker.View(&set.servers[i], g.policy, g.placementLoad(b, others), g.zone, now)
 	}
 	if c.prompt == nil {
 		return
