gateway: calls wait for room only in fleets that are divided into cells

Cause, found in review: the room for calls applied to every deployment. With up to five entry instances a plain service that states slots held calls and refused late ones, though each instance knows its servers' load from its own traffic there.

Change: the mechanism needs more entry instances than one cell has. A place in the line of those that return is only given for a refusal for want of room. A stream that is to leave its server respects the requests that wait in order.

Result: TestRoomForCallsCostsEarlierPatternsNothing now wants equal results with and without the mechanism at five instances, and still no worse ones at six; both hold.

--- a/emulator/calls.go
+++ b/emulator/calls.go
@@ -1,10 +1,11 @@
 package emulator
 
 import (
-	"github.com/galenaarch/galenaarch/admission"
 	"time"
 
+	"github.com/galenaarch/galenaarch/admission"
 	"github.com/galenaarch/galenaarch/dispatch"
+	"github.com/galenaarch/galenaarch/placement"
 )
 
 // queueFor returns the queue in which a kind of request waits.
@@ -40,7 +41,7 @@
 func (r *simulation) returnDelay(req *request, jitter float64) time.Duration {
 	k, e, now := &r.pattern.Kinds[req.kind], req.instance, toTime(r.now)
 	rate := e.calls.Rate(now)
-	if k.isPrompt() || rate == 0 || !r.policy.Mechanisms.Enabled(dispatch.CallRoom) {
+	if k.isPrompt() || rate == 0 || !r.boundsCalls() {
 		return admission.RetryDelay(req.decision.Estimate, jitter)
 	}
 	left := req.deadline - milliseconds(k.ServiceTimeMS) - r.now
@@ -113,3 +114,8 @@
 		}
 	}
 }
+
+// boundsCalls reports whether calls wait for room, as in the gateway.
+func (r *simulation) boundsCalls() bool {
+	return r.policy.Mechanisms.Enabled(dispatch.CallRoom) && placement.UsesCells(r.pattern.Entries)
+}
--- a/emulator/calls_test.go
+++ b/emulator/calls_test.go
@@ -105,17 +105,25 @@
 }
 
 // TestRoomForCallsCostsEarlierPatternsNothing compares decisions on the patterns of earlier
-// deployments, whose instances know each other's load.
+// deployments, whose instances know each other's load: they are the same. In larger fleets calls do
+// no worse on such load.
 func TestRoomForCallsCostsEarlierPatternsNothing(t *testing.T) {
 	t.Parallel()
 	for _, name := range []string{"calm", "burst", "slow", "dark", "full"} {
-		without, with := Simulate(readPattern(t, name), expectedTimeWithout(t, "call-room")), Simulate(readPattern(t, name), expectedTime)
-		for i := range with.Kinds {
-			if with.Kinds[i].kind.isPrompt() {
-				continue
+		for _, entries := range []int{5, 6} {
+			p := readPattern(t, name)
+			p.Entries = entries
+			without, with := Simulate(p, expectedTimeWithout(t, "call-room")), Simulate(p, expectedTime)
+			if entries == 5 {
+				require.Equal(t, without.Kinds, with.Kinds, name)
+			}
+			for i := range with.Kinds {
+				if with.Kinds[i].kind.isPrompt() {
+					continue
+				}
+				require.GreaterOrEqual(t, with.Kinds[i].OnTimeShare(), without.Kinds[i].OnTimeShare(), "%s, %s, %d instances", name, with.Kinds[i].Name, entries)
+				require.LessOrEqual(t, with.Kinds[i].Quantile(0.5), without.Kinds[i].Quantile(0.5), "%s, %s, %d instances", name, with.Kinds[i].Name, entries)
 			}
-			require.GreaterOrEqual(t, with.Kinds[i].OnTimeShare(), without.Kinds[i].OnTimeShare(), "%s, %s", name, with.Kinds[i].Name)
-			require.LessOrEqual(t, with.Kinds[i].Quantile(0.5), without.Kinds[i].Quantile(0.5), "%s, %s", name, with.Kinds[i].Name)
 		}
 	}
 }
--- a/emulator/run.go
+++ b/emulator/run.go
@@ -232,7 +232,7 @@
 func (r *simulation) route(req *request) {
 	var claimed map[string]bool
 	queue := req.instance.queueFor(&r.pattern.Kinds[req.kind])
-	if r.pattern.Kinds[req.kind].isPrompt() || r.policy.Mechanisms.Enabled(dispatch.CallRoom) {
+	if r.pattern.Kinds[req.kind].isPrompt() || r.boundsCalls() {
 		claimed = queue.Claimed(r.queuePosition(req))
 	}
 	if r.tryRoute(req, claimed) {
@@ -332,7 +332,7 @@
 			PromptTokens: k.PrefixTokens + k.SuffixTokens, MemoryTokens: k.peakMemory(), Long: k.PrefixTokens+k.SuffixTokens >= placement.LongPromptTokens,
 		}
 	}
-	ordered := !k.isPrompt() && r.policy.Mechanisms.Enabled(dispatch.CallRoom)
+	ordered := !k.isPrompt() && r.boundsCalls()
 	if ordered {
 		routed.CallTime, routed.QueueWait = r.callTime(req), e.calls.ExpectedWait(r.callPosition(req), toTime(r.now))
 	}
--- a/gateway/call_room.go
+++ b/gateway/call_room.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/galenaarch/galenaarch/dispatch"
+	"github.com/galenaarch/galenaarch/placement"
 )
 
 // ordered reports whether a request waits for room in the order of its position: one without a
@@ -13,13 +14,19 @@
 // the state's lock.
 func (c *call) ordered() bool {
 	g := c.gateway
-	return c.prompt == nil && c.service.Engine == nil && !c.state.brittle.Brittle && g.policy.Enabled(dispatch.CallRoom) && !g.drain.started()
+	return c.prompt == nil && c.service.Engine == nil && !c.state.brittle.Brittle && g.boundsCalls() && !g.drain.started()
+}
+
+// boundsCalls reports whether calls wait for room at all: in fleets that are divided into cells, where
+// an instance alone sends a server too few calls to know its load.
+func (g *Gateway) boundsCalls() bool {
+	return g.policy.Enabled(dispatch.CallRoom) && placement.UsesCells(g.routing.Load().entryCount)
 }
 
 // sharesCalls reports whether this instance shares the calls that it has in progress at a server
 // with the others, for the room there. The caller holds the state's lock.
 func (g *Gateway) sharesCalls(b *backend) bool {
-	return b.service.Engine == nil && b.tracker.Slots > 0 && g.policy.Enabled(dispatch.CallRoom)
+	return b.service.Engine == nil && b.tracker.Slots > 0 && g.boundsCalls()
 }
 
 // placementLoad returns the load of the other instances at a server by which servers are chosen.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -339,7 +339,7 @@
 	if wait > 0 {
 		return wait
 	}
-	if c.prompt == nil && c.state != nil && !c.mayHaveRun && len(c.rateLimited) == 0 {
+	if c.prompt == nil && c.state != nil && !c.mayHaveRun && c.decision.Action == dispatch.Reject {
 		if delay, ok := c.returnDelay(jitter, time.Now()); ok {
 			return delay
 		}
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -78,7 +78,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var claimed map[string]bool
-	if c.prompt != nil {
+	if c.prompt != nil || c.ordered() {
 		claimed = s.queue.Claimed(c.queuePosition())
 	}
 	result, _ := c.gateway.tryPlace(c, claimed, now)
