--- a/intake/budget_test.go
+++ b/intake/budget_test.go
@@ -142,3 +142,14 @@
 	other, _ := newConn(t, b, "10.0.0.2", phaseBody, 0)
 	require.ErrorIs(t, other.take(Bodies, 1<<20), ErrNoRoom)
 }
+
+// Without a memory limit no request is refused, and nobody gives way, however much is held.
+func TestWithoutMemoryLimitNothingGivesWay(t *testing.T) {
+	b := testBudget(limits{total: 10, listener: 10, address: 10})
+	stalled, _ := newConn(t, b, "10.0.0.1", phaseBody, time.Hour)
+	require.NoError(t, stalled.take(Bodies, 1<<40))
+	fresh, why := newConn(t, b, "10.0.0.2", phaseBody, 0)
+	require.Empty(t, why)
+	require.NoError(t, fresh.take(Bodies, 1<<40))
+	require.True(t, stalled.complete())
+}
