--- a/dispatch/call_room.go
+++ b/dispatch/call_room.go
@@ -15,6 +15,9 @@
 	// There, all instances' calls wait in one queue, which keeps the slots busy; what is left is
 	// for the wait at an instance, where calls are in order and can still go elsewhere.
 	callWaitShare = 0.5
+	// waitingLimitTTL is how long a rejection limits the calls that wait at a server: what it lets wait
+	// can be learned again only by sending it more.
+	waitingLimitTTL = 5 * time.Second
 	// maxFreedPlaces bounds the remembered places at one server.
 	maxFreedPlaces = 64
 )
@@ -129,6 +132,7 @@
 	if now.Before(room.fullUntil) {
 		return false
 	}
+	room.limited = room.limited && now.Sub(room.fullUntil) < waitingLimitTTL
 	if v.MaxWait > 0 && b.ownLoad.Requests == 0 && now.Sub(room.sentAt) >= b.callTurn(v.Instances) {
 		return true
 	}
--- a/gateway/bookings.go
+++ b/gateway/bookings.go
@@ -51,15 +51,25 @@
 // chooseKeepers sets the keeper of the account of each server of a service: the entry instance
 // of highest rank, in the server's failure domain if there are any.
 func chooseKeepers(list []*backend, s *fleetview.Snapshot) {
+	type candidate struct {
+		*fleetv1.EntryInstance
+		hash uint64
+	}
+	candidates := make([]candidate, 0, len(s.Entries))
+	for name, e := range s.Entries {
+		if e.PeerUrl != "" {
+			candidates = append(candidates, candidate{e, placement.HomeHash(name)})
+		}
+	}
 	for _, b := range list {
 		var keeper *fleetv1.EntryInstance
 		near, best := false, uint64(0)
-		for name, e := range s.Entries {
-			if e.PeerUrl == "" || (near && e.Zone != b.zone) {
+		for _, e := range candidates {
+			if near && e.Zone != b.zone {
 				continue
 			}
-			if rank := placement.HomeRank(placement.HomeHash(name), b.homeHash); keeper == nil || rank > best || (e.Zone == b.zone && !near) {
-				keeper, best, near = e, rank, e.Zone == b.zone
+			if rank := placement.HomeRank(e.hash, b.homeHash); keeper == nil || rank > best || (e.Zone == b.zone && !near) {
+				keeper, best, near = e.EntryInstance, rank, e.Zone == b.zone
 			}
 		}
 		b.keeper.Store(keeper)
--- a/intake/budget.go
+++ b/intake/budget.go
@@ -97,7 +97,7 @@
 
 // makeRoomLocked is makeRoom for a caller that holds mu.
 func (b *Budget) makeRoomLocked(c *Conn, n int64, now time.Time) bool {
-	conns, holders := b.candidates("", now)
+	conns, holders := b.candidates("", "", now)
 	for !b.fits(c, n) {
 		i := pickYielding(holders)
 		if i < 0 || conns[i] == c || float64(b.leaving.Load()) >= leavingShare*float64(b.limits.bytes) {
@@ -110,13 +110,13 @@
 	return true
 }
 
-// candidates returns the connections of a listener, "" for all, that may give way. The caller
-// holds mu.
-func (b *Budget) candidates(listener string, now time.Time) ([]*Conn, []holder) {
+// candidates returns the connections of a listener and a remote address, "" for all, that may give
+// way. The caller holds mu.
+func (b *Budget) candidates(listener, address string, now time.Time) ([]*Conn, []holder) {
 	var conns []*Conn
 	var holders []holder
 	for c := range b.open {
-		if (listener == "" || c.listener.name == listener) && c.mayGiveWay() {
+		if (listener == "" || c.listener.name == listener) && (address == "" || c.address == address) && c.mayGiveWay() {
 			conns = append(conns, c)
 			holders = append(holders, holder{bytes: connectionBytes + c.heldBytes(), lag: pace{time.Unix(0, c.pace.Load())}.lag(now)})
 		}
@@ -134,13 +134,13 @@
 		count = &listenerCount{byAddress: make(map[string]int)}
 		b.listeners[c.listener.name] = count
 	}
-	if count.byAddress[c.address] >= b.limits.address {
+	if count.byAddress[c.address] >= b.limits.address && !b.replace(c.listener.name, c.address, now) {
 		return reasonAddress
 	}
-	if count.total >= b.limits.listener && !b.replace(c.listener.name, now) {
+	if count.total >= b.limits.listener && !b.replace(c.listener.name, "", now) {
 		return reasonConnections
 	}
-	if len(b.open) >= b.limits.total && !b.replace("", now) {
+	if len(b.open) >= b.limits.total && !b.replace("", "", now) {
 		return reasonConnections
 	}
 	if !b.fits(c, connectionBytes) && (now.UnixNano() < b.nextSearch.Load() || !b.makeRoomLocked(c, connectionBytes, now)) {
@@ -153,10 +153,10 @@
 	return ""
 }
 
-// replace tells a connection of a listener, "" for all, to give way to a new one, and reports
-// whether there is one. The caller holds mu.
-func (b *Budget) replace(listener string, now time.Time) bool {
-	conns, holders := b.candidates(listener, now)
+// replace tells a connection of a listener and a remote address, "" for all, to give way to a new
+// one, and reports whether there is one. The caller holds mu.
+func (b *Budget) replace(listener, address string, now time.Time) bool {
+	conns, holders := b.candidates(listener, address, now)
 	i := pickYielding(holders)
 	if i < 0 {
 		return false
--- a/intake/budget_test.go
+++ b/intake/budget_test.go
@@ -113,6 +113,17 @@
 	require.Eventually(t, func() bool { return idle.closed.Load() }, time.Second, time.Millisecond)
 }
 
+// One address at its bound replaces its own idle connection, and no other's.
+func TestAddressReplacesItsOwnConnection(t *testing.T) {
+	b := testBudget(limits{total: 10, listener: 10, address: 1})
+	own, _ := newConn(t, b, "10.0.0.1", phaseHead, time.Second)
+	other, _ := newConn(t, b, "10.0.0.2", phaseHead, time.Hour)
+	_, why := newConn(t, b, "10.0.0.1", phaseHead, 0)
+	require.Empty(t, why)
+	require.Equal(t, phaseGaveWay, own.phase.Load())
+	require.Equal(t, phaseHead, other.phase.Load())
+}
+
 // A request that is whole may run already: it never gives way, and what has given way never runs.
 func TestWholeRequestsDoNotGiveWay(t *testing.T) {
 	b := testBudget(limits{bytes: 8 << 20, total: 10, listener: 10, address: 10})
