placement: the cost of a server as named terms

Operators see one figure for a server and not what it is made of. Pick leaves out resting servers by the same predicate as Rests.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -119,40 +119,74 @@
 }
 
 // Cost returns the expected time to the response, or to the first event of a stream,
-// plus penalties for the side effects of choosing the server.
+// plus penalties for the side effects of choosing the server. CostTerms lists the same terms.
 func Cost(s *Server, j *Job) time.Duration {
-	cost := requestOverhead + s.Penalty
-	if !s.SameDomain {
-		cost += crossDomainPenalty
-	}
-	if s.Silence > silenceThreshold {
-		cost += silenceFactor * max(0, s.Silence-silenceThreshold)
-	}
+	cost := requestOverhead + s.Penalty + domainCost(s) + silenceCost(s)
 	if j.PromptTokens > 0 {
-		cost += s.slowed(j.Overhead) + prefillDelay(s, j) + memoryWait(s, j)
-		cost += awayPenalty(s)
-		if s.Group == GroupShort && j.Long {
-			cost += longOnShortCost(backlogTime(s, j))
-		}
-		if s.Group == GroupLong && !j.Long {
-			cost += shortOnLongPenalty
+		cost += s.slowed(j.Overhead) + backlogTime(s, j) + ownPrefill(s, j) + memoryWait(s, j) + awayPenalty(s)
+		if s.Group != GroupAny {
+			cost += groupCost(s, j)
 		}
 	}
 	if s.Slots > 0 {
-		if over := s.Running + s.Waiting + 1 - float64(s.Slots); over > 0 {
-			cost += time.Duration(over / float64(s.Slots) * float64(s.slowed(s.MeanTime)))
-		}
-		// A full batch slows down every request in it slightly.
-		cost += time.Duration(s.Running * float64(s.slowed(s.MeanTime)) / float64(4*s.Slots))
+		cost += slotWait(s) + batchCost(s)
+	}
+	return cost + coldCost(s) + failureCost(s)
+}
+
+// domainCost is the cost of another failure domain.
+func domainCost(s *Server) time.Duration {
+	if s.SameDomain {
+		return 0
+	}
+	return crossDomainPenalty
+}
+
+// silenceCost is the expected wait at a server that does not respond.
+func silenceCost(s *Server) time.Duration {
+	return silenceFactor * max(0, s.Silence-silenceThreshold)
+}
+
+// groupCost is the cost of a server that is reserved for prompts of another length.
+func groupCost(s *Server, j *Job) time.Duration {
+	switch {
+	case s.Group == GroupShort && j.Long:
+		return longOnShortCost(backlogTime(s, j))
+	case s.Group == GroupLong && !j.Long:
+		return shortOnLongPenalty
 	}
-	if s.Cold {
-		cost += s.MeanTime
+	return 0
+}
+
+// slotWait is the time until one of the server's slots is free.
+func slotWait(s *Server) time.Duration {
+	over := s.Running + s.Waiting + 1 - float64(s.Slots)
+	if over <= 0 {
+		return 0
 	}
-	if s.FailureRate > 0 {
-		// A failure costs the client a retry or the response.
-		cost += time.Duration(s.FailureRate * float64(max(s.MeanTime, 100*time.Millisecond)) * 3)
+	return time.Duration(over / float64(s.Slots) * float64(s.slowed(s.MeanTime)))
+}
+
+// batchCost is the time by which the running requests slow down one more: a full batch slows down
+// every request in it slightly.
+func batchCost(s *Server) time.Duration {
+	return time.Duration(s.Running * float64(s.slowed(s.MeanTime)) / float64(4*s.Slots))
+}
+
+// coldCost is the delay at a server that is still slow after its start.
+func coldCost(s *Server) time.Duration {
+	if !s.Cold {
+		return 0
 	}
-	return cost
+	return s.MeanTime
+}
+
+// failureCost is the expected cost of a failure, which costs the client a retry or the response.
+func failureCost(s *Server) time.Duration {
+	if s.FailureRate <= 0 {
+		return 0
+	}
+	return time.Duration(s.FailureRate * float64(max(s.MeanTime, 100*time.Millisecond)) * 3)
 }
 
 // slowed returns the time at the server for work that usually takes d.
@@ -166,14 +200,18 @@
 // prefillDelay returns the time until a prompt is prefilled: the backlog first, then
 // the tokens that are not cached, some of which may be transferred instead.
 func prefillDelay(s *Server, j *Job) time.Duration {
+	return backlogTime(s, j) + ownPrefill(s, j)
+}
+
+// ownPrefill returns the time to prefill or transfer the tokens of a prompt that are not cached.
+func ownPrefill(s *Server, j *Job) time.Duration {
 	uncached := j.PromptTokens - s.CachedTokens
-	backlog := backlogTime(s, j)
 	prefill := s.slowed(j.prefillDuration(uncached))
 	if s.FetchTokens > 0 {
 		remaining := s.slowed(j.prefillDuration(uncached - min(s.FetchTokens, uncached)))
 		prefill = min(prefill, s.FetchTime+remaining)
 	}
-	return backlog + prefill
+	return prefill
 }
 
 // memoryWait returns the time until the server's memory has room for a job. Runs are
@@ -232,13 +270,7 @@
 // ties.
 func Pick(scorer Scorer, servers []Server, j Job, skip func(i int) bool, tieBreak float64) int {
 	best, bestCost := -1, time.Duration(math.MaxInt64)
-	cooling := 0
-	for i := range servers {
-		if servers[i].CoolingDown {
-			cooling++
-		}
-	}
-	ignoreCooldown := float64(cooling) > maxCooldownShare*float64(len(servers))
+	ignoreCooldown := ignoresCooldown(servers)
 	n := len(servers)
 	offset := int(tieBreak * float64(n))
 	for pass := 0; pass < 2 && best < 0; pass++ {
@@ -253,7 +285,7 @@
 			}
 			// The first pass skips servers in cooldown and probes; the second uses
 			// them if nothing else is left.
-			if pass == 0 && !ignoreCooldown && (s.CoolingDown || (s.Probing && (!j.Retryable || s.Running > 0))) {
+			if pass == 0 && !ignoreCooldown && rests(s, &j) {
 				continue
 			}
 			if c := scorer.Cost(s, &j); c < bestCost {
@@ -263,3 +295,20 @@
 	}
 	return best
 }
+
+// ignoresCooldown reports whether too many servers are in a cooldown to respect it.
+func ignoresCooldown(servers []Server) bool {
+	cooling := 0
+	for i := range servers {
+		if servers[i].CoolingDown {
+			cooling++
+		}
+	}
+	return float64(cooling) > maxCooldownShare*float64(len(servers))
+}
+
+// rests reports whether a job uses a server only if no other one is left: it is in a cooldown, or
+// on probation after it.
+func rests(s *Server, j *Job) bool {
+	return s.CoolingDown || (s.Probing && (!j.Retryable || s.Running > 0))
+}
