--- a/dispatch/crash_quarantine.go
+++ b/dispatch/crash_quarantine.go
@@ -106,6 +106,12 @@
 	if e.settled(now) {
 		e.judge(now)
 	}
+	return e.BlockedByVerdict(causes, mayTry, now)
+}
+
+// BlockedByVerdict is Blocked by the quarantines that are in force: evidence that has come in since
+// it was last judged does not count yet. It changes nothing.
+func (e *CrashEvidence) BlockedByVerdict(causes []CrashCause, mayTry func(CrashCause) bool, now time.Time) (cause CrashCause, until time.Time, blocked bool) {
 	if len(e.quarantined) == 0 {
 		return CrashCause{}, time.Time{}, false
 	}
--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -139,7 +139,7 @@
 	excluded := func(i int) bool { return c.Tried != nil && c.Tried(i) }
 	job := req.Job
 	full := func(i int) bool { return c.Full != nil && c.Full(i) }
-	unavailable := func(i int) bool { return excluded(i) || full(i) || p.mustWait(c, i, &job) }
+	unavailable := func(i int) bool { return excluded(i) || full(i) || p.waitReason(c, i, &job) != MayBeSent }
 	d := Decision{Server: placement.Pick(scorer, c.Servers, job, unavailable, tieBreak)}
 	if job.PromptTokens == 0 {
 		if d.Server >= 0 {
@@ -189,18 +189,27 @@
 	return d
 }
 
-// mustWait reports whether a prompt must not be sent to server i now: requests ahead wait
+// waitReason returns why a prompt must not be sent to server i now: requests ahead wait
 // for it, its memory has no room, or its backlog is too long. A job without a prompt only
 // waits for requests ahead, and only if such jobs wait in order.
-func (p *Policy) mustWait(c *Candidates, i int, j *placement.Job) bool {
+func (p *Policy) waitReason(c *Candidates, i int, j *placement.Job) Exclusion {
+	claimed := c.Claimed != nil && c.Claimed(i)
 	if j.PromptTokens == 0 {
-		return c.Ordered && c.Claimed != nil && c.Claimed(i)
+		if c.Ordered && claimed {
+			return Claimed
+		}
+		return MayBeSent
 	}
 	s := &c.Servers[i]
-	if c.Claimed != nil && c.Claimed(i) {
-		return true
+	switch {
+	case claimed:
+		return Claimed
+	case p.Enabled(LateBinding) && !placement.HasMemory(s, j):
+		return NoMemory
+	case p.Enabled(BacklogLimit) && placement.Backlogged(s, j):
+		return Backlogged
 	}
-	return (p.Enabled(LateBinding) && !placement.HasMemory(s, j)) || (p.Enabled(BacklogLimit) && placement.Backlogged(s, j))
+	return MayBeSent
 }
 
 // judgeArrivalOrder sets the verdict for a prompt served in arrival order.
