galenactl explain: where entry instances would send a request now, and why

An operator who is called for slow or rejected requests has logs of single requests and metrics of all, but cannot ask why a request goes where it goes. Entries.Explain, on the instances' peer address only, describes a request and gets the decision: each server with what is believed of it and how old that is, the terms of its cost and what excludes it; verdict, wait, Retry-After; and what binds. The entry instance decides by the code that decides on requests, on copies of what it knows, so that nothing changes. galenactl prints a table or JSON; exit codes 5 (no route, key or account not known) and 6 (not ready, no response).

Tests: the answer is what the next request does, in 20 states for prompts and 3 for calls without one; a thousand questions change no tracker, limit, queue, schedule or model; over the wire against a running entry instance, and not at the clients' listener.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -101,10 +101,24 @@
 	// software is what the request's stream is bound to once its first event has been passed
 	// on, or if its client resumes it; nil before.
 	software atomic.Pointer[dispatch.Software]
+	// explained is set for a request that is only described, see Gateway.explain: the routing state
+	// for its decision, with copies of what is known of the servers.
+	explained *routingState
+	// usable are the servers that the decision on it could use, considered those that it has compared.
+	usable     []*backend
+	considered []consideredSet
 	progress
 	crashState
 }
 
+// decisionRouting returns the routing state for a decision on the request.
+func (c *call) decisionRouting() *routingState {
+	if c.explained != nil {
+		return c.explained
+	}
+	return c.gateway.routing.Load()
+}
+
 // rawPath returns the path as sent by the client.
 func rawPath(r *http.Request) string {
 	path, _, _ := strings.Cut(rawTarget(r), "?")
--- a/gateway/call_room.go
+++ b/gateway/call_room.go
@@ -72,6 +72,8 @@
 		return 0, false
 	}
 	t := c.callTime(now)
-	c.gateway.metrics.returnsTold.WithLabelValues(c.service.Name).Inc()
+	if c.explained == nil {
+		c.gateway.metrics.returnsTold.WithLabelValues(c.service.Name).Inc()
+	}
 	return s.line.Next(dispatch.Refusal{Rate: rate, Wait: s.queue.ExpectedWait(c.queuePosition(), now), Left: t.Patience, Jitter: jitter}, now), true
 }
--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -114,7 +114,9 @@
 	l.mu.Lock()
 	l.permits.Lack(now)
 	l.mu.Unlock()
-	g.permits.notify()
+	if !l.copied {
+		g.permits.notify()
+	}
 }
 
 // limitedByCold reports whether the server's requests are limited because it is cold.
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -48,6 +48,8 @@
 	evacuations evacuation.Orders
 	// forwardPeers are the instances to which requests may be passed on.
 	forwardPeers []*forwardPeer
+	// copiedState is set in a copy that explains a decision, see copyService.
+	copiedState *serviceState
 	// resumeTime is how long after its start a stream may be resumed.
 	resumeTime time.Duration
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -257,8 +257,22 @@
 
 // resolveRoute finds the route, service and account.
 func (c *call) resolveRoute(r *http.Request) (status int, reason string) {
+	if status, reason := c.matchRoute(r.Host, rawPath(r)); status != 0 {
+		return status, reason
+	}
+	t := c.routing.table
+	c.setService(t.Service(c.route.PickTarget(rand.Float64())))
+	if c.prompt != nil {
+		c.gateway.recordPromptLength(c)
+	}
+	c.setDeadline(c.allowedTime())
+	return 0, ""
+}
+
+// matchRoute finds the route and the account.
+func (c *call) matchRoute(host, path string) (status int, reason string) {
 	t := c.routing.table
-	c.route = t.Route(r.Host, rawPath(r))
+	c.route = t.Route(host, path)
 	if c.route == nil {
 		return http.StatusNotFound, "no route"
 	}
@@ -268,16 +282,15 @@
 	if c.account == nil && t.RequiresKey(c.route) {
 		return http.StatusUnauthorized, "unknown key"
 	}
-	c.setService(t.Service(c.route.PickTarget(rand.Float64())))
-	if c.prompt != nil {
-		c.gateway.recordPromptLength(c)
-	}
-	timeout := c.route.Timeout
+	return 0, ""
+}
+
+// allowedTime returns how long the client and the route allow the request to take.
+func (c *call) allowedTime() time.Duration {
 	if c.request.Timeout > 0 {
-		timeout = min(timeout, c.request.Timeout)
+		return min(c.route.Timeout, c.request.Timeout)
 	}
-	c.setDeadline(timeout)
-	return 0, ""
+	return c.route.Timeout
 }
 
 // setDeadline sets how long the client and the route allow the request to take.
@@ -288,10 +301,15 @@
 
 // setService sets the service to which the request is sent.
 func (c *call) setService(s *site.Service) {
-	c.service, c.state, c.prompt = s, c.gateway.states.get(s.Name), c.request.Prompt
+	c.service, c.state, c.prompt = s, c.gateway.states.get(s.Name), c.promptFor(s)
+}
+
+// promptFor returns the prompt by which a service schedules the request; nil for none.
+func (c *call) promptFor(s *site.Service) *Prompt {
 	if s.Engine == nil || !c.route.DeclaresPrompt {
-		c.prompt = nil
+		return nil
 	}
+	return c.request.Prompt
 }
 
 // accessLogRate and accessLogBurst limit the log lines for ordinary served requests,
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -100,6 +100,8 @@
 	onEvidence  func(e *fleetv1.CrashEvidence, from string)
 	// domainWork returns this instance's work at one failure domain, or at all.
 	domainWork func(domain string) *fleetv1.GetDomainWorkResponse
+	// explain returns where this instance would send a request.
+	explain func(*fleetv1.ExplainRequest) *fleetv1.ExplainResponse
 	// evidenceNews schedules the evidence in updates to peers, evidenceZones that in
 	// updates to other failure domains.
 	evidenceNews, evidenceZones evidenceSchedule
@@ -133,7 +135,10 @@
 		evidence:    func(uint64, time.Time) (*fleetv1.CrashEvidence, uint64) { return nil, 0 },
 		allEvidence: func(time.Time) *fleetv1.CrashEvidence { return nil }, onEvidence: func(*fleetv1.CrashEvidence, string) {},
 		domainWork: func(string) *fleetv1.GetDomainWorkResponse { return &fleetv1.GetDomainWorkResponse{} },
-		updates:    make(map[string]*peerUpdate), backoffUntil: make(map[string]time.Time), clients: make(map[string]fleetv1.Entries),
+		explain: func(*fleetv1.ExplainRequest) *fleetv1.ExplainResponse {
+			return &fleetv1.ExplainResponse{NotReady: true}
+		},
+		updates: make(map[string]*peerUpdate), backoffUntil: make(map[string]time.Time), clients: make(map[string]fleetv1.Entries),
 	}
 	p.totals.Store(&map[string]dispatch.Load{})
 	p.othersMix.Store(&placement.MixWork{})
--- a/gateway/probes.go
+++ b/gateway/probes.go
@@ -48,7 +48,7 @@
 			count.Add(&b.tracker, now)
 		}
 	}
-	if s.paths.Update(&count, now) {
+	if s.paths.Update(&count, now) && !s.copied {
 		message := "servers of a service reachable again"
 		if s.paths.Cut() {
 			message = "servers of a service unreachable"
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -207,7 +207,7 @@
 		p.gateway.states.recheckAll()
 	}
 	p.peers.limits, p.peers.onLimit, p.peers.servePermits = p.gateway.limits.announced, p.gateway.mergeRateLimit, p.gateway.permits.serve
-	p.peers.domainWork = p.gateway.domainsWork
+	p.peers.domainWork, p.peers.explain = p.gateway.domainsWork, p.gateway.explain
 	p.peers.ownMix, p.peers.serveBooking = p.gateway.promptMix.Work, p.gateway.bookings.serve
 	p.gateway.evidence.exchange(p.view, p.peers)
 	p.logger.Info("scheduling configured", slog.String("placement", p.settings.Placement), slog.Any("without", policy.Disabled()))
--- a/gateway/rate_limits.go
+++ b/gateway/rate_limits.go
@@ -33,6 +33,8 @@
 // for it, and its permit issuer if this instance is in charge.
 type serverLimit struct {
 	incarnation
+	// copied is set for a copy, for which no permits are asked.
+	copied bool
 
 	// mu guards the fields below.
 	mu      sync.Mutex
@@ -305,7 +307,7 @@
 		return true
 	}
 	available, ask := g.permitAvailable(l, now)
-	if ask {
+	if ask && !l.copied {
 		g.permits.notify()
 	}
 	return available
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -7,6 +7,8 @@
 	"log/slog"
 	"net/http"
 	"time"
+
+	"github.com/galenaarch/galenaarch/dispatch"
 )
 
 // errStopping ends the requests that are in progress when the process is about to exit.
@@ -196,6 +198,26 @@
 	return reason
 }
 
+// keptBack reports whether a decision sends the request anywhere, and if not, why it is rejected;
+// the reason is empty if it waits. The caller holds the state's lock.
+func (c *call) keptBack(d dispatch.Decision, now time.Time) (reason rejectReason, sent bool) {
+	switch d.Action {
+	case dispatch.NoServer:
+		return reasonNoServer, false
+	case dispatch.Reject:
+		if c.prompt == nil {
+			return reasonNoRoom, false
+		}
+		return reasonNoCapacity, false
+	case dispatch.Hold:
+		if c.prompt == nil && !c.ordered() && !c.roomInTime(now) {
+			return reasonNoRoom, false
+		}
+		return "", false
+	}
+	return "", true
+}
+
 // attemptTimeout returns how long one server may take to begin its response.
 func (c *call) attemptTimeout(now time.Time) time.Duration {
 	if !c.retryable() {
@@ -254,13 +276,7 @@
 	if s.headersSent {
 		c.abort(s, reason)
 	}
-	status, after := http.StatusServiceUnavailable, c.retryAfter()
-	switch reason {
-	case reasonStopping:
-		after = drainRetryAfter
-	case reasonSoftwareUnknown, reasonNoSameSoftware, reasonEvacuated:
-		after = c.gateway.announceInterval
-	}
+	status, after := http.StatusServiceUnavailable, c.retryAfterReason(reason)
 	switch {
 	case c.mayHaveRun && reason == reasonDeadline:
 		status, after = http.StatusGatewayTimeout, 0
@@ -270,6 +286,18 @@
 	c.gateway.reject(rw, c, status, string(reason), after, nil)
 }
 
+// retryAfterReason returns the time after which a client whose request was rejected may retry.
+func (c *call) retryAfterReason(reason rejectReason) time.Duration {
+	after := c.retryAfter()
+	switch reason {
+	case reasonStopping:
+		after = drainRetryAfter
+	case reasonSoftwareUnknown, reasonNoSameSoftware, reasonEvacuated:
+		after = c.gateway.announceInterval
+	}
+	return after
+}
+
 // abort ends a stream that has begun and cannot go on. The closed connection tells the
 // client that it is not complete.
 func (c *call) abort(s *stream, reason rejectReason) {
--- a/gateway/service_state.go
+++ b/gateway/service_state.go
@@ -16,7 +16,9 @@
 // the queue of waiting requests, and the prefill model. Its lock is held for one
 // decision or one update.
 type serviceState struct {
-	mu      sync.Mutex
+	mu sync.Mutex
+	// copied is set for a copy that only explains a decision.
+	copied  bool
 	queue   dispatch.WaitQueue
 	prefill dispatch.PrefillModel
 	// estimateErrors are the errors of the wait estimates, indexed by shortPrompt and
@@ -129,20 +131,12 @@
 	}
 	d, b := g.decide(c, claimed, now)
 	c.decision, c.awaitedServer = d, ""
-	switch d.Action {
-	case dispatch.NoServer:
-		return placementResult{reason: reasonNoServer}, false
-	case dispatch.Reject:
-		if c.prompt == nil {
-			return placementResult{reason: reasonNoRoom}, false
-		}
-		return placementResult{reason: reasonNoCapacity}, false
-	case dispatch.Hold:
-		if c.prompt == nil && !c.ordered() && !c.roomInTime(now) {
-			return placementResult{reason: reasonNoRoom}, false
+	if reason, sent := c.keptBack(d, now); !sent {
+		if d.Action == dispatch.Hold && reason == "" {
+			c.awaitedServer = b.server
+			return placementResult{}, true
 		}
-		c.awaitedServer = b.server
-		return placementResult{}, true
+		return placementResult{reason: reason}, false
 	}
 	if d.Action == dispatch.Forward {
 		c.work = dispatch.Work{}
@@ -184,12 +178,15 @@
 // decide makes the scheduling decision on a request. The caller holds the state's
 // lock.
 func (g *Gateway) decide(c *call, claimed map[string]bool, now time.Time) (dispatch.Decision, *backend) {
-	rs, s := g.routing.Load(), c.state
+	rs, s := c.decisionRouting(), c.state
 	usable, pausedUntil := g.usableBackends(c, rs.services[c.service.Name], now)
 	c.pausedUntil = pausedUntil
 	if c.prompt != nil {
 		usable = c.excludeOutdated(rs, usable, now)
 	}
+	if c.explained != nil {
+		c.usable = usable
+	}
 	req, ordered := g.newDecisionRequest(c, now), c.ordered()
 	forwardPeers := c.forwardCandidates(rs, req, now)
 	candidates := func(set *candidateSet, list []*backend) *dispatch.Candidates {
@@ -202,13 +199,17 @@
 		if ordered {
 			full = g.callRoom(c, set, now)
 		}
-		return &dispatch.Candidates{
+		made := &dispatch.Candidates{
 			Servers: set.servers,
 			Tried:   func(i int) bool { return c.onlyPeers || !c.mayUseServer(set.backends[i].server) },
 			Full:    full,
 			Claimed: func(i int) bool { return claimed[set.backends[i].server] },
 			Ordered: ordered,
 		}
+		if c.explained != nil {
+			c.considered = append(c.considered, consideredSet{set, made})
+		}
+		return made
 	}
 	var inCell func() *dispatch.Candidates
 	cell := rs.cells[c.service.Name]
--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -62,11 +62,7 @@
 	s := c.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var claimed map[string]bool
-	if c.prompt != nil || c.ordered() {
-		claimed = s.queue.Claimed(c.queuePosition())
-	}
-	result, queued := g.tryPlace(c, claimed, time.Now())
+	result, queued := g.tryPlace(c, c.claimedAhead(), time.Now())
 	if queued && s.queue.Full() {
 		result, queued = placementResult{reason: reasonNoCapacity}, false
 	}
@@ -77,6 +73,15 @@
 	return placementResult{}, g.enqueue(c, results), results
 }
 
+// claimedAhead returns the servers that requests ahead of a new one wait for. The caller holds the
+// state's lock.
+func (c *call) claimedAhead() map[string]bool {
+	if c.prompt == nil && !c.ordered() {
+		return nil
+	}
+	return c.state.queue.Claimed(c.queuePosition())
+}
+
 // enqueue queues a request. The caller holds the state's lock.
 func (g *Gateway) enqueue(c *call, results chan<- placementResult) *dispatch.Waiter {
 	w := &dispatch.Waiter{Position: c.queuePosition(), MemoryTokens: c.job().MemoryTokens}
--- a/gateway/work_times.go
+++ b/gateway/work_times.go
@@ -53,6 +53,19 @@
 	return r.toEvent.Shortest(now), r.toEnd.Shortest(now)
 }
 
+// peek is shortest without forgetting old times.
+func (w *workTimes) peek(route string, now time.Time) (toEvent, toEnd time.Duration) {
+	value, ok := w.routes.Load(route)
+	if !ok {
+		return 0, 0
+	}
+	r := value.(*routeWork)
+	r.mu.Lock()
+	events, ends := r.toEvent, r.toEnd
+	r.mu.Unlock()
+	return events.Shortest(now), ends.Shortest(now)
+}
+
 // retain removes the routes that are no longer in the site document.
 func (w *workTimes) retain(routes []site.Route) {
 	known := make(map[string]bool, len(routes))
@@ -70,7 +83,11 @@
 // clientTime returns the time that the client still has, and the work that is left.
 func (c *call) clientTime(now time.Time) dispatch.ClientTime {
 	t := dispatch.ClientTime{Deadline: c.deadline}
-	t.ToEvent, t.ToEnd = c.gateway.workTimes.shortest(c.route.Name, now)
+	if c.explained != nil {
+		t.ToEvent, t.ToEnd = c.gateway.workTimes.peek(c.route.Name, now)
+	} else {
+		t.ToEvent, t.ToEnd = c.gateway.workTimes.shortest(c.route.Name, now)
+	}
 	if c.route.Kind != site.KindStream {
 		return t
 	}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -35,6 +35,10 @@
 	// ExitUnavailable: control did not respond. The outcome may be unknown; the same
 	// command can be retried.
 	ExitUnavailable = 4
+	// ExitNoRoute: explain found no route for the request, or its key or account is not known.
+	ExitNoRoute = 5
+	// ExitNotReady: an entry instance gave no explanation, as it accepts no requests or did not respond.
+	ExitNotReady = 6
 )
 
 // Output formats.
@@ -114,7 +118,7 @@
 		Subcommands: []*ffcli.Command{
 			cli.validateCommand(), cli.diffCommand(), cli.applyCommand(), cli.promoteCommand(),
 			cli.statusCommand(), cli.historyCommand(), cli.watchCommand(), cli.entriesCommand(), cli.drainCommand(), cli.capacityCommand(),
-			cli.zonesCommand(), cli.evacuateCommand(), cli.restoreCommand(),
+			cli.zonesCommand(), cli.evacuateCommand(), cli.restoreCommand(), cli.explainCommand(),
 			cli.hashKeyCommand(),
 		},
 		Exec: func(_ context.Context, args []string) error {
