--- a/gateway/call_room.go
+++ b/gateway/call_room.go
@@ -77,3 +77,24 @@
 	}
 	return s.line.Next(dispatch.Refusal{Rate: rate, Wait: s.queue.ExpectedWait(c.queuePosition(), now), Left: t.Patience, Jitter: jitter}, now), true
 }
+
+// setCallLoad sets this instance's calls in progress at a server without prompts. It schedules no
+// update: the next one carries them, at the latest the one after callUpdateInterval. Calls come
+// and end far more often.
+func (p *peers) setCallLoad(server string, l dispatch.Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.callsChanged = p.callsChanged || p.ownLoad[server] != l
+	if l == (dispatch.Load{}) {
+		delete(p.ownLoad, server)
+	} else {
+		p.ownLoad[server] = l
+	}
+}
+
+// callsDue reports whether calls have changed since the last update.
+func (p *peers) callsDue() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.callsChanged
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -162,27 +162,6 @@
 	}
 }
 
-// setCallLoad sets this instance's calls in progress at a server without prompts. It schedules no
-// update: the next one carries them, at the latest the one after callUpdateInterval. Calls come
-// and end far more often.
-func (p *peers) setCallLoad(server string, l dispatch.Load) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.callsChanged = p.callsChanged || p.ownLoad[server] != l
-	if l == (dispatch.Load{}) {
-		delete(p.ownLoad, server)
-	} else {
-		p.ownLoad[server] = l
-	}
-}
-
-// callsDue reports whether calls have changed since the last update.
-func (p *peers) callsDue() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.callsChanged
-}
-
 // announceLeaving adds a leaving server to the updates and schedules one. Only the last
 // maxLeavingPerUpdate servers are kept.
 func (p *peers) announceLeaving(id incarnation) {
