dispatch, emulator: updates between instances are called so

Cause: new comments and names said "words" for what instances tell each other.

Result: tests of the emulator on calls pass; no behaviour changes.

--- a/dispatch/call_room.go
+++ b/dispatch/call_room.go
@@ -9,8 +9,8 @@
 
 // Parameters of the room for calls, requests without a prompt.
 const (
-	// callWordsTime is the time in which the instances learn of each other's calls.
-	callWordsTime = 50 * time.Millisecond
+	// callUpdateTime is the time in which the instances learn of each other's calls.
+	callUpdateTime = 50 * time.Millisecond
 	// callWaitShare is the largest part of a call's objective for which it may wait at a server.
 	// There, all instances' calls wait in one queue, which keeps the slots busy; what is left is
 	// for the wait at an instance, where calls are in order and can still go elsewhere.
@@ -45,13 +45,13 @@
 
 func (r *callRoom) sent(now time.Time) {
 	r.sentAt, r.chance = now, 1 // one call for each draw
-	if r.freedAt = dropBefore(r.freedAt, now.Add(-callWordsTime)); len(r.freedAt) > 0 {
+	if r.freedAt = dropBefore(r.freedAt, now.Add(-callUpdateTime)); len(r.freedAt) > 0 {
 		r.freedAt = r.freedAt[1:]
 	}
 }
 
 func (r *callRoom) released(now time.Time) {
-	if r.freedAt = append(dropBefore(r.freedAt, now.Add(-callWordsTime)), now); len(r.freedAt) > maxFreedPlaces {
+	if r.freedAt = append(dropBefore(r.freedAt, now.Add(-callUpdateTime)), now); len(r.freedAt) > maxFreedPlaces {
 		r.freedAt = r.freedAt[1:]
 	}
 }
@@ -72,9 +72,9 @@
 }
 
 // callsAt returns the estimated number of calls at the server. What the server itself has reported
-// counts as long as the words of the others cannot be newer.
+// counts as long as the updates of the others cannot be newer.
 func (b *BackendState) callsAt(others Load, now time.Time) float64 {
-	if now.Sub(b.calls.reportedAt) < callWordsTime {
+	if now.Sub(b.calls.reportedAt) < callUpdateTime {
 		return float64(b.ownLoad.Requests + b.calls.reportedOthers)
 	}
 	return float64(b.ownLoad.Requests + others.Requests)
@@ -114,7 +114,7 @@
 	Queued bool
 	// MaxWait is the longest time for which the call may wait at the server, see CallTime.
 	MaxWait time.Duration
-	// Chance in [0, 1) decides which instances take room that all see, once in callWordsTime.
+	// Chance in [0, 1) decides which instances take room that all see, once in callUpdateTime.
 	Chance float64
 }
 
@@ -122,7 +122,7 @@
 // many places in its own queue as MaxWait allows.
 //
 // An instance with none of its calls at a server may send one each time that the server could have
-// completed one of every instance, whatever it knows: wrong or lost words keep no call from a free
+// completed one of every instance, whatever it knows: wrong or lost updates keep no call from a free
 // slot for longer, and the instances send together no more than the server completes.
 func (b *BackendState) HasCallRoom(v CallView, now time.Time) bool {
 	if b.Slots == 0 {
@@ -140,10 +140,10 @@
 	if !v.Queued || free < 1 || v.Instances <= 1 {
 		return free >= 1
 	}
-	if room.freedAt = dropBefore(room.freedAt, now.Add(-callWordsTime)); len(room.freedAt) > 0 {
+	if room.freedAt = dropBefore(room.freedAt, now.Add(-callUpdateTime)); len(room.freedAt) > 0 {
 		return true // for the others, the place is still taken
 	}
-	if now.Sub(room.drawnAt) >= callWordsTime {
+	if now.Sub(room.drawnAt) >= callUpdateTime {
 		room.chance, room.drawnAt = v.Chance, now
 	}
 	return room.chance < free/float64(v.Instances)
--- a/dispatch/call_room_test.go
+++ b/dispatch/call_room_test.go
@@ -73,7 +73,7 @@
 	require.False(t, b.HasCallRoom(full, now))
 	b.ApplyReport(Report{Running: 2, Slots: 6}, full.Others, now)
 	require.True(t, b.HasCallRoom(full, now))
-	require.False(t, b.HasCallRoom(full, now.Add(callWordsTime)))
+	require.False(t, b.HasCallRoom(full, now.Add(callUpdateTime)))
 }
 
 // TestInstanceWithWrongWordsSendsItsShare replays 89 instances that all believe for ever that the
--- a/dispatch/work_ledger.go
+++ b/dispatch/work_ledger.go
@@ -11,7 +11,7 @@
 // at some of the servers. It is for large fleets: what instances tell each other of
 // their load is older than a prompt takes, and two that know nothing of each other's
 // prompt send both to the same server. Each instance books the work of a prompt with the
-// keeper of the server's account before it sends the prompt. An account needs no word when
+// keeper of the server's account before it sends the prompt. An account needs no message when
 // work is done: booked work ends by the clock. It is not safe for concurrent use.
 type WorkLedger struct{ busyUntil map[string]time.Time }
 
--- a/emulator/calls.go
+++ b/emulator/calls.go
@@ -48,17 +48,17 @@
 	return e.returns.Next(dispatch.Refusal{Rate: rate, Wait: e.calls.ExpectedWait(r.callPosition(req), now), Left: left, Jitter: jitter}, now)
 }
 
-// scheduleWords lets each entry instance tell the others its load at plain servers every WordsMS,
+// scheduleCallUpdates lets each entry instance tell the others its load at plain servers every UpdateMS,
 // one after the other.
-func (r *simulation) scheduleWords() {
-	interval := milliseconds(r.pattern.WordsMS)
+func (r *simulation) scheduleCallUpdates() {
+	interval := milliseconds(r.pattern.UpdateMS)
 	if interval == 0 {
 		return
 	}
 	for i, e := range r.entries {
 		var tell func()
 		tell = func() {
-			if !r.chanceOf("unsaid") {
+			if !r.chanceOf("lost-updates") {
 				e.told = make(map[*server]dispatch.Load)
 				for _, s := range r.plainServers {
 					e.told[s] = e.states[s].OwnLoad()
@@ -84,7 +84,7 @@
 
 // toldCalls returns what the other entry instances have told of their load at a plain server.
 func (r *simulation) toldCalls(e *entryInstance, s *server) (sum dispatch.Load) {
-	if r.pattern.WordsMS == 0 {
+	if r.pattern.UpdateMS == 0 {
 		return r.othersLoad(e, s)
 	}
 	for i, other := range r.entries {
--- a/emulator/calls_test.go
+++ b/emulator/calls_test.go
@@ -52,7 +52,7 @@
 
 func wide(factor float64) func(*Pattern) {
 	return func(p *Pattern) {
-		p.Entries, p.WordsMS, p.PlainServers.Count, p.Faults[0].Magnitude = 89, 150, 4, factor
+		p.Entries, p.UpdateMS, p.PlainServers.Count, p.Faults[0].Magnitude = 89, 150, 4, factor
 	}
 }
 
@@ -89,8 +89,8 @@
 		"burst, 89 instances, four servers":  wide(2.4),
 		"burst, a fifth of instances deaf":   addFault(Fault{Kind: "deaf", DurationSeconds: 20, ServerShare: 0.2}),
 		"burst, no instance hears another":   addFault(Fault{Kind: "deaf", DurationSeconds: 20, ServerShare: 1}),
-		"burst, half of the words lost":      addFault(Fault{Kind: "unsaid", StartSeconds: 5, DurationSeconds: 10, Magnitude: 0.5}),
-		"burst, all words lost from then on": addFault(Fault{Kind: "unsaid", StartSeconds: 6.5, DurationSeconds: 10, Magnitude: 1}),
+		"burst, half of the words lost":      addFault(Fault{Kind: "lost-updates", StartSeconds: 5, DurationSeconds: 10, Magnitude: 0.5}),
+		"burst, all words lost from then on": addFault(Fault{Kind: "lost-updates", StartSeconds: 6.5, DurationSeconds: 10, Magnitude: 1}),
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -22,14 +22,14 @@
 	FarUpdateMS    float64 `json:"far_update_ms"`
 }
 
-// words is what the instances of a domain have told.
-type words struct {
+// domainUpdate is what the instances of a domain have told.
+type domainUpdate struct {
 	load told
 	mix  placement.MixWork
 }
 
 // replace replaces what one instance has told by what it knows now.
-func (w *words) replace(own *words, e *entryInstance, engines []*server, now time.Duration) {
+func (w *domainUpdate) replace(own *domainUpdate, e *entryInstance, engines []*server, now time.Duration) {
 	w.load.replace(own.load, e, engines)
 	mix := e.promptMix.Work(toTime(now))
 	w.mix = w.mix.Plus(placement.MixWork{Short: mix.Short - own.mix.Short, Long: mix.Long - own.mix.Long})
@@ -63,7 +63,7 @@
 	// cell are the engines that the instance prefers; nil for all.
 	cell map[string]bool
 	// toldDomain and toldFar are what it has last told its domain and the others.
-	toldDomain, toldFar words
+	toldDomain, toldFar domainUpdate
 }
 
 // domainName returns the name of the failure domain of the instance or server with an
@@ -88,13 +88,13 @@
 	for i, s := range r.engines {
 		servers = append(servers, placement.Member{ID: s.id, Zone: r.pattern.domainName(i)})
 	}
-	r.toldDomain, r.toldFar = make([]words, f.Domains), make([]words, f.Domains)
+	r.toldDomain, r.toldFar = make([]domainUpdate, f.Domains), make([]domainUpdate, f.Domains)
 	for d := range f.Domains {
 		r.toldDomain[d].load, r.toldFar[d].load = make(told, len(r.engines)), make(told, len(r.engines))
 	}
 	r.groupPositions = placement.GroupPositions(len(r.engines), func(i int) string { return r.engines[i].id })
 	for i, e := range r.entries {
-		e.fleet = fleetMember{domain: i % f.Domains, toldDomain: words{load: make(told, len(r.engines))}, toldFar: words{load: make(told, len(r.engines))}, cell: placement.CellServers(entryName(i), instances, servers)}
+		e.fleet = fleetMember{domain: i % f.Domains, toldDomain: domainUpdate{load: make(told, len(r.engines))}, toldFar: domainUpdate{load: make(told, len(r.engines))}, cell: placement.CellServers(entryName(i), instances, servers)}
 		phase := float64(i) / float64(len(r.entries))
 		r.scheduleUpdates(e, milliseconds(f.DomainUpdateMS), phase, &r.toldDomain[e.fleet.domain], &e.fleet.toldDomain)
 		r.scheduleUpdates(e, milliseconds(f.FarUpdateMS), phase, &r.toldFar[e.fleet.domain], &e.fleet.toldFar)
@@ -104,7 +104,7 @@
 func entryName(index int) string { return fmt.Sprint("entry-", index) }
 
 // scheduleUpdates schedules the updates of an instance until new requests end.
-func (r *simulation) scheduleUpdates(e *entryInstance, every time.Duration, phase float64, sum, own *words) {
+func (r *simulation) scheduleUpdates(e *entryInstance, every time.Duration, phase float64, sum, own *domainUpdate) {
 	var update func()
 	update = func() {
 		sum.replace(own, e, r.engines, r.now)
--- a/emulator/pattern.go
+++ b/emulator/pattern.go
@@ -36,9 +36,9 @@
 	// Entries is the number of entry instances that requests are spread over.
 	Entries int   `json:"entries"`
 	Fleet   Fleet `json:"fleet"`
-	// WordsMS is the time between the words by which an entry instance tells the others what
+	// UpdateMS is the time between the updates by which an entry instance tells the others what
 	// it has sent to plain servers; 0 if they know it without delay.
-	WordsMS      float64       `json:"words_ms"`
+	UpdateMS     float64       `json:"update_ms"`
 	Engines      Engines       `json:"engines"`
 	PlainServers PlainServers  `json:"plain"`
 	Kinds        []RequestKind `json:"kinds"`
@@ -127,7 +127,7 @@
 //     under which engines crash as they begin to respond. They do not count in the
 //     results.
 //   - deaf: a share of the entry instances hears nothing of the others' calls.
-//   - unsaid: each of the words between entry instances is lost with a probability.
+//   - lost-updates: each update between entry instances is lost with a probability.
 //   - lost: entry instances lose their state and rediscover the servers one by one
 //     over the duration.
 type Fault struct {
@@ -136,7 +136,7 @@
 	DurationSeconds float64 `json:"for_seconds"`
 	ServerShare     float64 `json:"share"`
 	// Magnitude is the factor of the kinds burst and slow, the probability, from 0 to 1,
-	// of the kinds fail and unsaid, and the requests per second of the kinds limited and crash.
+	// of the kinds fail and lost-updates, and the requests per second of the kinds limited and crash.
 	Magnitude float64 `json:"x"`
 }
 
@@ -173,9 +173,9 @@
 	}
 	for _, f := range p.Faults {
 		switch f.Kind {
-		case "burst", "dark", "slow", "fail", "leaving", "busy", "limited", "crash", "lost", "deaf", "unsaid":
+		case "burst", "dark", "slow", "fail", "leaving", "busy", "limited", "crash", "lost", "deaf", "lost-updates":
 		default:
-			return eris.Errorf("pattern %s: unknown kind %q in troubles, want burst, dark, slow, fail, leaving, busy, limited, crash, lost, deaf or unsaid", p.Name, f.Kind)
+			return eris.Errorf("pattern %s: unknown kind %q in troubles, want burst, dark, slow, fail, leaving, busy, limited, crash, lost, deaf or lost-updates", p.Name, f.Kind)
 		}
 	}
 	return nil
--- a/emulator/run.go
+++ b/emulator/run.go
@@ -48,7 +48,7 @@
 	pattern *Pattern
 	policy  Policy
 	random  *rand.Rand
-	// callRandom draws for the room of plain servers and for words, apart from all other draws.
+	// callRandom draws for the room of plain servers and for lost updates, apart from all other draws.
 	callRandom *rand.Rand
 	now        time.Duration
 	// sequence numbers the events and the prompts at engines.
@@ -67,7 +67,7 @@
 	ledger dispatch.WorkLedger
 	// toldDomain and toldFar are the sums of what the instances of each domain have told
 	// their own domain and others; groupPositions is that of placement.GroupPositions.
-	toldDomain, toldFar []words
+	toldDomain, toldFar []domainUpdate
 	groupPositions      []float64
 	result              *Result
 	crashesAt           []time.Duration
@@ -83,7 +83,7 @@
 	r.buildModel()
 	r.buildFleet()
 	r.scheduleSpread()
-	r.scheduleWords()
+	r.scheduleCallUpdates()
 	for i := range p.Kinds {
 		r.scheduleArrival(i)
 	}
@@ -155,7 +155,7 @@
 }
 
 // faultsElsewhere are the kinds of faults that are not those of a server.
-var faultsElsewhere = []string{"burst", "lost", "crash", "deaf", "unsaid"}
+var faultsElsewhere = []string{"burst", "lost", "crash", "deaf", "lost-updates"}
 
 // schedule schedules an action at a virtual time, or now if that has passed.
 func (r *simulation) schedule(when time.Duration, action func()) {
@@ -399,7 +399,7 @@
 // othersLoad returns the sum of the loads that the other entry instances have placed
 // on a server; nothing if they tell it only after a delay, see toldCalls.
 func (r *simulation) othersLoad(e *entryInstance, s *server) (sum dispatch.Load) {
-	if s.engineConfig == nil && r.pattern.WordsMS > 0 {
+	if s.engineConfig == nil && r.pattern.UpdateMS > 0 {
 		return sum
 	}
 	if r.toldFar != nil && s.engineConfig != nil {
--- a/gateway/call_room.go
+++ b/gateway/call_room.go
@@ -30,7 +30,7 @@
 }
 
 // placementLoad returns the load of the other instances at a server by which servers are chosen.
-// Their calls do not count for that: by words that all have heard, they would all choose the same
+// Their calls do not count for that: by updates that all have received, they would all choose the same
 // server. The caller holds the state's lock.
 func (g *Gateway) placementLoad(b *backend, others map[string]dispatch.Load) dispatch.Load {
 	if b.service.Engine == nil && !b.state.brittle.Brittle {
