gateway: calls wait in order only under terms by which callers compete for room

Change: a setting of the gateway, -terms, has the names of a deployment's terms; the dialect says what they mean. Calls wait in order under terms by which callers compete for room.

Result: TestCallsAreNotHeldWithoutTheTerms; tests of gateway pass but for the known red one.

--- a/gateway/call_room.go
+++ b/gateway/call_room.go
@@ -17,10 +17,10 @@
 	return c.prompt == nil && c.service.Engine == nil && !c.state.brittle.Brittle && g.boundsCalls() && !g.drain.started()
 }
 
-// boundsCalls reports whether calls wait for room at all: in fleets that are divided into cells, where
-// an instance alone sends a server too few calls to know its load.
+// boundsCalls reports whether calls wait for room at all: where callers compete for it, in fleets that
+// are divided into cells. There an instance alone sends a server too few calls to know its load.
 func (g *Gateway) boundsCalls() bool {
-	return g.policy.Enabled(dispatch.CallRoom) && placement.UsesCells(g.routing.Load().entryCount)
+	return g.terms.CallersCompete && g.policy.Enabled(dispatch.CallRoom) && placement.UsesCells(g.routing.Load().entryCount)
 }
 
 // sharesCalls reports whether this instance shares the calls that it has in progress at a server
--- a/gateway/call_room_test.go
+++ b/gateway/call_room_test.go
@@ -19,7 +19,7 @@
 	h := newTestGateway(t, 0)
 	policy, err := dispatch.Without(disabled)
 	require.NoError(t, err)
-	h.Gateway.policy = policy
+	h.Gateway.policy, h.terms = policy, Terms{CallersCompete: true}
 	h.service = &site.Service{Name: "desk"}
 	b := newBackend(&fleetv1.Announcement{Server: "s", Zone: "zone-a", Slots: 2}, h.service, h.states.get("desk"), 0, time.Now())
 	b.state.firstServerAt = time.Now().Add(-time.Minute)
@@ -138,3 +138,13 @@
 	_, w, _ = h.placeOrEnqueue(newCall())
 	require.NotNil(t, w)
 }
+
+// Without the terms, a call is sent to a full server, as before.
+func TestCallsAreNotHeldWithoutTheTerms(t *testing.T) {
+	h, b, newCall := newCallGateway(t, "")
+	h.terms = Terms{}
+	fill(t, h, b, newCall)
+	result, w, _ := h.placeOrEnqueue(newCall())
+	require.Nil(t, w)
+	require.Equal(t, b, result.backend)
+}
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -14,6 +14,13 @@
 	"github.com/galenaarch/galenaarch/dispatch"
 )
 
+// Terms are the terms of a deployment that change how its requests are scheduled.
+type Terms struct {
+	// CallersCompete is set if clients compete for too little room at times: calls without a
+	// prompt then wait for it in order, in fleets that are divided into cells.
+	CallersCompete bool
+}
+
 // Part is one declared part of a prompt. Two prompts share a cached context up to the
 // first part in which they differ.
 type Part struct {
@@ -114,6 +121,9 @@
 // Dialect encodes and decodes a platform's HTTP headers and documents. It makes no
 // decisions.
 type Dialect interface {
+	// DecodeTerms decodes the names of the terms that are in force at a deployment. It ignores
+	// names that it does not know.
+	DecodeTerms(names []string) Terms
 	// DecodeDocument decodes the content of a published site document.
 	DecodeDocument(content []byte) (*site.Document, error)
 	// DecodeRequest decodes the headers of a client request.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,6 +33,7 @@
 // Gateway serves client requests.
 type Gateway struct {
 	dialect Dialect
+	terms   Terms
 	view    *fleetview.View
 	stores  *contexts.Watcher
 	// follower receives reports of stores and engines that are too busy to be polled
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -82,6 +82,9 @@
 	// port in them; 0 keeps it.
 	Seeds    string
 	PeerPort int
+	// Terms are the names of the terms in force at the deployment, comma-separated, as the dialect
+	// knows them.
+	Terms string
 	// DisabledMechanisms names the scheduling mechanisms that are disabled for
 	// experiments, comma-separated.
 	DisabledMechanisms string
@@ -106,6 +109,7 @@
 	fs.StringVar(&s.PeerListen, "peer-listen", "", "IP:port for other entry instances")
 	fs.StringVar(&s.Seeds, "seeds", "", "IP:port of some control instances, comma-separated")
 	fs.IntVar(&s.PeerPort, "peer-port", 0, "port that replaces the one in -seeds; 0 keeps it")
+	fs.StringVar(&s.Terms, "terms", "", "names of the terms in force at this deployment, comma-separated, as the dialect knows them")
 	fs.StringVar(&s.DisabledMechanisms, "without", "", "scheduling mechanisms to disable for experiments, comma-separated: "+strings.Join(dispatch.MechanismNames(), ", "))
 	fs.DurationVar(&s.AnnounceInterval, "announce-interval", time.Second, "time between announcements of a backend server")
 	fs.DurationVar(&s.WeightRolloutTime, "weights-within", 8*time.Second, "time in which all servers are to run a new weight version")
@@ -201,6 +205,7 @@
 	p.gateway = New(Dependencies{
 		Dialect: dialect, View: p.view, Stores: stores, Follower: contextrelay.NewFollower(stores, client, p.logger), Scorer: scorer, Policy: policy, peers: p.peers,
 	}, &p.settings, p.logger, newMetrics(ctx.Registry))
+	p.gateway.terms = dialect.DecodeTerms(settings.SplitList(p.settings.Terms))
 	stores.OnDirectives(p.gateway.applyDirectivesAt)
 	p.peers.onUpdate = func(leaving []incarnation, from string) {
 		p.gateway.applyLeavingReport(leaving, from)
@@ -210,7 +215,7 @@
 	p.peers.domainWork, p.peers.explain = p.gateway.domainsWork, p.gateway.explain
 	p.peers.ownMix, p.peers.serveBooking = p.gateway.promptMix.Work, p.gateway.bookings.serve
 	p.gateway.evidence.exchange(p.view, p.peers)
-	p.logger.Info("scheduling configured", slog.String("placement", p.settings.Placement), slog.Any("without", policy.Disabled()))
+	p.logger.Info("scheduling configured", slog.String("placement", p.settings.Placement), slog.Any("without", policy.Disabled()), slog.Bool("callers_compete", p.gateway.terms.CallersCompete))
 	return nil
 }
 
