--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -55,8 +56,15 @@
 }
 
 // ReadStream sends a request for a stream and reads its events.
-func ReadStream(r *http.Request) (result StreamResult) {
-	response, err := Client.Do(r)
+func ReadStream(r *http.Request) StreamResult { return ReadStreamWithin(r, time.Minute) }
+
+// ReadStreamWithin is ReadStream that closes the connection after a gap without an event.
+func ReadStreamWithin(r *http.Request, gap time.Duration) (result StreamResult) {
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	timer := time.AfterFunc(gap, cancel)
+	defer timer.Stop()
+	response, err := Client.Do(r.WithContext(ctx))
 	if err != nil {
 		result.Err = err
 		return result
@@ -81,6 +89,7 @@
 		case name == "data":
 			e.Data = value
 		case name == "" && e.Data != "":
+			timer.Reset(gap)
 			result.Events = append(result.Events, e)
 			result.Complete = strings.HasSuffix(e.Data, " end")
 			e = Event{}
