--- a/review/8/main.go
+++ b/review/8/main.go
@@ -1,6 +1,5 @@
-// Command 8 shows streams that clients take up again and that don't go on: all processes of the core are
-// killed and back within a second while servers of two software versions serve, and later one front is
-// killed.
+// Command 8 shows streams that clients take up again and that don't go on: one front freezes, and a
+// release begins before its clients give their streams up.
 package main
 
 import (
@@ -14,55 +13,52 @@
 
 const (
 	servers  = 8
-	events   = 40
-	pause    = 290 * time.Millisecond
-	deadline = 15 * time.Second
-	// contact is contact_ms, down how long the core is down.
-	contact = 3 * time.Second
-	down    = 800 * time.Millisecond
+	events   = 30
+	pause    = 150 * time.Millisecond
+	deadline = 5 * time.Second
+	// gap is how long clients wait for an event: two seconds, four times the objective or eight times
+	// the pause, whichever is longest. frozen is how long the front stands still.
+	gap    = 2 * time.Second
+	frozen = 3500 * time.Millisecond
 )
 
 func main() { rig2.Run("review/8", test) }
 
 func test(w *rig2.World) (int, error) {
-	var list []*rig2.Server
-	for i := range servers {
+	server := func(i int) *rig2.Server {
 		s := &rig2.Server{ID: fmt.Sprintf("i-%d", i+1), Service: "models", Address: w.Address(100+i, 8080), Zone: rig2.Zone(i), World: w}
 		s.Handle = func(in *rig2.Incarnation, rw http.ResponseWriter, r *http.Request) { in.Stream(rw, r, events, pause) }
-		list = append(list, s)
+		return s
 	}
-	route := rig2.Route("review", "/review/", "streaming", "models", true, deadline, 2)
-	route["target_latency_ms"], route["target_gap_ms"] = 800, 300
-	if err := w.Start(5, 4, rig2.Config(1, route)); err != nil {
+	if err := w.Start(5, 4, rig2.Config(1, rig2.Route("note", "/note/", "streaming", "models", true, deadline, 2))); err != nil {
 		return 0, err
 	}
-	for i, s := range list {
-		if err := s.Start([]string{"v1", "v2"}[i%2], 0); err != nil {
+	for i := range servers {
+		if err := server(i).Start("v1", 0); err != nil {
 			return 0, err
 		}
 	}
 	time.Sleep(3 * time.Second)
-	c := &rig2.Resumers{World: w, Path: "/review/1", Every: 80 * time.Millisecond, Deadline: deadline, Gap: 3200 * time.Millisecond}
+	c := &rig2.Resumers{World: w, Path: "/note/1", Every: 20 * time.Millisecond, Deadline: deadline, Gap: gap}
 	stop := make(chan struct{})
 	go c.Run(stop)
-	time.Sleep(15 * time.Second)
+	time.Sleep(20 * time.Second)
+	victim := w.Fronts[0]
 	if w.Trouble {
-		for _, m := range w.Cores {
-			m.Signal(syscall.SIGKILL)
-		}
-		time.Sleep(down)
-		for _, m := range w.Cores {
-			if err := m.Start(); err != nil {
-				return 0, err
-			}
-		}
+		c.Leave(victim)
+		victim.Signal(syscall.SIGSTOP)
 	}
-	time.Sleep(contact + 300*time.Millisecond)
-	victim := w.Fronts[0]
-	c.Leave(victim)
-	victim.Signal(syscall.SIGKILL)
-	time.Sleep(4 * time.Second)
+	time.Sleep(500 * time.Millisecond)
+	// A release begins: a server with the next version starts, all others go on.
+	if err := server(servers).Start("v2", 0); err != nil {
+		return 0, err
+	}
+	time.Sleep(frozen - 500*time.Millisecond)
+	if w.Trouble {
+		victim.Signal(syscall.SIGCONT)
+	}
+	time.Sleep(2 * time.Second)
 	close(stop)
-	time.Sleep(13 * time.Second)
+	time.Sleep(6 * time.Second)
 	return c.Judge()
 }
