--- a/review/rig2/world.go
+++ b/review/rig2/world.go
@@ -52,14 +52,12 @@
 	started           time.Time
 	mu                sync.Mutex
 	record            *os.File
-	processes         []*Machine
 }
 
 // Machine is one of the system's machines.
 type Machine struct {
 	Name, IP string
 	world    *World
-	env      []string
 	program  string
 	log      *os.File
 	mu       sync.Mutex
