--- a/review/rig2/world.go
+++ b/review/rig2/world.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
 	"strings"
@@ -341,6 +342,13 @@
 			return CouldNot
 		}
 		defer w.Stop()
+		signals := make(chan os.Signal, 1)
+		signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+		go func() {
+			<-signals
+			w.Stop()
+			os.Exit(CouldNot)
+		}()
 		code, err := test(w)
 		if err != nil {
 			w.Log("could not run: %v", err)
