--- a/review/7/main.go
+++ b/review/7/main.go
@@ -28,7 +28,10 @@
 	var list []*rig2.Server
 	for i := range servers {
 		s := &rig2.Server{ID: fmt.Sprintf("i-%d", i+1), Service: "models", Address: w.Address(100+i, 8080), Zone: rig2.Zone(i), World: w}
-		s.Handle = func(in *rig2.Incarnation, rw http.ResponseWriter, r *http.Request) { in.Stream(rw, r, events, pause) }
+		s.Handle = func(in *rig2.Incarnation, rw http.ResponseWriter, r *http.Request) {
+			w.Log("server %s (%s) runs %s after event %q", in.ID, in.Software, r.Header.Get("X-Request-Id"), r.Header.Get("Last-Event-Id"))
+			in.Stream(rw, r, events, pause)
+		}
 		list = append(list, s)
 	}
 	route := rig2.Route("review", "/review/", "streaming", "models", true, deadline, 2)
--- a/review/8/main.go
+++ b/review/8/main.go
@@ -27,7 +27,10 @@
 func test(w *rig2.World) (int, error) {
 	server := func(i int) *rig2.Server {
 		s := &rig2.Server{ID: fmt.Sprintf("i-%d", i+1), Service: "models", Address: w.Address(100+i, 8080), Zone: rig2.Zone(i), World: w}
-		s.Handle = func(in *rig2.Incarnation, rw http.ResponseWriter, r *http.Request) { in.Stream(rw, r, events, pause) }
+		s.Handle = func(in *rig2.Incarnation, rw http.ResponseWriter, r *http.Request) {
+			w.Log("server %s (%s) runs %s after event %q", in.ID, in.Software, r.Header.Get("X-Request-Id"), r.Header.Get("Last-Event-Id"))
+			in.Stream(rw, r, events, pause)
+		}
 		return s
 	}
 	if err := w.Start(5, 4, rig2.Config(1, rig2.Route("note", "/note/", "streaming", "models", true, deadline, 2))); err != nil {
--- a/review/rig2/resume.go
+++ b/review/rig2/resume.go
@@ -84,7 +84,9 @@
 			r.Header.Set("Resumes", first)
 			r.Header.Set("Last-Event-Id", strconv.Itoa(last))
 		}
+		c.World.Log("client sends %s to %s", id, m.Name)
 		result := ReadStreamWithin(r, c.Gap)
+		c.World.Log("%s answers %s: status %d, %d events, complete %v, error %v", m.Name, id, result.Status, len(result.Events), result.Complete, result.Err)
 		c.mu.Lock()
 		c.results = append(c.results, resumerResult{first, began, len(result.Events)})
 		c.mu.Unlock()
