Gateway: records of streams are kept at two control instances that respond

Cause: a record was sent once, at the begin of its stream, and marked as sent before it was stored. The control instances forget with their processes; calls that failed, and records that began while none responded, were lost as well.

Now an instance knows which incarnations of control instances a record was sent to, and sends it again where a copy is missing: after a restart, a loss, a return, or a failed call. The invariant no longer depends on the moment at which the stream began.

--- a/fleetview/view.go
+++ b/fleetview/view.go
@@ -56,6 +56,8 @@
 	// ControlURLs lists the base URLs of the control instances, ReachableURLs those that
 	// currently respond.
 	ControlURLs, ReachableURLs []string
+	// Feeds are the feeds of the control instances in ReachableURLs, by URL. One that restarts has another.
+	Feeds map[string]uint64
 	// Software is what is known of the software of all services.
 	Software *dispatch.SoftwareView
 }
@@ -416,7 +418,7 @@
 func (v *View) publish() {
 	next := &Snapshot{
 		Servers: make(map[string]*fleetv1.Announcement), Documents: v.releasedDocuments(),
-		Entries: make(map[string]*fleetv1.EntryInstance), KnownControls: len(v.sources),
+		Entries: make(map[string]*fleetv1.EntryInstance), Feeds: make(map[string]uint64), KnownControls: len(v.sources),
 	}
 	next.Awaited = v.awaitedDocuments(next.Documents)
 	for _, s := range v.sources {
@@ -424,6 +426,7 @@
 		if !s.unreachable && !s.lastResponse.IsZero() {
 			next.ReachableControls++
 			next.ReachableURLs = append(next.ReachableURLs, s.url)
+			next.Feeds[s.url] = s.feed
 		}
 		for _, a := range s.servers {
 			mergeAnnouncement(next.Servers, a)
@@ -436,6 +439,7 @@
 	}
 	v.mergeEnded(next.Servers, time.Now())
 	slices.Sort(next.ControlURLs)
+	slices.Sort(next.ReachableURLs)
 	next.Software = v.softwareView(next.Servers, time.Now())
 	v.current.Store(next)
 	close(v.changed)
--- a/gateway/stream_records.go
+++ b/gateway/stream_records.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"log/slog"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -18,27 +19,18 @@
 )
 
 const (
-	// recordCopies is the number of control instances that hold a record, lookUpAttempts the
-	// number of those that are asked for it: one more, as instances may differ on which ones
-	// respond.
-	recordCopies   = 2
-	lookUpAttempts = recordCopies + 1
-	// recordTimeout bounds one call to a control instance, lookUpTimeout all questions about a
-	// stream. Without a response for questionPatience, another control instance is asked as well.
-	recordTimeout    = 500 * time.Millisecond
-	questionPatience = 250 * time.Millisecond
-	lookUpTimeout    = 900 * time.Millisecond
+	// recordCopies is the number of control instances that hold a record.
+	recordCopies = 2
+	// recordTimeout bounds one call to a control instance. Records that were not stored are sent again after
+	// resendDelay.
+	recordTimeout = 500 * time.Millisecond
+	resendDelay   = 500 * time.Millisecond
 	// minRecordDelay is how long records are batched at least, recordDelayPerEntry what each
 	// entry instance adds, up to maxRecordDelay: a control instance gets at most
 	// 1/recordDelayPerEntry = 500 messages a second, above 150 entry instances n/maxRecordDelay.
 	minRecordDelay      = 50 * time.Millisecond
 	recordDelayPerEntry = 2 * time.Millisecond
 	maxRecordDelay      = 300 * time.Millisecond
-	// lookUpRate bounds the look-ups a second of all instances together, each of at most
-	// 2*lookUpAttempts questions: clients may name attempts that never were. lookUpBurst bounds
-	// those of one instance at once; after a restart of all, many streams are resumed.
-	lookUpRate  = 1000
-	lookUpBurst = 64
 	// recordGeneration is the least time for which this instance keeps a record; it keeps it
 	// for at most twice as long.
 	recordGeneration = maxResumeTime
@@ -46,26 +38,60 @@
 	// and maxPendingRecords those that wait to be sent to one control instance.
 	maxStreamRecords  = 1 << 15
 	maxPendingRecords = 1 << 13
+	// maxKnownHolders bounds the holders that are remembered for a record; a copy that is
+	// forgotten is sent once more. placedAtOnce is the number of records that are placed under
+	// one lock.
+	maxKnownHolders = 4
+	placedAtOnce    = 256
 )
 
+// holderID identifies an incarnation of a control instance; 0 is none.
+type holderID uint32
+
 // streamRecord is the software that began a stream, and until when its client may resume it.
 type streamRecord struct {
 	software *dispatch.Software
 	until    time.Time
-	// sent is set once the record has been sent to control instances.
-	sent bool
+	// sent is set once control instances are to hold the record; holders are those that it was sent to.
+	sent    bool
+	holders [maxKnownHolders]holderID
+}
+
+// addHolder records that a copy was sent to a holder.
+func (r *streamRecord) addHolder(h holderID) {
+	copy(r.holders[1:], r.holders[:])
+	r.holders[0] = h
+}
+
+// removeHolder records that a copy did not arrive.
+func (r *streamRecord) removeHolder(h holderID) {
+	for i := range r.holders {
+		if r.holders[i] == h {
+			r.holders[i] = 0
+		}
+	}
 }
 
 // recordBatch are the records that wait to be sent to one control instance, as digests one after
 // the other.
 type recordBatch struct {
+	holder holderID
 	groups map[dispatch.Software][]byte
 	count  int
 }
 
+// controlIncarnation is an incarnation of a control instance: its records are gone with it.
+type controlIncarnation struct {
+	feed uint64
+	id   holderID
+}
+
 // streamRecords hold which software began the streams that this instance relays. While a
 // service may have more than one version, or a route more than one service, the records are also sent to control instances, so
 // that other instances, and this one after a restart, can go on with the streams.
+//
+// Invariant: a record that was sent is at recordCopies of the control instances that respond, as soon as these can be
+// told: it is sent again when one of them restarts, stops responding, or did not store it.
 type streamRecords struct {
 	view   *fleetview.View
 	logger *slog.Logger
@@ -76,7 +102,16 @@
 	mu                sync.Mutex
 	current, previous map[registry.StreamDigest]streamRecord
 	generationStart   time.Time
-	pending           map[string]*recordBatch
+	// controls are the incarnations of the control instances by URL, lastHolder the highest ID of one.
+	// reachable are the URLs of those that respond.
+	controls   map[string]controlIncarnation
+	reachable  []string
+	lastHolder holderID
+	// misplaced is set while records may lack a copy at a control instance.
+	misplaced bool
+	pending   map[string]*recordBatch
+	// sending holds the control instances to which a batch is being sent; the next one waits.
+	sending map[string]bool
 	// dropped counts the records that were lost for lack of room or by failed calls; failing
 	// holds the control instances whose last call failed.
 	dropped int
@@ -90,7 +125,7 @@
 func newStreamRecords(view *fleetview.View, logger *slog.Logger) *streamRecords {
 	return &streamRecords{
 		view: view, logger: logger, wake: make(chan struct{}, 1), urgent: make(chan struct{}, 1), lookUps: rate.NewLimiter(lookUpRate, lookUpBurst), current: make(map[registry.StreamDigest]streamRecord), generationStart: time.Now(),
-		pending: make(map[string]*recordBatch), failing: make(map[string]bool), unsent: make(map[string]int), counted: make(map[dispatch.Software]bool),
+		pending: make(map[string]*recordBatch), sending: make(map[string]bool), controls: make(map[string]controlIncarnation), failing: make(map[string]bool), unsent: make(map[string]int), counted: make(map[dispatch.Software]bool),
 	}
 }
 
@@ -103,13 +138,16 @@
 	defer s.mu.Unlock()
 	s.rotate(now)
 	s.counted[*software] = true
+	r := streamRecord{software: software, until: now.Add(lifetime), sent: send}
+	if send {
+		s.place(digest, &r)
+	}
 	if len(s.current) >= maxStreamRecords {
 		s.dropped++
-	} else if s.current[digest] = (streamRecord{software: software, until: now.Add(lifetime), sent: send}); !send {
-		s.unsent[software.Service]++
+		return
 	}
-	if send {
-		s.enqueue(digest, software, s.view.Current().ReachableURLs)
+	if s.current[digest] = r; !send {
+		s.unsent[software.Service]++
 	}
 }
 
@@ -137,25 +175,110 @@
 	return s.previous[digest].software
 }
 
+// place sends a record to the control instances that are to hold it and do not. The caller holds s.mu.
+func (s *streamRecords) place(digest registry.StreamDigest, r *streamRecord) (batches []*recordBatch) {
+	s.noteControls()
+	for _, url := range recordHolders(digest, s.reachable, recordCopies) {
+		id := s.controls[url].id
+		if slices.Contains(r.holders[:], id) {
+			continue
+		}
+		batch := s.enqueueAt(url, digest, r.software)
+		if batch == nil {
+			s.misplaced = true
+			continue
+		}
+		r.addHolder(id)
+		batches = append(batches, batch)
+	}
+	return batches
+}
+
 // enqueue adds a record to the batches of the control instances that hold it. The caller holds
 // s.mu.
 func (s *streamRecords) enqueue(digest registry.StreamDigest, software *dispatch.Software, urls []string) {
 	for _, url := range recordHolders(digest, urls, recordCopies) {
-		batch := s.pending[url]
-		if batch == nil {
-			batch = &recordBatch{groups: make(map[dispatch.Software][]byte)}
-			s.pending[url] = batch
-		}
-		if batch.count >= maxPendingRecords {
-			s.dropped++
-			continue
+		s.enqueueAt(url, digest, software)
+	}
+}
+
+// enqueueAt adds a record to the batch of a control instance, and returns the batch; nil if it is full. The caller
+// holds s.mu.
+func (s *streamRecords) enqueueAt(url string, digest registry.StreamDigest, software *dispatch.Software) *recordBatch {
+	batch := s.pending[url]
+	if id := s.controls[url].id; batch == nil || batch.holder != id {
+		// Records that wait for an earlier incarnation are placed again.
+		batch = &recordBatch{holder: id, groups: make(map[dispatch.Software][]byte)}
+		s.pending[url] = batch
+	}
+	if batch.count >= maxPendingRecords {
+		s.dropped++
+		return nil
+	}
+	batch.groups[*software] = append(batch.groups[*software], digest[:]...)
+	batch.count++
+	notify(s.wake)
+	return batch
+}
+
+// noteControls takes over which control instances respond, and in which incarnation. The caller holds s.mu.
+func (s *streamRecords) noteControls() {
+	snapshot := s.view.Current()
+	if slices.Equal(s.reachable, snapshot.ReachableURLs) && !slices.ContainsFunc(s.reachable, func(url string) bool { return s.controls[url].feed != snapshot.Feeds[url] }) {
+		return
+	}
+	s.reachable, s.misplaced = snapshot.ReachableURLs, true
+	maps.DeleteFunc(s.controls, func(url string, _ controlIncarnation) bool { return !slices.Contains(snapshot.ControlURLs, url) })
+	for url, feed := range snapshot.Feeds {
+		if known, ok := s.controls[url]; !ok || known.feed != feed {
+			s.lastHolder++
+			s.controls[url] = controlIncarnation{feed, s.lastHolder}
 		}
-		batch.groups[*software] = append(batch.groups[*software], digest[:]...)
-		batch.count++
 	}
 	notify(s.wake)
 }
 
+// placeAll sends the records that lack a copy to the control instances that are to hold them.
+func (s *streamRecords) placeAll(now time.Time) {
+	s.mu.Lock()
+	s.noteControls()
+	if !s.misplaced || len(s.reachable) == 0 {
+		s.mu.Unlock()
+		return
+	}
+	s.misplaced = false
+	s.rotate(now)
+	var digests []registry.StreamDigest
+	for _, generation := range []map[registry.StreamDigest]streamRecord{s.previous, s.current} {
+		for digest, r := range generation {
+			if r.sent && now.Before(r.until) {
+				digests = append(digests, digest)
+			}
+		}
+	}
+	s.mu.Unlock()
+	sent := 0
+	for chunk := range slices.Chunk(digests, placedAtOnce) {
+		s.mu.Lock()
+		for _, digest := range chunk {
+			generation := s.current
+			r, ok := generation[digest]
+			if !ok {
+				generation = s.previous
+				r, ok = generation[digest]
+			}
+			if ok && len(s.place(digest, &r)) > 0 {
+				generation[digest] = r
+				sent++
+			}
+		}
+		s.mu.Unlock()
+	}
+	if sent > 0 {
+		s.logger.Info("records of streams sent again", slog.Int("records", sent), slog.Int("kept", len(digests)))
+	}
+}
+
 // notify adds an element to a channel with room for one.
 func notify(signal chan struct{}) {
 	select {
@@ -206,6 +329,7 @@
 		case <-s.urgent:
 		case <-time.After(s.delay()):
 		}
+		s.placeAll(time.Now())
 		s.send(ctx)
 	}
 }
@@ -224,6 +348,7 @@
 	snapshot := s.view.Current()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.noteControls()
 	due := make(map[string]bool)
 	for service, count := range s.unsent {
 		if count > 0 && (all || snapshot.Software.MayDiffer(service, resumeTime, now)) {
@@ -239,125 +364,72 @@
 			if !due[r.software.Service] || r.sent {
 				continue
 			}
-			r.sent = true
-			generation[digest] = r
-			if now.Before(r.until) {
-				s.enqueue(digest, r.software, snapshot.ReachableURLs)
+			if r.sent = true; now.Before(r.until) {
+				s.place(digest, &r)
 			}
+			generation[digest] = r
 		}
 	}
 }
 
-// send sends the pending records. It does not wait for the responses.
+// send sends the pending records, but to control instances that have not responded to those before. It does not
+// wait for the responses.
 func (s *streamRecords) send(ctx context.Context) {
 	s.mu.Lock()
-	pending, dropped := s.pending, s.dropped
-	s.pending, s.dropped = make(map[string]*recordBatch), 0
-	s.mu.Unlock()
-	if dropped > 0 {
-		s.logger.Warn("records of streams dropped", slog.Int("records", dropped))
+	defer s.mu.Unlock()
+	if s.dropped > 0 {
+		s.logger.Warn("records of streams dropped", slog.Int("records", s.dropped))
+		s.dropped = 0
 	}
-	for url, batch := range pending {
+	for url, batch := range s.pending {
+		if s.sending[url] {
+			continue
+		}
+		delete(s.pending, url)
+		s.sending[url] = true
 		request := &fleetv1.RecordStreamsRequest{}
 		for software, streams := range batch.groups {
 			request.Groups = append(request.Groups, &fleetv1.StreamGroup{Service: software.Service, Software: software.Version, Streams: streams})
 		}
-		go s.sendBatch(ctx, url, request, batch.count)
+		go s.sendBatch(ctx, url, request, batch)
 	}
 }
 
-// sendBatch sends records to one control instance. Failed records are not sent again: another
-// instance holds a copy.
-func (s *streamRecords) sendBatch(ctx context.Context, url string, r *fleetv1.RecordStreamsRequest, count int) {
+// sendBatch sends records to one control instance.
+func (s *streamRecords) sendBatch(ctx context.Context, url string, r *fleetv1.RecordStreamsRequest, batch *recordBatch) {
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
 	err := s.view.RecordStreams(ctx, url, r)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	delete(s.sending, url)
+	if s.pending[url] != nil {
+		notify(s.wake)
+	}
 	if err == nil {
 		delete(s.failing, url)
 		return
 	}
-	s.dropped += count
+	s.forgetCopies(batch)
 	if !s.failing[url] {
 		s.failing[url] = true
-		s.logger.Warn("records of streams not stored", slog.String("peer", url), slog.Int("records", count), slog.Any("error", err))
+		s.logger.Warn("records of streams not stored", slog.String("peer", url), slog.Int("records", batch.count), slog.Any("error", err))
 	}
 }
 
-// lookUp asks control instances which software began a stream, and returns how it became known;
-// nil if none knows, or if there are too many look-ups.
-func (s *streamRecords) lookUp(ctx context.Context, digest registry.StreamDigest) (software *dispatch.Software, source string) {
-	s.lookUps.SetLimit(rate.Limit(lookUpRate / float64(max(1, len(s.view.Current().Entries)))))
-	if !s.lookUps.Allow() {
-		return nil, softwareLimited
-	}
-	ctx, cancel := context.WithTimeout(ctx, lookUpTimeout)
-	defer cancel()
-	return s.askHolders(ctx, digest)
-}
-
-// lookUpAnswer is the response of a control instance to one of up to two questions; last is set if no
-// further one follows.
-type lookUpAnswer struct {
-	url      string
-	software *dispatch.Software
-	err      error
-	last     bool
-}
-
-// askHolders asks the control instances that may hold a record: the next one as well once one
-// has responded without it, or has not responded for questionPatience.
-//
-// A question goes on until ctx ends or another one finds the record. On an instance whose processor is
-// overloaded all responses are late; a question that is given up has cost the same, and so do its successors.
-func (s *streamRecords) askHolders(ctx context.Context, digest registry.StreamDigest) (software *dispatch.Software, source string) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	holders := recordHolders(digest, s.view.Current().ReachableURLs, lookUpAttempts)
-	answers := make(chan lookUpAnswer, 2*len(holders))
-	patience := time.NewTimer(questionPatience)
-	defer patience.Stop()
-	source = softwareUnknown
-	for asked, open := 0, 0; asked < len(holders) || open > 0; {
-		if asked < len(holders) {
-			go s.askHolder(ctx, holders[asked], digest, answers)
-			asked, open = asked+1, open+1
-			patience.Reset(questionPatience)
-		}
-		select {
-		case <-ctx.Done():
-			return nil, softwareNotAnswered
-		case <-patience.C:
-		case a := <-answers:
-			if a.software != nil {
-				return a.software, softwareLookup
-			}
-			if a.last {
-				open--
+// forgetCopies makes the records of a batch that was not stored be sent again. The caller holds s.mu.
+func (s *streamRecords) forgetCopies(batch *recordBatch) {
+	for _, streams := range batch.groups {
+		for ; len(streams) > 0; streams = streams[len(registry.StreamDigest{}):] {
+			digest := registry.StreamDigest(streams)
+			for _, generation := range []map[registry.StreamDigest]streamRecord{s.current, s.previous} {
+				if r, ok := generation[digest]; ok {
+					r.removeHolder(batch.holder)
+					generation[digest] = r
+				}
 			}
-			if a.err != nil && ctx.Err() == nil {
-				source = softwareNotAnswered
-				s.logger.Info("record of a stream not read", slog.String("peer", a.url), slog.Any("error", a.err))
-			}
-		}
-	}
-	return nil, source
-}
-
-// askHolder asks a control instance for a record, which may be on its way to it: without one, it asks
-// once more after the time that takes.
-func (s *streamRecords) askHolder(ctx context.Context, url string, digest registry.StreamDigest, answers chan<- lookUpAnswer) {
-	for _, last := range []bool{false, true} {
-		software, err := s.view.LookUpStream(ctx, url, digest[:])
-		answers <- lookUpAnswer{url, software, err, last}
-		if last || software != nil {
-			return
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(s.delay() + minRecordDelay):
 		}
 	}
+	s.misplaced = true
+	time.AfterFunc(resendDelay, func() { notify(s.wake) })
 }
