Gateway: streams without a record go on at the version that was there first

What callers saw: an entry instance froze, and half a second later a release began.

Cause: records of streams are sent once an instance knows of a second software version; a frozen, cut off or killed one never does. The others took the absence of a record for "not known".

Now the absence of a record has a meaning. A stream of a newer version is passed on to its client once a control instance has stored its record, so one without a record was begun by the first version. That is concluded only where each control instance says that it would have the record: none has restarted since, dropped records, or been polled by an older build. Instances keep the records of streams that they take up, as the one that began them may be gone.

--- a/fleetview/software.go
+++ b/fleetview/software.go
@@ -16,6 +16,8 @@
 	// relocationTime is how long after a control instance has failed its servers are
 	// announced at the others: two announcement intervals.
 	relocationTime = 2 * time.Second
+	// maxSoftwareAge bounds a reported age, so that times can be computed from it.
+	maxSoftwareAge = 365 * 24 * time.Hour
 )
 
 // noteSoftware records the software versions in a response to a poll that began at startedAt.
@@ -26,8 +28,15 @@
 		v.software.Seen(dispatch.Software{Service: a.Service, Version: a.Software}, now)
 	}
 	for _, known := range r.Software {
-		age := time.Duration(min(known.AgeMs, uint64(softwareRetention.Milliseconds()))) * time.Millisecond
-		v.software.Seen(dispatch.Software{Service: known.Service, Version: known.Software}, now.Add(-age))
+		ago := func(ms uint64, most time.Duration) time.Time {
+			return now.Add(-time.Duration(min(ms, uint64(most.Milliseconds()))) * time.Millisecond)
+		}
+		version := dispatch.SoftwareVersion{Version: known.Software, LastSeen: ago(known.AgeMs, softwareRetention)}
+		version.FirstSeen, version.UsedSince = version.LastSeen, version.LastSeen
+		if known.FirstAgeMs > 0 {
+			version.FirstSeen, version.UsedSince = ago(max(known.AgeMs, known.FirstAgeMs), maxSoftwareAge), ago(max(known.AgeMs, known.UsedAgeMs), maxSoftwareAge)
+		}
+		v.software.Merge(version, known.Service)
 	}
 	if r.SoftwareHistoryMs == 0 && len(r.Software) == 0 {
 		return // not stated in this response
@@ -142,15 +151,29 @@
 	return err
 }
 
-// LookUpStream asks a control instance which software began a stream; nil if it has no record.
-func (v *View) LookUpStream(ctx context.Context, url string, stream []byte) (*dispatch.Software, error) {
+// LookUpStream asks a control instance which software began a stream; nil if it has no record. history is the
+// time for which it would have the record of each stream that a newer version began, 0 if that is not known.
+func (v *View) LookUpStream(ctx context.Context, url string, stream []byte) (software *dispatch.Software, history time.Duration, err error) {
 	client, err := v.controlClient(url)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	response, err := client.LookUpStream(ctx, &fleetv1.LookUpStreamRequest{Stream: stream})
-	if err != nil || !response.Known {
-		return nil, err
+	if err != nil {
+		return nil, 0, err
+	}
+	if !response.Known {
+		return nil, time.Duration(min(response.HistoryMs, uint64(maxSoftwareAge.Milliseconds()))) * time.Millisecond, nil
+	}
+	return &dispatch.Software{Service: response.Service, Version: response.Software}, 0, nil
+}
+
+// Members lists the base URLs of the control instances that were members of the group not long ago.
+func (v *View) Members() (urls []string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, s := range v.listedSources(time.Now()) {
+		urls = append(urls, s.url)
 	}
-	return &dispatch.Software{Service: response.Service, Version: response.Software}, nil
+	return urls
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -63,6 +63,8 @@
 	// confirmedAt is the time as of which this instance knows, since the last response, what the control instances
 	// knew; zero if it has not asked. unconfirmed is set once they did not respond in time.
 	confirmedAt time.Time
+	// unstored is set once the record of the stream could not be stored; see errNotRecorded.
+	unstored    bool
 	unconfirmed bool
 	// onlyPeers is set once the request may be sent to no further server.
 	onlyPeers bool
--- a/gateway/continuation.go
+++ b/gateway/continuation.go
@@ -12,6 +12,7 @@
 	"github.com/galenaarch/galenaarch/api/fleetv1"
 	"github.com/galenaarch/galenaarch/config/site"
 	"github.com/galenaarch/galenaarch/dispatch"
+	"github.com/galenaarch/galenaarch/registry"
 	"github.com/galenaarch/galenaarch/upstream"
 )
 
@@ -59,6 +60,8 @@
 	softwareOwnRecord = "own record"
 	softwareOnly      = "only version"
 	softwareLookup    = "control instance"
+	// No control instance has a record, as they would of a stream that a newer version began.
+	softwareFirst = "first version"
 	// There is no record: the control instances have none, they have not all responded in
 	// time or before the client left, or too many streams are asked for.
 	softwareUnknown     = "unknown"
@@ -88,6 +91,10 @@
 		return reasonSoftwareUnknown
 	}
 	c.software.Store(software)
+	if source != softwareOwnRecord && c.request.BeganAs != "" {
+		// The instance that began the stream may be gone.
+		c.gateway.streams.add(c.streamDigest(c.request.BeganAs), software, c.gateway.routing.Load().resumeTime, c.mayBeAskedFor(startedAt))
+	}
 	reason := c.rebindService(software.Service)
 	if reason == "" {
 		c.state.noteResumed(software.Version, startedAt)
@@ -110,20 +117,58 @@
 	if version, ok := c.confirmedOnlyVersion(ctx); ok {
 		return &dispatch.Software{Service: c.service.Name, Version: version}, softwareOnly
 	}
-	if c.request.BeganAs != "" {
-		return g.streams.lookUp(ctx, digest)
+	if c.request.BeganAs == "" {
+		return nil, softwareUnknown
+	}
+	if software, source = g.streams.lookUp(ctx, digest); source == softwareUnknown {
+		if software = c.unrecordedSoftware(ctx, digest); software != nil {
+			source = softwareFirst
+		}
+	}
+	return software, source
+}
+
+// unrecordedSoftware returns the software that began a stream of which no control instance has a record; nil if it is
+// not certain.
+//
+// Invariant: the first event of a stream that a newer version begins is passed on once its record is stored (noteBegin), so
+// a stream without a record was begun by the version that was there before all others, at an instance that is gone, or
+// stands still since before it heard of them.
+func (c *call) unrecordedSoftware(ctx context.Context, digest registry.StreamDigest) *dispatch.Software {
+	g, now := c.gateway, time.Now()
+	if !g.view.Confirm(ctx, now) || !g.awaitDocument(ctx) || !c.leadsToOneService(now) {
+		return nil
+	}
+	c.confirmedAt = now
+	first, next, ok := g.view.Current().Software.First(c.service.Name, now)
+	if !ok || !first.Serving {
+		return nil
 	}
-	return nil, softwareUnknown
+	// Streams that began before are no longer resumed, those of newer versions began later.
+	since := now.Add(-g.routing.Load().resumeTime)
+	if begin := next.Add(-dispatch.VersionGap); begin.After(since) {
+		since = begin
+	}
+	software, missing := g.streams.isRecorded(ctx, digest, since)
+	if missing {
+		software = &dispatch.Software{Service: c.service.Name, Version: first.Version}
+	}
+	return software
+}
+
+// leadsToOneService reports whether all streams of the route that a client may still resume were begun by one service.
+func (c *call) leadsToOneService(now time.Time) bool {
+	rs := c.gateway.routing.Load()
+	return len(targetServices(c.route)) == 1 && now.Sub(rs.movedRoutes[c.route.Name]) >= rs.resumeTime
 }
 
 // onlyVersion returns the software version that began each stream of the route which a client may
 // still resume. ok is false if there may be several, or several services.
 func (c *call) onlyVersion(now time.Time) (version string, ok bool) {
-	rs := c.gateway.routing.Load()
-	if len(targetServices(c.route)) != 1 || now.Sub(rs.movedRoutes[c.route.Name]) < rs.resumeTime {
+	if !c.leadsToOneService(now) {
 		return "", false
 	}
-	return c.gateway.view.Current().Software.Only(c.service.Name, rs.resumeTime, now)
+	return c.gateway.view.Current().Software.Only(c.service.Name, c.gateway.routing.Load().resumeTime, now)
 }
 
 // confirmedOnlyVersion is onlyVersion as of now: this instance may have stood still or been cut off
@@ -214,22 +259,48 @@
 	return reasonNoSameSoftware
 }
 
+// errNotRecorded reports a stream that a newer software version began and whose record no control instance has
+// stored: if this instance failed, the stream would be taken for one of the first version.
+var errNotRecorded = errors.New("record of the stream is not stored")
+
 // noteBegin binds a stream to the software of the server whose first event is passed on, and
 // records it for the client's further attempts. While no control instance hears of the server, it
 // may have started again with other software: its streams are bound to no known one, so that
 // they go on nowhere. A broken connection alone is no reason for that: most servers go on.
-func (c *call) noteBegin(b *backend) {
+//
+// It returns errNotRecorded if the stream must not begin at this server. Where only newer versions serve, streams begin
+// without a stored record: they could go on nowhere else.
+func (c *call) noteBegin(ctx context.Context, b *backend) error {
 	if !c.route.Resumable || c.software.Load() != nil {
-		return
+		return nil
 	}
-	if b.unreported() && !c.onlyVersionOf(b.service.Name, time.Now()) {
+	now := time.Now()
+	if b.unreported() && !c.onlyVersionOf(b.service.Name, now) {
 		c.software.Store(&dispatch.Software{Service: b.service.Name})
-		return
+		return nil
+	}
+	software, digest, resumeTime := b.runs(), c.streamDigest(c.request.ID), c.gateway.routing.Load().resumeTime
+	view := c.gateway.view.Current().Software
+	if newer, olderServes := view.IsNewer(*software, now); !newer && view.IsComplete() {
+		c.gateway.streams.add(digest, software, resumeTime, c.mayBeAskedFor(now))
+	} else if !c.gateway.streams.store(ctx, digest, software, resumeTime) && olderServes {
+		c.unstored = true
+		c.gateway.metrics.unstored.Inc()
+		return errNotRecorded
 	}
-	software := b.runs()
 	c.software.Store(software)
-	c.gateway.streams.add(c.streamDigest(c.request.ID), software, c.gateway.routing.Load().resumeTime, c.mayBeAskedFor(time.Now()))
 	c.gateway.metrics.begun.WithLabelValues(software.Service, software.Version).Inc()
+	return nil
+}
+
+// mayBeginAt reports whether a stream may begin at a server: while records cannot be stored, not at one of a newer
+// software version than others that serve. The caller holds the state's lock.
+func (c *call) mayBeginAt(b *backend, now time.Time) bool {
+	if !c.bindable() || (!c.unstored && c.gateway.view.Current().ReachableControls > 0) {
+		return true
+	}
+	_, olderServes := c.gateway.view.Current().Software.IsNewer(*b.runs(), now)
+	return !olderServes
 }
 
 // noteForwardedBegin binds a stream that began at another instance, which has recorded it.
@@ -259,7 +330,7 @@
 func (c *call) mayContinueAt(b *backend, now time.Time) bool {
 	software := c.software.Load()
 	if software == nil {
-		return true
+		return c.mayBeginAt(b, now)
 	}
 	if *b.runs() != *software {
 		return false
--- a/gateway/continuation_test.go
+++ b/gateway/continuation_test.go
@@ -83,7 +83,7 @@
 	begin := func(id string) *call {
 		c := h.call(500)
 		c.route.Resumable, c.request.ID = true, id
-		c.noteBegin(b)
+		require.NoError(t, c.noteBegin(t.Context(), b))
 		return c
 	}
 	b.tracker.SetUnreported(true)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -40,6 +40,8 @@
 	// begun counts streams by the software of the server that began them, resumed those that
 	// clients resume, by how their software became known.
 	begun, resumed *prometheus.CounterVec
+	// unstored counts streams that left a server before their first event for want of a stored record.
+	unstored prometheus.Counter
 	// retries counts retries by service and outcome, retryBudget holds what a service's budget
 	// allows and counts.
 	retries     *prometheus.CounterVec
@@ -103,6 +105,7 @@
 		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "galena_gateway_first_byte_seconds", Help: "Time from a request's arrival to the server's first byte.",
 			Buckets: []float64{.005, .01, .025, .05, .1, .2, .3, .5, .8, 1.5, 3, 10}}, []string{"kind"}),
 	}
+	m.unstored = prometheus.NewCounter(prometheus.CounterOpts{Name: "galena_gateway_streams_not_recorded_total", Help: "Streams that left the server of a newer software version before their first event, since no control instance had stored their record."})
 	m.spread = newSpreadMetrics(r)
 	m.waitTime = prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "galena_gateway_wait_seconds", Help: "Time for which requests waited here for room at a server, by service.",
 		Buckets: []float64{.005, .01, .025, .05, .1, .2, .5, 1, 3}}, []string{"service"})
@@ -127,7 +130,7 @@
 	m.probes = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galena_gateway_probes_total", Help: "Connections opened to learn whether servers are reachable, by outcome."}, []string{"outcome"})
 	m.evacuated = prometheus.NewGauge(prometheus.GaugeOpts{Name: "galena_gateway_evacuated_domains", Help: "Failure domains to whose servers nothing is sent, by operators' orders."})
 	m.evacuatedRequests = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "galena_gateway_evacuated_requests", Help: "Requests of this instance in progress at servers of a failure domain that is emptied."}, []string{"domain"})
-	r.MustRegister(m.waitTime, m.returnsTold, m.evacuated, m.evacuatedRequests, m.brittle, m.roomRejections, m.forwards, m.probes, m.retries, m.retryBudget, m.begun, m.resumed, m.aborted, m.unanswered, m.quarantined, m.interrupted, m.serversEnded, m.directives, m.rateLimits, m.coldServers, m.coldPermits, m.permitsIssued, m.permitRequests, m.outcomes, m.failedAttempts, m.firstByte, m.unlogged, m.panics, m.queued, m.estimateErrors, m.document)
+	r.MustRegister(m.unstored, m.waitTime, m.returnsTold, m.evacuated, m.evacuatedRequests, m.brittle, m.roomRejections, m.forwards, m.probes, m.retries, m.retryBudget, m.begun, m.resumed, m.aborted, m.unanswered, m.quarantined, m.interrupted, m.serversEnded, m.directives, m.rateLimits, m.coldServers, m.coldPermits, m.permitsIssued, m.permitRequests, m.outcomes, m.failedAttempts, m.firstByte, m.unlogged, m.panics, m.queued, m.estimateErrors, m.document)
 	return m
 }
 
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -179,7 +179,7 @@
 		seeds = append(seeds, s.URL)
 	}
 	self := &fleetv1.EntryInstance{
-		Name: p.settings.Instance, StartedUnixMs: time.Now().UnixMilli(), Address: p.settings.Listen, Zone: p.settings.FailureDomain,
+		Name: p.settings.Instance, StartedUnixMs: time.Now().UnixMilli(), Address: p.settings.Listen, Zone: p.settings.FailureDomain, StoresRecordsFirst: true,
 		PeerUrl: "http://" + p.settings.PeerListen,
 	}
 	client := peerClient()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -49,8 +49,10 @@
 	// the client or this instance asks for;
 	// unnumbered is set if the last forwarded event has no ID.
 	resuming bool
-	// ended is set once the response ends without an event.
+	// ended is set once the response ends without an event. unstored is why the stream must not begin at its
+	// server.
 	ended      bool
+	unstored   error
 	unnumbered atomic.Bool
 	// mayBeComplete is set if the stream left a server that ended together with a response
 	// whose end is that of its connection: all events may have been sent.
@@ -260,14 +262,19 @@
 				watch.stop()
 				return s.handleInterruption(r, a, err)
 			}
-			watch.forward(func() bool { return !s.resuming && s.forwardEvents(a) })
+			watch.forward(func() bool { return !s.resuming && s.forwardEvents(r.Context(), a) })
+			if s.unstored != nil {
+				watch.stop()
+				err, s.unstored = s.unstored, nil
+				return s.handleInterruption(r, a, err)
+			}
 		}
 		if errors.Is(err, io.EOF) && !a.eventReceived && a.closeDelimited() {
 			err = io.ErrUnexpectedEOF
 		}
 		if errors.Is(err, io.EOF) && s.holdsComments() {
 			s.ended = true
-			watch.forward(func() bool { return !s.resuming && s.forwardEvents(a) })
+			watch.forward(func() bool { return !s.resuming && s.forwardEvents(r.Context(), a) })
 		}
 		if errors.Is(err, io.EOF) && len(s.pending) == 0 && (!s.resuming || !s.headersSent || (s.mayBeComplete && !a.closeDelimited())) {
 			watch.stop()
@@ -319,14 +326,14 @@
 }
 
 // forwardEvents forwards the complete events and comments that are pending, and reports whether
-// there were any events.
-func (s *stream) forwardEvents(a *attempt) bool {
+// there were any events. s.unstored is set if the stream must not begin at its server.
+func (s *stream) forwardEvents(ctx context.Context, a *attempt) bool {
 	length := completeEventsLen(s.pending)
 	if length == 0 {
 		return false
 	}
 	events := s.pending[:length]
-	found := s.recordEvents(events)
+	_, _, found := nextEvent(events)
 	if !found && s.holdsComments() {
 		return false
 	}
@@ -335,13 +342,14 @@
 		if !a.eventReceived {
 			s.call.gateway.workTimes.recordEvent(s.call.route.Name, now.Sub(a.startedAt), now)
 		}
-		s.call.markEvent(a)
 		if a.forward != nil {
 			s.call.noteForwardedBegin(a.forward)
-		} else {
-			s.call.noteBegin(a.backend)
+		} else if s.unstored = s.call.noteBegin(ctx, a.backend); s.unstored != nil {
+			return false
 		}
+		s.call.markEvent(a)
 		s.call.lastEventAt.Store(now.UnixNano())
+		s.recordEvents(events)
 	}
 	s.sendHeaders(a)
 	_, _ = s.rw.Write(events) // a client that leaves cancels the request's context
@@ -362,7 +370,9 @@
 	}
 	s.interruption = c.interruptionOf(err)
 	c.logInterrupted(a, err)
-	a.backend.recordFailure(false, time.Now())
+	if !errors.Is(err, errNotRecorded) {
+		a.backend.recordFailure(false, time.Now())
+	}
 	// The instance that has passed the stream on goes on with it: it counts the servers.
 	if c.forwarded != nil || !c.route.Resumable || s.unnumbered.Load() {
 		c.giveUp(s.rw, r, s, reasonNotRetryable)
--- a/gateway/service_state_test.go
+++ b/gateway/service_state_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net/http"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 	"github.com/galenaarch/galenaarch/config/site"
 	"github.com/galenaarch/galenaarch/contexts"
 	"github.com/galenaarch/galenaarch/dispatch"
+	"github.com/galenaarch/galenaarch/fleetview"
 	"github.com/galenaarch/galenaarch/placement"
 )
 
@@ -37,7 +39,7 @@
 	logger := slog.New(slog.DiscardHandler)
 	h := &testGateway{service: &site.Service{Name: "llm", Engine: &site.Engine{Slots: 64, MemoryTokens: testMemory}}}
 	h.Gateway = New(Dependencies{
-		Stores: contexts.NewWatcher(nil, logger), Scorer: placement.ExpectedTime{}, Policy: &dispatch.Policy{}, peers: newPeers(&fleetv1.EntryInstance{Name: "e"}, nil, logger),
+		View: fleetview.New(nil, nil, http.DefaultClient, logger), Stores: contexts.NewWatcher(nil, logger), Scorer: placement.ExpectedTime{}, Policy: &dispatch.Policy{}, peers: newPeers(&fleetv1.EntryInstance{Name: "e"}, nil, logger),
 	}, &Settings{Instance: "e", FailureDomain: "zone-a", AnnounceInterval: time.Second, WeightRolloutTime: time.Second}, logger, newMetrics(prometheus.NewRegistry()))
 	h.routing = &routingState{table: site.Compile(&site.Document{}), backends: make(map[string]*backend), services: make(map[string][]*backend), cells: make(map[string]map[string]bool), entryCount: 6}
 	for n := range engines {
--- a/gateway/stream_look_up.go
+++ b/gateway/stream_look_up.go
@@ -20,7 +20,7 @@
 	questionPatience = 250 * time.Millisecond
 	lookUpTimeout    = 900 * time.Millisecond
 	// lookUpRate bounds the look-ups a second of all instances together, each of at most
-	// 2*lookUpAttempts questions: clients may name attempts that never were. lookUpBurst bounds
+	// 2*lookUpAttempts questions, and one to each control instance: clients may name attempts that never were. lookUpBurst bounds
 	// those of one instance at once; after a restart of all, many streams are resumed.
 	lookUpRate  = 1000
 	lookUpBurst = 64
@@ -90,7 +90,7 @@
 // once more after the time that takes.
 func (s *streamRecords) askHolder(ctx context.Context, url string, digest registry.StreamDigest, answers chan<- lookUpAnswer) {
 	for _, last := range []bool{false, true} {
-		software, err := s.view.LookUpStream(ctx, url, digest[:])
+		software, _, err := s.view.LookUpStream(ctx, url, digest[:])
 		answers <- lookUpAnswer{url, software, err, last}
 		if last || software != nil {
 			return
@@ -102,3 +102,30 @@
 		}
 	}
 }
+
+// isRecorded asks all control instances for a record, and returns the software in it. missing is true if there is none: each of them would
+// hold the record of any stream that a newer version began since a time.
+func (s *streamRecords) isRecorded(ctx context.Context, digest registry.StreamDigest, since time.Time) (software *dispatch.Software, missing bool) {
+	type answer struct {
+		software *dispatch.Software
+		complete bool
+	}
+	members := s.view.Members()
+	answers := make(chan answer, len(members))
+	for _, url := range members {
+		go func() {
+			askedAt := time.Now()
+			software, history, err := s.view.LookUpStream(ctx, url, digest[:])
+			answers <- answer{software, err == nil && history > 0 && !askedAt.Add(-history).After(since)}
+		}()
+	}
+	missing = len(members) > 0
+	for range members {
+		a := <-answers
+		if a.software != nil {
+			return a.software, false
+		}
+		missing = missing && a.complete
+	}
+	return nil, missing
+}
--- a/gateway/stream_records.go
+++ b/gateway/stream_records.go
@@ -21,9 +21,12 @@
 const (
 	// recordCopies is the number of control instances that hold a record.
 	recordCopies = 2
-	// recordTimeout bounds one call to a control instance. Records that were not stored are sent again after
+	// recordTimeout bounds one call to a control instance, beginTimeout how long the first event of a
+	// stream waits for its record to be stored; after storePatience another one is told as well. Records that were not stored are sent again after
 	// resendDelay.
 	recordTimeout = 500 * time.Millisecond
+	beginTimeout  = 400 * time.Millisecond
+	storePatience = 100 * time.Millisecond
 	resendDelay   = 500 * time.Millisecond
 	// minRecordDelay is how long records are batched at least, recordDelayPerEntry what each
 	// entry instance adds, up to maxRecordDelay: a control instance gets at most
@@ -78,6 +81,11 @@
 	holder holderID
 	groups map[dispatch.Software][]byte
 	count  int
+	// urgent is set if streams wait for the batch. done is closed once it was sent; stored is set before if
+	// the control instance has it.
+	urgent bool
+	done   chan struct{}
+	stored bool
 }
 
 // controlIncarnation is an incarnation of a control instance: its records are gone with it.
@@ -131,8 +139,8 @@
 
 // add records that software began a stream, which its client may resume for lifetime. The
 // newest record of a stream counts. It is sent to control instances at once, or once there may
-// be other software.
-func (s *streamRecords) add(digest registry.StreamDigest, software *dispatch.Software, lifetime time.Duration, send bool) {
+// be other software. It returns the batches that contain it.
+func (s *streamRecords) add(digest registry.StreamDigest, software *dispatch.Software, lifetime time.Duration, send bool) (batches []*recordBatch) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -140,15 +148,56 @@
 	s.counted[*software] = true
 	r := streamRecord{software: software, until: now.Add(lifetime), sent: send}
 	if send {
-		s.place(digest, &r)
+		batches = s.place(digest, &r)
 	}
 	if len(s.current) >= maxStreamRecords {
 		s.dropped++
-		return
+		return batches
 	}
 	if s.current[digest] = r; !send {
 		s.unsent[software.Service]++
 	}
+	return batches
+}
+
+// store is add for a record that has to be stored before the stream's first event is passed on. It reports whether
+// a control instance has it. Only one is told at once, and another one if that does not respond.
+func (s *streamRecords) store(ctx context.Context, digest registry.StreamDigest, software *dispatch.Software, lifetime time.Duration) bool {
+	batches := s.add(digest, software, lifetime, true)
+	ctx, cancel := context.WithTimeout(ctx, beginTimeout)
+	defer cancel()
+	var done [recordCopies]<-chan struct{}
+	for i, b := range batches {
+		s.hurry(b)
+		done[i] = b.done
+		patience := time.NewTimer(storePatience)
+		stored, waits := false, true
+		for waits && !stored && (done[0] != nil || done[1] != nil) {
+			select {
+			case <-ctx.Done():
+				patience.Stop()
+				return false
+			case <-patience.C:
+				waits = i == len(batches)-1
+			case <-done[0]:
+				done[0], stored = nil, batches[0].stored
+			case <-done[1]:
+				done[1], stored = nil, batches[1].stored
+			}
+		}
+		if patience.Stop(); stored {
+			return true
+		}
+	}
+	return false
+}
+
+// hurry sends a batch without further delay.
+func (s *streamRecords) hurry(b *recordBatch) {
+	s.mu.Lock()
+	b.urgent = true
+	s.mu.Unlock()
+	notify(s.urgent)
 }
 
 // rotate starts a new generation when the current one is over. The caller holds s.mu.
@@ -208,7 +257,10 @@
 	batch := s.pending[url]
 	if id := s.controls[url].id; batch == nil || batch.holder != id {
 		// Records that wait for an earlier incarnation are placed again.
-		batch = &recordBatch{holder: id, groups: make(map[dispatch.Software][]byte)}
+		batch = &recordBatch{holder: id, groups: make(map[dispatch.Software][]byte), done: make(chan struct{})}
+		if s.pending[url] != nil {
+			close(s.pending[url].done)
+		}
 		s.pending[url] = batch
 	}
 	if batch.count >= maxPendingRecords {
@@ -313,24 +365,33 @@
 
 // flush sends the pending records without further delay: a client may be about to resume its
 // stream elsewhere.
-func (s *streamRecords) flush() { notify(s.urgent) }
+func (s *streamRecords) flush() {
+	s.mu.Lock()
+	for _, b := range s.pending {
+		b.urgent = true
+	}
+	s.mu.Unlock()
+	notify(s.urgent)
+}
 
 // run sends records until the context ends.
 func (s *streamRecords) run(ctx context.Context) {
+	var due <-chan time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-s.wake:
-		}
-		select {
-		case <-ctx.Done():
-			return
+			if due == nil {
+				due = time.After(s.delay())
+			}
 		case <-s.urgent:
-		case <-time.After(s.delay()):
+			s.send(ctx, true)
+		case <-due:
+			due = nil
+			s.placeAll(time.Now())
+			s.send(ctx, false)
 		}
-		s.placeAll(time.Now())
-		s.send(ctx)
 	}
 }
 
@@ -372,9 +433,9 @@
 	}
 }
 
-// send sends the pending records, but to control instances that have not responded to those before. It does not
-// wait for the responses.
-func (s *streamRecords) send(ctx context.Context) {
+// send sends the pending records, or those that are urgent, but none to control instances that have not responded to those
+// before. It does not wait for the responses.
+func (s *streamRecords) send(ctx context.Context, onlyUrgent bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.dropped > 0 {
@@ -382,7 +443,7 @@
 		s.dropped = 0
 	}
 	for url, batch := range s.pending {
-		if s.sending[url] {
+		if s.sending[url] || (onlyUrgent && !batch.urgent) {
 			continue
 		}
 		delete(s.pending, url)
@@ -403,9 +464,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.sending, url)
-	if s.pending[url] != nil {
+	if next := s.pending[url]; next != nil {
 		notify(s.wake)
+		if next.urgent {
+			notify(s.urgent)
+		}
 	}
+	batch.stored = err == nil
+	close(batch.done)
 	if err == nil {
 		delete(s.failing, url)
 		return
--- a/registry/hub.go
+++ b/registry/hub.go
@@ -93,6 +93,9 @@
 	evidence evidenceStore
 	// softwareKnownSince is the time since which the software of all servers is known.
 	softwareKnownSince time.Time
+	// startedAt is when this hub started, lateRecordsAt when an entry instance of a build last polled that
+	// passes on streams of newer software versions before their records are stored.
+	startedAt, lateRecordsAt time.Time
 	// changed is closed and replaced when changes of the table, the evidence or the documents
 	// are shown, at wokenAt for the last time; wakePending is set while a timer will do so.
 	// shownCursor, shownEvidence and shownDocuments are what was shown: a poll that knows as
@@ -112,7 +115,7 @@
 func NewHub(interval time.Duration, d DocumentSource, logger *slog.Logger) *Hub {
 	h := &Hub{
 		documents: d, logger: logger, rejectedLog: rate.NewLimiter(rejectedLogRate, rejectedLogBurst), feedID: uint64(time.Now().UnixNano()), table: NewTable(interval),
-		entries: make(map[string]*entryState), lost: make(map[string]lostEntry), changed: make(chan struct{}), softwareKnownSince: time.Now(),
+		entries: make(map[string]*entryState), lost: make(map[string]lostEntry), changed: make(chan struct{}), softwareKnownSince: time.Now(), startedAt: time.Now(),
 	}
 	h.evidence.evidence.CollectNews(true)
 	return h
@@ -341,6 +344,9 @@
 	}
 	e.activePolls++
 	e.lastPoll, e.cursor = time.Now(), cursor
+	if !self.StoresRecordsFirst {
+		h.lateRecordsAt = e.lastPoll
+	}
 	return e
 }
 
--- a/registry/software.go
+++ b/registry/software.go
@@ -26,7 +26,7 @@
 	}
 	list := make([]*fleetv1.SoftwareVersion, 0, len(running))
 	for s, at := range t.software.LastSeen() {
-		version := &fleetv1.SoftwareVersion{Service: s.Service, Software: s.Version}
+		version := &fleetv1.SoftwareVersion{Service: s.Service, Software: s.Version, FirstAgeMs: ageMs(t.software.FirstSeen(s), now), UsedAgeMs: ageMs(t.software.UsedSince(s), now)}
 		if !running[s] {
 			version.AgeMs = uint64(max(0, now.Sub(at).Milliseconds()))
 		}
@@ -35,6 +35,9 @@
 	return list
 }
 
+// ageMs returns the age of an event that is known, in milliseconds: at least 1.
+func ageMs(at, now time.Time) uint64 { return uint64(max(1, now.Sub(at).Milliseconds())) }
+
 // SetSoftwareKnownSince sets the time since which this hub has known the software of all
 // servers: that of its start, unless it is set.
 func (h *Hub) SetSoftwareKnownSince(since time.Time) {
--- a/registry/stream_records.go
+++ b/registry/stream_records.go
@@ -33,8 +33,10 @@
 	mu                sync.Mutex
 	current, previous map[StreamDigest]*dispatch.Software
 	startedAt         time.Time
-	// dropped counts the records of the current generation for which there was no room.
-	dropped int
+	// dropped counts the records of the current generation for which there was no room, droppedAt is
+	// when there last was none.
+	dropped   int
+	droppedAt time.Time
 }
 
 // rotate starts a new generation when the current one is over. mu must be held.
@@ -58,6 +60,7 @@
 		digest := StreamDigest(streams)
 		if _, known := r.current[digest]; !known && len(r.current) >= maxStreamsPerGeneration {
 			r.dropped++
+			r.droppedAt = now
 			full = full || r.dropped == 1
 			continue
 		}
@@ -101,9 +104,27 @@
 	if len(r.Stream) != len(StreamDigest{}) {
 		return nil, twirp.InvalidArgumentError("stream", "is no digest")
 	}
-	software := h.streams.get(StreamDigest(r.Stream), time.Now())
+	now := time.Now()
+	software := h.streams.get(StreamDigest(r.Stream), now)
 	if software == nil {
-		return &fleetv1.LookUpStreamResponse{}, nil
+		return &fleetv1.LookUpStreamResponse{HistoryMs: uint64(max(0, now.Sub(h.recordsCompleteSince()).Milliseconds()))}, nil
 	}
 	return &fleetv1.LookUpStreamResponse{Known: true, Service: software.Service, Software: software.Version}, nil
 }
+
+// recordsCompleteSince returns the time since which no record that was sent here is missing, and every entry
+// instance that polls had the records of newer software versions stored first.
+func (h *Hub) recordsCompleteSince() (since time.Time) {
+	h.mu.Lock()
+	since = h.startedAt
+	if h.lateRecordsAt.After(since) {
+		since = h.lateRecordsAt
+	}
+	h.mu.Unlock()
+	h.streams.mu.Lock()
+	defer h.streams.mu.Unlock()
+	if h.streams.droppedAt.After(since) {
+		since = h.streams.droppedAt
+	}
+	return since
+}
