Weights: each version has its own time limit, and servers that are due first reload first

Cause: time limits were kept where a newer version overwrites them. The plan gave slots in one fixed order that began anew at each version, kept the slot of a server that had just loaded for the next version, and counted its limit by service, anew for each leader; entry instances counted theirs from the newest version. Evidence: the orders of the leader's log, where the first servers of the order get each version and the last ones none.

Now a server is due at the end of the limit of the first version above its own; the plan serves those that are due first, with the lowest number of slots that meets all limits, and entry instances avoid servers that are past theirs. All control instances note when versions are named, and control keeps the time with the document for processes that have just started.

--- a/control/state/publish.go
+++ b/control/state/publish.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"strings"
 
 	"github.com/galenaarch/galenaarch/api/controlv1"
@@ -14,7 +15,7 @@
 	offered := req.GetDocument()
 	stored := s.published[offered.GetName()]
 	if stored == nil || offered.GetVersion() > stored.Version {
-		s.published[offered.GetName()] = offered
+		s.published[offered.GetName()] = s.accept(offered, stored)
 		return &controlv1.PublishResponse{Outcome: controlv1.PublishOutcome_PUBLISH_OUTCOME_ACCEPTED, HeldVersion: offered.GetVersion()}
 	}
 	outcome := controlv1.PublishOutcome_PUBLISH_OUTCOME_OVERTAKEN
@@ -27,6 +28,19 @@
 	return &controlv1.PublishResponse{Outcome: outcome, HeldVersion: stored.Version}
 }
 
+// maxEarlierVersions bounds the versions of a document that are listed with the newest one.
+const maxEarlierVersions = 16
+
+// accept returns a document with the time of its acceptance, and those of the versions before.
+func (s *State) accept(offered, stored *controlv1.PublishedDocument) *controlv1.PublishedDocument {
+	accepted := &controlv1.PublishedDocument{Name: offered.GetName(), Version: offered.GetVersion(), Content: offered.GetContent(), AcceptedUnixMs: s.nowMS}
+	if stored != nil {
+		accepted.Earlier = append(slices.Clone(stored.Earlier), &controlv1.AcceptedVersion{Version: stored.Version, AcceptedUnixMs: stored.AcceptedUnixMs})
+		accepted.Earlier = accepted.Earlier[max(0, len(accepted.Earlier)-maxEarlierVersions):]
+	}
+	return accepted
+}
+
 // Published returns the newest version of a document, or nil if there is none.
 func (s *State) Published(name string) *controlv1.PublishedDocument { return s.published[name] }
 
--- a/gateway/explain_report.go
+++ b/gateway/explain_report.go
@@ -147,8 +147,9 @@
 		bound("brittle: servers end at more than %d rejections in a second", c.state.brittle.MaxRejections)
 	}
 	if c.prompt != nil {
-		if target := rs.targetVersions[c.prompt.Model]; target > 0 {
-			bound("weights: version %d of %s, required since %v", target, c.prompt.Model, x.now.Sub(rs.targetSince[c.prompt.Model]).Round(time.Millisecond))
+		if targets := rs.targets[c.prompt.Model]; len(targets) > 0 {
+			newest := targets[len(targets)-1]
+			bound("weights: version %d of %s, required since %v", newest.Version, c.prompt.Model, x.now.Sub(newest.Since).Round(time.Millisecond))
 		}
 		if c.discovering(x.now) {
 			bound("servers are still being discovered: a prompt is not rejected for want of room")
--- a/gateway/explain_test.go
+++ b/gateway/explain_test.go
@@ -147,7 +147,7 @@
 		}, "i-1", "", excludedOtherCell, "send"},
 		{"some on new weights, late", func(h *testGateway, _ *fleetv1.ExplainRequest) {
 			h.routing.targetVersions = map[string]uint64{"m": 2}
-			h.routing.targetSince = map[string]time.Time{"m": time.Now().Add(-time.Hour)}
+			h.routing.targets = map[string]dispatch.WeightTargets{"m": {{Version: h.routing.targetVersions["m"], Since: time.Now().Add(-time.Hour)}}}
 			h.routing.backends["i-2"].raiseWeightVersion("m", 2)
 		}, "i-2", "", excludedOutdated, "send"},
 		{"no route", func(_ *testGateway, q *fleetv1.ExplainRequest) { q.Path = "/none" }, "", "no route", "", "reject"},
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -32,10 +32,10 @@
 	// cells are the preferred servers of this instance for each service of engines;
 	// nil for all.
 	cells map[string]map[string]bool
-	// targetVersions is the newest requested weight version by model.
+	// targetVersions is the newest requested weight version by model, targets are those of before as well, with
+	// when this instance first learned of each.
 	targetVersions map[string]uint64
-	// targetSince is when this instance first learned of the target versions.
-	targetSince map[string]time.Time
+	targets        map[string]dispatch.WeightTargets
 	// weightRolloutTime is the time in which all servers are to run a new target
 	// version.
 	weightRolloutTime time.Duration
@@ -58,13 +58,14 @@
 // learned about them.
 func (g *Gateway) rebuild(ctx context.Context, s *fleetview.Snapshot) {
 	old := g.routing.Load()
-	next := &routingState{weightRolloutTime: g.weightRolloutTime, backends: make(map[string]*backend), services: make(map[string][]*backend), targetVersions: make(map[string]uint64), targetSince: make(map[string]time.Time)}
+	next := &routingState{weightRolloutTime: g.weightRolloutTime, backends: make(map[string]*backend), services: make(map[string][]*backend), targetVersions: make(map[string]uint64), targets: make(map[string]dispatch.WeightTargets)}
 	next.table, next.examinedDocument = g.compileDocument(s, old), s.Documents[site.DocumentName].GetVersion()
 	next.forwardPeers, next.evacuations = g.listForwardPeers(s, old), evacuation.FromDocuments(s.Documents)
 	next.entryCount = countEntries(len(s.Entries), old.entryCount)
 	for name, d := range s.Documents {
 		if model, ok := site.WeightsModel(name); ok {
-			next.setTargetVersion(old, model, d.Version)
+			next.targetVersions[model] = d.Version
+			next.targets[model] = fleetview.WeightTargets(old.weightTargets(model), d, g.started, time.Now(), 2*g.weightRolloutTime)
 		}
 	}
 	moved := false
@@ -109,34 +110,34 @@
 	}
 }
 
-// setTargetVersion records the weight version that operators requested for a model.
-func (rs *routingState) setTargetVersion(old *routingState, model string, version uint64) {
-	rs.targetVersions[model] = version
-	rs.targetSince[model] = time.Now()
-	if old != nil && old.targetVersions[model] == version {
-		rs.targetSince[model] = old.targetSince[model]
+// weightTargets returns the versions that operators named for a model.
+func (rs *routingState) weightTargets(model string) dispatch.WeightTargets {
+	if rs == nil {
+		return nil
 	}
+	return rs.targets[model]
 }
 
-// rollout returns the rollout of the newest requested weights of a model; false if there is none.
-func (rs *routingState) rollout(model string) (dispatch.WeightRollout, bool) {
-	return dispatch.WeightRollout{Until: rs.targetSince[model].Add(rs.weightRolloutTime)}, rs.targetVersions[model] != 0
-}
-
-// excludeOutdated removes the servers of a service that still run older weights, unless all do. It
-// considers all servers of the service, because those of one cell may be the last to switch. The
+// excludeOutdated removes the servers of a service that run weights on which a prompt may not begin any more: older than a
+// version whose rollout time may be over by then. Where all servers do, those on the newest of such versions are kept. The
 // caller holds the lock of the servers' state.
-func (rs *routingState) excludeOutdated(model string, all []*backend) []*backend {
-	switched := make([]*backend, 0, len(all))
-	for _, b := range all {
-		if b.weights[model] >= rs.targetVersions[model] {
-			switched = append(switched, b)
+func (rs *routingState) excludeOutdated(model string, all []*backend, mayBegin func(dispatch.WeightRollout) bool) []*backend {
+	targets := rs.targets[model]
+	for i := len(targets) - 1; i >= 0; i-- {
+		if mayBegin(dispatch.WeightRollout{Until: targets[i].Since.Add(rs.weightRolloutTime)}) {
+			continue
+		}
+		kept := make([]*backend, 0, len(all))
+		for _, b := range all {
+			if b.weights[model] >= targets[i].Version {
+				kept = append(kept, b)
+			}
+		}
+		if len(kept) > 0 {
+			return kept
 		}
 	}
-	if len(switched) == 0 {
-		return all
-	}
-	return switched
+	return all
 }
 
 // penalizeOutdated raises the cost of servers on older weights: new ones are wanted from the
--- a/gateway/service_state.go
+++ b/gateway/service_state.go
@@ -265,19 +265,22 @@
 
 // excludeOutdated removes the servers on older weights from those that may be used and from
 // those left out for lack of a permit, once the prompt might begin there after the time given to
-// switch. The latter count among the servers that have switched, and so do those withheld for their
+// switch, which counts for each version from when it was named. The latter count among the servers that have switched, and so do those withheld for their
 // software: a prompt must not go to older weights instead. The caller holds the state's lock.
 //
 // Invariant: while any server has switched, no other one is sent a prompt that may begin too late.
 func (c *call) excludeOutdated(rs *routingState, usable []*backend, now time.Time) []*backend {
-	if rollout, named := rs.rollout(c.prompt.Model); !named || rollout.MayBegin(c.leavesAt(now), &c.state.starts, now) {
+	leavesAt := c.leavesAt(now)
+	mayBegin := func(r dispatch.WeightRollout) bool { return r.MayBegin(leavesAt, &c.state.starts, now) }
+	// The limit of the first version that was named ends first.
+	if targets := rs.targets[c.prompt.Model]; len(targets) == 0 || mayBegin(dispatch.WeightRollout{Until: targets[0].Since.Add(rs.weightRolloutTime)}) {
 		return usable
 	}
 	if len(c.rateLimited) == 0 && len(c.withheld) == 0 {
-		return rs.excludeOutdated(c.prompt.Model, usable)
+		return rs.excludeOutdated(c.prompt.Model, usable, mayBegin)
 	}
 	all := slices.Concat(usable, c.rateLimited, c.withheld)
-	kept := rs.excludeOutdated(c.prompt.Model, all)
+	kept := rs.excludeOutdated(c.prompt.Model, all, mayBegin)
 	if len(kept) == len(all) {
 		return usable
 	}
--- a/gateway/weights_test.go
+++ b/gateway/weights_test.go
@@ -42,7 +42,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			now := requestedAt.Add(tt.after)
-			rs := &routingState{weightRolloutTime: rollout, targetVersions: map[string]uint64{"m": 2}, targetSince: map[string]time.Time{"m": requestedAt}}
+			rs := &routingState{weightRolloutTime: rollout, targetVersions: map[string]uint64{"m": 2}, targets: map[string]dispatch.WeightTargets{"m": {{Version: 2, Since: requestedAt}}}}
 			c := newTestGateway(t, 0).call(500)
 			for range 50 {
 				if tt.longest > 0 {
@@ -78,7 +78,7 @@
 	servers[0].raiseWeightVersion("m", 2)
 	servers[1].raiseWeightVersion("m", 1)
 	h.routing.targetVersions = map[string]uint64{"m": 2}
-	h.routing.targetSince = map[string]time.Time{"m": time.Now()}
+	h.routing.targets = map[string]dispatch.WeightTargets{"m": {{Version: 2, Since: time.Now()}}}
 	h.routing.weightRolloutTime = 8 * time.Second
 	c, set := h.call(500), candidateSet{}
 	set.reset(servers)
@@ -92,7 +92,7 @@
 // have switched.
 func TestRateLimitedServerIsNotReplacedByOutdatedOne(t *testing.T) {
 	requestedAt := time.Unix(1000, 0)
-	rs := &routingState{weightRolloutTime: 8 * time.Second, targetVersions: map[string]uint64{"m": 2}, targetSince: map[string]time.Time{"m": requestedAt}}
+	rs := &routingState{weightRolloutTime: 8 * time.Second, targetVersions: map[string]uint64{"m": 2}, targets: map[string]dispatch.WeightTargets{"m": {{Version: 2, Since: requestedAt}}}}
 	service, state := &site.Service{Name: "llm", Engine: &site.Engine{}}, &serviceState{}
 	backendOn := func(name string, version uint64) *backend {
 		b := newBackend(&fleetv1.Announcement{Server: name}, service, state, 0, requestedAt)
@@ -107,3 +107,44 @@
 	require.Empty(t, c.excludeOutdated(rs, []*backend{outdated}, requestedAt.Add(8*time.Second)))
 	require.Equal(t, []*backend{switched}, c.rateLimited)
 }
+
+// Guards against prompts that go to weights older than a version whose rollout time is over, because a newer one was named since: it has a
+// limit of its own, and extends no other.
+func TestNewerWeightsDoNotExtendTheLimitOfOlderOnes(t *testing.T) {
+	const rollout = 8 * time.Second
+	named := time.Unix(1000, 0)
+	service := &site.Service{Name: "llm", Engine: &site.Engine{}}
+	rs := &routingState{weightRolloutTime: rollout, targetVersions: map[string]uint64{"m": 4}, targets: map[string]dispatch.WeightTargets{"m": {
+		{Version: 2, Since: named}, {Version: 3, Since: named.Add(3 * time.Second)}, {Version: 4, Since: named.Add(6 * time.Second)},
+	}}}
+	for _, tt := range []struct {
+		after    time.Duration
+		versions []uint64
+		want     []uint64
+	}{
+		{7 * time.Second, []uint64{1, 2, 3, 4}, []uint64{1, 2, 3, 4}},
+		{9 * time.Second, []uint64{1, 2, 3, 4}, []uint64{2, 3, 4}},
+		{12 * time.Second, []uint64{1, 2, 3}, []uint64{3}},
+		{12 * time.Second, []uint64{1, 2}, []uint64{2}},
+		{15 * time.Second, []uint64{1, 1}, []uint64{1, 1}},
+		{15 * time.Second, []uint64{1, 2, 3}, []uint64{3}},
+		{15 * time.Second, []uint64{3, 4}, []uint64{4}},
+	} {
+		t.Run(fmt.Sprint(tt.after, tt.versions), func(t *testing.T) {
+			now := named.Add(tt.after)
+			c := newTestGateway(t, 0).call(500)
+			c.startedAt, c.deadline, c.route.ClientTimeout = now, now.Add(10*time.Second), 500*time.Millisecond
+			var all []*backend
+			for n, version := range tt.versions {
+				b := newBackend(&fleetv1.Announcement{Server: fmt.Sprint("i-", n)}, service, c.state, 0, named)
+				b.raiseWeightVersion("m", version)
+				all = append(all, b)
+			}
+			var got []uint64
+			for _, b := range c.excludeOutdated(rs, all, now) {
+				got = append(got, b.weightVersion("m"))
+			}
+			require.Equal(t, tt.want, got)
+		})
+	}
+}
--- a/weights/plan.go
+++ b/weights/plan.go
@@ -37,16 +37,14 @@
 	// reloadEWMAWeight is the weight of the newest sample in the moving average
 	// of reload durations.
 	reloadEWMAWeight = 0.5
-	// slowReloadFactor is the ratio of measured to expected reload duration
-	// above which concurrency is raised so that the remaining servers finish
-	// within the rollout limit.
-	slowReloadFactor = 1.25
 	// maxConcurrentShare is the largest share of a service's servers that
 	// reload at the same time.
 	maxConcurrentShare = 0.5
 	// maxConsecutiveFailures is the number of failed calls in a row after which
 	// a server's reload slot is given to another server.
 	maxConsecutiveFailures = 3
+	// deadlineMargin is the part of a version's time limit within which no reload is planned to end.
+	deadlineMargin = 500 * time.Millisecond
 )
 
 // Server is the known state of a backend server that runs models.
@@ -109,7 +107,9 @@
 	polledAt  time.Time
 	orderedAt time.Time
 	notBefore time.Time
-	// startedAt is when the server accepted its first order.
+	// ordered is the last order that was due, startedAt when the server accepted the first one since its last
+	// change of weights.
+	ordered   Task
 	startedAt time.Time
 	// failures is the number of failed calls in a row.
 	failures int
@@ -117,19 +117,24 @@
 
 // Plan decides which servers reload and when. It reads no clock and is not safe
 // for concurrent use.
+//
+// Each requested version has its own time limit. A server is due at the end of the limit of the first version above
+// the one that it runs; those that are due first reload first.
 type Plan struct {
 	rolloutLimit time.Duration
 	reloads      map[incarnation]*serverReload
-	// reloadEstimate is the moving average of reload durations. outdatedSince is
-	// when each service first had a server on an outdated version.
+	// reloadEstimate is the moving average of reload durations.
 	reloadEstimate time.Duration
-	outdatedSince  map[string]time.Time
+	// targets are the requested versions by model, with when each was named.
+	targets map[string]dispatch.WeightTargets
+	// waiting is when the first server of each service that waits for a reload is due.
+	waiting map[string]time.Time
 }
 
 // NewPlan returns an empty plan that aims to update all servers within
 // rolloutLimit.
 func NewPlan(rolloutLimit time.Duration) *Plan {
-	return &Plan{rolloutLimit: rolloutLimit, reloads: make(map[incarnation]*serverReload), reloadEstimate: initialReloadEstimate, outdatedSince: make(map[string]time.Time)}
+	return &Plan{rolloutLimit: rolloutLimit, reloads: make(map[incarnation]*serverReload), reloadEstimate: initialReloadEstimate, targets: make(map[string]dispatch.WeightTargets), waiting: make(map[string]time.Time)}
 }
 
 // outdatedModel returns the first model, in name order, whose version on a
@@ -148,20 +153,44 @@
 	return "", 0
 }
 
+// SetTargets sets when the requested versions of a model, and those before, were named.
+func (p *Plan) SetTargets(model string, targets dispatch.WeightTargets) { p.targets[model] = targets }
+
+// noteRequested records the requested versions that SetTargets was not called for as named now.
+func (p *Plan) noteRequested(requested map[string]uint64, now time.Time) {
+	for model, version := range requested {
+		p.targets[model] = p.targets[model].With(version, now)
+	}
+}
+
+// dueAt returns when a server with some versions is due; ok is false if none is outdated.
+func (p *Plan) dueAt(versions map[string]uint64) (at time.Time, ok bool) {
+	for model, version := range versions {
+		if t, outdated := p.targets[model].After(version); outdated {
+			if end := t.Since.Add(p.rolloutLimit); !ok || end.Before(at) {
+				at, ok = end, true
+			}
+		}
+	}
+	return at, ok
+}
+
+// waitingServer is a server that is to reload, and when it is due.
+type waitingServer struct {
+	Server
+	dueAt time.Time
+}
+
 // DueTasks returns the tasks that are due. It discards the reloads of servers that
 // are no longer present or have restarted: these free their slots at once.
 func (p *Plan) DueTasks(servers []Server, requested map[string]uint64, now time.Time) []Task {
+	p.noteRequested(requested, now)
 	present := make(map[incarnation]bool, len(servers))
-	serverCounts, outdatedCounts := make(map[string]int), make(map[string]int)
+	serverCounts, active := make(map[string]int), make(map[string]int)
 	for _, s := range servers {
 		present[s.incarnation()] = true
 		serverCounts[s.Service]++
-		if m, _ := outdatedModel(s.Versions, requested); m != "" {
-			outdatedCounts[s.Service]++
-		}
 	}
-	p.trackOutdated(outdatedCounts, now)
-	active := make(map[string]int)
 	for key, reload := range p.reloads {
 		if !present[key] {
 			delete(p.reloads, key)
@@ -171,19 +200,31 @@
 	}
 	servers = interleaveGroups(servers)
 	var tasks []Task
+	waiting := make(map[string][]waitingServer)
 	for _, s := range servers {
-		reload := p.reloads[s.incarnation()]
-		if reload == nil {
-			if m, _ := outdatedModel(s.Versions, requested); m == "" || active[s.Service] >= p.concurrencyLimit(s.Service, serverCounts[s.Service], outdatedCounts[s.Service], now) {
-				continue
+		if reload := p.reloads[s.incarnation()]; reload != nil {
+			reload.server = s
+			if t := reload.nextTask(requested, now); t.Step != StepNone {
+				tasks = append(tasks, t)
 			}
-			active[s.Service]++
-			reload = &serverReload{}
+		} else if dueAt, outdated := p.dueAt(s.Versions); outdated {
+			waiting[s.Service] = append(waiting[s.Service], waitingServer{s, dueAt})
+		}
+	}
+	clear(p.waiting)
+	for service, list := range waiting {
+		// Servers that are due at the same time keep their order.
+		slices.SortStableFunc(list, func(a, b waitingServer) int { return a.dueAt.Compare(b.dueAt) })
+		begin := min(len(list), max(0, p.concurrencyLimit(service, serverCounts[service], list, now)-active[service]))
+		for _, s := range list[:begin] {
+			reload := &serverReload{server: s.Server}
 			p.reloads[s.incarnation()] = reload
+			if t := reload.nextTask(requested, now); t.Step != StepNone {
+				tasks = append(tasks, t)
+			}
 		}
-		reload.server = s
-		if t := reload.nextTask(requested, now); t.Step != StepNone {
-			tasks = append(tasks, t)
+		if begin < len(list) {
+			p.waiting[service] = list[begin].dueAt
 		}
 	}
 	return tasks
@@ -206,36 +247,63 @@
 	return interleaved
 }
 
-// trackOutdated records since when each service has had outdated servers.
-func (p *Plan) trackOutdated(outdated map[string]int, now time.Time) {
-	for service := range p.outdatedSince {
-		if outdated[service] == 0 {
-			delete(p.outdatedSince, service)
-		}
+// concurrencyLimit returns how many servers of a service may reload at the same
+// time. It is the lowest number that meets the time limits, because the
+// remaining servers carry the load meanwhile and must prefill every context
+// again. The limit rises when reloads take longer than expected, as under load:
+// each server waits for its running requests to finish.
+func (p *Plan) concurrencyLimit(service string, servers int, waiting []waitingServer, now time.Time) int {
+	estimate := max(p.reloadEstimate, p.medianActiveReload(service, now))
+	limit := max(minConcurrentReloads, int(math.Ceil(float64(servers)/max(1, float64(p.rolloutLimit-rolloutMargin)/float64(estimate)))))
+	most := max(minConcurrentReloads, int(maxConcurrentShare*float64(servers)))
+	free := p.activeReloadEnds(service, estimate, now)
+	for limit < most && !meetsLimits(limit, free, waiting, estimate, now) {
+		limit++
 	}
-	for service := range outdated {
-		if _, ok := p.outdatedSince[service]; !ok {
-			p.outdatedSince[service] = now
+	return min(most, limit)
+}
+
+// activeReloadEnds returns when the reloads in progress for a service are expected to end, in order.
+func (p *Plan) activeReloadEnds(service string, estimate time.Duration, now time.Time) (ends []time.Time) {
+	for _, reload := range p.reloads {
+		if reload.server.Service != service {
+			continue
+		}
+		end := now.Add(estimate)
+		if !reload.startedAt.IsZero() {
+			end = reload.startedAt.Add(estimate)
+		}
+		if end.Before(now) {
+			end = now
 		}
+		ends = append(ends, end)
 	}
+	slices.SortFunc(ends, time.Time.Compare)
+	return ends
 }
 
-// concurrencyLimit returns how many servers of a service may reload at the same
-// time. It is the lowest number that meets the rollout limit, because the
-// remaining servers carry the load meanwhile and must prefill every context
-// again. The limit rises when reloads take longer than expected, as under load:
-// each server waits for its running requests to finish.
-func (p *Plan) concurrencyLimit(service string, servers, outdated int, now time.Time) int {
-	estimate := float64(max(p.reloadEstimate, p.medianActiveReload(service, now)))
-	limit := max(minConcurrentReloads, int(math.Ceil(float64(servers)/max(1, float64(p.rolloutLimit-rolloutMargin)/estimate))))
-	if estimate > slowReloadFactor*float64(initialReloadEstimate) {
-		// Divides the outdated servers by the number of rounds that can still
-		// start and finish in time.
-		remaining := float64(p.outdatedSince[service].Add(p.rolloutLimit).Sub(now))
-		rounds := 1 + math.Floor(max(0, remaining-estimate)/estimate)
-		limit = max(limit, int(math.Ceil(float64(outdated)/rounds)))
+// meetsLimits reports whether all waiting servers, in the order in which they are due, are in time if so many reload at
+// once. active is when the reloads in progress end. Servers that cannot be in time any more are to reload now.
+func meetsLimits(slots int, active []time.Time, waiting []waitingServer, estimate time.Duration, now time.Time) bool {
+	ends := make([]time.Time, 0, slots+len(waiting))
+	ends = append(ends, active...)
+	for len(ends) < slots {
+		ends = append(ends, now)
 	}
-	return min(max(minConcurrentReloads, int(maxConcurrentShare*float64(servers))), limit)
+	slices.SortFunc(ends, time.Time.Compare)
+	// Reloads take equally long, so that they end in the order in which they begin: a slot becomes free at the next end.
+	ends = ends[max(0, len(ends)-slots):]
+	for i, s := range waiting {
+		latestStart := s.dueAt.Add(-deadlineMargin - estimate)
+		if latestStart.Before(now) {
+			latestStart = now
+		}
+		if ends[i].After(latestStart) {
+			return false
+		}
+		ends = append(ends, ends[i].Add(estimate))
+	}
+	return true
 }
 
 // medianActiveReload returns the median age of the reloads in progress for a
@@ -274,6 +342,7 @@
 	// Another order requires a poll that started after the last order.
 	if t.Model, t.Version = outdatedModel(r.report.Versions, requested); t.Model != "" && r.polledAt.After(r.orderedAt) {
 		t.Step, t.ExpectedSequence = StepSendOrder, r.report.Sequence
+		r.ordered = t
 	}
 	return t
 }
@@ -288,15 +357,33 @@
 	}
 	reload.report, reload.polledAt, reload.failures = report, polledAt, 0
 	if m, _ := outdatedModel(report.Versions, requested); m == "" && !report.Busy {
-		if !reload.startedAt.IsZero() {
-			p.reloadEstimate += time.Duration(reloadEWMAWeight * float64(polledAt.Sub(reload.startedAt)-p.reloadEstimate))
-		}
+		p.recordDuration(reload, polledAt)
 		delete(p.reloads, s.incarnation())
 		return true
 	}
+	// A newer version was named during the order: the server may not be the one that is due first any more.
+	if dueAt, outdated := p.dueAt(report.Versions); outdated && !report.Busy && reload.loaded(report) {
+		p.recordDuration(reload, polledAt)
+		if next, waits := p.waiting[s.Service]; waits && next.Before(dueAt) {
+			delete(p.reloads, s.incarnation())
+		}
+	}
 	return false
 }
 
+// recordDuration takes the duration of a server's order, which is complete, into the estimate.
+func (p *Plan) recordDuration(reload *serverReload, endedAt time.Time) {
+	if !reload.startedAt.IsZero() {
+		p.reloadEstimate += time.Duration(reloadEWMAWeight * float64(endedAt.Sub(reload.startedAt)-p.reloadEstimate))
+	}
+	reload.startedAt = time.Time{}
+}
+
+// loaded reports whether the server runs the version of its last order.
+func (r *serverReload) loaded(report *Report) bool {
+	return r.ordered.Version > 0 && report.Versions[r.ordered.Model] >= r.ordered.Version
+}
+
 // DueTask returns the task that is due for one server now.
 func (p *Plan) DueTask(s Server, requested map[string]uint64, now time.Time) Task {
 	reload := p.reloads[s.incarnation()]
--- a/weights/runner.go
+++ b/weights/runner.go
@@ -123,6 +123,10 @@
 	mu      sync.Mutex
 	plan    *Plan
 	cleaner storeCleaner
+	// startedAt is when this process started; targets are the versions that were named by model, also
+	// while another instance leads.
+	startedAt time.Time
+	targets   map[string]dispatch.WeightTargets
 	// table is the newest site document that could be decoded; tableVersion is the newest
 	// version that was tried.
 	table        *site.Table
@@ -147,6 +151,7 @@
 	onVersions func(string, int64, map[string]uint64), onDirectives func(string, int64, dispatch.Directives), decodeDocument func([]byte) (*site.Document, error), logger *slog.Logger) *Runner {
 	return &Runner{
 		name: name, formerLease: formerLease, engines: engines, leadership: leadership, view: view, onVersions: onVersions, onDirectives: onDirectives, decodeDocument: decodeDocument, logger: logger, pausedUntil: make(map[incarnation]time.Time),
+		startedAt: time.Now(), targets: make(map[string]dispatch.WeightTargets),
 		cleaner:      storeCleaner{stores: stores, logger: logger},
 		rolloutLimit: rolloutLimit, plan: NewPlan(rolloutLimit), inFlight: make(map[incarnation]bool),
 	}
@@ -190,7 +195,23 @@
 	return requested, servers
 }
 
+// noteTargets records when versions were named. Their time limits go on while the leader changes.
+func (r *Runner) noteTargets(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for name, d := range r.view.Current().Documents {
+		model, ok := site.WeightsModel(name)
+		if !ok || r.targets[model].Newest() >= d.Version {
+			continue
+		}
+		r.targets[model] = fleetview.WeightTargets(r.targets[model], d, r.startedAt, now, 2*r.rolloutLimit)
+		newest := r.targets[model][len(r.targets[model])-1]
+		r.logger.Info("weights named", slog.String("model", model), slog.Uint64("version", d.Version), slog.Duration("ago", now.Sub(newest.Since)), slog.Int("earlier", len(r.targets[model])-1))
+	}
+}
+
 func (r *Runner) tick(ctx context.Context) {
+	r.noteTargets(time.Now())
 	if !r.leadership.IsLeader() {
 		r.stepDown()
 		return
@@ -215,6 +236,9 @@
 	if len(requested) == 0 {
 		return
 	}
+	for model, targets := range r.targets {
+		r.plan.SetTargets(model, targets)
+	}
 	for _, t := range r.plan.DueTasks(servers, requested, now) {
 		if !r.mayCall(t.Server, now) {
 			continue
