--- a/faults/software_soak_test.go
+++ b/faults/software_soak_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/galenaarch/galenaarch/dispatch"
 	"github.com/galenaarch/galenaarch/platform/platformtest"
 )
 
@@ -19,8 +20,10 @@
 // soak; GALENA_SOAK is the time with disturbances of processes.
 const (
 	softwareDuration = 3 * time.Second
-	// oneVersionTime is the time at the start in which there is one version only.
-	oneVersionTime = 500 * time.Millisecond
+	// oneVersionTime is the time at the start in which there is one version only, firstVersionTime a time
+	// after which it is the first one for all processes.
+	oneVersionTime   = 500 * time.Millisecond
+	firstVersionTime = dispatch.VersionGap + oneVersionTime
 	// undisturbedTime is how long, after contactTime without disturbances of processes, streams
 	// that are taken up are compared with new ones.
 	undisturbedTime = 1500 * time.Millisecond
@@ -220,6 +223,28 @@
 	})
 }
 
+// killAllControls kills all control replicas at once and starts them again, unless one is disturbed already.
+func (s *softwareSoak) killAllControls(downtime time.Duration, faults *sync.WaitGroup) {
+	if !s.controlFault.TryLock() {
+		return
+	}
+	faults.Go(func() {
+		defer s.controlFault.Unlock()
+		s.t.Logf("all control replicas: kill for %v", downtime.Round(time.Millisecond))
+		var kills sync.WaitGroup
+		for _, p := range s.controls {
+			kills.Go(p.kill)
+		}
+		kills.Wait()
+		time.Sleep(downtime)
+		for _, p := range s.controls {
+			p.start()
+		}
+		// Streams that are under way are recorded again once the processes are back in touch.
+		time.Sleep(contactTime)
+	})
+}
+
 // disturbServers begins a silence, a crash, a break of connections or, if planned work is
 // allowed, a release.
 func (s *softwareSoak) disturbServers(ctx context.Context, random *rand.Rand, planned bool, servers *sync.WaitGroup) {
@@ -271,8 +296,28 @@
 // gateways are killed, frozen, stopped and reloaded, control replicas killed and frozen one at a
 // time, and a configuration follows each seriesInterval. Clients take up streams at any gateway.
 func TestSoftwareVersionSoak(t *testing.T) {
+	t.Parallel()
+	runSoftwareSoak(t, soakSettingsFromEnv(t, softwareDuration), oneVersionTime, nil)
+}
+
+// TestSoftwareVersionSoakBesideLostRecords guards against streams that are joined or refused because their records
+// are lost with all control replicas, or were never sent by a gateway that was frozen or killed as the first
+// release began.
+func TestSoftwareVersionSoakBesideLostRecords(t *testing.T) {
 	t.Parallel()
 	settings := soakSettingsFromEnv(t, softwareDuration)
+	runSoftwareSoak(t, settings, firstVersionTime, func(s *softwareSoak, random *rand.Rand, processes *sync.WaitGroup) {
+		switch random.IntN(6) {
+		case 0:
+			s.killAllControls(minFaultDuration+time.Duration(random.Int64N(int64(longestFault-minFaultDuration))), processes)
+		case 1, 2:
+			s.injectInto(len(s.controls)+random.IntN(len(s.gateways)), faultFreeze, time.Duration(random.Int64N(int64(2*longestFault))), processes)
+		}
+	})
+}
+
+// runSoftwareSoak runs the soak. The first release begins after oneVersion; more, if it is set, adds disturbances.
+func runSoftwareSoak(t *testing.T, settings soakSettings, oneVersion time.Duration, more func(s *softwareSoak, random *rand.Rand, processes *sync.WaitGroup)) {
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
 	var workers, clients, series, processes, servers sync.WaitGroup
@@ -299,7 +344,10 @@
 
 	t.Logf("requests begin %v after the start", time.Since(s.startedAt).Round(time.Millisecond))
 	random := rand.New(rand.NewPCG(settings.seed, 8))
-	time.Sleep(oneVersionTime)
+	time.Sleep(oneVersion)
+	if more != nil {
+		more(s, random, &processes)
+	}
 	s.release(ctx, random, &servers)
 	pause := func() { time.Sleep(50*time.Millisecond + time.Duration(random.Int64N(int64(300*time.Millisecond)))) }
 	disturbed, endDisturbed := context.WithTimeout(ctx, settings.duration)
@@ -312,6 +360,9 @@
 		}
 		mayStop := killed && settings.duration-time.Since(began) >= min(lastStop, settings.duration/2)
 		s.disturbProcesses(disturbed, random, mayStop, &processes)
+		if more != nil {
+			more(s, random, &processes)
+		}
 		s.disturbServers(ctx, random, true, &servers)
 	}
 	// Gateways that stop may do so until the end of their grace period; the last releases end
