Gateway: the loss of one control instance does not keep streams without a record from going on

What callers would see: as in, with one control instance killed, replaced or cut off beside the frozen entry instance, all streams of that instance were refused for as long as streams are resumed: the record of a newer version's stream was stored at one control instance for certain, so each of them had to know. Evidence: TestStreamsWithoutRecordsAreNotJoined asked for that.

--- a/dispatch/software.go
+++ b/dispatch/software.go
@@ -91,11 +91,11 @@
 	maps.DeleteFunc(h.returnedAt, gone)
 }
 
-// Merge records what another history holds of a version.
+// Merge records what another history holds of a version. One that began later knows of a shorter use.
 func (h *SoftwareHistory) Merge(s SoftwareVersion, service string) {
 	software := Software{Service: service, Version: s.Version}
 	h.SeenSince(software, s.FirstSeen, s.LastSeen)
-	if service != "" && s.UsedSince.After(h.returnedAt[software]) {
+	if returned, known := h.returnedAt[software]; known && (s.UsedSince.Before(returned) || returned.Equal(s.FirstSeen)) {
 		h.returnedAt[software] = s.UsedSince
 	}
 }
--- a/dispatch/software_test.go
+++ b/dispatch/software_test.go
@@ -135,10 +135,12 @@
 	rapid.Check(t, func(t *rapid.T) {
 		begin := time.Unix(1000, 0)
 		versions := []Software{{"s", "v1"}, {"s", "v2"}, {"s", "v3"}}
-		var control SoftwareHistory
+		// The second control instance restarts, and forgets.
+		controls, restarts := make([]SoftwareHistory, 2), rapid.IntRange(0, length).Draw(t, "restarts")
 		type instance struct {
-			history SoftwareHistory
-			starts  int
+			history    SoftwareHistory
+			starts     int
+			knownSince time.Time
 			// late is how many ticks later than the control instance it hears.
 			late int
 		}
@@ -164,8 +166,12 @@
 		begun := make([]map[Software]bool, length)
 		for n := range length {
 			now := begin.Add(time.Duration(n) * tick)
+			if n == restarts {
+				controls[1] = SoftwareHistory{}
+			}
 			for s := range serves[n] {
-				control.Seen(s, now)
+				controls[0].Seen(s, now)
+				controls[1].Seen(s, now)
 			}
 			begun[n] = make(map[Software]bool)
 			for i := range instances {
@@ -174,16 +180,27 @@
 					continue
 				}
 				heard := serves[max(0, n-at.late)]
+				merge := func(s Software, last time.Time) {
+					for i := range controls {
+						if c := &controls[i]; !c.LastSeen()[s].IsZero() {
+							at.history.Merge(SoftwareVersion{Version: s.Version, FirstSeen: c.FirstSeen(s), UsedSince: c.UsedSince(s), LastSeen: last}, s.Service)
+						}
+					}
+				}
 				if n == at.starts {
+					at.knownSince = begin
+					if n >= restarts {
+						at.knownSince = begin.Add(time.Duration(restarts) * tick)
+					}
 					heard = serves[n]
-					for s, last := range control.LastSeen() {
-						at.history.Merge(SoftwareVersion{Version: s.Version, FirstSeen: control.FirstSeen(s), UsedSince: control.UsedSince(s), LastSeen: last}, s.Service)
+					for s, last := range controls[0].LastSeen() {
+						merge(s, last)
 					}
 				}
 				for s := range heard {
-					at.history.Merge(SoftwareVersion{Version: s.Version, FirstSeen: control.FirstSeen(s), UsedSince: control.UsedSince(s), LastSeen: now}, s.Service)
+					merge(s, now)
 				}
-				view := NewSoftwareView(&at.history, heard, begin)
+				view := NewSoftwareView(&at.history, heard, at.knownSince)
 				for s := range heard {
 					if newer, _ := view.IsNewer(s, now); !newer && serves[n][s] {
 						begun[n][s] = true
@@ -191,9 +208,9 @@
 				}
 				// A stream is taken up by what the control instance knows then.
 				for s := range serves[n] {
-					at.history.Merge(SoftwareVersion{Version: s.Version, FirstSeen: control.FirstSeen(s), UsedSince: control.UsedSince(s), LastSeen: now}, s.Service)
+					merge(s, now)
 				}
-				first, _, ok := NewSoftwareView(&at.history, serves[n], begin).First("s", now)
+				first, _, ok := NewSoftwareView(&at.history, serves[n], at.knownSince).First("s", now)
 				for age := 0; ok && age < min(n, int(softwareMemory/tick)-2*int(VersionGap/tick)); age++ {
 					for s := range begun[n-age] {
 						if s.Version != first.Version {
--- a/gateway/continuation.go
+++ b/gateway/continuation.go
@@ -133,13 +133,12 @@
 //
 // Invariant: the first event of a stream that a newer version begins is passed on once its record is stored (noteBegin), so
 // a stream without a record was begun by the version that was there before all others, at an instance that is gone, or
-// stands still since before it heard of them.
+// stands still since before it heard of them. Versions that only a control instance which does not respond has heard of are newer.
 func (c *call) unrecordedSoftware(ctx context.Context, digest registry.StreamDigest) *dispatch.Software {
 	g, now := c.gateway, time.Now()
-	if !g.view.Confirm(ctx, now) || !g.awaitDocument(ctx) || !c.leadsToOneService(now) {
+	if !g.view.ConfirmResponding(ctx, now) || !g.awaitDocument(ctx) || !c.leadsToOneService(now) {
 		return nil
 	}
-	c.confirmedAt = now
 	first, next, ok := g.view.Current().Software.First(c.service.Name, now)
 	if !ok || !first.Serving {
 		return nil
--- a/gateway/stream_look_up.go
+++ b/gateway/stream_look_up.go
@@ -103,8 +103,9 @@
 	}
 }
 
-// isRecorded asks all control instances for a record, and returns the software in it. missing is true if there is none: each of them would
-// hold the record of any stream that a newer version began since a time.
+// isRecorded asks all control instances for a record, and returns the software in it. missing is true if there is none,
+// although it would have been found if a newer version had begun the stream since a time: it was stored at recordCopies of
+// the control instances, and fewer have been lost since, or do not respond.
 func (s *streamRecords) isRecorded(ctx context.Context, digest registry.StreamDigest, since time.Time) (software *dispatch.Software, missing bool) {
 	type answer struct {
 		software *dispatch.Software
@@ -119,13 +120,21 @@
 			answers <- answer{software, err == nil && history > 0 && !askedAt.Add(-history).After(since)}
 		}()
 	}
-	missing = len(members) > 0
+	complete := 0
+	patience := time.NewTimer(questionPatience)
+	defer patience.Stop()
 	for range members {
-		a := <-answers
-		if a.software != nil {
-			return a.software, false
+		select {
+		case a := <-answers:
+			if a.software != nil {
+				return a.software, false
+			}
+			if a.complete {
+				complete++
+			}
+		case <-patience.C:
+			return nil, len(members) > 0 && complete > len(members)-min(recordCopies, len(members))
 		}
-		missing = missing && a.complete
 	}
-	return nil, missing
+	return nil, len(members) > 0 && complete > len(members)-min(recordCopies, len(members))
 }
--- a/gateway/stream_records.go
+++ b/gateway/stream_records.go
@@ -161,35 +161,75 @@
 }
 
 // store is add for a record that has to be stored before the stream's first event is passed on. It reports whether
-// a control instance has it. Only one is told at once, and another one if that does not respond.
+// recordCopies control instances have it, or the only one: each may be lost. Another one is told if they do not all respond.
 func (s *streamRecords) store(ctx context.Context, digest registry.StreamDigest, software *dispatch.Software, lifetime time.Duration) bool {
 	batches := s.add(digest, software, lifetime, true)
+	missing := min(recordCopies, s.view.Current().KnownControls)
+	if len(batches) < missing || missing == 0 {
+		return false
+	}
 	ctx, cancel := context.WithTimeout(ctx, beginTimeout)
 	defer cancel()
-	var done [recordCopies]<-chan struct{}
-	for i, b := range batches {
+	stored := make(chan bool, recordCopies+1)
+	await := func(b *recordBatch) {
 		s.hurry(b)
-		done[i] = b.done
-		patience := time.NewTimer(storePatience)
-		stored, waits := false, true
-		for waits && !stored && (done[0] != nil || done[1] != nil) {
-			select {
-			case <-ctx.Done():
-				patience.Stop()
-				return false
-			case <-patience.C:
-				waits = i == len(batches)-1
-			case <-done[0]:
-				done[0], stored = nil, batches[0].stored
-			case <-done[1]:
-				done[1], stored = nil, batches[1].stored
+		go func() {
+			<-b.done
+			stored <- b.stored
+		}()
+	}
+	for _, b := range batches {
+		await(b)
+	}
+	patience := time.NewTimer(storePatience)
+	defer patience.Stop()
+	for open := len(batches); missing > 0; {
+		another := false
+		select {
+		case <-ctx.Done():
+			return false
+		case <-patience.C:
+			another = true
+		case ok := <-stored:
+			open--
+			if ok {
+				missing--
+			}
+			another = !ok && patience.Stop()
+		}
+		if another {
+			if b := s.placeAnother(digest); b != nil {
+				await(b)
+				open++
 			}
 		}
-		if patience.Stop(); stored {
-			return true
+		if open < missing {
+			return false
+		}
+	}
+	return true
+}
+
+// placeAnother sends a record to the control instance that ranks first for it among those that it was not sent to. It returns
+// the batch, nil if there is none.
+func (s *streamRecords) placeAnother(digest registry.StreamDigest) *recordBatch {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.current[digest]
+	if !ok {
+		return nil
+	}
+	for _, url := range recordHolders(digest, s.reachable, len(s.reachable)) {
+		if id := s.controls[url].id; !slices.Contains(r.holders[:], id) {
+			batch := s.enqueueAt(url, digest, r.software)
+			if batch != nil {
+				r.addHolder(id)
+				s.current[digest] = r
+			}
+			return batch
 		}
 	}
-	return false
+	return nil
 }
 
 // hurry sends a batch without further delay.
