Gateway: streams of a server that announces nothing are recorded, as of unknown software

What callers would see: a server restarts under its ID with other software, and streams that it begins before its announcement are recorded nowhere, as before. Since a stream without a record is taken for one of the first version, so that such a stream could go on at a server of another version. Found by reading; no run showed it.

Such streams now have a record with a version that no server announces, stored before the first event like that of a newer version. They are rejected, as they were. The test of these streams checked that they have no record; it checks the record now.

--- a/dispatch/software.go
+++ b/dispatch/software.go
@@ -11,6 +11,10 @@
 // another has begun: their service and the version of their software.
 type Software struct{ Service, Version string }
 
+// UnknownVersion stands for the software of a server that may have started again and has not announced itself since. No
+// server announces it.
+const UnknownVersion = "\x00unknown"
+
 // maxSoftware bounds the software versions of all services that are remembered.
 const maxSoftware = 256
 
--- a/gateway/continuation.go
+++ b/gateway/continuation.go
@@ -264,8 +264,8 @@
 
 // noteBegin binds a stream to the software of the server whose first event is passed on, and
 // records it for the client's further attempts. While no control instance hears of the server, it
-// may have started again with other software: its streams are bound to no known one, so that
-// they go on nowhere. A broken connection alone is no reason for that: most servers go on.
+// may have started again with other software: its streams are bound, and recorded, as of an unknown
+// one, so that they go on nowhere. A broken connection alone is no reason for that: most servers go on.
 //
 // It returns errNotRecorded if the stream must not begin at this server. Where only newer versions serve, streams begin
 // without a stored record: they could go on nowhere else.
@@ -274,21 +274,22 @@
 		return nil
 	}
 	now := time.Now()
+	software, digest, resumeTime := b.runs(), c.streamDigest(c.request.ID), c.gateway.routing.Load().resumeTime
 	if b.unreported() && !c.onlyVersionOf(b.service.Name, now) {
-		c.software.Store(&dispatch.Software{Service: b.service.Name})
-		return nil
+		software = &dispatch.Software{Service: b.service.Name, Version: dispatch.UnknownVersion}
 	}
-	software, digest, resumeTime := b.runs(), c.streamDigest(c.request.ID), c.gateway.routing.Load().resumeTime
-	view := c.gateway.view.Current().Software
-	if newer, olderServes := view.IsNewer(*software, now); !newer && view.IsComplete() {
+	fleet := c.gateway.view.Current()
+	if newer, olderServes := fleet.Software.IsNewer(*software, now); !newer && fleet.Software.IsComplete() {
 		c.gateway.streams.add(digest, software, resumeTime, c.mayBeAskedFor(now))
-	} else if !c.gateway.streams.store(ctx, digest, software, resumeTime) && olderServes {
+	} else if !c.gateway.streams.store(ctx, digest, software, resumeTime) && (olderServes || (software.Version == dispatch.UnknownVersion && fleet.KnownControls > 0)) {
 		c.unstored = true
 		c.gateway.metrics.unstored.Inc()
 		return errNotRecorded
 	}
 	c.software.Store(software)
-	c.gateway.metrics.begun.WithLabelValues(software.Service, software.Version).Inc()
+	if software.Version != dispatch.UnknownVersion {
+		c.gateway.metrics.begun.WithLabelValues(software.Service, software.Version).Inc()
+	}
 	return nil
 }
 
@@ -309,7 +310,7 @@
 	}
 	software := f.software
 	if software == nil {
-		software = &dispatch.Software{Service: c.service.Name}
+		software = &dispatch.Software{Service: c.service.Name, Version: dispatch.UnknownVersion}
 	}
 	c.software.Store(software)
 }
--- a/gateway/continuation_test.go
+++ b/gateway/continuation_test.go
@@ -89,7 +89,9 @@
 	b.tracker.SetUnreported(true)
 	unsure := begin("r-1")
 	require.False(t, unsure.mayContinueAt(other, time.Now()))
-	require.Nil(t, h.streams.get(c.streamDigest("r-1"), time.Now()))
+	// Without a record it could be taken for a stream of the first version.
+	require.Equal(t, &dispatch.Software{Service: b.service.Name, Version: dispatch.UnknownVersion}, h.streams.get(c.streamDigest("r-1"), time.Now()))
+	require.True(t, h.streams.current[c.streamDigest("r-1")].sent)
 	b.tracker.SetUnreported(false)
 	sure := begin("r-2")
 	require.True(t, sure.mayContinueAt(other, time.Now()))
