Weights: the number of reloads at once is found by bisection

A plan that cannot meet its limits tried each number of slots up to half of the servers, with a look at all waiting ones for each. With more slots no server begins later, so a bisection finds the same number.

--- a/weights/plan.go
+++ b/weights/plan.go
@@ -8,6 +8,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"sort"
 	"time"
 
 	"github.com/galenaarch/galenaarch/dispatch"
@@ -257,10 +258,11 @@
 	limit := max(minConcurrentReloads, int(math.Ceil(float64(servers)/max(1, float64(p.rolloutLimit-rolloutMargin)/float64(estimate)))))
 	most := max(minConcurrentReloads, int(maxConcurrentShare*float64(servers)))
 	free := p.activeReloadEnds(service, estimate, now)
-	for limit < most && !meetsLimits(limit, free, waiting, estimate, now) {
-		limit++
+	if limit >= most {
+		return most
 	}
-	return min(most, limit)
+	// With more slots no server begins later.
+	return limit + sort.Search(most-limit, func(more int) bool { return meetsLimits(limit+more, free, waiting, estimate, now) })
 }
 
 // activeReloadEnds returns when the reloads in progress for a service are expected to end, in order.
--- a/weights/plan_series_test.go
+++ b/weights/plan_series_test.go
@@ -156,3 +156,21 @@
 		}
 	})
 }
+
+// BenchmarkPlanInSuccession measures a look at all servers of a large service, half of which are outdated by several versions.
+func BenchmarkPlanInSuccession(b *testing.B) {
+	for _, servers := range []int{60, 690, 6900} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			now, list := time.Unix(1000, 0), make([]Server, 0, servers)
+			for i := range servers {
+				list = append(list, Server{ID: fmt.Sprint("s", i), Service: "x", StartUnixMs: 1, Versions: map[string]uint64{"m": uint64(1 + i%6)}})
+			}
+			targets := dispatch.WeightTargets{{Version: 2, Since: now.Add(-6 * time.Second)}, {Version: 3, Since: now.Add(-4 * time.Second)}, {Version: 4, Since: now.Add(-2 * time.Second)}}
+			for b.Loop() {
+				plan := NewPlan(8 * time.Second)
+				plan.SetTargets("m", targets)
+				plan.DueTasks(list, map[string]uint64{"m": 4}, now)
+			}
+		})
+	}
+}
