Soaks: a break of connections does not end a server's drain

A break of the connections of a server is recorded among its ends, by which endDrain recognizes a server that was restarted meanwhile; such a server stayed draining.

Incarnations that have ended are counted apart from breaks of connections. TestBreakOfConnectionsEndsNoDrain fails with the former comparison and passes now. The fault was one of the soak; no check changes.

--- a/faults/crash_soak_test.go
+++ b/faults/crash_soak_test.go
@@ -88,9 +88,9 @@
 	ended := server.state == ""
 	server.state, server.leaving = "", true
 	if !ended {
-		server.ends = append(server.ends, serverEnd{time.Now(), true})
+		server.endIncarnation(true)
 	}
-	id, n := server.id, len(server.ends)
+	id, n := server.id, server.incarnations
 	server.mu.Unlock()
 	if ended {
 		return
--- a/faults/software_soak_test.go
+++ b/faults/software_soak_test.go
@@ -267,9 +267,7 @@
 	case choice < 3:
 		s.silence(random)
 	case choice < 5:
-		server.mu.Lock()
-		server.ends = append(server.ends, serverEnd{time.Now(), true}) // of its connections
-		server.mu.Unlock()
+		server.endConnections()
 		server.ResetConnections(func(*platformtest.Request) bool { return true })
 	case choice < 8:
 		downtime := minFaultDuration + time.Duration(random.Int64N(int64(longestFault-minFaultDuration)))
--- a/faults/stream_soak_servers_test.go
+++ b/faults/stream_soak_servers_test.go
@@ -7,8 +7,11 @@
 	"net/http"
 	"strings"
 	"sync"
+	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"github.com/galenaarch/galenaarch/platform/platformtest"
 )
 
@@ -32,10 +35,12 @@
 	// busyUntil is when the responses in progress end, if the server is not silent.
 	busyUntil, silentUntil time.Time
 	ends                   []serverEnd
-	weights                engineWeights
+	// incarnations is the number of incarnations that have ended.
+	incarnations int
+	weights      engineWeights
 }
 
-// serverEnd is an end of a server. Its connections end a short time after it.
+// serverEnd is an end of a server, or of its connections only. Its connections end a short time after it.
 type serverEnd struct {
 	at      time.Time
 	crashed bool
@@ -156,8 +161,7 @@
 func (s *streamSoak) finish(server *soakServer, crashed bool, downtime time.Duration) {
 	server.mu.Lock()
 	server.state, server.leaving = "", true
-	server.ends = append(server.ends, serverEnd{time.Now(), crashed})
-	n := len(server.ends)
+	n := server.endIncarnation(crashed)
 	server.mu.Unlock()
 	server.Crash()
 	id := server.CurrentID()
@@ -167,6 +171,21 @@
 	s.restart(server, id, downtime)
 }
 
+// endIncarnation records the end of the server and returns how many incarnations have ended. The caller holds
+// server.mu.
+func (server *soakServer) endIncarnation(crashed bool) int {
+	server.ends = append(server.ends, serverEnd{time.Now(), crashed})
+	server.incarnations++
+	return server.incarnations
+}
+
+// endConnections records that the connections of the server end, which goes on.
+func (server *soakServer) endConnections() {
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	server.ends = append(server.ends, serverEnd{time.Now(), true})
+}
+
 // idOf returns the ID of the incarnation that follows the n-th end of the server.
 func (server *soakServer) idOf(n int) string {
 	base, _, _ := strings.Cut(server.CurrentID(), "~")
@@ -204,7 +223,7 @@
 	if !taken {
 		server.state = "draining"
 	}
-	ends := len(server.ends)
+	incarnations := server.incarnations
 	server.mu.Unlock()
 	if taken {
 		return
@@ -215,7 +234,7 @@
 	wait := time.Until(server.busyUntil) + 2*silenceBreak
 	server.mu.Unlock()
 	time.Sleep(max(0, wait))
-	if !server.endDrain(ends) {
+	if !server.endDrain(incarnations) {
 		return
 	}
 	s.anyControl(func(control string) bool { return server.Withdraw(ctx, control) })
@@ -224,10 +243,10 @@
 
 // endDrain ends the announcements of a server that drains. It reports false if the server has
 // crashed under a request meanwhile, so that it is restarted already.
-func (server *soakServer) endDrain(endsBefore int) bool {
+func (server *soakServer) endDrain(incarnationsBefore int) bool {
 	server.mu.Lock()
 	defer server.mu.Unlock()
-	if len(server.ends) != endsBefore {
+	if server.incarnations != incarnationsBefore {
 		return false
 	}
 	server.state = ""
@@ -251,3 +270,16 @@
 	defer s.end(d)
 	s.finish(server, true, downtime)
 }
+
+// TestBreakOfConnectionsEndsNoDrain guards against servers of a soak that drain for ever: one whose connections
+// broke meanwhile was taken for one that had been restarted.
+func TestBreakOfConnectionsEndsNoDrain(t *testing.T) {
+	server := &soakServer{state: "draining"}
+	server.endConnections()
+	require.True(t, server.endDrain(0))
+	require.Empty(t, server.state)
+
+	server.state = "draining"
+	server.endIncarnation(true)
+	require.False(t, server.endDrain(0), "restarted meanwhile")
+}
