--- a/faults/rate_limit_soak_test.go
+++ b/faults/rate_limit_soak_test.go
@@ -401,6 +401,9 @@
 	number("GALENA_LIMIT_SOAK_SEEDS", &seeds)
 	number("GALENA_LIMIT_SOAK_GATEWAYS", &gateways)
 	for seed := start; seed < start+seeds; seed++ {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { runLimitSoak(t, uint64(seed), gateways, duration) })
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			runLimitSoak(t, uint64(seed), gateways, duration)
+		})
 	}
 }
