--- a/faults/crashing_request_soak_test.go
+++ b/faults/crashing_request_soak_test.go
@@ -299,7 +299,7 @@
 
 // resetConnections resets the connections of a gateway to the servers.
 func (c *requestSoak) resetConnections(gateway int) {
-	c.t.Logf("connections of gateway %d are reset", gateway)
+	c.happened("connections of gateway %d are reset", gateway)
 	d := c.begin(disturbance{name: fmt.Sprint("reset of connections of gateway ", gateway), gateway: gateway, window: contactTime})
 	defer c.end(d)
 	for _, server := range c.all {
--- a/faults/process_faults_test.go
+++ b/faults/process_faults_test.go
@@ -99,7 +99,7 @@
 	}
 	faults.Go(func() {
 		defer f.release(index)
-		f.t.Logf("%s: %v for %v", f.process(index).name, kind, lasts.Round(time.Millisecond))
+		f.happened("%s: %v for %v", f.process(index).name, kind, lasts.Round(time.Millisecond))
 		f.observe(index, kind, false)
 		defer f.observe(index, kind, true)
 		f.process(index).undergo(kind, lasts)
--- a/faults/soak_test.go
+++ b/faults/soak_test.go
@@ -63,6 +63,41 @@
 	invalidResponses []string
 	// lastAcknowledged is the newest document version that was acknowledged.
 	lastAcknowledged int
+
+	startedAt  time.Time
+	timelineMu sync.Mutex
+	// timeline holds what happened to processes and servers.
+	timeline []string
+}
+
+// since returns a time as seconds since the start.
+func (s *soak) since(at time.Time) string {
+	if at.IsZero() {
+		return "-"
+	}
+	return fmt.Sprintf("%.3f", at.Sub(s.startedAt).Seconds())
+}
+
+// happened adds to the timeline. It is logged at the end of the test, so that violations come first in its output,
+// but at once if the test is verbose.
+func (s *soak) happened(format string, values ...any) {
+	text := s.since(time.Now()) + " " + fmt.Sprintf(format, values...)
+	if testing.Verbose() {
+		s.t.Log(text)
+		return
+	}
+	s.timelineMu.Lock()
+	defer s.timelineMu.Unlock()
+	s.timeline = append(s.timeline, text)
+}
+
+// logTimeline logs the timeline.
+func (s *soak) logTimeline() {
+	s.timelineMu.Lock()
+	defer s.timelineMu.Unlock()
+	if len(s.timeline) > 0 {
+		s.t.Logf("timeline:\n%s", strings.Join(s.timeline, "\n"))
+	}
 }
 
 // startSoak starts the processes. The flags are added to those of the gateways.
@@ -83,7 +118,8 @@
 func startSoakFrom(t *testing.T, dir string, seed uint64, controls, gateways int, flags ...string) *soak {
 	t.Helper()
 	var err error
-	s := &soak{t: t, random: rand.New(rand.NewPCG(seed, 1)), executions: make(map[string]int)}
+	s := &soak{t: t, random: rand.New(rand.NewPCG(seed, 1)), executions: make(map[string]int), startedAt: time.Now()}
+	t.Cleanup(s.logTimeline)
 	var controlAddresses []string
 	for range controls {
 		controlAddresses = append(controlAddresses, freeAddress(t))
@@ -229,11 +265,11 @@
 	target := processes[s.random.IntN(len(processes))]
 	switch s.random.IntN(3) {
 	case 0:
-		s.t.Logf("kill %s", target.name)
+		s.happened("kill %s", target.name)
 		target.kill()
 		target.start()
 	case 1:
-		s.t.Logf("freeze %s", target.name)
+		s.happened("freeze %s", target.name)
 		target.signal(syscall.SIGSTOP)
 		time.Sleep(freezeDuration)
 		target.signal(syscall.SIGCONT)
--- a/faults/software_soak_test.go
+++ b/faults/software_soak_test.go
@@ -137,7 +137,7 @@
 func (s *softwareSoak) release(ctx context.Context, random *rand.Rand, faults *sync.WaitGroup) {
 	service := s.all[random.IntN(len(s.all))].service
 	version, n, planned := softwareVersions[random.IntN(len(softwareVersions))], []int{1, 3, len(s.all)}[random.IntN(3)], random.IntN(2) == 0
-	s.t.Logf("%s: at most %d servers get %s, planned %t", service, n, version, planned)
+	s.happened("%s: at most %d servers get %s, planned %t", service, n, version, planned)
 	for _, i := range random.Perm(len(s.all)) {
 		server := s.all[i]
 		if server.service != service || n == 0 {
@@ -177,7 +177,7 @@
 				}
 			}
 		}
-		s.t.Logf("all gateways: kill for %v", downtime.Round(time.Millisecond))
+		s.happened("all gateways: kill for %v", downtime.Round(time.Millisecond))
 		var kills sync.WaitGroup
 		for gateway, p := range s.gateways {
 			s.observe(len(s.controls)+gateway, faultKill, false)
@@ -236,7 +236,7 @@
 	}
 	faults.Go(func() {
 		defer s.controlFault.Unlock()
-		s.t.Logf("all control replicas: kill for %v", downtime.Round(time.Millisecond))
+		s.happened("all control replicas: kill for %v", downtime.Round(time.Millisecond))
 		s.softwareMu.Lock()
 		s.controlsLost = append(s.controlsLost, timeSpan{begin: time.Now()})
 		s.softwareMu.Unlock()
--- a/faults/stream_soak_checks_test.go
+++ b/faults/stream_soak_checks_test.go
@@ -258,14 +258,6 @@
 	return ""
 }
 
-// since returns a time as seconds since the start.
-func (s *streamSoak) since(at time.Time) string {
-	if at.IsZero() {
-		return "-"
-	}
-	return fmt.Sprintf("%.3f", at.Sub(s.startedAt).Seconds())
-}
-
 // history describes a request: its times, its servers and the disturbances around it. The
 // caller holds s.mu.
 func (s *streamSoak) history(r *clientRequest) string {
--- a/faults/stream_soak_servers_test.go
+++ b/faults/stream_soak_servers_test.go
@@ -207,7 +207,7 @@
 	server.born = time.Now() // its report states it from the first call on
 	server.mu.Unlock()
 	for err := server.Restart(id); err != nil; err = server.Restart(id) {
-		s.t.Logf("%s does not restart: %v", id, err)
+		s.happened("%s does not restart: %v", id, err)
 		time.Sleep(100 * time.Millisecond)
 	}
 	server.mu.Lock()
@@ -228,7 +228,7 @@
 	if taken {
 		return
 	}
-	s.t.Logf("%s drains", server.CurrentID())
+	s.happened("%s drains", server.CurrentID())
 	time.Sleep(announceInterval + drainTime + time.Duration(rand.Int64N(int64(2*time.Second))))
 	server.mu.Lock()
 	wait := time.Until(server.busyUntil) + 2*silenceBreak
@@ -265,7 +265,7 @@
 	if taken {
 		return
 	}
-	s.t.Logf("%s crashes", server.CurrentID())
+	s.happened("%s crashes", server.CurrentID())
 	d := s.begin(disturbance{name: "crash of " + server.CurrentID(), gateway: -1, window: contactTime})
 	defer s.end(d)
 	s.finish(server, true, downtime)
--- a/faults/stream_soak_test.go
+++ b/faults/stream_soak_test.go
@@ -71,8 +71,7 @@
 	// lastAck is the control replica that acknowledged the last call.
 	lastAck atomic.Int64
 
-	mu        sync.Mutex
-	startedAt time.Time
+	mu sync.Mutex
 	// sent holds the requests by ID.
 	sent         map[string]*clientRequest
 	arrivals     map[string][]arrival
@@ -126,8 +125,9 @@
 func newStreamSoakFrom(t *testing.T, dir string, settings soakSettings, routes []*soakRoute) *streamSoak {
 	s := &streamSoak{
 		document: soakDocument, processFaults: &processFaults{soak: startSoakFrom(t, dir, settings.seed, settings.controls, settings.gateways, append([]string{"-grace", gracePeriod.String()}, settings.flags...)...)},
-		random: rand.New(rand.NewPCG(settings.seed, 3)), routes: routes, sent: make(map[string]*clientRequest), arrivals: make(map[string][]arrival), counts: make(map[string]int), startedAt: time.Now(),
+		random: rand.New(rand.NewPCG(settings.seed, 3)), routes: routes, sent: make(map[string]*clientRequest), arrivals: make(map[string][]arrival), counts: make(map[string]int),
 	}
+	s.startedAt = time.Now()
 	s.observe = s.observeFault()
 	return s
 }
@@ -161,7 +161,7 @@
 		began := time.Now()
 		time.Sleep(interval)
 		if late := time.Since(began) - interval; late > maxTestPause {
-			s.t.Logf("the test process stood still for %v until %s", late.Round(time.Millisecond), s.since(time.Now()))
+			s.happened("the test process stood still for %v until %s", late.Round(time.Millisecond), s.since(time.Now()))
 		}
 	}
 }
--- a/faults/upgrade_soak_test.go
+++ b/faults/upgrade_soak_test.go
@@ -59,7 +59,7 @@
 	}
 	defer s.release(index)
 	p := s.process(index)
-	s.t.Logf("%s: replaced by the build in %s", p.name, filepath.Base(dir))
+	s.happened("%s: replaced by the build in %s", p.name, filepath.Base(dir))
 	s.observe(index, faultStop, false)
 	_ = p.cmd.Process.Signal(syscall.SIGTERM) // it has not exited: the index is claimed
 	<-p.exited
