Gateway: comments of stream records, and a function that only tests used

enqueue placed a record at its holders for a test and a benchmark alone; the function that the product uses has its name now. No behaviour changes.

--- a/gateway/stream_look_up.go
+++ b/gateway/stream_look_up.go
@@ -19,9 +19,9 @@
 	// another control instance is asked as well.
 	questionPatience = 250 * time.Millisecond
 	lookUpTimeout    = 900 * time.Millisecond
-	// lookUpRate bounds the look-ups a second of all instances together, each of at most
-	// 2*lookUpAttempts questions, and one to each control instance: clients may name attempts that never were. lookUpBurst bounds
-	// those of one instance at once; after a restart of all, many streams are resumed.
+	// lookUpRate bounds the look-ups a second of all instances together, as clients may name attempts that
+	// never were. Each is at most 2*lookUpAttempts questions, and one to each control instance. lookUpBurst
+	// bounds those of one instance at once; after a restart of all, many streams are resumed.
 	lookUpRate  = 1000
 	lookUpBurst = 64
 )
@@ -50,8 +50,8 @@
 // askHolders asks the control instances that may hold a record: the next one as well once one
 // has responded without it, or has not responded for questionPatience.
 //
-// A question goes on until ctx ends or another one finds the record. On an instance whose processor is
-// overloaded all responses are late; a question that is given up has cost the same, and so do its successors.
+// A question goes on until ctx ends or another one finds the record: where the processor is overloaded all
+// responses are late, and to ask again costs as much.
 func (s *streamRecords) askHolders(ctx context.Context, digest registry.StreamDigest) (software *dispatch.Software, source string) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/gateway/stream_record_batches.go
+++ b/gateway/stream_record_batches.go
@@ -23,17 +23,9 @@
 	stored bool
 }
 
-// enqueue adds a record to the batches of the control instances that hold it. The caller holds
-// s.mu.
-func (s *streamRecords) enqueue(digest registry.StreamDigest, software *dispatch.Software, urls []string) {
-	for _, url := range recordHolders(digest, urls, recordCopies) {
-		s.enqueueAt(url, digest, software)
-	}
-}
-
-// enqueueAt adds a record to the batch of a control instance, and returns the batch; nil if it is full. The caller
+// enqueue adds a record to the batch of a control instance, and returns the batch; nil if it is full. The caller
 // holds s.mu.
-func (s *streamRecords) enqueueAt(url string, digest registry.StreamDigest, software *dispatch.Software) *recordBatch {
+func (s *streamRecords) enqueue(url string, digest registry.StreamDigest, software *dispatch.Software) *recordBatch {
 	batch := s.pending[url]
 	if id := s.controls[url].id; batch == nil || batch.holder != id {
 		// Records that wait for an earlier incarnation are placed again.
@@ -99,8 +91,8 @@
 	return min(max(time.Duration(entries)*recordDelayPerEntry, minRecordDelay), maxRecordDelay)
 }
 
-// send sends the pending records, or those that are urgent, but none to control instances that have not responded to those
-// before. It does not wait for the responses.
+// send sends the pending records, or those that are urgent, but none to control instances that have not
+// responded to those before. It does not wait for the responses.
 func (s *streamRecords) send(ctx context.Context, onlyUrgent bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/gateway/stream_records.go
+++ b/gateway/stream_records.go
@@ -20,9 +20,9 @@
 const (
 	// recordCopies is the number of control instances that hold a record.
 	recordCopies = 2
-	// recordTimeout bounds one call to a control instance, beginTimeout how long the first event of a
-	// stream waits for its record to be stored; after storePatience another one is told as well. Records that were not stored are sent again after
-	// resendDelay.
+	// recordTimeout bounds one call to a control instance, beginTimeout how long the first event of a stream
+	// waits for its record to be stored; after storePatience another control instance is told as well.
+	// Records that were not stored are sent again after resendDelay.
 	recordTimeout = 500 * time.Millisecond
 	beginTimeout  = 400 * time.Millisecond
 	storePatience = 100 * time.Millisecond
@@ -80,9 +80,9 @@
 	id   holderID
 }
 
-// streamRecords hold which software began the streams that this instance relays. While a
-// service may have more than one version, or a route more than one service, the records are also sent to control instances, so
-// that other instances, and this one after a restart, can go on with the streams.
+// streamRecords hold which software began the streams that this instance relays. While a service may have more
+// than one version, or a route more than one service, the records are also sent to control instances, so that other
+// instances, and this one after a restart, can go on with the streams.
 //
 // Invariant: a record that was sent is at recordCopies of the control instances that respond, as soon as these can be
 // told: it is sent again when one of them restarts, stops responding, or did not store it.
@@ -147,7 +147,7 @@
 }
 
 // store is add for a record that has to be stored before the stream's first event is passed on. It reports whether
-// recordCopies control instances have it, or the only one: each may be lost. Another one is told if they do not all respond.
+// recordCopies control instances have it, or the only one there is. Another one is told if they do not all respond.
 func (s *streamRecords) store(ctx context.Context, digest registry.StreamDigest, software *dispatch.Software, lifetime time.Duration) bool {
 	batches := s.add(digest, software, lifetime, true)
 	missing := min(recordCopies, s.view.Current().KnownControls)
@@ -207,7 +207,7 @@
 	}
 	for _, url := range recordHolders(digest, s.reachable, len(s.reachable)) {
 		if id := s.controls[url].id; !slices.Contains(r.holders[:], id) {
-			batch := s.enqueueAt(url, digest, r.software)
+			batch := s.enqueue(url, digest, r.software)
 			if batch != nil {
 				r.addHolder(id)
 				s.current[digest] = r
@@ -250,7 +250,7 @@
 		if slices.Contains(r.holders[:], id) {
 			continue
 		}
-		batch := s.enqueueAt(url, digest, r.software)
+		batch := s.enqueue(url, digest, r.software)
 		if batch == nil {
 			s.misplaced = true
 			continue
--- a/gateway/stream_records_bench_test.go
+++ b/gateway/stream_records_bench_test.go
@@ -45,7 +45,9 @@
 		streamDigester.sum(digest[:], []string{"account-1", fmt.Sprint("request-", n)}, nil)
 		s.add(digest, software, maxResumeTime, true)
 		s.mu.Lock()
-		s.enqueue(digest, software, urls)
+		for _, url := range recordHolders(digest, urls, recordCopies) {
+			s.enqueue(url, digest, software)
+		}
 		s.mu.Unlock()
 	}
 	b.ReportMetric(float64((cpuTime()-before).Nanoseconds())/float64(b.N)/1e3, "us-cpu/stream")
--- a/gateway/stream_records_test.go
+++ b/gateway/stream_records_test.go
@@ -69,7 +69,7 @@
 	s := newTestRecords()
 	v1 := &dispatch.Software{Service: "s", Version: "v1"}
 	for n := range maxPendingRecords + 3 {
-		s.enqueue(streamDigestOf(n), v1, []string{"http://c-1"})
+		s.enqueue("http://c-1", streamDigestOf(n), v1)
 	}
 	require.Equal(t, maxPendingRecords, s.pending["http://c-1"].count)
 	require.Equal(t, 3, s.dropped)
