Tests: an address is bound again once a starting process has let go of it

A process that is being started holds copies of all descriptors, also of a listener that was closed meanwhile, until it executes its program.

--- a/internal/loopback/loopback.go
+++ b/internal/loopback/loopback.go
@@ -11,13 +11,22 @@
 package loopback
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
 
+// Times of RetryBind.
+const (
+	bindTimeout   = time.Second
+	retryInterval = time.Millisecond
+)
+
 // Layout of the port range.
 const (
 	portRangeStart = 20_000
@@ -97,6 +106,25 @@
 	return eris.Errorf("all %d loopback port blocks are in use", maxPortBlocks)
 }
 
+// ListenAgain listens on an address on which this process has closed a listener.
+func ListenAgain(address string) (listener net.Listener, err error) {
+	err = RetryBind(func() (err error) {
+		listener, err = net.Listen("tcp4", address)
+		return err
+	})
+	return listener, err
+}
+
+// RetryBind calls bind, which binds an address on which this process has closed a listener, until the address is free. A
+// process that is being started holds copies of all descriptors until it executes its program.
+func RetryBind(bind func() error) error {
+	for giveUp := time.Now().Add(bindTimeout); ; time.Sleep(retryInterval) {
+		if err := bind(); !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(giveUp) {
+			return err
+		}
+	}
+}
+
 func listen(port int) (net.Listener, error) {
 	return net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 }
