Intake: a client that closes its sending side after a whole request gets its response

Callers that end their sending side after a whole request (shutdown of the write side) got a closed connection within a millisecond: neither a response nor a rejection, beside a change of the document or not.

Cause: net/http takes the FIN for a client that has left and cancels the request. A client that has left sends the same FIN, and work for it must end within half a second.

Change: before its response begins, such a peer is sent an interim response (102). Only a closed socket replies to it with a reset; a socket that waits does not. HTTP/1.0, TLS, and responses that have begun are handled as before.

--- a/intake/budget.go
+++ b/intake/budget.go
@@ -20,6 +20,7 @@
 	// nextSearch is when connections that may give way are searched again after none was found, in
 	// nanoseconds of Unix time.
 	nextSearch atomic.Int64
+	halfCloses halfCloseCounts
 
 	mu        sync.Mutex
 	open      map[*Conn]struct{}
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"sync/atomic"
 	"time"
@@ -35,7 +36,8 @@
 	leavingBytes atomic.Int64
 	closed       atomic.Bool
 	// body is that of the present request, nil if it has none; only its handler uses it.
-	body *body
+	body      *body
+	halfClose halfClose
 }
 
 // connKey is the key of a Conn in the context of its requests.
@@ -58,6 +60,9 @@
 // Read implements net.Conn. It counts heads, which net/http reads by itself.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if err == io.EOF && len(p) == backgroundReadSize {
+		err = c.awaitLeave()
+	}
 	if n <= 0 {
 		return n, err
 	}
@@ -211,6 +216,7 @@
 			c.address = host
 		}
 		c.pace.Store(now.UnixNano())
+		c.halfClose.changed.L = &c.halfClose.mu
 		why := l.budget.admit(c, now)
 		if why == "" {
 			return c, nil
@@ -222,6 +228,7 @@
 
 // rest makes a connection wait for its next request.
 func (c *Conn) rest() {
+	c.halfClose.set(interimUnknown)
 	c.release()
 	c.pace.Store(time.Now().UnixNano())
 	c.phase.CompareAndSwap(phaseResponse, phaseHead)
--- /dev/null
+++ b/intake/half_close.go
@@ -0,0 +1,150 @@
+package intake
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// interimResponse asks a peer that has ended its sending side whether it still waits.
+const interimResponse = "HTTP/1.1 102 Processing\r\n\r\n"
+
+// interimPrefix begins every interim response of HTTP/1.1, but no final one.
+var interimPrefix = []byte("HTTP/1.1 1")
+
+// backgroundReadSize is the size of the reads by which net/http detects that a client leaves while
+// its handler runs. Heads and bodies are read through larger buffers.
+const backgroundReadSize = 1
+
+// interimState says whether an interim response may be sent for the present request.
+type interimState int
+
+const (
+	// interimUnknown: the handler has not been called yet.
+	interimUnknown interimState = iota
+	interimAllowed
+	// interimForbidden: the response has begun, or the protocol has no interim responses.
+	interimForbidden
+)
+
+// halfClose decides whether a peer that has ended its sending side after a whole request has left.
+//
+// A peer that closes its socket sends the same FIN as one that waits for its response. Only a closed
+// socket replies to further data with a reset, so that an interim response tells them apart. Once
+// the response itself has begun, a FIN counts as the peer's leaving.
+type halfClose struct {
+	mu      sync.Mutex
+	changed sync.Cond
+	state   interimState
+	// readAborted is set while the read deadline lies in the past, by which net/http ends a read.
+	readAborted bool
+}
+
+// halfCloseCounts counts the peers that ended their sending side before their response, and those
+// of them that had left.
+type halfCloseCounts struct{ asked, left atomic.Uint64 }
+
+// set changes the state and wakes a read that waits for it.
+func (h *halfClose) set(state interimState) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.state = state
+	h.changed.Broadcast()
+}
+
+// setReadAborted records whether reads are to end.
+func (h *halfClose) setReadAborted(aborted bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.readAborted = aborted
+	h.changed.Broadcast()
+}
+
+// supportsInterim reports whether the client of r reads interim responses that are written below
+// net/http.
+func supportsInterim(r *http.Request) bool { return r.TLS == nil && r.ProtoAtLeast(1, 1) }
+
+// beginRequest is called when the handler of a request starts.
+func (h *halfClose) beginRequest(r *http.Request) {
+	state := interimForbidden
+	if supportsInterim(r) {
+		state = interimAllowed
+	}
+	h.set(state)
+}
+
+// noteWrite is called before bytes are written to the peer.
+func (h *halfClose) noteWrite(p []byte) {
+	if !bytes.HasPrefix(p, interimPrefix) {
+		h.set(interimForbidden)
+	}
+}
+
+// ask sends an interim response. It returns an error if the peer counts as one that has left, or if
+// the read is aborted.
+func (h *halfClose) ask(c net.Conn) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for h.state == interimUnknown && !h.readAborted {
+		h.changed.Wait()
+	}
+	if h.readAborted {
+		return os.ErrDeadlineExceeded
+	}
+	if h.state == interimForbidden {
+		return io.EOF
+	}
+	_, err := io.WriteString(c, interimResponse)
+	return err
+}
+
+// awaitLeave returns once the peer, which has ended its sending side, has left or the read is
+// aborted.
+func (c *Conn) awaitLeave() error {
+	below, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return io.EOF
+	}
+	raw, err := below.SyscallConn()
+	if err != nil {
+		return err
+	}
+	if err := c.halfClose.ask(c.Conn); err != nil {
+		return err
+	}
+	counts := &c.listener.budget.halfCloses
+	counts.asked.Add(1)
+	// Not a read: after the FIN it returns the end of the stream, also once the peer has sent a reset.
+	if err := raw.Read(hasSocketError); err != nil {
+		return err
+	}
+	counts.left.Add(1)
+	return syscall.ECONNRESET
+}
+
+// hasSocketError reports whether a socket has failed.
+func hasSocketError(fd uintptr) bool {
+	code, err := unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR)
+	return err != nil || code != 0
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.halfClose.noteWrite(p)
+	return c.Conn.Write(p)
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	err := c.Conn.SetReadDeadline(t)
+	c.halfClose.setReadAborted(!t.IsZero() && !t.After(time.Now()))
+	return err
+}
--- a/intake/handler.go
+++ b/intake/handler.go
@@ -71,6 +71,7 @@
 			panic(http.ErrAbortHandler) // the connection has given way, and its request does not run
 		}
 		defer c.end()
+		c.halfClose.beginRequest(r)
 		if !whole {
 			c.body = &body{ReadCloser: r.Body, conn: c, header: rw.Header()}
 			r.Body = c.body
--- a/intake/metrics.go
+++ b/intake/metrics.go
@@ -12,6 +12,7 @@
 	limitDesc       = prometheus.NewDesc("galena_intake_limit_bytes", "Memory that may be held for peers; 0 for unlimited.", nil, nil)
 	connectionsDesc = prometheus.NewDesc("galena_intake_connections", "Open connections by listener.", []string{"listener"}, nil)
 	refusedDesc     = prometheus.NewDesc("galena_intake_refused_total", "Connections and requests refused or told to give way, by reason.", []string{"reason"}, nil)
+	halfClosedDesc  = prometheus.NewDesc("galena_intake_half_closed_total", "Peers that ended their sending side before the response to a whole request, by whether they had left.", []string{"left"}, nil)
 	lagDesc         = prometheus.NewDesc("galena_intake_max_lag_seconds", "How far the slowest request that is being read is behind.", nil, nil)
 )
 
@@ -30,6 +31,10 @@
 		gauge(heldDesc, float64(b.byKind[kind].Load()), name)
 	}
 	gauge(limitDesc, float64(b.limits.bytes))
+	left := b.halfCloses.left.Load()
+	for label, n := range map[string]uint64{"yes": left, "no": b.halfCloses.asked.Load() - left} {
+		metrics <- prometheus.MustNewConstMetric(halfClosedDesc, prometheus.CounterValue, float64(n), label)
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for name, count := range b.listeners {
