Intake: a connection that ends with an unhandled request is counted and logged

Callers that got neither a response nor a rejection left no trace: what net/http or the budget closes before a handler runs had no line and no metric, and nothing told who closed the connection.

Change: each connection of a counted listener (clients, peers, readiness, metrics, control, backend servers) that ends with bytes of a request which no handler has seen, read or unread in the socket, is counted by listener and cause, and logged, a line a second for each of these.

--- a/intake/budget.go
+++ b/intake/budget.go
@@ -26,6 +26,7 @@
 	open      map[*Conn]struct{}
 	listeners map[string]*listenerCount
 	refused   map[reason]*refusals
+	closed    map[closeKey]*refusals
 }
 
 // listenerCount counts the connections of a listener in all and by remote address.
@@ -51,7 +52,7 @@
 }
 
 func newBudget(l limits, logger *slog.Logger) *Budget {
-	return &Budget{limits: l, logger: logger, open: make(map[*Conn]struct{}), listeners: make(map[string]*listenerCount), refused: make(map[reason]*refusals)}
+	return &Budget{limits: l, logger: logger, open: make(map[*Conn]struct{}), listeners: make(map[string]*listenerCount), refused: make(map[reason]*refusals), closed: make(map[closeKey]*refusals)}
 }
 
 // add counts n bytes, which may be negative.
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -36,8 +36,10 @@
 	leavingBytes atomic.Int64
 	closed       atomic.Bool
 	// body is that of the present request, nil if it has none; only its handler uses it.
-	body      *body
-	halfClose halfClose
+	body       *body
+	halfClose  halfClose
+	acceptedAt time.Time
+	unhandled  unhandled
 }
 
 // connKey is the key of a Conn in the context of its requests.
@@ -63,11 +65,16 @@
 	if err == io.EOF && len(p) == backgroundReadSize {
 		err = c.awaitLeave()
 	}
+	inHead := c.phase.Load() == phaseHead
+	if inHead {
+		c.unhandled.bytes.Add(int64(max(n, 0)))
+		c.unhandled.noteReadError(err)
+	}
 	if n <= 0 {
 		return n, err
 	}
 	now := time.Now()
-	inHead := c.phase.Load() == phaseHead
+	c.unhandled.readAt.Store(now.UnixNano())
 	if inHead && c.held[Heads].Load() == 0 {
 		c.pace.Store(now.UnixNano()) // the time between requests is no lag
 	}
@@ -75,11 +82,13 @@
 	if inHead {
 		size := headFactor*n + headLineBytes*bytes.Count(p[:n], []byte{'\n'})
 		if c.listener.budget.take(c, Heads, int64(size)) != nil {
+			c.unhandled.setCause(closeNoRoom)
 			_ = c.Close() // its request has not been read
 			return 0, net.ErrClosed
 		}
 		if c.closed.Load() {
 			c.release()
+			c.reportClose()
 		}
 	}
 	return n, err
@@ -88,6 +97,7 @@
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	if !c.closed.Swap(true) {
+		c.reportClose()
 		c.listener.budget.remove(c)
 		c.release()
 	}
@@ -125,6 +135,7 @@
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails if the connection is closed
 	} else if c.phase.CompareAndSwap(phaseHead, phaseGaveWay) {
 		closing = true
+		c.unhandled.setCause(closeGaveWay)
 		go c.Close() // takes the budget's lock
 	} else {
 		return
@@ -145,7 +156,11 @@
 	if whole {
 		next = phaseWhole
 	}
-	return c.phase.CompareAndSwap(phaseHead, next) || c.phase.CompareAndSwap(phaseResponse, next)
+	if !c.phase.CompareAndSwap(phaseHead, next) && !c.phase.CompareAndSwap(phaseResponse, next) {
+		return false
+	}
+	c.unhandled.reset()
+	return true
 }
 
 // GaveWay reports whether the present request was told to give way to others.
@@ -211,11 +226,12 @@
 			return nil, err
 		}
 		now := time.Now()
-		c := &Conn{Conn: raw, listener: l, address: raw.RemoteAddr().String()}
+		c := &Conn{Conn: raw, listener: l, address: raw.RemoteAddr().String(), acceptedAt: now}
 		if host, _, err := net.SplitHostPort(c.address); err == nil {
 			c.address = host
 		}
 		c.pace.Store(now.UnixNano())
+		c.unhandled.readAt.Store(now.UnixNano())
 		c.halfClose.changed.L = &c.halfClose.mu
 		why := l.budget.admit(c, now)
 		if why == "" {
@@ -230,6 +246,7 @@
 func (c *Conn) rest() {
 	c.halfClose.set(interimUnknown)
 	c.release()
+	c.unhandled.reset()
 	c.pace.Store(time.Now().UnixNano())
 	c.phase.CompareAndSwap(phaseResponse, phaseHead)
 }
--- a/intake/half_close.go
+++ b/intake/half_close.go
@@ -139,6 +139,7 @@
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.halfClose.noteWrite(p)
+	c.unhandled.responded.Store(true)
 	return c.Conn.Write(p)
 }
 
--- a/intake/metrics.go
+++ b/intake/metrics.go
@@ -12,6 +12,7 @@
 	limitDesc       = prometheus.NewDesc("galena_intake_limit_bytes", "Memory that may be held for peers; 0 for unlimited.", nil, nil)
 	connectionsDesc = prometheus.NewDesc("galena_intake_connections", "Open connections by listener.", []string{"listener"}, nil)
 	refusedDesc     = prometheus.NewDesc("galena_intake_refused_total", "Connections and requests refused or told to give way, by reason.", []string{"reason"}, nil)
+	closedDesc      = prometheus.NewDesc("galena_intake_closed_unhandled_total", "Connections closed with bytes of a request that no handler has seen, by listener and cause.", []string{"listener", "cause"}, nil)
 	halfClosedDesc  = prometheus.NewDesc("galena_intake_half_closed_total", "Peers that ended their sending side before the response to a whole request, by whether they had left.", []string{"left"}, nil)
 	lagDesc         = prometheus.NewDesc("galena_intake_max_lag_seconds", "How far the slowest request that is being read is behind.", nil, nil)
 )
@@ -43,6 +44,9 @@
 	for why, r := range b.refused {
 		metrics <- prometheus.MustNewConstMetric(refusedDesc, prometheus.CounterValue, float64(r.total), string(why))
 	}
+	for key, r := range b.closed {
+		metrics <- prometheus.MustNewConstMetric(closedDesc, prometheus.CounterValue, float64(r.total), key.listener, string(key.cause))
+	}
 	now, lag := time.Now(), time.Duration(0)
 	for c := range b.open {
 		if c.mayGiveWay() && c.heldBytes() > 0 {
