Stop: accept the connections in the queue before a listener closes

Callers that open a connection just as an entry or control instance stops listening got "connection reset by peer", some with their request sent.

Cause: closing a listening socket resets the connections in its accept queue. The queue is not empty while the accepting goroutine waits for the processor.

Change: httpserver.CloseListener closes a listener once its queue is empty, at most 50 ms later; entry instances use it at the end of their drain and control instances at its start. Requests on connections accepted in that time are rejected as not run, as those within the linger time are. The 50 ms are part of the reserve before the process exits (graceMargin). Where the length of the queue is not known the listener is closed at once, as before.

A connection whose handshake is in progress is still reset.

--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -13,8 +13,8 @@
 	// the process exits.
 	finishMargin = 250 * time.Millisecond
 	// answerTimeout is how long requests without a response get to receive one after
-	// lingerTime and shutdownTimeout. The sum of the three, and flushTimeout, is below
-	// graceMargin.
+	// lingerTime and shutdownTimeout. The sum of the three, flushTimeout and
+	// httpserver.AcceptTimeout is below graceMargin.
 	answerTimeout = 150 * time.Millisecond
 	// drainRetryAfter is when a client that a draining instance rejects may retry: at
 	// once, since the other instances have capacity.
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -364,7 +364,7 @@
 // the connections whose request it has just read.
 func (p *Process) closeListener() {
 	p.gateway.drain.end()
-	if err := p.clientListener.Close(); err != nil {
+	if err := httpserver.CloseListener(p.clientListener); err != nil {
 		p.logger.Warn("listener not closed", slog.Any("error", err))
 	}
 	time.Sleep(lingerTime)
--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -152,16 +152,16 @@
 	}
 }
 
-// Drain closes the listeners and waits until no request has been in progress for the time
-// quiet, or ctx is done. The contexts of the requests in progress then end, and they have
-// answerTimeout to respond.
+// Drain closes the listeners as CloseListener does, and waits until no request has been in
+// progress for the time quiet, or ctx is done. The contexts of the requests in progress then
+// end, and they have answerTimeout to respond.
 //
 // Invariant: a request that was read gets a response if its handler respects its context.
 func (t *Requests) Drain(ctx context.Context, quiet time.Duration, listeners ...net.Listener) error {
 	t.draining.Store(true)
 	var errs []error
 	for _, l := range listeners {
-		errs = append(errs, l.Close())
+		errs = append(errs, CloseListener(l))
 	}
 	t.activeAt.Store(time.Now().UnixNano())
 	ticker := time.NewTicker(drainPollInterval)
