Forwarding: a request is served by what its first instance has decided

What callers saw: a request at an instance that reaches no server was passed on to another one, which routed it by its own site document. With an older document it was rejected for good (404, 401, 413, 431) although its own instance allows it. With a newer one it was rejected likewise, or run for another account; a resumable stream that broke after events ended without its rest when its route, key, time limit or number of servers had changed meanwhile, also where both instances had the newer document.

Cause: the second instance matches route, account and limits again, and compares the versions of the documents only after that. A stream that goes on has begun under an earlier document than both instances may have now.

Change: the header between instances carries the decision: route, account (without keys) and body limit. The second instance adopts it instead of routing. It hands the request back if its document is older and the route declares prompts (the document says which accounts share contexts), if it does not have the service, or, as of an instance of the build before, if the mark has no decision and its document is older; that is compared first now. An instance of the build before ignores the decision.

Evidence: platform tests, two instances with different documents.

A stream whose service is no longer in the document of the second instance still ends there: its servers are not listed any more.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -16,6 +16,9 @@
 
 // maxBodyBytes returns the limit of a request body.
 func (c *call) maxBodyBytes() int64 {
+	if c.forwarded != nil && c.forwarded.decision != nil {
+		return c.forwarded.decision.MaxBodyBytes
+	}
 	if limit := int64(c.routing.table.Limits.MaxBodyBytes); limit > 0 {
 		return limit
 	}
--- a/gateway/forward_message.go
+++ b/gateway/forward_message.go
@@ -39,6 +39,8 @@
 	// last event that the client has.
 	software  *dispatch.Software
 	lastEvent string
+	// decision is nil from an instance that does not pass it on.
+	decision *forwardDecision
 }
 
 // encode returns the value of forwardHeader.
@@ -57,6 +59,9 @@
 	if f.lastEvent != "" {
 		v.Set("last_event", f.lastEvent)
 	}
+	if f.decision != nil {
+		v.Set("decision", f.decision.encode())
+	}
 	return v.Encode()
 }
 
@@ -76,6 +81,11 @@
 	if v.Has("software_service") {
 		f.software = &dispatch.Software{Service: v.Get("software_service"), Version: v.Get("software")}
 	}
+	if v.Has("decision") {
+		if f.decision, err = decodeForwardDecision(v.Get("decision")); err != nil {
+			return nil, err
+		}
+	}
 	return f, nil
 }
 
@@ -161,7 +171,7 @@
 	now := time.Now()
 	f := forwardedRequest{
 		from: c.gateway.instance, document: c.gateway.routing.Load().documentVersion(), service: c.service.Name,
-		elapsed: max(0, now.Sub(c.startedAt)), left: max(0, c.deadline.Sub(now)-forwardMargin), ran: forwardedServers(c.ranServers), software: c.software.Load(),
+		elapsed: max(0, now.Sub(c.startedAt)), left: max(0, c.deadline.Sub(now)-forwardMargin), ran: forwardedServers(c.ranServers), software: c.software.Load(), decision: c.forwardDecision(),
 	}
 	if lastEventID != c.request.LastEventID {
 		f.lastEvent = lastEventID
--- a/gateway/forward_serve.go
+++ b/gateway/forward_serve.go
@@ -96,22 +96,45 @@
 	return false
 }
 
+// mayAdopt returns the reason if the site document of this instance is too old for a forwarded
+// request, otherwise an empty one.
+//
+// Invariant: a document that is older than that of the other instance rejects no request for good.
+func (c *call) mayAdopt() rejectReason {
+	if c.routing.documentVersion() >= c.forwarded.document {
+		return ""
+	}
+	d := c.forwarded.decision
+	if d == nil || d.Route.DeclaresPrompt {
+		return reasonOlderDocument // the document says which accounts share contexts
+	}
+	return ""
+}
+
 // adoptForwarded takes over what another instance knows of the request. It returns the reason
 // if the request cannot be served here.
 func (c *call) adoptForwarded(now time.Time) rejectReason {
 	f := c.forwarded
-	if c.routing.documentVersion() < f.document {
-		return reasonOlderDocument
+	if f.decision != nil {
+		f.decision.adopt(c)
 	}
 	c.service = nil
 	for _, target := range c.route.Targets {
 		if target.Service == f.service {
-			c.setService(c.routing.table.Service(f.service))
+			if service := c.routing.table.Service(f.service); service != nil {
+				c.setService(service)
+			}
 		}
 	}
 	if c.service == nil {
 		return reasonOtherRoute
 	}
+	if f.decision != nil {
+		c.setDeadline(c.allowedTime())
+		if c.prompt != nil {
+			c.gateway.recordPromptLength(c)
+		}
+	}
 	if end := now.Add(f.left); end.Before(c.deadline) {
 		c.deadline = end
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -176,13 +176,21 @@
 		g.reject(rw, c, http.StatusServiceUnavailable, string(reasonNoDocument), c.retryAfter(), nil)
 		return
 	}
-	if limit := rs.table.Limits.MaxHeaderBytes; limit > 0 && headerSize(r) > limit {
-		g.reject(rw, c, http.StatusRequestHeaderFieldsTooLarge, "head too large", 0, nil)
-		return
+	if f != nil {
+		if reason := c.mayAdopt(); reason != "" {
+			g.reject(rw, c, http.StatusServiceUnavailable, string(reason), c.retryAfter(), nil)
+			return
+		}
 	}
-	if status, reason := c.resolveRoute(r); status != 0 {
-		g.reject(rw, c, status, reason, 0, nil)
-		return
+	if f == nil || f.decision == nil {
+		if limit := rs.table.Limits.MaxHeaderBytes; limit > 0 && headerSize(r) > limit {
+			g.reject(rw, c, http.StatusRequestHeaderFieldsTooLarge, "head too large", 0, nil)
+			return
+		}
+		if status, reason := c.resolveRoute(r); status != 0 {
+			g.reject(rw, c, status, reason, 0, nil)
+			return
+		}
 	}
 	if f != nil {
 		if reason := c.adoptForwarded(now); reason != "" {
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -63,7 +63,7 @@
 const maxHeaderBytes = 64 << 10
 
 // maxForwardHeaderBytes is the room for the mark of a forwarded request.
-const maxForwardHeaderBytes = 16 << 10
+const maxForwardHeaderBytes = 64 << 10
 
 // Settings holds the settings of a gateway process.
 type Settings struct {
