Intake: a whole request that finds no memory is rejected instead of closed

Callers of a process at its bound of memory, or beside slow clients at a bound of connections, got a closed connection for a whole request: neither a response nor a rejection.

Cause: Conn.Read closed the connection as soon as the bytes of a head found no room, although the segment held the whole head, or head and body. A connection also gave way by closing until its handler was called: with a whole head read, and with a second request read along with the first.

Change: a head that has arrived whole marks its connection as given way, and the handler's place is taken by a rejection: by the gateway 503, Retry-After and the request's ID, elsewhere a plain 503. Such heads hold at most an eighth of the budget. A connection in the head phase gives way only while net/http waits for bytes in a read. Incomplete heads are closed as before, and so are most over TLS, where the end of a head cannot be seen.

Why it works: net/http reads only when it lacks bytes of a head, so that a read in progress means that no whole request is held. The phase changes by compare-and-swap with each read.

Evidence: TestWholeRequestWithoutMemoryIsRejected (eight cases), TestConnectionWithWholeHeadDoesNotGiveWay and, through the gateway, TestWholeRequestToInstanceWithoutMemoryIsRejected fail without the change (unexpected EOF, or a reset for the large body) and pass with it.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/galenaarch/galenaarch/contexts"
 	"github.com/galenaarch/galenaarch/dispatch"
 	"github.com/galenaarch/galenaarch/fleetview"
+	"github.com/galenaarch/galenaarch/intake"
 	"github.com/galenaarch/galenaarch/placement"
 )
 
@@ -141,12 +142,18 @@
 // Ready reports whether this instance accepts client requests.
 func (g *Gateway) Ready() bool { return g.routing.Load().table != nil && !g.drain.started() }
 
-// Interface guard.
-var _ http.Handler = (*Gateway)(nil)
+// Interface guards.
+var (
+	_ http.Handler    = (*Gateway)(nil)
+	_ intake.Rejecter = (*Gateway)(nil)
+)
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(rw http.ResponseWriter, r *http.Request) { g.serveRequest(rw, r, nil) }
 
+// Reject implements intake.Rejecter.
+func (g *Gateway) Reject(rw http.ResponseWriter, r *http.Request) { g.serveRequest(rw, r, nil) }
+
 // serveRequest serves a request of a client, or one that another instance has passed on.
 func (g *Gateway) serveRequest(rw http.ResponseWriter, r *http.Request, f *forwardedRequest) {
 	g.inflight.Add(1)
@@ -169,6 +176,10 @@
 		return
 	}
 	c.request, c.prompt = req, req.Prompt
+	if intake.FromContext(r.Context()).GaveWay() {
+		c.rejectBody(rw, intake.ErrNoRoom, false)
+		return
+	}
 	if len(req.IgnoredHeaders) > 0 {
 		g.logger.Info("unparsable headers ignored", slog.String("request", req.ID), slog.Any("headers", req.IgnoredHeaders))
 	}
--- a/intake/closing.go
+++ b/intake/closing.go
@@ -36,7 +36,7 @@
 )
 
 // phaseNames are the phases in log lines.
-var phaseNames = map[int32]string{phaseHead: "head", phaseBody: "body", phaseWhole: "whole", phaseGaveWay: "gave way", phaseResponse: "response"}
+var phaseNames = map[int32]string{phaseHead: "head", phaseArrived: "head", phaseReady: "head", phaseBody: "body", phaseWhole: "whole", phaseGaveWay: "gave way", phaseResponse: "response"}
 
 // unhandled is what a connection has read for a request that no handler has seen yet.
 type unhandled struct {
@@ -83,7 +83,7 @@
 		return cause
 	}
 	switch {
-	case phase != phaseHead:
+	case phase > phaseReady:
 		return closeHandled
 	case u.responded.Load():
 		return closeRejected
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -12,7 +12,14 @@
 // Phases of a connection. Only a connection whose request is not whole gives way: another may
 // already run.
 const (
+	// phaseHead: net/http has used all bytes that it has, or waits for more of them.
 	phaseHead int32 = iota
+	// phaseArrived lasts from a read that has brought bytes of a head to the next one: the head may be
+	// whole.
+	phaseArrived
+	// phaseReady: the head is whole, and its handler is about to be called. net/http may already read
+	// on, to notice a client that leaves.
+	phaseReady
 	phaseBody
 	phaseWhole
 	phaseGaveWay
@@ -40,6 +47,8 @@
 	halfClose  halfClose
 	acceptedAt time.Time
 	unhandled  unhandled
+	// headScan is used by reads of heads only.
+	headScan headScan
 }
 
 // connKey is the key of a Conn in the context of its requests.
@@ -61,11 +70,12 @@
 
 // Read implements net.Conn. It counts heads, which net/http reads by itself.
 func (c *Conn) Read(p []byte) (int, error) {
+	c.phase.CompareAndSwap(phaseArrived, phaseHead)
+	inHead := c.phase.Load() == phaseHead
 	n, err := c.Conn.Read(p)
 	if err == io.EOF && len(p) == backgroundReadSize {
 		err = c.awaitLeave()
 	}
-	inHead := c.phase.Load() == phaseHead
 	if inHead {
 		c.unhandled.bytes.Add(int64(max(n, 0)))
 		c.unhandled.noteReadError(err)
@@ -75,15 +85,20 @@
 	}
 	now := time.Now()
 	c.unhandled.readAt.Store(now.UnixNano())
+	if inHead && !c.phase.CompareAndSwap(phaseHead, phaseArrived) {
+		c.reportClose()
+		return 0, net.ErrClosed // it gave way as the bytes came
+	}
 	if inHead && c.held[Heads].Load() == 0 {
 		c.pace.Store(now.UnixNano()) // the time between requests is no lag
 	}
 	c.pace.Store(pace{time.Unix(0, c.pace.Load())}.advance(n, now).at.UnixNano())
-	if inHead {
-		size := headFactor*n + headLineBytes*bytes.Count(p[:n], []byte{'\n'})
-		if c.listener.budget.take(c, Heads, int64(size)) != nil {
+	if inHead || c.headScan.rejecting {
+		size := int64(headFactor*n + headLineBytes*bytes.Count(p[:n], []byte{'\n'}))
+		whole := c.headScan.write(p[:n])
+		if (c.headScan.rejecting || c.listener.budget.take(c, Heads, size) != nil) && !c.rejectHead(size, whole) {
 			c.unhandled.setCause(closeNoRoom)
-			_ = c.Close() // its request has not been read
+			_ = c.Close() // its head has not come, or there are too many rejections
 			return 0, net.ErrClosed
 		}
 		if c.closed.Load() {
@@ -126,6 +141,30 @@
 	return phase == phaseHead || phase == phaseBody
 }
 
+// rejectHead marks a request whose head finds no memory, so that it is rejected instead of handled.
+// size is what the last bytes of the head take. It returns false if the head has not arrived whole,
+// or if the rejections hold too much.
+func (c *Conn) rejectHead(size int64, whole bool) bool {
+	if !whole && c.unreadBytes() <= 0 {
+		return false
+	}
+	budget := c.listener.budget
+	budget.mu.Lock()
+	defer budget.mu.Unlock()
+	added := c.heldBytes() + size - c.leavingBytes.Load()
+	if float64(budget.leaving.Load()+added) > (leavingShare+rejectionShare)*float64(budget.limits.bytes) {
+		return false
+	}
+	if !c.headScan.rejecting && !c.phase.CompareAndSwap(phaseArrived, phaseGaveWay) {
+		return false
+	}
+	c.headScan.rejecting = !whole
+	c.put(Heads, size)
+	c.leavingBytes.Add(added)
+	budget.leaving.Add(added)
+	return true
+}
+
 // giveWay ends the reading of the request. A connection without a whole head is closed. The caller
 // holds the budget's lock.
 func (c *Conn) giveWay() {
@@ -156,10 +195,11 @@
 	if whole {
 		next = phaseWhole
 	}
-	if !c.phase.CompareAndSwap(phaseHead, next) && !c.phase.CompareAndSwap(phaseResponse, next) {
+	if !c.phase.CompareAndSwap(phaseReady, next) && !c.phase.CompareAndSwap(phaseArrived, next) && !c.phase.CompareAndSwap(phaseResponse, next) {
 		return false
 	}
 	c.unhandled.reset()
+	c.headScan = headScan{}
 	return true
 }
 
@@ -242,11 +282,16 @@
 	}
 }
 
+// headRead is called when net/http has read a head.
+func (c *Conn) headRead() { c.phase.CompareAndSwap(phaseArrived, phaseReady) }
+
 // rest makes a connection wait for its next request.
 func (c *Conn) rest() {
 	c.halfClose.set(interimUnknown)
 	c.release()
 	c.unhandled.reset()
 	c.pace.Store(time.Now().UnixNano())
-	c.phase.CompareAndSwap(phaseResponse, phaseHead)
+	c.headScan = headScan{}
+	// Not phaseHead: the next request may have been read along with the last one.
+	c.phase.CompareAndSwap(phaseResponse, phaseArrived)
 }
--- a/intake/handler.go
+++ b/intake/handler.go
@@ -28,7 +28,12 @@
 		return ctx
 	}
 	s.ConnState = func(conn net.Conn, state http.ConnState) {
-		if c := counted(conn); c != nil && state == http.StateIdle {
+		c := counted(conn)
+		switch {
+		case c == nil:
+		case state == http.StateActive:
+			c.headRead()
+		case state == http.StateIdle:
 			c.rest()
 		}
 	}
@@ -68,7 +73,8 @@
 		}
 		whole := r.Body == nil || r.Body == http.NoBody
 		if !c.begin(whole) {
-			panic(http.ErrAbortHandler) // the connection has given way, and its request does not run
+			c.reject(rw, r, next)
+			return
 		}
 		defer c.end()
 		c.halfClose.beginRequest(r)
@@ -81,6 +87,32 @@
 	})
 }
 
+// Rejecter is a handler that responds itself to requests which found no memory: GaveWay is set for
+// their connections.
+type Rejecter interface {
+	Reject(rw http.ResponseWriter, r *http.Request)
+}
+
+// rejectRetryAfter is when a client may retry that was rejected without a Rejecter, in seconds.
+const rejectRetryAfter = "1"
+
+// reject responds to a request that does not run for want of memory, and ends its connection.
+func (c *Conn) reject(rw http.ResponseWriter, r *http.Request, next http.Handler) {
+	defer c.end()
+	c.halfClose.beginRequest(r)
+	rw.Header().Set("Connection", "close")
+	if r.Body != nil && r.Body != http.NoBody {
+		// A close with unread bytes would reset the connection, and the peer may lose the response.
+		_ = c.SetReadDeadline(time.Now().Add(unreadTimeout))
+	}
+	if rejecter, ok := next.(Rejecter); ok {
+		rejecter.Reject(rw, r)
+		return
+	}
+	rw.Header().Set("Retry-After", rejectRetryAfter)
+	http.Error(rw, ErrNoRoom.Error(), http.StatusServiceUnavailable)
+}
+
 // readAllFactor is the memory for a byte of a body that a handler reads with io.ReadAll: the
 // buffer and the next, larger one.
 const readAllFactor = 2.25
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -59,6 +59,8 @@
 	// leavingShare is the share of the budget that requests which were told to give way may still
 	// hold while others use it.
 	leavingShare = 0.25
+	// rejectionShare is what whole heads without memory may hold beyond that while they are rejected.
+	rejectionShare = 0.125
 	// minPace is the progress in bytes per second below which a request falls behind, and minLag
 	// how far it must have fallen behind to give way.
 	minPace = 64 << 10
