Gateway: requests on kept connections are answered until the process has closed them

Callers that used a kept connection as an instance stopped, after a drain too, got a closed connection for a request that the instance had read: neither a response nor a rejection.

Cause: http.Server.Shutdown closes the connections whose request it reads after it has begun, without calling the handler. The order of the stop made sure that no response was cut, but clients keep idle connections until the process is gone. The listener for other instances even stayed open until then.

Change: before Shutdown the listeners close, and connections between two requests end by the deadline of the read that waits for the next one. A read that has brought bytes goes on to its handler, which rejects the request. The metric tells requests that were read from those that were not.

--- a/gateway/process.go
+++ b/gateway/process.go
@@ -60,6 +60,12 @@
 	clientKeepAliveIdle = 3 * time.Second
 )
 
+// Names of listeners in metrics.
+const (
+	listenerClients = "clients"
+	listenerPeers   = "peers"
+)
+
 const maxHeaderBytes = 64 << 10
 
 // maxForwardHeaderBytes is the room for the mark of a forwarded request.
@@ -157,8 +163,10 @@
 	clientListener net.Listener
 	readyServer    *http.Server
 	peers          *peers
-	peerServer     *http.Server
-	cancel         context.CancelFunc
+	// peerListener is closed before peerServer, for the same reason.
+	peerListener net.Listener
+	peerServer   *http.Server
+	cancel       context.CancelFunc
 }
 
 // NewProcess returns the component.
@@ -249,7 +257,7 @@
 		ErrorLog: p.clientServer.ErrorLog,
 	}
 	var err error
-	if p.clientListener, err = p.serve("clients", p.clientServer, p.settings.Listen); err != nil {
+	if p.clientListener, err = p.serve(listenerClients, p.clientServer, p.settings.Listen); err != nil {
 		return err
 	}
 	if _, err := p.serve("readiness", p.readyServer, p.settings.ReadinessListen); err != nil {
@@ -259,7 +267,7 @@
 	mux.Handle(fleetv1.EntriesPathPrefix, fleetv1.NewEntriesServer(p.peers))
 	p.peerServer = httpserver.New(p.acceptForwarded(mux), httpserver.InternalLimits)
 	p.peerServer.MaxHeaderBytes = maxHeaderBytes + maxForwardHeaderBytes
-	if _, err := p.serve("peers", p.peerServer, p.settings.PeerListen); err != nil {
+	if p.peerListener, err = p.serve(listenerPeers, p.peerServer, p.settings.PeerListen); err != nil {
 		return err
 	}
 	p.view.Start(ctx)
@@ -400,8 +408,14 @@
 		p.gateway.stopRequests()
 		p.awaitResponses(ctx, answerTimeout)
 	}
+	for _, l := range []net.Listener{p.clientListener, p.peerListener} {
+		if l != nil {
+			_ = l.Close() // that for clients is closed by a drain
+		}
+	}
 	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
 	defer cancel()
+	p.closeIdle(ctx)
 	for _, s := range []*http.Server{p.clientServer, p.readyServer, p.peerServer} {
 		if s == nil {
 			continue
@@ -414,6 +428,16 @@
 	return nil
 }
 
+// closeIdle closes the connections of clients and other instances between two requests, and leaves
+// half of the time of ctx for the rest.
+func (p *Process) closeIdle(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, flushTimeout/2)
+	defer cancel()
+	if err := p.intake.CloseIdle(ctx, listenerClients, listenerPeers); err != nil {
+		p.logger.Info("connections not idle", slog.Int64("open", p.gateway.inflight.Load()), slog.Any("error", err))
+	}
+}
+
 // awaitResponses waits until no request is in progress, at most for the given time, and
 // reports whether none is.
 func (p *Process) awaitResponses(ctx context.Context, wait time.Duration) bool {
--- a/intake/closing.go
+++ b/intake/closing.go
@@ -31,6 +31,8 @@
 	// closeShutdown: only the end of the server closes a connection between requests without a
 	// failed read.
 	closeShutdown closeCause = "shutdown"
+	// closeShutdownUnread: the request lay in the socket, and nothing of it was read.
+	closeShutdownUnread closeCause = "shutdown, not read"
 	// closeHandled: a handler has ended, and bytes behind what it read are dropped.
 	closeHandled closeCause = "handler ended"
 )
@@ -87,6 +89,8 @@
 		return closeHandled
 	case u.responded.Load():
 		return closeRejected
+	case u.bytes.Load() == 0:
+		return closeShutdownUnread
 	}
 	return closeShutdown
 }
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"os"
 	"sync/atomic"
 	"time"
 )
@@ -49,6 +50,7 @@
 	unhandled  unhandled
 	// headScan is used by reads of heads only.
 	headScan headScan
+	idleEnd  idleEnd
 }
 
 // connKey is the key of a Conn in the context of its requests.
@@ -70,8 +72,10 @@
 
 // Read implements net.Conn. It counts heads, which net/http reads by itself.
 func (c *Conn) Read(p []byte) (int, error) {
-	c.phase.CompareAndSwap(phaseArrived, phaseHead)
-	inHead := c.phase.Load() == phaseHead
+	inHead, ends := c.beginRead()
+	if ends {
+		return 0, os.ErrDeadlineExceeded
+	}
 	n, err := c.Conn.Read(p)
 	if err == io.EOF && len(p) == backgroundReadSize {
 		err = c.awaitLeave()
@@ -85,7 +89,7 @@
 	}
 	now := time.Now()
 	c.unhandled.readAt.Store(now.UnixNano())
-	if inHead && !c.phase.CompareAndSwap(phaseHead, phaseArrived) {
+	if inHead && !c.arrived() {
 		c.reportClose()
 		return 0, net.ErrClosed // it gave way as the bytes came
 	}
