Registrar: requests on kept connections are answered until a control instance has closed them

Operators, backend servers and clients that used a kept connection as a control instance stopped got a closed connection for a request that it had read.

Cause: Close of http.Server, after the drain, ends connections whose request has just been read, as Shutdown does in the gateway.

Change: connections between two requests end first, within 50 ms, by the deadline of the read that waits for the next request.

--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -50,10 +50,18 @@
 	// above operatorTimeout. The wait ends after drainQuietPeriod without a request.
 	drainTimeout     = time.Second
 	drainQuietPeriod = 100 * time.Millisecond
+	// closeTimeout is how long requests that arrive while the process stops get to be answered.
+	closeTimeout = 50 * time.Millisecond
 	// feedDrainTimeout bounds the wait for entry instances, of which one may just have ended.
 	feedDrainTimeout = 300 * time.Millisecond
 )
 
+// Names of listeners in metrics.
+const (
+	listenerOperators = "operators"
+	listenerDirectory = "directory"
+)
+
 // Settings of a registrar.
 type Settings struct {
 	// Platform names the platform module; empty for none.
@@ -195,10 +203,10 @@
 		return err
 	}
 	go r.contextServer.Run(ctx)
-	if err := r.serve("operators", r.settings.Listen, r.platform.ControlHandler(r)); err != nil {
+	if err := r.serve(listenerOperators, r.settings.Listen, r.platform.ControlHandler(r)); err != nil {
 		return err
 	}
-	return r.serve("directory", r.settings.DirectoryListen, r.platform.DirectoryHandler(r))
+	return r.serve(listenerDirectory, r.settings.DirectoryListen, r.platform.DirectoryHandler(r))
 }
 
 // startWeightRunner starts the runner that brings servers to the requested
@@ -254,7 +262,15 @@
 }
 
 // Stop implements kernel.Stopper.
-func (r *Registrar) Stop(context.Context) error {
+func (r *Registrar) Stop(ctx context.Context) error {
+	for _, l := range r.listeners {
+		_ = l.Close() // is closed after a drain
+	}
+	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
+	defer cancel()
+	if err := r.intake.CloseIdle(ctx, listenerOperators, listenerDirectory); err != nil {
+		r.logger.Info("connections not idle", slog.Any("error", err))
+	}
 	for _, s := range r.servers {
 		_ = s.Close() // clients use another instance
 	}
