Routes: look-up by prefix instead of a scan of all routes of a host

Cause: Table.Route scanned the routes of a host in order of falling length. Each request paid for it, and noteMovedRoutes looks up each route of a new document in the one before, which is quadratic in the number of routes.

Change: the routes of a host are indexed by prefix; a look-up tries the lengths that occur, longest first.

--- a/config/site/table.go
+++ b/config/site/table.go
@@ -12,23 +12,31 @@
 // Table is a document indexed for routing requests.
 type Table struct {
 	*Document
-	routesByHost  map[string][]*Route
+	routesByHost  map[string]*hostRoutes
 	services      map[string]*Service
 	accountsByKey map[string]*Account
 	isolated      map[string]bool
 	isolatedGroup string
 }
 
+// hostRoutes are the routes of a host by prefix.
+type hostRoutes struct {
+	byPrefix map[string]*Route
+	lengths  []int // of the prefixes, descending
+}
+
 // Compile builds the routing table of a valid document.
 func Compile(d *Document) *Table {
-	t := &Table{Document: d, routesByHost: make(map[string][]*Route), services: make(map[string]*Service), accountsByKey: make(map[string]*Account), isolated: make(map[string]bool), isolatedGroup: isolatedGroup(d)}
+	t := &Table{Document: d, routesByHost: make(map[string]*hostRoutes), services: make(map[string]*Service), accountsByKey: make(map[string]*Account), isolated: make(map[string]bool), isolatedGroup: isolatedGroup(d)}
 	for i := range d.Routes {
 		r := &d.Routes[i]
 		host := strings.ToLower(r.Host)
-		t.routesByHost[host] = append(t.routesByHost[host], r)
-	}
-	for _, routes := range t.routesByHost {
-		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.PathPrefix) - len(a.PathPrefix) })
+		h := t.routesByHost[host]
+		if h == nil {
+			h = &hostRoutes{byPrefix: make(map[string]*Route)}
+			t.routesByHost[host] = h
+		}
+		h.add(r)
 	}
 	for i := range d.Services {
 		t.services[d.Services[i].Name] = &d.Services[i]
@@ -45,14 +53,38 @@
 // Route returns the route with the longest prefix that matches a host and raw
 // path, or nil.
 func (t *Table) Route(host, path string) *Route {
-	routes, ok := t.routesByHost[strings.ToLower(host)]
+	h, ok := t.routesByHost[strings.ToLower(host)]
 	if !ok {
 		if name, _, err := net.SplitHostPort(host); err == nil {
-			routes = t.routesByHost[strings.ToLower(name)]
+			h = t.routesByHost[strings.ToLower(name)]
 		}
 	}
-	for _, r := range routes {
-		if strings.HasPrefix(path, r.PathPrefix) {
+	return h.longestMatch(path)
+}
+
+// add adds a route; of two with the same prefix the first is kept.
+func (h *hostRoutes) add(r *Route) {
+	if h.byPrefix[r.PathPrefix] != nil {
+		return
+	}
+	h.byPrefix[r.PathPrefix] = r
+	length := len(r.PathPrefix)
+	i, found := slices.BinarySearchFunc(h.lengths, length, func(a, b int) int { return b - a })
+	if !found {
+		h.lengths = slices.Insert(h.lengths, i, length)
+	}
+}
+
+// longestMatch returns the route with the longest prefix of a path, or nil.
+func (h *hostRoutes) longestMatch(path string) *Route {
+	if h == nil {
+		return nil
+	}
+	for _, length := range h.lengths {
+		if length > len(path) {
+			continue
+		}
+		if r := h.byPrefix[path[:length]]; r != nil {
 			return r
 		}
 	}
