Replacement: a stream that left a silent server may return to it at its limit of servers

What callers saw: a resumable stream of a route with two servers a request got no further event and ended without its rest, although the server that began it had been silent for 1.7 s only and went on. It had left that server after 1.2 s for another one, which was silent as well, for longer, and stayed there: four seconds in all, the client waits two.

Cause: a request leaves a silent server only if the route allows a further one. After the first change of servers none is left, and the one that it has left before, which may be sent the request again, was not counted.

Change: a request that has left a silent server may leave another one for a server that has run it before and has not refused it. No further server runs the request, and the one that is left ends its run as before.

Evidence: TestStreamGoesBackToSoundServerInTime, "silent before the response" with two servers allowed, fails on the code before in 2 of 2 runs (sent once to each server, unexpected EOF after 4.97 s); passes now, also with -race at a load of 20. Its other cases (the replacement rejects, breaks off, leaves, the document removes the route; two or three servers allowed) passed before.

--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -180,6 +180,20 @@
 	return len(c.ranServers) < max(1, c.route.MaxServers) || c.ranServers[server]
 }
 
+// mayReturn reports whether a request that has left a silent server may leave another one for a
+// server that it has left before.
+func (c *call) mayReturn(silent *backend) bool {
+	if !c.leftSilent {
+		return false
+	}
+	for server := range c.ranServers {
+		if server != silent.server && !c.refusedBy[server] {
+			return true
+		}
+	}
+	return false
+}
+
 // maySwitchServer reports whether a request may leave its server for another one: not if the other
 // one cannot serve it in the client's time, while the silent one may go on.
 func (c *call) maySwitchServer(silent *backend, now time.Time) bool {
@@ -188,5 +202,5 @@
 		ran++
 	}
 	client := c.clientTime(now)
-	return c.retryable() && ran < c.route.MaxServers && client.MaySwitch(now) && c.gateway.policy.Enabled(dispatch.StallFailover)
+	return c.retryable() && (ran < c.route.MaxServers || c.mayReturn(silent)) && client.MaySwitch(now) && c.gateway.policy.Enabled(dispatch.StallFailover)
 }
