Stall watch: a server that takes a stream over is left before its client leaves

What callers saw: a resumable stream left a sound server that was silent for 1.7 s for another one, which sent its response headers and then no event. The client got no further event in the two seconds for which it waits, although the first server had gone on.

Cause: the time after which a silent server is left began again with the response headers of the server that took the stream over, 1.2 s after those. The client waits since its last event, so there was none left by then.

Change: a server that takes a stream over may send no event for as long as leaves another one the time for it, as before its headers. The wait at the first server, and after each event, stays as it was.

--- a/dispatch/time_left.go
+++ b/dispatch/time_left.go
@@ -56,6 +56,15 @@
 	return timeout
 }
 
+// EventTimeout returns how long one server may send no event, at most limit, before a stream goes on
+// at another one, so that the other one has time for the next event.
+func (t *ClientTime) EventTimeout(limit time.Duration, now time.Time) time.Duration {
+	if spare := t.LatestStart().Sub(now) - 2*switchTime; spare > 0 {
+		return min(limit, spare)
+	}
+	return limit
+}
+
 // MaySwitch reports whether another server can still serve the client if the request leaves its
 // server now.
 func (t *ClientTime) MaySwitch(now time.Time) bool {
--- a/dispatch/time_left_test.go
+++ b/dispatch/time_left_test.go
@@ -99,3 +99,25 @@
 		require.True(t, at.Add(searchMargin/2).Before(c.LatestStart()), "a search that is a little late is still of use")
 	}
 }
+
+// TestEventTimeoutLeavesTimeForAnotherServer guards against a server that takes a stream over, sends
+// no event, and is left only after the client.
+func TestEventTimeoutLeavesTimeForAnotherServer(t *testing.T) {
+	now := time.Unix(1000, 0)
+	limit := 1200 * time.Millisecond
+	for _, test := range []struct {
+		name             string
+		deadline, leaves time.Duration
+		want             time.Duration
+	}{
+		{"client waits for long", time.Minute, time.Minute, limit},
+		{"client leaves soon", time.Minute, 800 * time.Millisecond, 680 * time.Millisecond},
+		{"deadline soon", 500 * time.Millisecond, 800 * time.Millisecond, 380 * time.Millisecond},
+		{"no time for another server", time.Minute, 120 * time.Millisecond, limit},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			client := ClientTime{Deadline: now.Add(test.deadline), LeavesAt: now.Add(test.leaves)}
+			require.Equal(t, test.want, client.EventTimeout(limit, now))
+		})
+	}
+}
--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -31,6 +31,8 @@
 	attempt *attempt
 	// lastEventAt is the time of the last event, in nanoseconds of Unix time.
 	lastEventAt atomic.Int64
+	// timeout is how long the server may send no event, in nanoseconds.
+	timeout atomic.Int64
 	// forwarding is set while events are written to the client: meanwhile nothing is
 	// read, and the server is not silent.
 	forwarding atomic.Bool
@@ -62,8 +64,15 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.dueAt = time.Now().Add(w.fraction(failoverShare))
-	w.timer = time.AfterFunc(w.fraction(failoverShare), w.check)
+	now, timeout := time.Now(), w.fraction(failoverShare)
+	if s.headersSent || c.leftSilent {
+		// The client has waited for the next event since before this server was asked.
+		client := c.clientTime(now)
+		timeout = client.EventTimeout(timeout, now)
+	}
+	w.timeout.Store(int64(timeout))
+	w.dueAt = now.Add(timeout)
+	w.timer = time.AfterFunc(timeout, w.check)
 	return w
 }
 
@@ -97,6 +106,7 @@
 // progress records a complete event.
 func (w *stallWatch) progress() {
 	w.lastEventAt.Store(time.Now().UnixNano())
+	w.timeout.Store(int64(w.fraction(failoverShare)))
 	if cancel := w.cancelSearch.Load(); cancel != nil {
 		(*cancel)()
 	}
@@ -134,18 +144,18 @@
 	// This is read first: a write that ends now has updated lastEventAt before.
 	forwarding := w.forwarding.Load()
 	now := time.Now()
-	lastEventAt := time.Unix(0, w.lastEventAt.Load())
+	lastEventAt, timeout := time.Unix(0, w.lastEventAt.Load()), time.Duration(w.timeout.Load())
 	sinceEvent := now.Sub(lastEventAt)
 	switch {
 	case forwarding, w.late(now):
 		w.schedule(recheckInterval)
-	case sinceEvent >= w.fraction(failoverShare) && w.tryFailOver(lastEventAt, now):
+	case sinceEvent >= timeout && w.tryFailOver(lastEventAt, now):
 		w.ended, w.stalled = true, true
 		w.attempt.cancel(&upstream.Error{Phase: upstream.PhaseReadBody, Address: w.attempt.backend.address, Err: errStalled})
-	case sinceEvent >= w.fraction(failoverShare):
+	case sinceEvent >= timeout:
 		w.schedule(recheckInterval)
 	default:
-		w.schedule(w.fraction(failoverShare) - sinceEvent)
+		w.schedule(timeout - sinceEvent)
 	}
 }
 
