Gateway: a begun stream is not cut while a server may still take it

Callers saw: a stream whose sound server fell silent was cut 0.7 s before its client leaves. The stream had left its server after 1.2 s; the other one, and then the first, rejected it as full for a moment, and the response ended.

Cause: since servers that have rejected a request are not asked again, and a request that every server has rejected ends at once. That is right for a request that can still be rejected: its client comes back. A response that has begun can only be cut, and a server's silence is no reason to end it sooner.

Change: a server that rejects a begun stream with 503 may be asked again within the client's time, in the search that there is (its interval doubles, each send takes a retry).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -335,7 +335,7 @@
 func (c *call) recordAttempt(a *attempt) {
 	b, now := a.backend, time.Now()
 	c.triedServers[b.server] = true
-	if a.err != nil && !errors.Is(a.err, errAttemptTimeout) || a.result == notRun {
+	if a.err != nil && !errors.Is(a.err, errAttemptTimeout) || a.result == notRun && !c.mayTakeLater(a) {
 		c.noteRefused(b)
 	}
 	var e *upstream.Error
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"maps"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -147,6 +148,12 @@
 	return true
 }
 
+// mayTakeLater reports whether a server that rejected the request, for now, may be asked again.
+// A client whose stream has begun cannot be sent a rejection: without a server its response is cut.
+func (c *call) mayTakeLater(a *attempt) bool {
+	return c.lastEventAt.Load() != 0 && a.status == http.StatusServiceUnavailable
+}
+
 // noteRefused records a server that has refused or failed the request.
 func (c *call) noteRefused(b *backend) {
 	if c.refusedBy == nil {
