Faults: a soak that records who ends each connection while sound servers are silent

Callers report requests that end without a response, also beside a change of the document. The soaks before did not tell who had closed a connection, their servers did not pause within a body, and all of their clients sent a request soon after connecting and read at once.

TestRequestsToSilentServersAreNotEndedByPlannedWork follows each whole request by its ID to its response or to the end of its connection, and records who ended that (client, instance by FIN or reset), its age, bytes and idle time, whether a request was in progress and whether the instance ran, stopped or had exited. Servers pause for 0.5 to 1.6 s before the head, between events and within a body, also all of a service at once. Beside them documents follow each other after 0.1 to 0.4 s, entry and control instances are stopped (also with two signals) and reloaded, and servers are replaced. Clients keep connections until the process is gone, wait for a disturbance on idle ones, connect seconds before their first request, read slowly, use HTTP/1.0 and Expect: 100-continue, and end their sending side; others call control instances on kept connections.

A request is lost by the same rule as in the other soaks. A call to a control instance is lost if its connection ends over 200 ms after its last byte.

--- a/faults/stream_client_test.go
+++ b/faults/stream_client_test.go
@@ -44,6 +44,10 @@
 	events   int
 	interval time.Duration
 	padding  int
+	// behavior is how the client sends the request and reads its response.
+	behavior clientBehavior
+	// connection is the one it was sent on, nil if that is not observed.
+	connection *observedConn
 	// bodyDelay is the time between the request's header and its body.
 	bodyDelay time.Duration
 	timeout   time.Duration
@@ -106,7 +110,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &connection{Conn: c, reader: bufio.NewReader(c)}, nil
+	return newConnection(c), nil
+}
+
+func newConnection(c net.Conn) *connection {
+	return &connection{Conn: c, reader: bufio.NewReader(c)}
 }
 
 // exchange sends a request and reads everything that belongs to its response. It reports
@@ -115,10 +123,13 @@
 	r.onConnection, r.sentAt = c.used, time.Now()
 	c.used++
 	defer func() { r.endedAt = time.Now() }()
-	if r.err = c.write(r); r.err != nil {
+	whole := false
+	if whole, r.err = c.write(r); r.err != nil {
 		return false
 	}
-	r.wroteAt = time.Now()
+	if whole {
+		r.wroteAt = time.Now()
+	}
 	gap := r.timeout
 	if r.events > 0 {
 		gap = clientEventGap
@@ -128,7 +139,7 @@
 		_ = c.SetReadDeadline(earlier(r.sentAt.Add(r.timeout), time.Now().Add(gap)))
 	}
 	await()
-	response, err := http.ReadResponse(c.reader, &http.Request{Method: http.MethodPost})
+	response, err := c.readResponse()
 	if err != nil {
 		r.fail(err)
 		return false
@@ -153,7 +164,17 @@
 		r.wrong = fmt.Sprintf("%d bytes after the response", n)
 		return false
 	}
-	return !response.Close || c.ignoresClose
+	return whole && (!response.Close || c.ignoresClose)
+}
+
+// readResponse reads the head of the final response.
+func (c *connection) readResponse() (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: http.MethodPost})
+		if err != nil || response.StatusCode >= http.StatusOK {
+			return response, err
+		}
+	}
 }
 
 func earlier(a, b time.Time) time.Time {
@@ -172,30 +193,44 @@
 	r.left = errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, errLeft)
 }
 
-func (c *connection) write(r *clientRequest) error {
+// write sends a request. It reports false if the gateway has responded without asking for the body.
+func (c *connection) write(r *clientRequest) (whole bool, err error) {
 	var head strings.Builder
 	body := r.body()
-	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n", r.method, r.path, platformtest.Host, r.id, r.timeout.Milliseconds())
+	fmt.Fprintf(&head, "%s %s HTTP/1.%d\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n", r.method, r.path, r.behavior.minorVersion(), platformtest.Host, r.id, r.timeout.Milliseconds())
 	if r.method != http.MethodGet {
 		fmt.Fprintf(&head, "Content-Length: %d\r\n", len(body))
 	}
 	for name, value := range r.header {
 		fmt.Fprintf(&head, "%s: %s\r\n", name, value)
 	}
+	r.behavior.writeHeader(&head)
 	head.WriteString("\r\n")
-	if r.bodyDelay == 0 {
+	if r.bodyDelay == 0 && !r.behavior.expectContinue {
 		head.WriteString(body)
 		body = ""
 	}
 	if err := c.SetWriteDeadline(time.Now().Add(r.timeout)); err != nil {
-		return err
+		return false, err
 	}
-	if _, err := io.WriteString(c, head.String()); err != nil || body == "" {
-		return err
+	if _, err := io.WriteString(c, head.String()); err != nil {
+		return false, err
 	}
-	time.Sleep(r.bodyDelay)
-	_, err := io.WriteString(c, body)
-	return err
+	if body != "" {
+		time.Sleep(r.bodyDelay)
+		if r.behavior.expectContinue {
+			if asked, err := c.awaitContinue(r.timeout); !asked {
+				return false, err
+			}
+		}
+		if _, err := io.WriteString(c, body); err != nil {
+			return false, err
+		}
+	}
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok && r.behavior.halfClose {
+		return true, w.CloseWrite()
+	}
+	return true, nil
 }
 
 func (r *clientRequest) readBody(body io.Reader) error {
@@ -203,7 +238,7 @@
 	if !r.sealed {
 		r.reason = strings.TrimSpace(string(content))
 	}
-	if err == nil && r.status == http.StatusOK && string(content) != answerTo(r.id) {
+	if err == nil && r.status == http.StatusOK && string(content) != answerTo(r.id)+r.filler() {
 		r.wrong = fmt.Sprintf("body %q", content)
 	}
 	return err
@@ -249,7 +284,7 @@
 // checkEvent checks the event that was received last: it is the next one of the request, and
 // written by the software that wrote those before, if it names that.
 func (r *clientRequest) checkEvent(event string) {
-	n, data := r.after+r.received, r.id
+	n, data := r.after+r.received, r.id+r.filler()
 	if r.writer != nil {
 		data += " " + r.writer.of(event)
 		r.joined = r.joined || !strings.Contains(event, data)
--- a/faults/stream_soak_checks_test.go
+++ b/faults/stream_soak_checks_test.go
@@ -264,6 +264,9 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "  route %s, gateway %d, request %d on its connection, sent %s, written %s, ended %s, timeout %v, status %d, %d of %d events each %v, error %v\n",
 		r.route.name, r.gateway, r.onConnection, s.since(r.sentAt), s.since(r.wroteAt), s.since(r.endedAt), r.timeout, r.status, r.received, r.events, r.interval, r.err)
+	if r.connection != nil {
+		fmt.Fprintf(&b, "  %s\n", r.connection.describe(time.Now()))
+	}
 	for _, a := range s.arrivals[r.id] {
 		a.server.mu.Lock()
 		fmt.Fprintf(&b, "  server %s at %s, until %s, executed %t, after event %q, silent until %s\n", a.server.id, s.since(a.at), s.since(a.until), a.executed, a.lastEventID, s.since(a.server.silentUntil))
--- a/faults/stream_soak_servers_test.go
+++ b/faults/stream_soak_servers_test.go
@@ -132,10 +132,13 @@
 }
 
 // silence makes servers silent: one, several, or all of a service.
-func (s *streamSoak) silence(random *rand.Rand) {
+func (s *streamSoak) silence(random *rand.Rand) { s.silenceUpTo(maxSilence, random) }
+
+// silenceUpTo is silence with the longest time that it lasts.
+func (s *streamSoak) silenceUpTo(longest time.Duration, random *rand.Rand) {
 	service := s.all[random.IntN(len(s.all))].service
 	share, first := random.IntN(3), true
-	lasts := minSilence + time.Duration(random.Int64N(int64(maxSilence-minSilence)))
+	lasts := minSilence + time.Duration(random.Int64N(int64(longest-minSilence)))
 	var silent []*soakServer
 	for _, server := range s.all {
 		if server.service != service || share == 0 && !first || share == 1 && random.IntN(2) == 0 {
@@ -230,10 +233,7 @@
 	}
 	s.happened("%s drains", server.CurrentID())
 	time.Sleep(announceInterval + drainTime + time.Duration(rand.Int64N(int64(2*time.Second))))
-	server.mu.Lock()
-	wait := time.Until(server.busyUntil) + 2*silenceBreak
-	server.mu.Unlock()
-	time.Sleep(max(0, wait))
+	server.awaitResponses()
 	if !server.endDrain(incarnations) {
 		return
 	}
@@ -241,6 +241,19 @@
 	s.finish(server, false, minFaultDuration)
 }
 
+// awaitResponses waits until the responses in progress have ended. Silences prolong them meanwhile.
+func (server *soakServer) awaitResponses() {
+	for {
+		server.mu.Lock()
+		wait := time.Until(server.busyUntil) + 2*silenceBreak
+		server.mu.Unlock()
+		if wait <= 0 {
+			return
+		}
+		time.Sleep(wait)
+	}
+}
+
 // endDrain ends the announcements of a server that drains. It reports false if the server has
 // crashed under a request meanwhile, so that it is restarted already.
 func (server *soakServer) endDrain(incarnationsBefore int) bool {
--- a/faults/unanswered_soak_test.go
+++ b/faults/unanswered_soak_test.go
@@ -126,7 +126,7 @@
 }
 
 // configureInSeries publishes configurations until the context ends.
-func (s *unansweredSoak) configureInSeries(ctx, requests context.Context) {
+func (s *streamSoak) configureInSeries(ctx, requests context.Context) {
 	for ctx.Err() == nil {
 		s.configure(requests)
 		select {
@@ -173,7 +173,7 @@
 
 // servedWithRoom returns the share of requests that were served, of those that neither a
 // configuration nor a stopping gateway may reject.
-func (s *unansweredSoak) servedWithRoom() (share float64, n int) {
+func (s *streamSoak) servedWithRoom() (share float64, n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	servedCount := 0
