Intake: a rejection for want of memory reaches a client that still sends its body

Callers whose body was late and gave way to others got 503, and a reset when they went on sending: a write failed with a broken pipe before the response was read.

Cause: the deadline in the past that ends the reading of the body also ends net/http's reading of what is left, so that it closes the connection at once. Linux answers further bytes with a reset.

Change: such a connection ends its sending side and reads on, 256 KiB and a second at most, before it closes. At a bound of connections it closes at once. Nothing of the request stays counted meanwhile.

TestConnectionAtBoundDoesNotLinger holds the bound.

--- a/intake/budget.go
+++ b/intake/budget.go
@@ -167,6 +167,14 @@
 	return true
 }
 
+// mayLinger reports whether a connection takes no place that new ones need.
+func (b *Budget) mayLinger(c *Conn) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	count := b.listeners[c.listener.name]
+	return len(b.open) < b.limits.total && count.total < b.limits.listener && count.byAddress[c.address] < b.limits.address
+}
+
 // remove forgets a closed connection.
 func (b *Budget) remove(c *Conn) {
 	b.mu.Lock()
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -51,6 +51,8 @@
 	// headScan is used by reads of heads only.
 	headScan headScan
 	idleEnd  idleEnd
+	// lingers is set if Close is to wait for the peer.
+	lingers atomic.Bool
 }
 
 // connKey is the key of a Conn in the context of its requests.
@@ -113,8 +115,21 @@
 	return n, err
 }
 
+// linger ends the sending side, and closes once the peer has ended its own, or in time. A close with
+// unread bytes would reset the connection, and the peer may lose its response.
+func (c *Conn) linger() {
+	_ = c.CloseWrite()
+	_ = c.Conn.SetReadDeadline(time.Now().Add(unreadTimeout))
+	_, _ = io.CopyN(io.Discard, c.Conn, maxUnread)
+	_ = c.Close()
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
+	if c.lingers.Swap(false) && c.listener.budget.mayLinger(c) {
+		go c.linger() // Close of http.Server must not wait
+		return nil
+	}
 	if !c.closed.Swap(true) {
 		c.reportClose()
 		c.listener.budget.remove(c)
--- a/intake/handler.go
+++ b/intake/handler.go
@@ -14,6 +14,9 @@
 // reads 256 KiB at most and otherwise waits for the peer as long as that stays.
 const unreadTimeout = time.Second
 
+// maxUnread is how much a connection that lingers reads on, as net/http does.
+const maxUnread = 256 << 10
+
 // Protect makes a server and its listener count what they hold under the name of the listener. It
 // returns the listener to serve. A nil Budget changes nothing.
 func (b *Budget) Protect(s *http.Server, l net.Listener, name string) net.Listener {
@@ -156,7 +159,11 @@
 // leave bounds the time for a body that the handler has left unread.
 func (b *body) leave() {
 	b.conn.body = nil
-	if !b.ended && b.conn.phase.Load() != phaseGaveWay {
+	switch {
+	case b.ended:
+	case b.conn.phase.Load() == phaseGaveWay:
+		b.conn.lingers.Store(true) // net/http reads nothing after the deadline that ended the reading
+	default:
 		_ = b.conn.SetReadDeadline(time.Now().Add(unreadTimeout)) // fails if the connection is closed
 	}
 }
--- /dev/null
+++ b/intake/rejected_body_test.go
@@ -0,0 +1,77 @@
+package intake
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A connection is reset under a client that goes on sending its body after its request was rejected for want of memory.
+func TestRejectionReachesClientThatStillSends(t *testing.T) {
+	const pieces, piece = 12, 16 << 10
+	for name, framing := range map[string]string{"length": fmt.Sprintf("Content-Length: %d", pieces*piece), "chunks": "Transfer-Encoding: chunked"} {
+		for why, late := range map[string]bool{"no room": false, "gave way": true} {
+			t.Run(name+", "+why, func(t *testing.T) {
+				b := fullBudget(t)
+				if late {
+					b = testBudget(limits{bytes: 8 << 20, total: 1000, listener: 1000, address: 1000})
+				}
+				began := make(chan struct{})
+				address := startServer(t, b, func(rw http.ResponseWriter, r *http.Request) {
+					if !late {
+						exhaust(t, b)
+					}
+					close(began)
+					echo(rw, r)
+				})
+				c, err := net.Dial("tcp4", address)
+				require.NoError(t, err)
+				defer c.Close()
+				require.NoError(t, c.SetDeadline(time.Now().Add(5*time.Second)))
+				_, err = fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: a\r\n%s\r\n\r\n", framing)
+				require.NoError(t, err)
+				<-began
+				if late {
+					time.Sleep(50 * time.Millisecond)
+					b.mu.Lock()
+					require.True(t, b.replace("clients", "127.0.0.1", time.Now().Add(time.Minute)))
+					b.mu.Unlock()
+				}
+				for n := range pieces {
+					time.Sleep(10 * time.Millisecond)
+					sent := strings.Repeat("x", piece)
+					if name == "chunks" {
+						sent = fmt.Sprintf("%x\r\n%s\r\n", piece, sent)
+					}
+					_, err = io.WriteString(c, sent)
+					require.NoError(t, err, "piece %d", n)
+				}
+				r, err := http.ReadResponse(bufio.NewReader(c), nil)
+				require.NoError(t, err)
+				require.Equal(t, http.StatusServiceUnavailable, r.StatusCode)
+				require.True(t, r.Close)
+			})
+		}
+	}
+}
+
+// A connection that lingers must not take the place of another.
+func TestConnectionAtBoundDoesNotLinger(t *testing.T) {
+	for name, bound := range map[string]limits{"in all": {total: 1, listener: 9, address: 9}, "listener": {total: 9, listener: 1, address: 9}, "address": {total: 9, listener: 9, address: 1}} {
+		t.Run(name, func(t *testing.T) {
+			b := testBudget(bound)
+			c, why := newConn(t, b, "10.0.0.1", phaseGaveWay, 0)
+			require.Empty(t, why)
+			c.lingers.Store(true)
+			require.NoError(t, c.Close())
+			require.True(t, c.closed.Load())
+		})
+	}
+}
