Intake: a rejection at a body's deadline reaches a client that still sends in chunks

Cause: as for connections that give way: after a deadline the reader for chunks keeps its error, and net/http closes without reading on.

Change: such a connection lingers as well.

--- a/intake/handler.go
+++ b/intake/handler.go
@@ -128,11 +128,14 @@
 	// exact is set if the reader counts what it holds itself.
 	exact bool
 	ended bool
+	// timedOut is set if a deadline has ended the reading.
+	timedOut bool
 }
 
 // Read implements io.Reader. It returns ErrNoRoom once the request has given way.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	b.timedOut = b.timedOut || errors.Is(err, os.ErrDeadlineExceeded)
 	if n > 0 && !b.exact {
 		if b.conn.take(Bodies, int64(readAllFactor*float64(n))) != nil {
 			return 0, b.refuse()
@@ -161,7 +164,7 @@
 	b.conn.body = nil
 	switch {
 	case b.ended:
-	case b.conn.phase.Load() == phaseGaveWay:
+	case b.timedOut, b.conn.phase.Load() == phaseGaveWay:
 		b.conn.lingers.Store(true) // net/http reads nothing after the deadline that ended the reading
 	default:
 		_ = b.conn.SetReadDeadline(time.Now().Add(unreadTimeout)) // fails if the connection is closed
--- a/intake/rejected_body_test.go
+++ b/intake/rejected_body_test.go
@@ -13,20 +13,24 @@
 	"github.com/stretchr/testify/require"
 )
 
-// A connection is reset under a client that goes on sending its body after its request was rejected for want of memory.
+// A connection is reset under a client that goes on sending its body after its request was rejected.
 func TestRejectionReachesClientThatStillSends(t *testing.T) {
 	const pieces, piece = 12, 16 << 10
 	for name, framing := range map[string]string{"length": fmt.Sprintf("Content-Length: %d", pieces*piece), "chunks": "Transfer-Encoding: chunked"} {
-		for why, late := range map[string]bool{"no room": false, "gave way": true} {
+		for why, status := range map[string]int{"no room": http.StatusServiceUnavailable, "gave way": http.StatusServiceUnavailable, "deadline": http.StatusRequestTimeout} {
 			t.Run(name+", "+why, func(t *testing.T) {
 				b := fullBudget(t)
-				if late {
+				if why != "no room" {
 					b = testBudget(limits{bytes: 8 << 20, total: 1000, listener: 1000, address: 1000})
 				}
 				began := make(chan struct{})
 				address := startServer(t, b, func(rw http.ResponseWriter, r *http.Request) {
-					if !late {
+					switch why {
+					case "no room":
 						exhaust(t, b)
+					case "deadline":
+						_ = http.NewResponseController(rw).SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+						rw.Header().Set("Connection", "close")
 					}
 					close(began)
 					echo(rw, r)
@@ -38,8 +42,10 @@
 				_, err = fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: a\r\n%s\r\n\r\n", framing)
 				require.NoError(t, err)
 				<-began
-				if late {
-					time.Sleep(50 * time.Millisecond)
+				if why != "no room" {
+					time.Sleep(100 * time.Millisecond)
+				}
+				if why == "gave way" {
 					b.mu.Lock()
 					require.True(t, b.replace("clients", "127.0.0.1", time.Now().Add(time.Minute)))
 					b.mu.Unlock()
@@ -55,7 +61,7 @@
 				}
 				r, err := http.ReadResponse(bufio.NewReader(c), nil)
 				require.NoError(t, err)
-				require.Equal(t, http.StatusServiceUnavailable, r.StatusCode)
+				require.Equal(t, status, r.StatusCode)
 				require.True(t, r.Close)
 			})
 		}
