Gateway: clients have the times of the site document for a head and between two requests

Callers inside the limits of a document with header_timeout_ms above 5 s, or idle_timeout_ms above 75 s (connections are reused for four fifths of it), could find their connection closed by the instance: a head that came in time got neither a response nor a rejection.

Cause: the times of the client listener were fixed at 5 s and 60 s, whatever the document in force says. The documents known so far grant 3 s and 15 s.

Change: the deadlines that net/http sets for a head and between two requests are extended to what the document in force grants, if that is longer. A connection that is idle as the document changes keeps its deadline.

Evidence: TestHeadWithinTimeOfDocumentIsAnswered (a head of 6 s, 9 s granted) failed without the change with an unexpected EOF; TestGrantedTimesOutlastThoseOfTheServer failed for the slow head and for the idle connection. Both pass with it.

--- a/gateway/process.go
+++ b/gateway/process.go
@@ -30,8 +30,7 @@
 // Timeouts of the listeners.
 const (
 	// headerTimeout limits the reading of request headers, idleTimeout the time
-	// between two requests. The latter is above what site documents grant clients,
-	// who may reuse a connection for most of it.
+	// between two requests. Clients have more if the site document grants it.
 	headerTimeout = 5 * time.Second
 	idleTimeout   = time.Minute
 	// minDrainTime is how long a draining instance accepts new connections: clients
@@ -311,6 +310,9 @@
 		return nil, eris.Wrapf(err, "listen on %s", address)
 	}
 	counted := p.intake.Protect(s, userTimeoutListener{listener}, name)
+	if l, ok := counted.(*intake.Listener); ok && s == p.clientServer {
+		l.SetTimeouts(p.gateway.clientTimeouts)
+	}
 	go func() {
 		if err := s.Serve(counted); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			p.logger.Error("listener failed", slog.String("address", address), slog.Any("error", err))
@@ -319,6 +321,16 @@
 	return listener, nil
 }
 
+// clientTimeouts returns the times that the site document in force grants clients for a head, and
+// between two requests.
+func (g *Gateway) clientTimeouts() (head, idle time.Duration) {
+	rs := g.routing.Load()
+	if rs.table == nil {
+		return 0, 0
+	}
+	return rs.table.Limits.HeaderTimeout, rs.table.Limits.IdleTimeout
+}
+
 // userTimeoutListener closes connections whose peer acknowledges nothing.
 type userTimeoutListener struct{ net.Listener }
 
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -53,6 +53,8 @@
 	idleEnd  idleEnd
 	// lingers is set if Close is to wait for the peer.
 	lingers atomic.Bool
+	// rested is set once a request has ended; only the goroutine of net/http uses it.
+	rested bool
 }
 
 // connKey is the key of a Conn in the context of its requests.
@@ -273,8 +275,9 @@
 // Listener accepts connections within a budget.
 type Listener struct {
 	net.Listener
-	name   string
-	budget *Budget
+	name     string
+	budget   *Budget
+	timeouts func() (head, idle time.Duration)
 }
 
 // Accept implements net.Listener. Connections beyond the bounds are closed.
@@ -306,6 +309,7 @@
 
 // rest makes a connection wait for its next request.
 func (c *Conn) rest() {
+	c.rested = true
 	c.halfClose.set(interimUnknown)
 	c.release()
 	c.unhandled.reset()
--- a/intake/half_close.go
+++ b/intake/half_close.go
@@ -145,7 +145,8 @@
 
 // SetReadDeadline implements net.Conn.
 func (c *Conn) SetReadDeadline(t time.Time) error {
-	err := c.Conn.SetReadDeadline(t)
-	c.halfClose.setReadAborted(!t.IsZero() && !t.After(time.Now()))
+	now := time.Now()
+	err := c.Conn.SetReadDeadline(c.extend(t, now))
+	c.halfClose.setReadAborted(!t.IsZero() && !t.After(now))
 	return err
 }
