Entry: a client that closes its sending side after a whole request gets its response

Clients of galena-entry that ended their sending side after a whole request got 499 instead of the response, as if they had left. What its listeners closed before a handler ran had no line and no metric.

Cause: its servers do not use the intake package, which tells such clients from those that have left.

Change: the three listeners are counted as those of the other programs, below TLS, without a limit of memory; connections are bounded by the descriptors. Over TLS such a client is still taken for one that has left.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -215,19 +215,16 @@
 	go e.syncStores(ctx)
 	go e.catalogue.Run(ctx)
 	e.startExporters(ctx)
-	peerListener, err := e.transport.Listen(e.settings.PeerListen)
-	if err != nil {
-		return err
-	}
-	e.serve(&e.peer, peerListener, e.peerRoutes())
-	if err := e.listen(&e.backend, e.settings.BackendListen, e.backendRoutes()); err != nil {
+	plain := func(l net.Listener) net.Listener { return l }
+	if _, err := e.listen(&e.peer, "peers", e.settings.PeerListen, e.transport.Secure, e.peerRoutes()); err != nil {
 		return err
 	}
-	if e.publicListener, err = e.publicTransport.Listen(e.settings.Listen); err != nil {
+	if _, err := e.listen(&e.backend, "servers", e.settings.BackendListen, plain, e.backendRoutes()); err != nil {
 		return err
 	}
-	e.serve(&e.public, e.publicListener, e.publicRoutes())
-	return nil
+	var err error
+	e.publicListener, err = e.listen(&e.public, "clients", e.settings.Listen, e.publicTransport.Secure, e.publicRoutes())
+	return err
 }
 
 // connState returns the connection-state hook for a server. Only the
@@ -239,19 +236,13 @@
 	return e.tracker.trackConn
 }
 
-// listen opens a listener without TLS on address and serves handler on it.
-func (e *Entry) listen(server **http.Server, address string, handler http.Handler) error {
+// listen opens a listener on address and serves handler on it in the background. secure adds TLS above
+// the counted connections. The server is stored in *server.
+func (e *Entry) listen(server **http.Server, name, address string, secure func(net.Listener) net.Listener, handler http.Handler) (net.Listener, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return eris.Wrapf(err, "listen on %s", address)
+		return nil, eris.Wrapf(err, "listen on %s", address)
 	}
-	e.serve(server, listener, handler)
-	return nil
-}
-
-// serve starts an HTTP server on listener in the background and stores it in
-// *server.
-func (e *Entry) serve(server **http.Server, listener net.Listener, handler http.Handler) {
 	limits := httpserver.InternalLimits
 	if server == &e.public {
 		// The handlers enforce the limits for clients, so that violations get a
@@ -261,11 +252,13 @@
 	s := httpserver.New(handler, limits)
 	s.ConnState = e.connState(server)
 	*server = s
+	counted := secure(e.kernel.Intake.Protect(s, listener, name))
 	go func() {
-		if err := s.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		if err := s.Serve(counted); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			e.logger.Error("listener failed", slog.Any("address", listener.Addr()), slog.Any("error", err))
 		}
 	}()
+	return listener, nil
 }
 
 // Ready returns the reason why the entry cannot accept requests, or nil.
--- a/intake/handler.go
+++ b/intake/handler.go
@@ -30,7 +30,11 @@
 		}
 		return ctx
 	}
+	next := s.ConnState
 	s.ConnState = func(conn net.Conn, state http.ConnState) {
+		if next != nil {
+			next(conn, state)
+		}
 		c := counted(conn)
 		switch {
 		case c == nil:
