Replacement: a stream leaves a silent server for a connection that is held for it

What callers saw: beside a change of the site document that lowers the connections of a service, resumable streams ended together without their rest, 1.2 to 1.5 s after their server, a sound one, had fallen silent. It went on after 1.7 s.

Cause: a stream leaves a silent server once another one accepts a connection ("Prepare"), which then lies idle in the pool. At the limit of the pool each search closes the one that the last search has opened and opens its own, and a server that has responded meanwhile was not dialed at all. So several streams left for one connection. The others found the limit at the new server, counted it as refused, found the limit at the old one too, and were given up at once.

Change: the search holds a connection of the pool, idle or still to be opened, for the request; others do not take it. Without one the stream stays where it is. The hold ends with the sending, or with the request.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -107,7 +107,7 @@
 	timer := c.startAttemptTimer(ctx, a, timeout)
 	x, err := b.pool.Send(ctx, &upstream.Request{
 		Method: r.Method, Target: c.target, Host: r.Host, Header: c.gateway.dialect.OutboundHeader(r.Header, d), Body: c.body,
-		Identify: c.identification(b), Confirm: c.confirmation(b), Admit: func() error { return c.gateway.mayReceive(b) },
+		Identify: c.identification(b), Confirm: c.confirmation(b), Admit: func() error { return c.gateway.mayReceive(b) }, Held: c.takeHold(b),
 	})
 	inTime := timer.stop()
 	a.abandoned = ctx.Err() != nil && (err != nil || !inTime)
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -11,6 +11,7 @@
 	"github.com/galenaarch/galenaarch/contexts"
 	"github.com/galenaarch/galenaarch/dispatch"
 	"github.com/galenaarch/galenaarch/placement"
+	"github.com/galenaarch/galenaarch/upstream"
 )
 
 // Limits that the site document does not set.
@@ -68,9 +69,11 @@
 	unconfirmed bool
 	// onlyPeers is set once the request may be sent to no further server.
 	onlyPeers bool
-	// reserved is the server that takes over the request from a silent one. leftSilent is
+	// reserved is the server that takes over the request from a silent one, and held is its pool
+	// while a connection is held there for the request. leftSilent is
 	// set once the request has left a server for its silence.
 	reserved   *backend
+	held       *upstream.Pool
 	leftSilent bool
 	// refusedBy are the servers that have refused or failed the request. One that was left for its
 	// silence is none of them: it may still respond.
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -22,7 +22,7 @@
 // server rejects it. The caller must not use the call meanwhile, except for ending ctx.
 //
 // Invariant: a request leaves a silent server only for one that accepts connections and
-// has capacity, with a retry left, and only if it may be sent again. A silent server may go
+// has capacity, with a connection held and a retry left, and only if it may be sent again. A silent server may go
 // on, and a response that was given up is lost.
 func (c *call) reserveReplacement(ctx context.Context, silent *backend, since time.Time) (reserved bool) {
 	budget, retries := c.gateway.retryBudget(c.service.Name), c.missingRetries()
@@ -45,12 +45,19 @@
 		if b == nil {
 			return false
 		}
+		if !b.pool.Hold() {
+			c.undoReservation(b)
+			c.triedServers[b.server] = true
+			continue
+		}
+		c.held = b.pool
 		dialedAt := time.Now()
 		err := b.ensureReachable(ctx, since)
 		if now := time.Now(); err == nil && ctx.Err() == nil && budget.TryRetries(now, retries) {
 			c.reserved, c.retryGranted, c.spareRetry = b, true, true
 			return true
 		}
+		c.releaseHold()
 		c.undoReservation(b)
 		if err == nil || ctx.Err() != nil {
 			return false
@@ -104,9 +111,28 @@
 	return b
 }
 
+// takeHold reports whether a connection to the server is held for the request, which uses it now.
+func (c *call) takeHold(b *backend) bool {
+	if c.held != b.pool {
+		c.releaseHold()
+		return false
+	}
+	c.held = nil
+	return true
+}
+
+// releaseHold gives up the connection that is held for the request, if there is one.
+func (c *call) releaseHold() {
+	if c.held != nil {
+		c.held.Unhold()
+		c.held = nil
+	}
+}
+
 // releaseReserved gives up a reservation that was not used, with its spare retry.
 func (c *call) releaseReserved() {
 	c.refundSpareRetry()
+	c.releaseHold()
 	if b := c.takeReserved(); b != nil {
 		c.undoReservation(b)
 	}
--- /dev/null
+++ b/upstream/prepare.go
@@ -0,0 +1,81 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// Hold holds a connection, one that is idle or could be opened, for a request that is sent soon. It
+// returns false if all of the pool are in use or held. The hold ends with Unhold, or with a request
+// that is sent as Held.
+func (p *Pool) Hold() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.allHeld() {
+		return false
+	}
+	p.held++
+	return true
+}
+
+// Unhold ends a hold that was not used.
+func (p *Pool) Unhold() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.held--
+}
+
+// allHeld reports whether all connections are in use or held. mu must be held.
+func (p *Pool) allHeld() bool {
+	return p.maxOpen > 0 && len(p.idle)+max(0, p.maxOpen-p.open) <= p.held
+}
+
+// take returns a connection for a request, and whether it was open before.
+func (p *Pool) take(ctx context.Context, r *Request) (c *conn, reused bool, err error) {
+	if r.Held {
+		p.Unhold()
+		return p.connect(ctx, r.Identify)
+	}
+	p.mu.Lock()
+	full := p.held > 0 && p.allHeld()
+	p.mu.Unlock()
+	if full {
+		return nil, false, &Error{Phase: PhaseConnectionLimit, Address: p.address, Err: ErrConnectionLimit}
+	}
+	return p.connect(ctx, r.Identify)
+}
+
+// Prepare opens a connection for the next request, in place of an idle one if the pool may
+// open no further one: an idle connection does not show that the server accepts requests.
+// It fails if the server accepts no connection or all of the pool are in use.
+func (p *Pool) Prepare(ctx context.Context) error {
+	c, err := p.dialInPlace(ctx)
+	if err != nil {
+		return err
+	}
+	p.putIdle(c)
+	return nil
+}
+
+// Probe is Prepare that fails also if the server, or a partition, closes the connection
+// within probeHold: a connection may be accepted and reset at once.
+func (p *Pool) Probe(ctx context.Context) error {
+	c, err := p.dialInPlace(ctx)
+	if err != nil {
+		return err
+	}
+	time.Sleep(probeHold)
+	if !c.reusable() {
+		p.discardClosed(c)
+		return &Error{Phase: PhaseDial, Address: p.address, Err: errClosedUnused}
+	}
+	p.putIdle(c)
+	return nil
+}
+
+// errClosedUnused reports a connection that was closed before anything was sent on it.
+var errClosedUnused = errors.New("connection was closed before it was used")
+
+// probeHold is how long a probe watches a connection that was accepted.
+const probeHold = 30 * time.Millisecond
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -110,6 +110,8 @@
 	// Admit, if it is set, is called immediately before the request is written. If it returns an error
 	// nothing is sent and the connection is kept.
 	Admit func() error
+	// Held is set if the request uses a connection held by Hold. Send uses it up in any case.
+	Held bool
 }
 
 // conn is one connection; it carries one exchange at a time.
@@ -142,7 +144,9 @@
 	conns   map[*conn]struct{}
 	open    int
 	maxOpen int
-	closed  bool
+	// held counts the connections that are held for requests, see Hold.
+	held   int
+	closed bool
 	// lostAt and endedAt are described at LostAt and EndedAt.
 	lostAt, endedAt time.Time
 	// dials counts the connections opened; opening one is expensive at some servers.
@@ -351,40 +355,6 @@
 	return c, nil
 }
 
-// Prepare opens a connection for the next request, in place of an idle one if the pool may
-// open no further one: an idle connection does not show that the server accepts requests.
-// It fails if the server accepts no connection or all of the pool are in use.
-func (p *Pool) Prepare(ctx context.Context) error {
-	c, err := p.dialInPlace(ctx)
-	if err != nil {
-		return err
-	}
-	p.putIdle(c)
-	return nil
-}
-
-// Probe is Prepare that fails also if the server, or a partition, closes the connection
-// within probeHold: a connection may be accepted and reset at once.
-func (p *Pool) Probe(ctx context.Context) error {
-	c, err := p.dialInPlace(ctx)
-	if err != nil {
-		return err
-	}
-	time.Sleep(probeHold)
-	if !c.reusable() {
-		p.discardClosed(c)
-		return &Error{Phase: PhaseDial, Address: p.address, Err: errClosedUnused}
-	}
-	p.putIdle(c)
-	return nil
-}
-
-// errClosedUnused reports a connection that was closed before anything was sent on it.
-var errClosedUnused = errors.New("connection was closed before it was used")
-
-// probeHold is how long a probe watches a connection that was accepted.
-const probeHold = 30 * time.Millisecond
-
 // dialInPlace opens a connection, in place of an idle one if the pool may open no further one.
 func (p *Pool) dialInPlace(ctx context.Context) (*conn, error) {
 	c, err := p.dial(ctx)
@@ -403,7 +373,7 @@
 // whole exchange: when it ends, the connection is closed, which tells the server that
 // the response is no longer wanted. Errors are of type *Error.
 func (p *Pool) Send(ctx context.Context, r *Request) (*Exchange, error) {
-	c, reused, err := p.connect(ctx, r.Identify)
+	c, reused, err := p.take(ctx, r)
 	if err == nil && r.Confirm != nil {
 		err = p.confirm(ctx, c, r.Confirm)
 	}
