Gateway: a request does not leave a silent server for one that is as silent

Callers saw: beside configurations, a stream at a sound server that fell silent for over a second was cut.

Cause: a server takes over if it accepts connections and has capacity. The kernel of a silent server accepts connections.

Change: a server that has sent nothing in the later half of the pause, and for longer than its stall timeout, although this instance awaited something from it all that time, takes over nothing. A server from which nothing is awaited is dialed as before.

--- a/dispatch/backend_state.go
+++ b/dispatch/backend_state.go
@@ -374,6 +374,12 @@
 // RespondedAfter reports whether the server has responded since the given time.
 func (b *BackendState) RespondedAfter(since time.Time) bool { return b.lastHeard.After(since) }
 
+// Awaited reports whether this instance has awaited something from the server since the given
+// time: an answer, or the rest of a response that has begun.
+func (b *BackendState) Awaited(since time.Time) bool {
+	return b.awaitingFirstByte > 0 && !b.awaitingSince.After(since) || b.ownLoad.Requests > b.awaitingFirstByte
+}
+
 // UnresponsiveSince reports whether the server has not responded since the given time
 // although the stall timeout has passed: minStallTimeout plus the time that an engine at
 // the expected prefill rate needs for the work of this instance.
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -22,8 +22,8 @@
 // server rejects it. The caller must not use the call meanwhile, except for ending ctx.
 //
 // Invariant: a request leaves a silent server only for one that accepts connections and
-// has capacity, with a connection held and a retry left, and only if it may be sent again. A silent server may go
-// on, and a response that was given up is lost.
+// has capacity, is not as silent itself and holds a connection for it, with a retry left, and only
+// if it may be sent again. A silent server may go on, and a response that was given up is lost.
 func (c *call) reserveReplacement(ctx context.Context, silent *backend, since time.Time) (reserved bool) {
 	budget, retries := c.gateway.retryBudget(c.service.Name), c.missingRetries()
 	if now := time.Now(); !budget.Allows(now, retries) || c.repeatUnsafe(now) {
@@ -40,8 +40,14 @@
 		c.retrySilent() // the servers left before may respond again
 	}
 	c.triedServers[silent.server] = true
-	for range maxReplacementDials {
+	var skipped []string
+	for dials := 0; dials < maxReplacementDials; dials++ {
 		b := c.tryReserve(time.Now())
+		for ; b != nil && b.silentDuring(since, time.Now()); b = c.tryReserve(time.Now()) {
+			c.undoReservation(b)
+			c.triedServers[b.server] = true
+			skipped = append(skipped, b.server)
+		}
 		if b == nil {
 			return false
 		}
@@ -55,6 +61,9 @@
 		err := b.ensureReachable(ctx, since)
 		if now := time.Now(); err == nil && ctx.Err() == nil && budget.TryRetries(now, retries) {
 			c.reserved, c.retryGranted, c.spareRetry = b, true, true
+			for _, server := range skipped {
+				delete(c.triedServers, server)
+			}
 			return true
 		}
 		c.releaseHold()
@@ -150,6 +159,19 @@
 	return b.pool.Prepare(ctx)
 }
 
+// silentDuring reports whether the server has sent nothing in the later half of a pause that began
+// at the given time, although this instance awaited something from it. Servers that fall silent for
+// one reason do so at slightly different times.
+func (b *backend) silentDuring(since, now time.Time) bool {
+	if b.peer != nil {
+		return false // another instance watches its server itself
+	}
+	half := since.Add(now.Sub(since) / 2)
+	b.state.mu.Lock()
+	defer b.state.mu.Unlock()
+	return b.tracker.Awaited(half) && b.tracker.UnresponsiveSince(half, now, &b.state.prefill)
+}
+
 // awaitServer waits before a request that was taken from a silent server is sent again,
 // to any server, the silent one included. It returns false if the request is to end: its
 // client has left, no server can serve it in the client's time, or it has no server for another
