Stop: a closing listener refuses connections at once

Cause: Close takes effect only when the accepting goroutine has run and let go of the descriptor. Until then connections join the queue, which nobody empties, and are reset. At control instances the listener was also hidden behind the one that counts connections, so that its queue was not known there.

Change: once the queue is empty, the socket is shut down in the same call; new connections are refused from then on. The errors with which a server then ends are expected. The registrar keeps its listeners themselves.

Evidence: TestClosingListenerRefusesConnectionsAtOnce fails without the shutdown (the connection is accepted by the kernel).

--- a/gateway/process.go
+++ b/gateway/process.go
@@ -314,7 +314,7 @@
 		l.SetTimeouts(p.gateway.clientTimeouts)
 	}
 	go func() {
-		if err := s.Serve(counted); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		if err := s.Serve(counted); !httpserver.IsClosed(err) {
 			p.logger.Error("listener failed", slog.String("address", address), slog.Any("error", err))
 		}
 	}()
--- a/httpserver/listener.go
+++ b/httpserver/listener.go
@@ -1,7 +1,9 @@
 package httpserver
 
 import (
+	"errors"
 	"net"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -18,28 +20,44 @@
 // been accepted, at most AcceptTimeout later. Closing resets the ones in the queue, whose clients
 // may have sent requests. A connection in its handshake can still be reset.
 func CloseListener(l net.Listener) error {
-	for end := time.Now().Add(AcceptTimeout); queuedConnections(l) > 0 && time.Now().Before(end); {
+	for end := time.Now().Add(AcceptTimeout); !stopListening(l) && time.Now().Before(end); {
 		time.Sleep(acceptPollInterval)
 	}
-	return l.Close()
+	if err := l.Close(); !errors.Is(err, net.ErrClosed) { // http.Server closes one that accepts nothing
+		return err
+	}
+	return nil
 }
 
-// queuedConnections returns the number of connections of a listener that have not been accepted;
-// 0 if it is not known.
-func queuedConnections(l net.Listener) (n uint32) {
+// stopListening makes a listener refuse connections if its queue is empty. It returns false if
+// the queue is not. If the queue is not known, nothing is done.
+//
+// Close alone takes effect only once the accepting goroutine has run, and until then connections
+// join the queue.
+func stopListening(l net.Listener) (done bool) {
 	c, ok := l.(syscall.Conn)
 	if !ok {
-		return 0
+		return true
 	}
 	raw, err := c.SyscallConn()
 	if err != nil {
-		return 0
+		return true
 	}
+	done = true
 	_ = raw.Control(func(fd uintptr) { // fails if the listener is closed
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err != nil {
+			return
+		}
 		// For a listening socket, Unacked is the length of the queue.
-		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			n = info.Unacked
+		if done = info.Unacked == 0; done {
+			_ = unix.Shutdown(int(fd), unix.SHUT_RD) // the listener is closed anyway
 		}
 	})
-	return n
+	return done
+}
+
+// IsClosed reports whether a server has stopped serving because it or its listener was closed.
+func IsClosed(err error) bool {
+	return errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) || errors.Is(err, syscall.EINVAL) // accept on a socket that was shut down
 }
--- a/httpserver/listener_test.go
+++ b/httpserver/listener_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -80,3 +81,16 @@
 	_, err := net.Dial("tcp4", listener.Addr().String())
 	require.Error(t, err)
 }
+
+// A listener refuses connections at once when it is closed, also before the accepting goroutine
+// has run: they would be reset then.
+func TestClosingListenerRefusesConnectionsAtOnce(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	require.True(t, stopListening(listener))
+	_, err = net.Dial("tcp4", listener.Addr().String())
+	require.ErrorIs(t, err, syscall.ECONNREFUSED)
+	_, err = listener.Accept()
+	require.True(t, IsClosed(err), "%v", err)
+}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -231,10 +231,10 @@
 		return eris.Wrapf(err, "listen on %s", address)
 	}
 	server := httpserver.New(r.requests.Track(h), httpserver.InternalLimits)
-	listener = r.intake.Protect(server, listener, name)
 	r.servers, r.listeners = append(r.servers, server), append(r.listeners, listener)
+	counted := r.intake.Protect(server, listener, name)
 	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		if err := server.Serve(counted); !httpserver.IsClosed(err) {
 			r.logger.Error("listener failed", slog.String("address", address), slog.Any("error", err))
 		}
 	}()
