Gateway: a server without a free connection has not refused the request

A stream that left its silent server ended as soon as each server had been found with all of its connections in use once, although it may wait: connections become free within milliseconds.

Cause: recordAttempt noted each failed attempt as a refusal by the server. The limit of connections is the instance's own, and the request has reached no one.

Change: it is no refusal.

Evidence: TestConnectionLimitIsNoRefusalOfTheServer fails without the change.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -330,12 +330,23 @@
 	}
 }
 
+// isRefusal reports whether a server has refused or failed the request, and is not asked again.
+func (c *call) isRefusal(a *attempt) bool {
+	switch {
+	case errors.Is(a.err, upstream.ErrConnectionLimit):
+		return false // the limit is this instance's
+	case a.err != nil:
+		return !errors.Is(a.err, errAttemptTimeout)
+	}
+	return a.result == notRun && !c.mayTakeLater(a)
+}
+
 // recordAttempt updates the counters and the server state after an attempt, and logs
 // a failed one.
 func (c *call) recordAttempt(a *attempt) {
 	b, now := a.backend, time.Now()
 	c.triedServers[b.server] = true
-	if a.err != nil && !errors.Is(a.err, errAttemptTimeout) || a.result == notRun && !c.mayTakeLater(a) {
+	if c.isRefusal(a) {
 		c.noteRefused(b)
 	}
 	var e *upstream.Error
--- a/gateway/connection_limit_test.go
+++ b/gateway/connection_limit_test.go
@@ -12,6 +12,16 @@
 	"github.com/galenaarch/galenaarch/upstream"
 )
 
+// A server whose connections are all in use must not count as one that has refused the request:
+// a stream that has left its silent server would end although connections become free.
+func TestConnectionLimitIsNoRefusalOfTheServer(t *testing.T) {
+	h := newTestGateway(t, 1)
+	c, b := h.silentCall()
+	c.leftSilent = true
+	c.recordAttempt(&attempt{gateway: c.gateway, backend: b, startedAt: time.Now(), result: notRun, err: &upstream.Error{Phase: upstream.PhaseConnectionLimit, Address: b.address, Err: upstream.ErrConnectionLimit}})
+	require.True(t, c.mayBeTaken())
+}
+
 // A request must not leave its silent server for one that responds to others but to which no
 // further connection may be opened.
 func TestSilentServerIsNotLeftWithoutConnection(t *testing.T) {
