Faults: the soak of silent servers tells closes before a request from those during one

A request on a connection that the instance had closed before was counted like one that is ended without a response. A close that an earlier response announced is told apart too. No bound and no verdict changes.

--- a/faults/observed_connection_test.go
+++ b/faults/observed_connection_test.go
@@ -82,8 +82,9 @@
 	sent, received int
 	requests       int
 	// inRequest is set from the first byte of a request until its response is complete.
-	inRequest  bool
-	lastUsedAt time.Time
+	inRequest bool
+	// begunAt is the begin of the last request.
+	begunAt, lastUsedAt time.Time
 	// endedBy is empty while the connection is open.
 	endedBy string
 	endedAt time.Time
@@ -154,12 +155,36 @@
 	}
 }
 
+// endedUnread reports whether the peer has ended the connection although nothing is read, and records it.
+func (o *observedConn) endedUnread() (ended bool) {
+	raw, err := o.SyscallConn()
+	if err != nil {
+		return true
+	}
+	var n int
+	var peekErr error
+	if err := raw.Control(func(fd uintptr) {
+		n, _, peekErr = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	}); err != nil {
+		return true
+	}
+	switch {
+	case peekErr == nil && n == 0:
+		o.note(0, 0, io.EOF)
+	case peekErr != nil && !errors.Is(peekErr, syscall.EAGAIN):
+		o.note(0, 0, peekErr)
+	default:
+		return false
+	}
+	return true
+}
+
 // begin and finish record the begin of a request and the end of its response.
 func (o *observedConn) begin() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.requests++
-	o.inRequest = true
+	o.inRequest, o.begunAt = true, time.Now()
 }
 
 func (o *observedConn) finish() {
--- a/faults/silent_servers_soak_test.go
+++ b/faults/silent_servers_soak_test.go
@@ -141,6 +141,7 @@
 			}
 			r := kind.request(gateway, n)
 			r.connection = o
+			o.endedUnread() // the request is sent in any case
 			o.begin()
 			reusable = s.exchange(c, r)
 			if r.complete {
@@ -153,7 +154,7 @@
 			}
 		}
 		c.Close()
-		s.noteEnd(gateway, o)
+		s.noteEnd(gateway, c, o)
 	}
 }
 
@@ -197,13 +198,22 @@
 }
 
 // noteEnd counts the end of a connection.
-func (s *silentServersSoak) noteEnd(gateway int, o *observedConn) {
+func (s *silentServersSoak) noteEnd(gateway int, c *connection, o *observedConn) {
 	phase := s.phaseOf(len(s.controls)+gateway, o.endedAt)
 	in := "idle"
 	if o.inRequest {
 		in = "in a request"
 	}
+	switch {
+	case c.closeAnnounced:
+		in += ", as announced,"
+	case o.inRequest && o.endedAt.Before(o.begunAt):
+		in = "before a request"
+	}
 	s.count(s.ends, "connection %s ended by %s, instance %s", in, o.endedBy, phase)
+	if in == "in a request" && phase == "running" && o.endedBy != "client" {
+		s.t.Logf("%s: gateway %d ended a request without a response, sent at %s; %s", s.since(o.endedAt), gateway, s.since(o.begunAt), o.describe(time.Now()))
+	}
 }
 
 // noteRequest counts a request, and logs a stream that was cut beside a silence of its server.
--- a/faults/stream_client_test.go
+++ b/faults/stream_client_test.go
@@ -103,6 +103,8 @@
 	// ignoresClose is set for a client that sends further requests after a response that announces
 	// the end of the connection, until that is closed.
 	ignoresClose bool
+	// closeAnnounced is set after a response that announces the end of the connection.
+	closeAnnounced bool
 }
 
 func dialGateway(ctx context.Context, address string) (*connection, error) {
@@ -145,6 +147,7 @@
 		return false
 	}
 	r.status, r.retryAfter, r.server = response.StatusCode, response.Header.Get("Retry-After"), response.Header.Get("X-Instance-Id")
+	c.closeAnnounced = response.Close
 	r.sealed = response.Header.Get("X-Response-Seal") != ""
 	if id := response.Header.Get("X-Request-Id"); id != r.id {
 		r.wrong = fmt.Sprintf("response with the ID %q", id)
