Gateway: a client that closes its sending side while it reads a stream gets the rest

Cause: once a response has begun no interim response can be sent, so the FIN counted as the client's leaving.

Change: the relay adds a comment between two events, which clients of event streams skip, and only a closed socket replies to it with a reset. A response of known length or of another kind is handled as before.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -41,6 +41,8 @@
 	call        *call
 	rw          http.ResponseWriter
 	headersSent bool
+	// writing is held while rw is used once the stream has begun.
+	writing sync.Mutex
 	// begun is set once the response can only be cut, for the timer of the deadline.
 	begun       atomic.Bool
 	lastEventID string
@@ -313,12 +315,31 @@
 	if s.headersSent {
 		return
 	}
+	s.writing.Lock()
+	defer s.writing.Unlock()
 	s.headersSent, s.call.responded = true, true
 	s.begun.Store(true)
 	s.call.gateway.dialect.CopyResponseHeader(s.rw.Header(), a.exchange.Response.Header)
 	s.rw.WriteHeader(a.status)
 }
 
+// eventStreamComment is a comment of an event stream, which clients skip.
+const eventStreamComment = ":\n\n"
+
+// sendComment adds a comment between two events, and reports whether it could: not before the
+// response headers, nor to a response of known length.
+func (s *stream) sendComment() bool {
+	s.writing.Lock()
+	defer s.writing.Unlock()
+	if !s.headersSent || s.rw.Header().Get("Content-Length") != "" {
+		return false
+	}
+	if _, err := io.WriteString(s.rw, eventStreamComment); err != nil {
+		return false
+	}
+	return http.NewResponseController(s.rw).Flush() == nil
+}
+
 // holdsComments reports whether comments wait for the first event. The response headers tell the
 // instance that has passed the stream on which software it is bound to, so they leave with that event.
 func (s *stream) holdsComments() bool {
@@ -352,12 +373,19 @@
 		s.recordEvents(events)
 	}
 	s.sendHeaders(a)
+	s.writeEvents(events)
+	s.pending = append(s.pending[:0], s.pending[length:]...)
+	return found
+}
+
+// writeEvents sends complete events to the client.
+func (s *stream) writeEvents(events []byte) {
+	s.writing.Lock()
+	defer s.writing.Unlock()
 	_, _ = s.rw.Write(events) // a client that leaves cancels the request's context
 	if f, ok := s.rw.(http.Flusher); ok {
 		f.Flush()
 	}
-	s.pending = append(s.pending[:0], s.pending[length:]...)
-	return found
 }
 
 // handleInterruption decides whether a broken stream resumes on another server.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/galenaarch/galenaarch/dispatch"
+	"github.com/galenaarch/galenaarch/intake"
 )
 
 // errStopping ends the requests that are in progress when the process is about to exit.
@@ -22,6 +23,7 @@
 	s := &stream{call: c, rw: rw, lastEventID: c.request.LastEventID}
 	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
+	defer intake.FromContext(r.Context()).OnHalfClose(s.sendComment)()
 	defer s.startDeadline(cancel)()
 	defer context.AfterFunc(c.gateway.stopping, func() { cancel(errStopping) })()
 	if c.resumed() && c.software.Load() == nil {
--- a/intake/half_close.go
+++ b/intake/half_close.go
@@ -39,13 +39,43 @@
 //
 // A peer that closes its socket sends the same FIN as one that waits for its response. Only a closed
 // socket replies to further data with a reset, so that an interim response tells them apart. Once
-// the response itself has begun, a FIN counts as the peer's leaving.
+// the response itself has begun, the handler may add data to it; otherwise the FIN counts as the
+// peer's leaving.
 type halfClose struct {
 	mu      sync.Mutex
 	changed sync.Cond
 	state   interimState
 	// readAborted is set while the read deadline lies in the past, by which net/http ends a read.
 	readAborted bool
+
+	probeMu sync.Mutex
+	// probe adds data without a meaning to the response, and reports whether it could; nil for none.
+	// probeMu is held while it runs.
+	probe func() bool
+}
+
+// OnHalfClose sets how to add data without a meaning to the response of the present request once it
+// has begun. The returned function, which waits for a probe in progress, must be called before the
+// handler ends.
+func (c *Conn) OnHalfClose(probe func() bool) (remove func()) {
+	if c == nil {
+		return func() {}
+	}
+	c.halfClose.setProbe(probe)
+	return func() { c.halfClose.setProbe(nil) }
+}
+
+func (h *halfClose) setProbe(probe func() bool) {
+	h.probeMu.Lock()
+	defer h.probeMu.Unlock()
+	h.probe = probe
+}
+
+// probeResponse adds data to the response that has begun, and reports whether it could.
+func (h *halfClose) probeResponse() bool {
+	h.probeMu.Lock()
+	defer h.probeMu.Unlock()
+	return h.probe != nil && h.probe()
 }
 
 // halfCloseCounts counts the peers that ended their sending side before their response, and those
@@ -88,22 +118,31 @@
 	}
 }
 
-// ask sends an interim response. It returns an error if the peer counts as one that has left, or if
-// the read is aborted.
+// ask sends data that only a closed socket replies to. It returns an error if the peer counts as one
+// that has left, or if the read is aborted.
 func (h *halfClose) ask(c net.Conn) error {
+	sent, err := h.sendInterim(c)
+	if err == nil && !sent && !h.probeResponse() {
+		return io.EOF
+	}
+	return err
+}
+
+// sendInterim sends an interim response, and reports whether it may.
+func (h *halfClose) sendInterim(c net.Conn) (sent bool, err error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for h.state == interimUnknown && !h.readAborted {
 		h.changed.Wait()
 	}
 	if h.readAborted {
-		return os.ErrDeadlineExceeded
+		return false, os.ErrDeadlineExceeded
 	}
 	if h.state == interimForbidden {
-		return io.EOF
+		return false, nil
 	}
-	_, err := io.WriteString(c, interimResponse)
-	return err
+	_, err = io.WriteString(c, interimResponse)
+	return true, err
 }
 
 // awaitLeave returns once the peer, which has ended its sending side, has left or the read is
