Intake: the read that awaits a client's leaving does not race with the handler's start

Cause: while a handler starts, net/http already reads on, and a read that brings bytes of the next request looks at headScan.rejecting while begin resets headScan. A stale value would count the byte as part of a head that is rejected, and close the connection of a request that runs. The mark is now atomic and outlives the reset; it is cleared when the head is whole.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -50,7 +50,9 @@
 	unhandled  unhandled
 	// headScan is used by reads of heads only.
 	headScan headScan
-	idleEnd  idleEnd
+	// rejectingHead is set while the rest of a head is read whose request is to be rejected.
+	rejectingHead atomic.Bool
+	idleEnd       idleEnd
 	// lingers is set if Close is to wait for the peer.
 	lingers atomic.Bool
 	// rested is set once a request has ended; only the goroutine of net/http uses it.
@@ -101,10 +103,10 @@
 		c.pace.Store(now.UnixNano()) // the time between requests is no lag
 	}
 	c.pace.Store(pace{time.Unix(0, c.pace.Load())}.advance(n, now).at.UnixNano())
-	if inHead || c.headScan.rejecting {
+	if inHead || c.rejectingHead.Load() {
 		size := int64(headFactor*n + headLineBytes*bytes.Count(p[:n], []byte{'\n'}))
 		whole := c.headScan.write(p[:n])
-		if (c.headScan.rejecting || c.listener.budget.take(c, Heads, size) != nil) && !c.rejectHead(size, whole) {
+		if (c.rejectingHead.Load() || c.listener.budget.take(c, Heads, size) != nil) && !c.rejectHead(size, whole) {
 			c.unhandled.setCause(closeNoRoom)
 			_ = c.Close() // its head has not come, or there are too many rejections
 			return 0, net.ErrClosed
@@ -176,10 +178,10 @@
 	if float64(budget.leaving.Load()+added) > (leavingShare+rejectionShare)*float64(budget.limits.bytes) {
 		return false
 	}
-	if !c.headScan.rejecting && !c.phase.CompareAndSwap(phaseArrived, phaseGaveWay) {
+	if !c.rejectingHead.Load() && !c.phase.CompareAndSwap(phaseArrived, phaseGaveWay) {
 		return false
 	}
-	c.headScan.rejecting = !whole
+	c.rejectingHead.Store(!whole)
 	c.put(Heads, size)
 	c.leavingBytes.Add(added)
 	budget.leaving.Add(added)
--- a/intake/half_close_test.go
+++ b/intake/half_close_test.go
@@ -94,3 +94,27 @@
 	}
 	require.Eventually(t, func() bool { return budget.halfCloses.left.Load() == 1 && budget.held.Load() == 0 }, time.Second, time.Millisecond)
 }
+
+// The read that awaits a client's leaving must not race with the handler's start.
+func TestBytesOfNextRequestArriveAsHandlerStarts(t *testing.T) {
+	const get = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n"
+	address := startServer(t, testBudget(limits{total: 100, listener: 100, address: 100}), func(http.ResponseWriter, *http.Request) {
+		time.Sleep(time.Millisecond)
+	})
+	for range 50 {
+		c, err := net.Dial("tcp4", address)
+		require.NoError(t, err)
+		require.NoError(t, c.SetDeadline(time.Now().Add(3*time.Second)))
+		reader := bufio.NewReader(c)
+		_, err = io.WriteString(c, get)
+		require.NoError(t, err)
+		_, err = io.WriteString(c, get)
+		require.NoError(t, err)
+		for range 2 {
+			response, err := http.ReadResponse(reader, nil)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, response.StatusCode)
+		}
+		require.NoError(t, c.Close())
+	}
+}
--- a/intake/head.go
+++ b/intake/head.go
@@ -5,8 +5,6 @@
 // headScan finds the end of a head: an empty line after at least one other.
 type headScan struct {
 	state headState
-	// rejecting is set while the rest of a head is read whose request is to be rejected.
-	rejecting bool
 }
 
 // headState is what the last bytes of a head were.
