Intake: a peer that ends its sending side inside a head does not keep its connection

Callers saw no end of a connection whose head was cut one byte before the buffer of net/http (4 KiB) or the limit of a head was full, and the process kept its goroutine and buffers past the header timeout and even past the close of the connection.

Cause: reads of one byte count as those by which net/http watches for a client that leaves. The read of a head is as small when one byte is left in the buffer. It then waited for a handler to start, which never does, and which no read deadline ends. Heads that are read, or whose request is being rejected, now see the end of the stream.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -83,7 +83,7 @@
 		return 0, os.ErrDeadlineExceeded
 	}
 	n, err := c.Conn.Read(p)
-	if err == io.EOF && len(p) == backgroundReadSize {
+	if err == io.EOF && len(p) == backgroundReadSize && !inHead && !c.rejectingHead.Load() {
 		err = c.awaitLeave()
 	}
 	if inHead {
--- a/intake/half_close_test.go
+++ b/intake/half_close_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -95,6 +97,28 @@
 	require.Eventually(t, func() bool { return budget.halfCloses.left.Load() == 1 && budget.held.Load() == 0 }, time.Second, time.Millisecond)
 }
 
+// A peer that ends its sending side inside a head must not keep its connection, also when one byte
+// is left in the buffer that the head is read into.
+func TestHalfClosedConnectionEndsInsideHead(t *testing.T) {
+	const bufferSize = 4 << 10 // of net/http
+	for _, missing := range []int{0, 1, 2} {
+		t.Run(strconv.Itoa(missing), func(t *testing.T) {
+			t.Parallel()
+			address := startServer(t, testBudget(limits{total: 100, listener: 100, address: 100}), func(http.ResponseWriter, *http.Request) {})
+			c, err := net.Dial("tcp4", address)
+			require.NoError(t, err)
+			defer c.Close()
+			require.NoError(t, c.SetDeadline(time.Now().Add(3*time.Second)))
+			const start = "GET /"
+			_, err = io.WriteString(c, start+strings.Repeat("a", bufferSize-missing-len(start)))
+			require.NoError(t, err)
+			require.NoError(t, c.(*net.TCPConn).CloseWrite())
+			_, err = io.ReadAll(c)
+			require.NotErrorIs(t, err, os.ErrDeadlineExceeded, "the connection must end")
+		})
+	}
+}
+
 // The read that awaits a client's leaving must not race with the handler's start.
 func TestBytesOfNextRequestArriveAsHandlerStarts(t *testing.T) {
 	const get = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n"
