Upstream: a held connection is not taken by requests that are sent at the same time

Callers could see a stream that had left its silent server and found all connections to the new one in use, which the hold was to rule out. Cause: a request without a hold looked whether all connections were held, and took one later; several could look before any took. The hold of a request ended before it took its connection, so that another one could come between. A request now claims its connection in the same critical section that takes it from the idle ones or counts it as opened.

--- a/upstream/identify.go
+++ b/upstream/identify.go
@@ -46,15 +46,15 @@
 
 // connect returns a connection for a request, and whether it was open before: an idle one only if
 // the request needs no identification there.
-func (p *Pool) connect(ctx context.Context, i *Identification) (c *conn, reused bool, err error) {
-	c = p.takeIdle(!p.isIdentified(i))
+func (p *Pool) connect(ctx context.Context, claimed *claim, i *Identification) (c *conn, reused bool, err error) {
+	c = p.takeIdleFor(claimed, !p.isIdentified(i))
 	if c != nil && (c.identified || p.isIdentified(i)) {
 		return c, true, nil
 	}
 	if c != nil { // others were found closed
 		p.discard(c)
 	}
-	if c, err = p.dialInPlace(ctx); err != nil || p.isIdentified(i) {
+	if c, err = p.dialInPlace(ctx, claimed); err != nil || p.isIdentified(i) {
 		return c, false, err
 	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
@@ -67,7 +67,7 @@
 	if errors.Is(err, errIdentifiedClosing) {
 		// A leaving server closes each connection. That it ends and another one starts in the
 		// round trip until the next connection is open is not noticed.
-		c, err = p.dialInPlace(ctx)
+		c, err = p.dialInPlace(ctx, claimed)
 		return c, false, err
 	}
 	return nil, false, &Error{Phase: PhaseIdentify, Address: p.address, Err: cause(ctx, err)}
--- a/upstream/prepare.go
+++ b/upstream/prepare.go
@@ -31,26 +31,39 @@
 	return p.maxOpen > 0 && len(p.idle)+max(0, p.maxOpen-p.open) <= p.held
 }
 
+// claim is what a request may take of the connections of a pool. A nil claim may take any of them.
+type claim struct {
+	// held is set while a connection is held for the request.
+	held bool
+}
+
+// mayTake reports whether a request may take a connection. mu must be held until it has.
+func (p *Pool) mayTake(c *claim) bool { return c == nil || c.held || p.held == 0 || !p.allHeld() }
+
+// endHold ends the hold of a request, if it has one. mu must be held.
+func (p *Pool) endHold(c *claim) {
+	if c != nil && c.held {
+		c.held = false
+		p.held--
+	}
+}
+
 // take returns a connection for a request, and whether it was open before.
 func (p *Pool) take(ctx context.Context, r *Request) (c *conn, reused bool, err error) {
-	if r.Held {
-		p.Unhold()
-		return p.connect(ctx, r.Identify)
-	}
-	p.mu.Lock()
-	full := p.held > 0 && p.allHeld()
-	p.mu.Unlock()
-	if full {
-		return nil, false, &Error{Phase: PhaseConnectionLimit, Address: p.address, Err: ErrConnectionLimit}
-	}
-	return p.connect(ctx, r.Identify)
+	claimed := &claim{held: r.Held}
+	defer func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.endHold(claimed)
+	}()
+	return p.connect(ctx, claimed, r.Identify)
 }
 
 // Prepare opens a connection for the next request, in place of an idle one if the pool may
 // open no further one: an idle connection does not show that the server accepts requests.
 // It fails if the server accepts no connection or all of the pool are in use.
 func (p *Pool) Prepare(ctx context.Context) error {
-	c, err := p.dialInPlace(ctx)
+	c, err := p.dialInPlace(ctx, nil)
 	if err != nil {
 		return err
 	}
@@ -61,7 +74,7 @@
 // Probe is Prepare that fails also if the server, or a partition, closes the connection
 // within probeHold: a connection may be accepted and reset at once.
 func (p *Pool) Probe(ctx context.Context) error {
-	c, err := p.dialInPlace(ctx)
+	c, err := p.dialInPlace(ctx, nil)
 	if err != nil {
 		return err
 	}
--- a/upstream/prepare_test.go
+++ b/upstream/prepare_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -39,3 +40,30 @@
 		require.True(t, p.Hold(), "no limit")
 	}
 }
+
+// Requests that are sent at the same time must not take a connection that is held for another one.
+func TestHeldConnectionIsNotTakenByConcurrentRequests(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	for range 200 {
+		p := NewPool(listener.Addr().String(), 2)
+		require.True(t, p.Hold())
+		begin := make(chan struct{})
+		var requests sync.WaitGroup
+		for range 4 {
+			requests.Go(func() {
+				<-begin
+				_, _, _ = p.take(context.Background(), &Request{})
+			})
+		}
+		close(begin)
+		requests.Wait()
+		c, _, err := p.take(context.Background(), &Request{Held: true})
+		require.NoError(t, err, "one is held")
+		require.NoError(t, c.Close())
+		for c := range p.conns {
+			_ = c.Close()
+		}
+	}
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -225,19 +225,23 @@
 }
 
 // takeIdle returns a live idle connection, the most recently used first, or of the identified ones.
-func (p *Pool) takeIdle(identified bool) *conn {
+func (p *Pool) takeIdle(identified bool) *conn { return p.takeIdleFor(nil, identified) }
+
+// takeIdleFor is takeIdle for a request.
+func (p *Pool) takeIdleFor(claimed *claim, identified bool) *conn {
 	for {
 		p.mu.Lock()
 		n := len(p.idle) - 1
 		for identified && n >= 0 && !p.idle[n].identified {
 			n--
 		}
-		if n < 0 {
+		if n < 0 || !p.mayTake(claimed) {
 			p.mu.Unlock()
 			return nil
 		}
 		c := p.idle[n]
 		p.idle = slices.Delete(p.idle, n, n+1)
+		p.endHold(claimed)
 		p.mu.Unlock()
 		expired := c.expired()
 		if !expired && c.reusable() {
@@ -328,14 +332,15 @@
 	}
 }
 
-func (p *Pool) dial(ctx context.Context) (*conn, error) {
+func (p *Pool) dial(ctx context.Context, claimed *claim) (*conn, error) {
 	p.mu.Lock()
-	if p.maxOpen > 0 && p.open >= p.maxOpen {
+	if p.maxOpen > 0 && p.open >= p.maxOpen || !p.mayTake(claimed) {
 		p.mu.Unlock()
 		return nil, &Error{Phase: PhaseConnectionLimit, Address: p.address, Err: ErrConnectionLimit}
 	}
 	p.open++
 	p.dials++
+	p.endHold(claimed)
 	p.mu.Unlock()
 	openedAt := time.Now()
 	raw, err := p.dialer.DialContext(ctx, "tcp4", p.address)
@@ -356,17 +361,17 @@
 }
 
 // dialInPlace opens a connection, in place of an idle one if the pool may open no further one.
-func (p *Pool) dialInPlace(ctx context.Context) (*conn, error) {
-	c, err := p.dial(ctx)
+func (p *Pool) dialInPlace(ctx context.Context, claimed *claim) (*conn, error) {
+	c, err := p.dial(ctx, claimed)
 	if !errors.Is(err, ErrConnectionLimit) {
 		return c, err
 	}
-	idle := p.takeIdle(false)
+	idle := p.takeIdleFor(claimed, false)
 	if idle == nil {
 		return nil, err
 	}
 	p.discard(idle)
-	return p.dial(ctx)
+	return p.dial(ctx, claimed)
 }
 
 // Send writes a request and waits for the response headers. The context bounds the
