Entry: the drain accepts the connections in the queue before its listener closes

Callers that opened a connection just as galena-entry ended its drain got "connection reset by peer", some with their request sent.

Change: the drain closes its listener with httpserver.CloseListener too, and expects the error with which the server then ends.

--- a/entry/drain.go
+++ b/entry/drain.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/galenaarch/galenaarch/api/refusal"
+	"github.com/galenaarch/galenaarch/httpserver"
 )
 
 const (
@@ -164,7 +165,7 @@
 // Shutdown of http.Server closes connections whose request it reads afterwards without calling
 // the handler.
 func (e *Entry) closePublic(ctx context.Context) error {
-	if err := e.publicListener.Close(); err != nil {
+	if err := httpserver.CloseListener(e.publicListener); err != nil {
 		e.logger.Warn("listener not closed", slog.Any("error", err))
 	}
 	for wait := lingerTime; ; wait = drainPollInterval {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -254,7 +254,7 @@
 	*server = s
 	counted := secure(e.kernel.Intake.Protect(s, listener, name))
 	go func() {
-		if err := s.Serve(counted); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		if err := s.Serve(counted); !httpserver.IsClosed(err) {
 			e.logger.Error("listener failed", slog.Any("address", listener.Addr()), slog.Any("error", err))
 		}
 	}()
