Gateway: the timer of an attempt starts after its held connection is taken

No call of ours has shown this in a run of processes. Cause, by reading: the timer of an attempt started before the request took the connection that is held for it. A timer that is due at once, beside a process that stands still, may hold a connection at another server meanwhile. The call notes one only, so that the first hold is never released and its server has a connection less for good, or the new one is lost.

Change: the request is complete, with its hold last, before the timer starts.

TestAttemptTimerStartsAfterHeldConnectionIsTaken failed in three of three runs before (the timer ran), and passes in three of three with -race.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -104,11 +104,12 @@
 	if c.prompt != nil {
 		defer c.prepareTransfers(a, d)()
 	}
-	timer := c.startAttemptTimer(ctx, a, timeout)
-	x, err := b.pool.Send(ctx, &upstream.Request{
+	request := &upstream.Request{
 		Method: r.Method, Target: c.target, Host: r.Host, Header: c.gateway.dialect.OutboundHeader(r.Header, d), Body: c.body,
 		Identify: c.identification(b), Confirm: c.confirmation(b), Admit: func() error { return c.gateway.mayReceive(b) }, Held: c.takeHold(b),
-	})
+	}
+	timer := c.startAttemptTimer(ctx, a, timeout) // it may hold another connection
+	x, err := b.pool.Send(ctx, request)
 	inTime := timer.stop()
 	a.abandoned = ctx.Err() != nil && (err != nil || !inTime)
 	a.headersAt, a.exchange = time.Now(), x
