Intake: a peer that has ended its sending side is asked by 100 Continue

Callers whose client skips no interim response but 100 took the 102 for the final response: Python's http.client reports the status 102 for "102, 200" (tried once with a server of a few lines). RFC 9110 lets a client that has not asked for 100 Continue discard it; 102 is a WebDAV status. The interim response is now 100 Continue; what tells the peers apart, the reset, is as before.

TestHalfClosedPeerIsAskedByContinue failed before (102 for 100) and passes; the other tests of half-closed connections in intake and entry pass.

--- a/intake/half_close.go
+++ b/intake/half_close.go
@@ -14,8 +14,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// interimResponse asks a peer that has ended its sending side whether it still waits.
-const interimResponse = "HTTP/1.1 102 Processing\r\n\r\n"
+// interimResponse asks a peer that has ended its sending side whether it still waits. Some clients skip no
+// interim response but this one.
+const interimResponse = "HTTP/1.1 100 Continue\r\n\r\n"
 
 // interimPrefix begins every interim response of HTTP/1.1, but no final one.
 var interimPrefix = []byte("HTTP/1.1 1")
--- a/intake/half_close_test.go
+++ b/intake/half_close_test.go
@@ -142,3 +142,24 @@
 		require.NoError(t, c.Close())
 	}
 }
+
+// A peer that ends its sending side must not be asked by an interim response that simple clients take for
+// the final one: they skip 100 Continue only.
+func TestHalfClosedPeerIsAskedByContinue(t *testing.T) {
+	address := startServer(t, testBudget(limits{total: 100, listener: 100, address: 100}), func(http.ResponseWriter, *http.Request) {
+		time.Sleep(50 * time.Millisecond)
+	})
+	c, err := net.Dial("tcp4", address)
+	require.NoError(t, err)
+	defer c.Close()
+	require.NoError(t, c.SetDeadline(time.Now().Add(3*time.Second)))
+	_, err = io.WriteString(c, "GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.NoError(t, err)
+	require.NoError(t, c.(*net.TCPConn).CloseWrite())
+	reader := bufio.NewReader(c)
+	for _, want := range []int{http.StatusContinue, http.StatusOK} {
+		response, err := http.ReadResponse(reader, nil)
+		require.NoError(t, err)
+		require.Equal(t, want, response.StatusCode)
+	}
+}
