Stall watch: a server that takes a stream over has time for an event before it is left

Found by review: a server that took a stream over 125 ms before its client leaves was left 5 ms later, also if it is sound, for one more retry.

Cause: the time for which a server may send no event had no lower bound.

Change: it is at least the time in which a server sends the next event; if another server could not serve the client after that, the stream stays.

Evidence: the new case of TestEventTimeoutLeavesTimeForAnotherServer fails without the change.

--- a/dispatch/time_left.go
+++ b/dispatch/time_left.go
@@ -57,9 +57,10 @@
 }
 
 // EventTimeout returns how long one server may send no event, at most limit, before a stream goes on
-// at another one, so that the other one has time for the next event.
+// at another one, so that the other one has time for the next event. It is limit if a server could
+// not send one until then.
 func (t *ClientTime) EventTimeout(limit time.Duration, now time.Time) time.Duration {
-	if spare := t.LatestStart().Sub(now) - 2*switchTime; spare > 0 {
+	if spare := t.LatestStart().Sub(now) - 2*switchTime; spare >= max(minWorkTime, t.ToEvent) {
 		return min(limit, spare)
 	}
 	return limit
--- a/dispatch/time_left_test.go
+++ b/dispatch/time_left_test.go
@@ -114,6 +114,8 @@
 		{"client leaves soon", time.Minute, 800 * time.Millisecond, 680 * time.Millisecond},
 		{"deadline soon", 500 * time.Millisecond, 800 * time.Millisecond, 380 * time.Millisecond},
 		{"no time for another server", time.Minute, 120 * time.Millisecond, limit},
+		{"time for another server, but not for an event before", time.Minute, 150 * time.Millisecond, limit},
+		{"just time for both", time.Minute, 160 * time.Millisecond, 40 * time.Millisecond},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			client := ClientTime{Deadline: now.Add(test.deadline), LeavesAt: now.Add(test.leaves)}
