Intake: reject what arrives as a server ends

Callers saw a closed connection instead of a response: a request on a kept connection that an instance had read just before it stopped.

Cause: CloseIdle waits at most 25 ms for connections to become idle. A process that gets little processor time needs longer to reach the handlers of what it has read, and Shutdown of net/http then closes these connections without a response.

Change: a connection that its server closes claims its request, so that no handler starts any more, and sends a fixed 503 with Retry-After: 0. This needs no other goroutine to run, however little time is left. It also covers what lies in the socket unread, which is read first, since a close with unread bytes resets the connection. At the end of its time CloseIdle does this before Shutdown can take a connection for idle whose handler is about to start. It holds for each counted listener: entry instances, control instances, metrics. Nothing is sent in place of TLS records.

--- a/intake/closing.go
+++ b/intake/closing.go
@@ -33,6 +33,8 @@
 	closeShutdown closeCause = "shutdown"
 	// closeShutdownUnread: the request lay in the socket, and nothing of it was read.
 	closeShutdownUnread closeCause = "shutdown, not read"
+	// closeShutdownRejected: either of the two, and the connection has rejected the request.
+	closeShutdownRejected closeCause = "shutdown, rejected"
 	// closeHandled: a handler has ended, and bytes behind what it read are dropped.
 	closeHandled closeCause = "handler ended"
 )
@@ -43,6 +45,8 @@
 // unhandled is what a connection has read for a request that no handler has seen yet.
 type unhandled struct {
 	bytes atomic.Int64
+	// first is the first of them.
+	first atomic.Uint32
 	// readAt is when bytes last arrived, in nanoseconds of Unix time.
 	readAt atomic.Int64
 	// responded is set if anything was sent meanwhile.
@@ -54,10 +58,18 @@
 // reset starts the record of the next request.
 func (u *unhandled) reset() {
 	u.bytes.Store(0)
+	u.first.Store(0)
 	u.responded.Store(false)
 	u.cause.Store(closeNone)
 }
 
+// arrive records bytes that were read.
+func (u *unhandled) arrive(p []byte) {
+	if u.bytes.Add(int64(len(p))) == int64(len(p)) && len(p) > 0 {
+		u.first.Store(uint32(p[0]))
+	}
+}
+
 // setCause records why the connection will be closed; the first cause counts.
 func (u *unhandled) setCause(cause closeCause) {
 	if !u.cause.CompareAndSwap(nil, cause) {
@@ -117,9 +129,9 @@
 }
 
 // reportClose counts and logs a connection that is closed with bytes of a request that has no
-// handler, or with unread bytes.
-func (c *Conn) reportClose() {
-	phase, unread := c.phase.Load(), -1
+// handler, or with unread bytes, in a phase.
+func (c *Conn) reportClose(phase int32) {
+	unread := -1
 	cause := c.unhandled.closeCause(phase)
 	if cause != closePeerClosed && cause != closePeerFailed {
 		unread = c.unreadBytes()
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -87,7 +87,7 @@
 		err = c.awaitLeave()
 	}
 	if inHead {
-		c.unhandled.bytes.Add(int64(max(n, 0)))
+		c.unhandled.arrive(p[:max(n, 0)])
 		c.unhandled.noteReadError(err)
 	}
 	if n <= 0 {
@@ -96,7 +96,7 @@
 	now := time.Now()
 	c.unhandled.readAt.Store(now.UnixNano())
 	if inHead && !c.arrived() {
-		c.reportClose()
+		c.reportClose(c.phase.Load())
 		return 0, net.ErrClosed // it gave way as the bytes came
 	}
 	if inHead && c.held[Heads].Load() == 0 {
@@ -113,7 +113,7 @@
 		}
 		if c.closed.Load() {
 			c.release()
-			c.reportClose()
+			c.reportClose(c.phase.Load())
 		}
 	}
 	return n, err
@@ -135,7 +135,9 @@
 		return nil
 	}
 	if !c.closed.Swap(true) {
-		c.reportClose()
+		phase := c.phase.Load()
+		c.rejectLate()
+		c.reportClose(phase)
 		c.listener.budget.remove(c)
 		c.release()
 	}
--- a/intake/idle_end.go
+++ b/intake/idle_end.go
@@ -60,7 +60,8 @@
 }
 
 // CloseIdle closes the connections of some listeners as they become idle, until none is open or ctx
-// is done. Shutdown of http.Server, in contrast, closes connections whose request it has just read.
+// is done; then it closes those without a handler, and rejects what has arrived. Shutdown of
+// http.Server, in contrast, closes connections whose request it has just read.
 func (b *Budget) CloseIdle(ctx context.Context, listeners ...string) error {
 	if b == nil {
 		return nil
@@ -77,6 +78,11 @@
 		}
 		select {
 		case <-ctx.Done():
+			for _, c := range b.connsOf(listeners) {
+				if c.rejectLate() {
+					_ = c.Close() // the peer may have left
+				}
+			}
 			return ctx.Err()
 		case <-ticker.C:
 		}
--- /dev/null
+++ b/intake/late_request.go
@@ -0,0 +1,75 @@
+package intake
+
+import (
+	"io"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// shutdownResponse rejects a request that no handler sees because its server ends. Other instances serve
+// it at once.
+const shutdownResponse = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 0\r\nContent-Length: 0\r\n\r\n"
+
+// shutdownWriteTimeout bounds the wait for a peer that does not read.
+const shutdownWriteTimeout = 10 * time.Millisecond
+
+// rejectLate rejects a request that was read in part or whole, or lies in the socket, as its server ends,
+// and reports whether the connection may be closed. net/http closes such a connection without a response, and its
+// client cannot tell that the request has not run.
+func (c *Conn) rejectLate() bool {
+	phase := c.phase.Load()
+	for ; phase <= phaseReady; phase = c.phase.Load() {
+		cause := c.unhandled.closeCause(phase)
+		if cause != closeShutdown && cause != closeShutdownUnread {
+			return true
+		}
+		// From here on no handler starts.
+		if c.phase.CompareAndSwap(phase, phaseGaveWay) {
+			c.unhandled.setCause(cause)
+			c.respondLate()
+			return true
+		}
+	}
+	return false
+}
+
+// respondLate sends the response if bytes of a request of HTTP have arrived.
+func (c *Conn) respondLate() {
+	c.discardUnread()
+	if !isHTTP(byte(c.unhandled.first.Load())) {
+		return
+	}
+	c.unhandled.cause.Store(closeShutdownRejected)
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(shutdownWriteTimeout)) // fails if the connection is closed
+	_, _ = io.WriteString(c.Conn, shutdownResponse)                   // the peer may have left
+}
+
+// isHTTP reports whether a request that starts with a byte may be one of HTTP/1, and not a record of TLS. Without
+// a request the byte is 0.
+func isHTTP(first byte) bool { return first >= ' ' }
+
+// discardUnread reads what lies in the socket: a close with unread bytes resets the connection, and the
+// peer may lose its response. It does not wait for a read in progress, as Read of net.Conn does.
+func (c *Conn) discardUnread() {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return
+	}
+	buffer := make([]byte, 4<<10)
+	_ = raw.Control(func(fd uintptr) { // fails if the connection is closed
+		for total := 0; total < maxUnread; {
+			n, _, err := unix.Recvfrom(int(fd), buffer, unix.MSG_DONTWAIT)
+			if err != nil || n == 0 {
+				return
+			}
+			c.unhandled.arrive(buffer[:n])
+			total += n
+		}
+	})
+}
--- /dev/null
+++ b/intake/late_request_test.go
@@ -0,0 +1,94 @@
+package intake
+
+import (
+	"bufio"
+	"crypto/tls"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A request that arrives as the server ends is rejected, whether it was read or not.
+func TestRequestBesideShutdownIsRejected(t *testing.T) {
+	const whole = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9000\r\n\r\n"
+	hello := string([]byte{22, 3, 1, 0, 5}) // the start of a TLS handshake
+	for name, tt := range map[string]struct {
+		sent string
+		read int
+		// idle: the connection was told to end before the request arrived.
+		idle  bool
+		want  int
+		cause closeCause
+	}{
+		"read":                    {sent: whole, read: len(whole), want: 503, cause: closeShutdownRejected},
+		"head read":               {sent: whole + strings.Repeat("b", 9000), read: len(whole), want: 503, cause: closeShutdownRejected},
+		"not read":                {sent: whole + strings.Repeat("b", 9000), want: 503, cause: closeShutdownRejected},
+		"not read, told to end":   {sent: whole, idle: true, want: 503, cause: closeShutdownRejected},
+		"nothing sent":            {},
+		"TLS handshake":           {sent: hello, read: len(hello), cause: closeShutdown},
+		"TLS handshake, not read": {sent: hello, cause: closeShutdownUnread},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := testBudget(limits{bytes: 16 << 20, total: 100, listener: 100, address: 100})
+			below, err := net.Listen("tcp4", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer below.Close()
+			l := b.Listen(below, "clients")
+			client, err := net.Dial("tcp4", below.Addr().String())
+			require.NoError(t, err)
+			defer client.Close()
+			accepted, err := l.Accept()
+			require.NoError(t, err)
+			c := accepted.(*Conn)
+			if tt.idle {
+				c.endIdle()
+			}
+			_, err = io.WriteString(client, tt.sent)
+			require.NoError(t, err)
+			require.Eventually(t, func() bool { return c.unreadBytes() == len(tt.sent) }, 5*time.Second, time.Millisecond)
+			_, err = io.ReadFull(c, make([]byte, tt.read))
+			require.NoError(t, err)
+			_ = c.Close()
+			require.NoError(t, client.SetDeadline(time.Now().Add(5*time.Second)))
+			if tt.want == 0 {
+				response, _ := io.ReadAll(client) // the connection may be reset
+				require.Empty(t, response)
+			} else {
+				response, err := http.ReadResponse(bufio.NewReader(client), nil)
+				require.NoError(t, err)
+				require.Equal(t, tt.want, response.StatusCode)
+				require.True(t, response.Close)
+			}
+			counts := closedUnhandled(t, b)
+			if tt.cause == closeNone {
+				require.Empty(t, counts)
+				return
+			}
+			require.Equal(t, map[string]float64{string(tt.cause): 1}, counts)
+		})
+	}
+}
+
+// A request over TLS that the end of its server crosses gets no bytes outside TLS.
+func TestShutdownOverTLSSendsNoPlainText(t *testing.T) {
+	b := testBudget(limits{bytes: 16 << 20, total: 100, listener: 100, address: 100})
+	s := httptest.NewUnstartedServer(http.HandlerFunc(echo))
+	s.Listener = b.Protect(s.Config, s.Listener, "clients")
+	s.StartTLS()
+	defer s.Close()
+	client, err := tls.Dial("tcp4", s.Listener.Addr().String(), &tls.Config{InsecureSkipVerify: true})
+	require.NoError(t, err)
+	defer client.Close()
+	_, err = io.WriteString(client, "GET / HTTP/1.1\r\nHost: a\r\n") // incomplete
+	require.NoError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	require.NoError(t, s.Config.Close())
+	_, err = io.ReadAll(client)
+	require.NoError(t, err)
+}
