Gateway: a standstill of the process is no quiet

Cause, by the log and by reading: a drain ends early after 0.6 s in which no request arrives. A process that gets no processor time receives none, so that the first check after 0.55 s without a line took this for quiet and closed the listener on what waited in its queue.

Change: the time without requests counts from the end of the last standstill, which a late check shows. The time of a check is read when it runs: a tick can be received long after its time.

--- a/gateway/process.go
+++ b/gateway/process.go
@@ -358,15 +358,17 @@
 	p.gateway.drain.start(startedAt, p.settings.GracePeriod)
 	p.gateway.permits.drainStartedAt.CompareAndSwap(nil, &startedAt)
 	p.view.StopAccepting()
-	ticker := time.NewTicker(50 * time.Millisecond)
+	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
+	var quietFor quietTime
 	for {
 		select {
 		case <-ctx.Done():
 			p.closeListener()
 			return ctx.Err()
-		case now := <-ticker.C:
-			quiet := now.Sub(time.Unix(0, p.gateway.lastArrival.Load())) > drainQuietPeriod
+		case <-ticker.C:
+			now := time.Now() // the time of a tick is not that of its receipt
+			quiet := quietFor.check(now, time.Unix(0, p.gateway.lastArrival.Load())) > drainQuietPeriod
 			if p.gateway.drain.expired(now) || (now.Sub(startedAt) > minDrainTime && quiet && p.gateway.inflight.Load() == 0) {
 				p.closeListener()
 				p.awaitAdmitted(ctx, ticker.C)
