Gateway: forwarded decisions name the kind of a route

Cause, by reading: the mark of a forwarded request held the number of a Go constant. Instances of two builds that number the kinds differently would serve it as another kind, and retry what may run only once.

Change: the name of the kind. An unknown name is malformed, as an unknown number was.

--- a/gateway/forward_decision.go
+++ b/gateway/forward_decision.go
@@ -21,7 +21,7 @@
 // forwardedRoute is a route, without the paths that lead to it.
 type forwardedRoute struct {
 	Name            string            `json:"name"`
-	Kind            int               `json:"kind"`
+	Kind            string            `json:"kind"`
 	Resumable       bool              `json:"resumable,omitempty"`
 	TimeoutUs       int64             `json:"timeout_us"`
 	TargetLatencyUs int64             `json:"target_latency_us,omitempty"`
@@ -52,7 +52,7 @@
 func (c *call) forwardDecision() *forwardDecision {
 	r := c.route
 	d := &forwardDecision{MaxBodyBytes: c.maxBodyBytes(), Route: forwardedRoute{
-		Name: r.Name, Kind: int(r.Kind), Resumable: r.Resumable, TimeoutUs: forwardedMicroseconds(r.Timeout), TargetLatencyUs: forwardedMicroseconds(r.TargetLatency),
+		Name: r.Name, Kind: r.Kind.String(), Resumable: r.Resumable, TimeoutUs: forwardedMicroseconds(r.Timeout), TargetLatencyUs: forwardedMicroseconds(r.TargetLatency),
 		TargetGapUs: forwardedMicroseconds(r.TargetEventGap), ClientTimeoutUs: forwardedMicroseconds(r.ClientTimeout), Priority: r.Priority, MaxServers: r.MaxServers, Public: r.Public, DeclaresPrompt: r.DeclaresPrompt,
 	}}
 	for _, t := range r.Targets {
@@ -82,17 +82,27 @@
 			return nil, eris.Errorf("%d is no time", us)
 		}
 	}
-	if kind := site.Kind(r.Kind); kind < site.KindIdempotent || kind > site.KindStream || d.MaxBodyBytes < 0 {
+	if kindNamed(r.Kind) == 0 || d.MaxBodyBytes < 0 {
 		return nil, eris.New("decision on a forwarded request is malformed")
 	}
 	return d, nil
 }
 
+// kindNamed returns the kind of a route by its name, 0 if there is none.
+func kindNamed(name string) site.Kind {
+	for kind := site.KindIdempotent; kind <= site.KindStream; kind++ {
+		if kind.String() == name {
+			return kind
+		}
+	}
+	return 0
+}
+
 // adopt applies the decision to a request that was passed on.
 func (d *forwardDecision) adopt(c *call) {
 	r := &d.Route
 	c.route = &site.Route{
-		Name: r.Name, Kind: site.Kind(r.Kind), Resumable: r.Resumable, Timeout: durationOf(r.TimeoutUs), TargetLatency: durationOf(r.TargetLatencyUs), TargetEventGap: durationOf(r.TargetGapUs),
+		Name: r.Name, Kind: kindNamed(r.Kind), Resumable: r.Resumable, Timeout: durationOf(r.TimeoutUs), TargetLatency: durationOf(r.TargetLatencyUs), TargetEventGap: durationOf(r.TargetGapUs),
 		ClientTimeout: durationOf(r.ClientTimeoutUs), Priority: r.Priority, MaxServers: r.MaxServers, Public: r.Public, DeclaresPrompt: r.DeclaresPrompt,
 	}
 	for _, t := range r.Targets {
--- a/gateway/forward_decision_test.go
+++ b/gateway/forward_decision_test.go
@@ -35,12 +35,21 @@
 
 // TestMalformedDecisionIsRejected guards against requests that are served by half of a decision.
 func TestMalformedDecisionIsRejected(t *testing.T) {
-	for _, text := range []string{"", "{", "[]", "{}", `{"route":{"kind":4}}`, `{"route":{"kind":1,"timeout_us":-1}}`, `{"route":{"kind":1,"timeout_us":86400000001}}`, `{"route":{"kind":1},"max_body_bytes":-1}`} {
+	for _, text := range []string{"", "{", "[]", "{}", `{"route":{"kind":"other"}}`, `{"route":{"kind":"stream","timeout_us":-1}}`, `{"route":{"kind":"stream","timeout_us":86400000001}}`, `{"route":{"kind":"stream"},"max_body_bytes":-1}`} {
 		_, err := decodeForwardDecision(text)
 		require.Error(t, err, text)
 	}
 }
 
+// TestForwardedKindHasAName guards against builds, side by side, that number the kinds of routes differently.
+func TestForwardedKindHasAName(t *testing.T) {
+	for kind, name := range map[site.Kind]string{site.KindIdempotent: "idempotent", site.KindAtMostOnce: "at most once", site.KindStream: "stream"} {
+		c := &call{route: &site.Route{Kind: kind}, forwarded: &forwardedRequest{decision: &forwardDecision{}}}
+		require.Equal(t, name, c.forwardDecision().Route.Kind)
+		require.Equal(t, kind, kindNamed(name))
+	}
+}
+
 // TestMarkWithoutDecisionIsRead guards against instances of the build before that can pass no
 // request on.
 func TestMarkWithoutDecisionIsRead(t *testing.T) {
