Intake: reject a request that crosses the end of the idle time

Callers on a kept connection whose request arrives as its idle time ends got a closed connection. It counts as a failed try, and a request that may run once only is not sent again unless the client knows that it was not read.

Cause: the deadline ends the read of net/http, which closes the connection without a look at what has arrived since.

Change: such a connection is closed as by the end of its server: what lies in the socket is read and answered with 503, Retry-After: 0.

Measured: the new case of the test fails without the change (the connection is reset) and passes with it.

--- a/intake/closing.go
+++ b/intake/closing.go
@@ -33,8 +33,8 @@
 	closeShutdown closeCause = "shutdown"
 	// closeShutdownUnread: the request lay in the socket, and nothing of it was read.
 	closeShutdownUnread closeCause = "shutdown, not read"
-	// closeShutdownRejected: either of the two, and the connection has rejected the request.
-	closeShutdownRejected closeCause = "shutdown, rejected"
+	// closeLate: the request arrived as the server or the idle time ended, and was rejected.
+	closeLate closeCause = "late, rejected"
 	// closeHandled: a handler has ended, and bytes behind what it read are dropped.
 	closeHandled closeCause = "handler ended"
 )
--- a/intake/closing_test.go
+++ b/intake/closing_test.go
@@ -66,7 +66,7 @@
 		"header timeout": {sent: part, cause: closeHeaderTimeout, line: []string{"phase=head", "read=25", "unread=0"}},
 		"peer":           {sent: part, end: func(_ *Budget, _ *http.Server, client net.Conn) { _ = client.Close() }, cause: closePeerClosed, line: []string{"phase=head", "read=25"}},
 		"shutdown": {sent: whole + part, end: func(_ *Budget, s *http.Server, _ net.Conn) { _ = s.Close() },
-			cause: closeShutdownRejected, line: []string{"phase=head", "unread=0"}},
+			cause: closeLate, line: []string{"phase=head", "unread=0"}},
 		"gave way": {sent: part, end: func(b *Budget, _ *http.Server, _ net.Conn) {
 			time.Sleep(2 * minLag)
 			b.mu.Lock()
@@ -126,6 +126,6 @@
 	_, err := c.Read(make([]byte, 10))
 	require.NoError(t, err)
 	require.NoError(t, c.Close())
-	require.Contains(t, log.String(), `cause="shutdown, rejected"`)
+	require.Contains(t, log.String(), `cause="late, rejected"`)
 	require.NotContains(t, log.String(), "unread=")
 }
--- a/intake/late_request.go
+++ b/intake/late_request.go
@@ -8,21 +8,21 @@
 	"golang.org/x/sys/unix"
 )
 
-// shutdownResponse rejects a request that no handler sees because its server ends. Other instances serve
-// it at once.
-const shutdownResponse = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 0\r\nContent-Length: 0\r\n\r\n"
+// lateResponse rejects a request that no handler sees because its connection or server ends. It can be
+// sent again at once.
+const lateResponse = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 0\r\nContent-Length: 0\r\n\r\n"
 
-// shutdownWriteTimeout bounds the wait for a peer that does not read.
-const shutdownWriteTimeout = 10 * time.Millisecond
+// lateWriteTimeout bounds the wait for a peer that does not read.
+const lateWriteTimeout = 10 * time.Millisecond
 
 // rejectLate rejects a request that was read in part or whole, or lies in the socket, as its server ends,
-// and reports whether the connection may be closed. net/http closes such a connection without a response, and its
-// client cannot tell that the request has not run.
+// or that crosses the end of the idle time. It reports whether the connection may be closed. net/http
+// closes such a connection without a response, and its client cannot tell that the request has not run.
 func (c *Conn) rejectLate() bool {
 	phase := c.phase.Load()
 	for ; phase <= phaseReady; phase = c.phase.Load() {
 		cause := c.unhandled.closeCause(phase)
-		if cause != closeShutdown && cause != closeShutdownUnread {
+		if cause != closeShutdown && cause != closeShutdownUnread && cause != closeIdleTimeout {
 			return true
 		}
 		// From here on no handler starts.
@@ -41,9 +41,9 @@
 	if !isHTTP(byte(c.unhandled.first.Load())) {
 		return
 	}
-	c.unhandled.cause.Store(closeShutdownRejected)
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(shutdownWriteTimeout)) // fails if the connection is closed
-	_, _ = io.WriteString(c.Conn, shutdownResponse)                   // the peer may have left
+	c.unhandled.cause.Store(closeLate)
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(lateWriteTimeout)) // fails if the connection is closed
+	_, _ = io.WriteString(c.Conn, lateResponse)                   // the peer may have left
 }
 
 // isHTTP reports whether a request that starts with a byte may be one of HTTP/1, and not a record of TLS. Without
--- a/intake/late_request_test.go
+++ b/intake/late_request_test.go
@@ -14,22 +14,30 @@
 	"github.com/stretchr/testify/require"
 )
 
-// A request that arrives as the server ends is rejected, whether it was read or not.
-func TestRequestBesideShutdownIsRejected(t *testing.T) {
+// endIdleTime ends the time that a connection may be idle.
+func endIdleTime(c *Conn) {
+	_ = c.SetReadDeadline(time.Unix(1, 0))
+	_, _ = c.Read(make([]byte, 1))
+}
+
+// A request that arrives as the server or the idle time ends is rejected, whether it was read or not.
+func TestRequestBesideEndOfConnectionIsRejected(t *testing.T) {
 	const whole = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9000\r\n\r\n"
 	hello := string([]byte{22, 3, 1, 0, 5}) // the start of a TLS handshake
 	for name, tt := range map[string]struct {
 		sent string
 		read int
-		// idle: the connection was told to end before the request arrived.
-		idle  bool
-		want  int
-		cause closeCause
+		// before happens before the request arrives.
+		before func(*Conn)
+		want   int
+		cause  closeCause
 	}{
-		"read":                    {sent: whole, read: len(whole), want: 503, cause: closeShutdownRejected},
-		"head read":               {sent: whole + strings.Repeat("b", 9000), read: len(whole), want: 503, cause: closeShutdownRejected},
-		"not read":                {sent: whole + strings.Repeat("b", 9000), want: 503, cause: closeShutdownRejected},
-		"not read, told to end":   {sent: whole, idle: true, want: 503, cause: closeShutdownRejected},
+		"read":                    {sent: whole, read: len(whole), want: 503, cause: closeLate},
+		"head read":               {sent: whole + strings.Repeat("b", 9000), read: len(whole), want: 503, cause: closeLate},
+		"not read":                {sent: whole + strings.Repeat("b", 9000), want: 503, cause: closeLate},
+		"not read, told to end":   {sent: whole, before: (*Conn).endIdle, want: 503, cause: closeLate},
+		"idle time has ended":     {sent: whole, before: endIdleTime, want: 503, cause: closeLate},
+		"idle, nothing sent":      {before: endIdleTime},
 		"nothing sent":            {},
 		"TLS handshake":           {sent: hello, read: len(hello), cause: closeShutdown},
 		"TLS handshake, not read": {sent: hello, cause: closeShutdownUnread},
@@ -46,8 +54,8 @@
 			accepted, err := l.Accept()
 			require.NoError(t, err)
 			c := accepted.(*Conn)
-			if tt.idle {
-				c.endIdle()
+			if tt.before != nil {
+				tt.before(c)
 			}
 			_, err = io.WriteString(client, tt.sent)
 			require.NoError(t, err)
