Intake: ask clients of HTTP/1.0 by the start of the status line

Cause: the FIN is the same as that of a client that has left. Only a reply to data tells them apart, and HTTP/1.0 has no interim response to send.

Change: every response begins with "HTTP/1.", whatever it will be. These bytes are sent when the FIN arrives, and the response leaves them out. A closed socket replies with a reset, so that clients that have left are noticed as before (TestClientThatLeavesDuringAStreamIsNoticed/HTTP/1.0 still passes).

--- a/intake/half_close.go
+++ b/intake/half_close.go
@@ -18,6 +18,10 @@
 // interim response but this one.
 const interimResponse = "HTTP/1.1 100 Continue\r\n\r\n"
 
+// statusLineStart begins every response. A client of HTTP/1.0, which has no interim responses, is asked by
+// it, and the response leaves it out.
+var statusLineStart = []byte("HTTP/1.")
+
 // interimPrefix begins every interim response of HTTP/1.1, but no final one.
 var interimPrefix = []byte("HTTP/1.1 1")
 
@@ -32,15 +36,17 @@
 	// interimUnknown: the handler has not been called yet.
 	interimUnknown interimState = iota
 	interimAllowed
-	// interimForbidden: the response has begun, or the protocol has no interim responses.
+	// interimStatusLine: the protocol has no interim responses.
+	interimStatusLine
+	// interimForbidden: the response has begun, or bytes can't be added to it.
 	interimForbidden
 )
 
 // halfClose decides whether a peer that has ended its sending side after a whole request has left.
 //
 // A peer that closes its socket sends the same FIN as one that waits for its response. Only a closed
-// socket replies to further data with a reset, so that an interim response tells them apart. Once
-// the response itself has begun, the handler may add data to it; otherwise the FIN counts as the
+// socket replies to further data with a reset, so that an interim response, or the start of the
+// response, tells them apart. Once the response itself has begun, the handler may add data to it; otherwise the FIN counts as the
 // peer's leaving.
 type halfClose struct {
 	mu      sync.Mutex
@@ -48,6 +54,8 @@
 	state   interimState
 	// readAborted is set while the read deadline lies in the past, by which net/http ends a read.
 	readAborted bool
+	// statusLineBegun is set if the response lacks statusLineStart.
+	statusLineBegun bool
 
 	probeMu sync.Mutex
 	// probe adds data without a meaning to the response, and reports whether it could; nil for none.
@@ -99,24 +107,32 @@
 	h.changed.Broadcast()
 }
 
-// supportsInterim reports whether the client of r reads interim responses that are written below
-// net/http.
-func supportsInterim(r *http.Request) bool { return r.TLS == nil && r.ProtoAtLeast(1, 1) }
-
 // beginRequest is called when the handler of a request starts.
 func (h *halfClose) beginRequest(r *http.Request) {
-	state := interimForbidden
-	if supportsInterim(r) {
-		state = interimAllowed
+	state := interimAllowed
+	switch {
+	case r.TLS != nil: // what is written below net/http is not encrypted
+		state = interimForbidden
+	case !r.ProtoAtLeast(1, 1):
+		state = interimStatusLine
 	}
 	h.set(state)
 }
 
-// noteWrite is called before bytes are written to the peer.
-func (h *halfClose) noteWrite(p []byte) {
-	if !bytes.HasPrefix(p, interimPrefix) {
-		h.set(interimForbidden)
+// noteWrite is called before bytes are written to the peer, and returns those that it lacks.
+func (h *halfClose) noteWrite(p []byte) []byte {
+	if bytes.HasPrefix(p, interimPrefix) {
+		return p
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.state = interimForbidden
+	h.changed.Broadcast()
+	if !h.statusLineBegun {
+		return p
 	}
+	h.statusLineBegun = false
+	return bytes.TrimPrefix(p, statusLineStart)
 }
 
 // ask sends data that only a closed socket replies to. It returns an error if the peer counts as one
@@ -129,7 +145,7 @@
 	return err
 }
 
-// sendInterim sends an interim response, and reports whether it may.
+// sendInterim sends an interim response or the start of the response, and reports whether it may.
 func (h *halfClose) sendInterim(c net.Conn) (sent bool, err error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -139,10 +155,15 @@
 	if h.readAborted {
 		return false, os.ErrDeadlineExceeded
 	}
-	if h.state == interimForbidden {
+	switch h.state {
+	case interimForbidden:
 		return false, nil
+	case interimStatusLine:
+		h.statusLineBegun = true
+		_, err = c.Write(statusLineStart)
+	default:
+		_, err = io.WriteString(c, interimResponse)
 	}
-	_, err = io.WriteString(c, interimResponse)
 	return true, err
 }
 
@@ -178,9 +199,10 @@
 
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
-	c.halfClose.noteWrite(p)
+	missing := c.halfClose.noteWrite(p)
 	c.unhandled.responded.Store(true)
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(missing)
+	return n + len(p) - len(missing), err
 }
 
 // SetReadDeadline implements net.Conn.
