Drains: a standstill of the process is no quiet

Callers of a draining control instance or entry instance were reset although they had sent a whole request: it lay in the socket while the process stood still, and the process closed the connection as it went on.

Cause: Requests.Drain ends after 0.1 s without a request, by the time of the check, so that the first check behind a standstill of as much took it for quiet. closePublic of entry waits a fixed lingerTime and closes likewise.

Change: httpserver.Quiet measures the time without requests from the end of the last standstill, which a late check shows. Both drains use it, and read the time as a check runs.

The change of entry has the unit test only.

--- a/entry/drain.go
+++ b/entry/drain.go
@@ -161,18 +161,20 @@
 	return eris.Wrap(e.closePublic(ctx), step)
 }
 
-// closePublic closes the client-facing listener, and its server once the connections are idle.
+// closePublic closes the client-facing listener, and its server once the connections are idle, by
+// checks in which the process did not stand still.
 // Shutdown of http.Server closes connections whose request it reads afterwards without calling
 // the handler.
 func (e *Entry) closePublic(ctx context.Context) error {
 	if err := httpserver.CloseListener(e.publicListener); err != nil {
 		e.logger.Warn("listener not closed", slog.Any("error", err))
 	}
-	for wait := lingerTime; ; wait = drainPollInterval {
-		if !sleep(ctx, wait) {
+	closedAt := time.Now()
+	for quietFor := httpserver.NewQuiet(closedAt, lingerTime/2); ; {
+		if !sleep(ctx, drainPollInterval) {
 			return ctx.Err()
 		}
-		if !e.tracker.quiescent(time.Now(), lingerTime) {
+		if now := time.Now(); quietFor.Check(now, closedAt) < lingerTime || !e.tracker.quiescent(now, lingerTime) {
 			continue
 		}
 		if err := e.public.Close(); !errors.Is(err, net.ErrClosed) {
--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -153,8 +153,8 @@
 }
 
 // Drain closes the listeners as CloseListener does, and waits until no request has been in
-// progress for the time quiet, or ctx is done. The contexts of the requests in progress then
-// end, and they have answerTimeout to respond.
+// progress for the time quiet, in which the process did not stand still, or ctx is done. The
+// contexts of the requests in progress then end, and they have answerTimeout to respond.
 //
 // Invariant: a request that was read gets a response if its handler respects its context.
 func (t *Requests) Drain(ctx context.Context, quiet time.Duration, listeners ...net.Listener) error {
@@ -163,7 +163,9 @@
 	for _, l := range listeners {
 		errs = append(errs, CloseListener(l))
 	}
-	t.activeAt.Store(time.Now().UnixNano())
+	now := time.Now()
+	t.activeAt.Store(now.UnixNano())
+	quietFor := NewQuiet(now, quiet/2)
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
 	for {
@@ -175,8 +177,9 @@
 				errs = append(errs, ctx.Err())
 			}
 			return errors.Join(errs...)
-		case now := <-ticker.C:
-			if t.open.Load() == 0 && now.Sub(time.Unix(0, t.activeAt.Load())) >= quiet {
+		case <-ticker.C: // received long after its time by a process that stood still
+			idle := t.open.Load() == 0
+			if quietFor.Check(time.Now(), time.Unix(0, t.activeAt.Load())) >= quiet && idle {
 				return errors.Join(errs...)
 			}
 		}
