Control: reject what arrives between the end of a drain and the stop

Callers on kept connections of a stopping control instance saw two faults: a request for the configuration got a closed connection, and a server's report of its end was acknowledged and then lost.

Cause: a drain that ends early, after 0.1 s without a request, let later ones through. An operator's request takes up to 0.9 s without a leader, while Stop gives what it finds 50 ms and then closes the connections. An announcement is acknowledged at once, but Hub.Drain has already shown its last changes to the entry instances, and a server tells one control instance only that it ends.

Change: behind a drain the tracking handler rejects requests with 503, which the callers take to another instance. The end is set before the requests in progress are counted once more, so that one that slipped through is still awaited.

--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -80,6 +80,8 @@
 type Requests struct {
 	open     atomic.Int64
 	draining atomic.Bool
+	// drained is set at the end of a drain; requests that follow are rejected.
+	drained atomic.Bool
 	// activeAt is when the last request arrived or was handled, in nanoseconds of Unix time.
 	activeAt atomic.Int64
 
@@ -97,7 +99,7 @@
 )
 
 // Track returns a handler that tracks the requests to next. During a drain responses end
-// their connections.
+// their connections, and after it requests are rejected without reaching next.
 func (t *Requests) Track(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		t.open.Add(1)
@@ -109,6 +111,11 @@
 		if t.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
+		if t.drained.Load() {
+			w.Header().Set("Retry-After", "0")
+			http.Error(w, "this instance is shutting down", http.StatusServiceUnavailable)
+			return
+		}
 		ctx, cancel := context.WithCancel(r.Context())
 		defer t.endable(&cancel)()
 		next.ServeHTTP(w, r.WithContext(ctx))
@@ -155,6 +162,7 @@
 // Drain closes the listeners as CloseListener does, and waits until no request has been in
 // progress for the time quiet, in which the process did not stand still, or ctx is done. The
 // contexts of the requests in progress then end, and they have answerTimeout to respond.
+// Requests that follow are rejected: the process stops, and nobody waits for them.
 //
 // Invariant: a request that was read gets a response if its handler respects its context.
 func (t *Requests) Drain(ctx context.Context, quiet time.Duration, listeners ...net.Listener) error {
@@ -171,6 +179,7 @@
 	for {
 		select {
 		case <-ctx.Done():
+			t.drained.Store(true)
 			t.expire()
 			t.awaitEnd(ticker.C)
 			if t.open.Load() > 0 {
@@ -179,7 +188,11 @@
 			return errors.Join(errs...)
 		case <-ticker.C: // received long after its time by a process that stood still
 			idle := t.open.Load() == 0
-			if quietFor.Check(time.Now(), time.Unix(0, t.activeAt.Load())) >= quiet && idle {
+			if quietFor.Check(time.Now(), time.Unix(0, t.activeAt.Load())) < quiet || !idle {
+				continue
+			}
+			t.drained.Store(true)
+			if t.open.Load() == 0 { // none has begun since the check
 				return errors.Join(errs...)
 			}
 		}
