Intake: read a request that waits as its time ends

Cause, by the log: "connection closed before a request was handled", cause "idle timeout", nothing read, the whole request unread. The instance stood still while the time for the request ended. A read of net whose deadline has passed fails before it looks into the socket, so that the request which had come in time was reset.

Change: the read of a head that brings nothing in its time goes on if bytes wait in the socket, for the time of a head. This holds once a request: a head that has begun to arrive keeps its time.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"os"
@@ -83,6 +84,9 @@
 		return 0, os.ErrDeadlineExceeded
 	}
 	n, err := c.Conn.Read(p)
+	if inHead && n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.readsOn() {
+		n, err = c.Conn.Read(p)
+	}
 	if err == io.EOF && len(p) == backgroundReadSize && !inHead && !c.rejectingHead.Load() {
 		err = c.awaitLeave()
 	}
--- a/intake/timeouts.go
+++ b/intake/timeouts.go
@@ -20,3 +20,19 @@
 	}
 	return t
 }
+
+// readsOn reports whether a read of a head goes on although its time has passed, because the head waits in
+// the socket: it came in time, and the process stood still. Once a byte of it was read, its time is over.
+func (c *Conn) readsOn() bool {
+	if c.unhandled.bytes.Load() > 0 || c.unreadBytes() <= 0 {
+		return false
+	}
+	limit := unreadTimeout
+	if c.listener.timeouts != nil {
+		head, _ := c.listener.timeouts()
+		limit = max(limit, head)
+	}
+	c.idleEnd.mu.Lock()
+	defer c.idleEnd.mu.Unlock()
+	return !c.idleEnd.ended && c.Conn.SetReadDeadline(time.Now().Add(limit)) == nil
+}
--- a/intake/timeouts_test.go
+++ b/intake/timeouts_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
@@ -54,3 +55,94 @@
 		})
 	}
 }
+
+// A process that stands still while the time for a request ends finds both, the request and the end of its time.
+func TestRequestThatWaitsInTheSocketOutlivesItsTime(t *testing.T) {
+	for name, tt := range map[string]struct {
+		sent string
+		read int
+		// idle: the connection was told to end before the request arrived.
+		idle, want bool
+	}{
+		"waits":        {sent: "GET / HTTP/1.1\r\n", want: true},
+		"nothing sent": {},
+		"begun":        {sent: "GET / HTTP/1.1\r\n", read: 3},
+		"told to end":  {sent: "GET / HTTP/1.1\r\n", idle: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			below, err := net.Listen("tcp4", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer below.Close()
+			client, err := net.Dial("tcp4", below.Addr().String())
+			require.NoError(t, err)
+			defer client.Close()
+			accepted, err := testBudget(limits{total: 100, listener: 100, address: 100}).Listen(below, "clients").Accept()
+			require.NoError(t, err)
+			c := accepted.(*Conn)
+			defer c.Close()
+			if tt.idle {
+				c.endIdle()
+			}
+			_, err = io.WriteString(client, tt.sent)
+			require.NoError(t, err)
+			require.Eventually(t, func() bool { return c.unreadBytes() == len(tt.sent) }, 5*time.Second, time.Millisecond)
+			_, err = io.ReadFull(c, make([]byte, tt.read))
+			require.NoError(t, err)
+			require.NoError(t, c.SetReadDeadline(time.Now()))
+			n, err := c.Read(make([]byte, 4096))
+			if !tt.want {
+				require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, len(tt.sent), n)
+		})
+	}
+}
+
+// stallingListener accepts connections whose first read stands still beyond a time.
+type stallingListener struct {
+	net.Listener
+	stall time.Duration
+}
+
+func (l stallingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &stallingConn{TCPConn: c.(*net.TCPConn), stall: l.stall}, nil
+}
+
+type stallingConn struct {
+	*net.TCPConn
+	stall time.Duration
+}
+
+func (c *stallingConn) Read(p []byte) (int, error) {
+	time.Sleep(c.stall)
+	c.stall = 0
+	return c.TCPConn.Read(p)
+}
+
+// A request that came in time gets its response although its server stood still until the time was over.
+func TestStandstillDoesNotCloseConnectionOnItsRequest(t *testing.T) {
+	const short = 50 * time.Millisecond
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &http.Server{Handler: http.HandlerFunc(echo), ReadHeaderTimeout: short}
+	b := testBudget(limits{total: 100, listener: 100, address: 100})
+	counted := b.Protect(s, stallingListener{l, 4 * short}, "clients")
+	go func() { _ = s.Serve(counted) }()
+	defer s.Close()
+	c, err := net.Dial("tcp4", l.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	require.NoError(t, c.SetDeadline(time.Now().Add(5*time.Second)))
+	_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.NoError(t, err)
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	r.Body.Close()
+	require.Equal(t, http.StatusOK, r.StatusCode)
+}
