Gateway: use httpserver.Quiet

The drain of an entry instance measured quiet by a copy of the same rule. Its unit test is that of httpserver.Quiet (TestStandstillIsNoQuiet), with the same cases.

--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -9,8 +9,7 @@
 const (
 	// graceMargin is the end of the grace period that is reserved for process exit.
 	graceMargin = 500 * time.Millisecond
-	// drainPollInterval is the time between checks whether a drain may end. A check that is later by as
-	// much shows that the process stood still.
+	// drainPollInterval is the time between checks whether a drain may end.
 	drainPollInterval = 50 * time.Millisecond
 	// finishMargin is added to the latest end of a request: its response must be sent before
 	// the process exits.
@@ -61,16 +60,3 @@
 	deadline := s.deadline.Load()
 	return deadline != 0 && now.UnixNano() >= deadline
 }
-
-// quietTime measures for how long no request has arrived. A process that stands still handles none either,
-// but they may wait in its sockets.
-type quietTime struct{ checkedAt, resumedAt time.Time }
-
-// check returns the time without a request at now. It is called each drainPollInterval.
-func (q *quietTime) check(now, lastArrival time.Time) time.Duration {
-	if now.Sub(q.checkedAt) > 2*drainPollInterval {
-		q.resumedAt = now
-	}
-	q.checkedAt = now
-	return min(now.Sub(lastArrival), now.Sub(q.resumedAt))
-}
--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -42,17 +42,3 @@
 		})
 	}
 }
-
-// A drain must not end early because the process stood still: requests may wait in its sockets.
-func TestStandstillDoesNotEndDrain(t *testing.T) {
-	begin := time.Unix(1000, 0)
-	at := func(ms int) time.Time { return begin.Add(time.Duration(ms) * time.Millisecond) }
-	q := quietTime{checkedAt: begin, resumedAt: begin}
-	for ms := 50; ms <= 300; ms += 50 {
-		require.Equal(t, time.Duration(ms)*time.Millisecond, q.check(at(ms), begin))
-	}
-	require.Zero(t, q.check(at(950), begin), "behind 0.65 s without a check")
-	require.Equal(t, 50*time.Millisecond, q.check(at(1000), begin))
-	require.Equal(t, 20*time.Millisecond, q.check(at(1050), at(1030)), "a request has arrived")
-	require.Equal(t, 120*time.Millisecond, q.check(at(1150), at(1030)), "a check that is a little late")
-}
