Intake: a rejection beside a stop names its request

Cause: the connection itself sends this response in place of a handler that no longer starts, as fixed text. Before these requests got none.

Change: a listener is told which field its responses repeat.

--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -128,6 +128,9 @@
 	DecodeDocument(content []byte) (*site.Document, error)
 	// DecodeRequest decodes the headers of a client request.
 	DecodeRequest(r *http.Request) (*Request, error)
+	// RequestIDHeader returns the name of the header by which clients name their requests, and responses
+	// the requests they belong to.
+	RequestIDHeader() string
 	// OutboundHeader returns the headers to send to a server for a client's headers.
 	OutboundHeader(from http.Header, d *OutboundRequest) http.Header
 	// IdentifyServer returns the target and headers of a GET request by which an engine states
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -312,6 +312,7 @@
 	counted := p.intake.Protect(s, userTimeoutListener{listener}, name)
 	if l, ok := counted.(*intake.Listener); ok && s == p.clientServer {
 		l.SetTimeouts(p.gateway.clientTimeouts)
+		l.SetEchoHeader(p.gateway.dialect.RequestIDHeader())
 	}
 	go func() {
 		if err := s.Serve(counted); !httpserver.IsClosed(err) {
--- a/intake/closing.go
+++ b/intake/closing.go
@@ -47,6 +47,7 @@
 	bytes atomic.Int64
 	// first is the first of them.
 	first atomic.Uint32
+	echo  headEcho
 	// readAt is when bytes last arrived, in nanoseconds of Unix time.
 	readAt atomic.Int64
 	// responded is set if anything was sent meanwhile.
@@ -59,15 +60,18 @@
 func (u *unhandled) reset() {
 	u.bytes.Store(0)
 	u.first.Store(0)
+	u.echo.reset()
 	u.responded.Store(false)
 	u.cause.Store(closeNone)
 }
 
-// arrive records bytes that were read.
-func (u *unhandled) arrive(p []byte) {
+// arrive records bytes of a head that were read.
+func (c *Conn) arrive(p []byte) {
+	u := &c.unhandled
 	if u.bytes.Add(int64(len(p))) == int64(len(p)) && len(p) > 0 {
 		u.first.Store(uint32(p[0]))
 	}
+	u.echo.write(c.listener.echoHeader, p)
 }
 
 // setCause records why the connection will be closed; the first cause counts.
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -91,7 +91,7 @@
 		err = c.awaitLeave()
 	}
 	if inHead {
-		c.unhandled.arrive(p[:max(n, 0)])
+		c.arrive(p[:max(n, 0)])
 		c.unhandled.noteReadError(err)
 	}
 	if n <= 0 {
@@ -286,6 +286,8 @@
 	name     string
 	budget   *Budget
 	timeouts func() (head, idle time.Duration)
+	// echoHeader is the field that responses of a connection itself repeat; empty for none.
+	echoHeader string
 }
 
 // Accept implements net.Listener. Connections beyond the bounds are closed.
--- a/intake/late_request.go
+++ b/intake/late_request.go
@@ -9,8 +9,8 @@
 )
 
 // lateResponse rejects a request that no handler sees because its connection or server ends. It can be
-// sent again at once.
-const lateResponse = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 0\r\nContent-Length: 0\r\n\r\n"
+// sent again at once. The echoed field follows.
+const lateResponse = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 0\r\nContent-Length: 0\r\n"
 
 // lateWriteTimeout bounds the wait for a peer that does not read.
 const lateWriteTimeout = 10 * time.Millisecond
@@ -43,7 +43,11 @@
 	}
 	c.unhandled.cause.Store(closeLate)
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(lateWriteTimeout)) // fails if the connection is closed
-	_, _ = io.WriteString(c.Conn, lateResponse)                   // the peer may have left
+	response := lateResponse
+	if value := c.unhandled.echo.found(); value != "" {
+		response += c.listener.echoHeader + ": " + value + "\r\n"
+	}
+	_, _ = io.WriteString(c.Conn, response+"\r\n") // the peer may have left
 }
 
 // isHTTP reports whether a request that starts with a byte may be one of HTTP/1, and not a record of TLS. Without
@@ -68,7 +72,7 @@
 			if err != nil || n == 0 {
 				return
 			}
-			c.unhandled.arrive(buffer[:n])
+			c.arrive(buffer[:n])
 			total += n
 		}
 	})
--- a/intake/late_request_test.go
+++ b/intake/late_request_test.go
@@ -22,7 +22,7 @@
 
 // A request that arrives as the server or the idle time ends is rejected, whether it was read or not.
 func TestRequestBesideEndOfConnectionIsRejected(t *testing.T) {
-	const whole = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9000\r\n\r\n"
+	const whole = "POST / HTTP/1.1\r\nHost: a\r\nX-Request-Id: r-1\r\nContent-Length: 9000\r\n\r\n"
 	hello := string([]byte{22, 3, 1, 0, 5}) // the start of a TLS handshake
 	for name, tt := range map[string]struct {
 		sent string
@@ -48,6 +48,7 @@
 			require.NoError(t, err)
 			defer below.Close()
 			l := b.Listen(below, "clients")
+			l.(*Listener).SetEchoHeader("X-Request-Id")
 			client, err := net.Dial("tcp4", below.Addr().String())
 			require.NoError(t, err)
 			defer client.Close()
@@ -72,6 +73,7 @@
 				require.NoError(t, err)
 				require.Equal(t, tt.want, response.StatusCode)
 				require.True(t, response.Close)
+				require.Equal(t, "r-1", response.Header.Get("X-Request-Id"))
 			}
 			counts := closedUnhandled(t, b)
 			if tt.cause == closeNone {
