Control: a silent leader holds no operator's request once there is another

An operator's request that a control instance forwards to a leader which stands still (SIGSTOP, or a cut after the connection is made) was held for 0.6 s although the instance knew the next leader, and got 503 at the end of its 0.9 s if the second try had begun before the election too.

Cause: one try has leaderTimeout for itself, whatever the local replica learns meanwhile. The leader's kernel accepts the connection, so the dial does not fail.

Change: a try ends once the local replica knows another leader. The same request is then sent there; publishing the same content twice is acknowledged likewise. While no leader is known the try goes on, since the old one may still respond.

--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -318,18 +318,34 @@
 // callLeader calls the local replica, which knows the leader, and then the
 // leader, until a call succeeds or the timeout expires.
 func callLeader[Q, R any](ctx context.Context, r *Registrar, request Q, method func(controlv1.Control, context.Context, Q) (R, error)) (R, error) {
+	return callLeaderAt(ctx, r.replica.LocalService(), r.knownLeader, r.leaderClient, request, method)
+}
+
+// knownLeader returns the base URL of the leader that the local replica knows, empty if it knows none.
+func (r *Registrar) knownLeader() string {
+	if log := r.replica.Log(); log != nil {
+		return log.LeaderURL()
+	}
+	return ""
+}
+
+// callLeaderAt is callLeader with the local replica, the leader that it knows and the clients of
+// others. A call to the leader ends as another leader is known: one that stands still keeps its
+// connections, and does not respond.
+func callLeaderAt[Q, R any](ctx context.Context, local controlv1.Control, known func() string, clientOf func(url string) controlv1.Control, request Q, method func(controlv1.Control, context.Context, Q) (R, error)) (R, error) {
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
 	var zero R
 	for attempts := 1; ; attempts++ {
-		response, err := method(r.replica.LocalService(), ctx, request)
+		response, err := method(local, ctx, request)
 		if err == nil {
 			return response, nil
 		}
 		peer := "this replica"
 		if url := leaderURL(err); url != "" {
 			attempt, stop := context.WithTimeout(ctx, leaderTimeout)
-			response, err = method(r.leaderClient(url), attempt, request)
+			go stopAtNextLeader(attempt, stop, url, known)
+			response, err = method(clientOf(url), attempt, request)
 			stop()
 			if err == nil {
 				return response, nil
@@ -344,6 +360,23 @@
 	}
 }
 
+// stopAtNextLeader calls stop once another leader than that at url is known, and returns once ctx is
+// done.
+func stopAtNextLeader(ctx context.Context, stop context.CancelFunc, url string, known func() string) {
+	ticker := time.NewTicker(leaderRetryInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if leader := known(); leader != "" && leader != url {
+				stop()
+			}
+		}
+	}
+}
+
 func leaderURL(err error) string {
 	var twirpErr twirp.Error
 	if !errors.As(err, &twirpErr) {
