Intake: end reads and writes of a request that is rejected late

Callers could get 400 for a valid request as a server ended, a rejection for good, instead of the 503 or behind it.

Cause: the late rejection reads what lies in the socket, but net/http may read on meanwhile, and finds a head that lacks these bytes. An error of that read does not help: net/http takes a head that ends within a line for malformed. If the closing goroutine stands still between its claim and its write, the 400 comes first, or net/http closes the connection without either (by reading).

Change: the claim and the response are one step under the lock that reads of heads take. Behind it, reads and writes of net/http fail, and a close by another goroutine waits for the response, at most lateWriteTimeout.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -145,6 +145,8 @@
 		c.listener.budget.remove(c)
 		c.release()
 	}
+	c.idleEnd.mu.Lock() // a late rejection may be being sent
+	defer c.idleEnd.mu.Unlock()
 	return c.Conn.Close()
 }
 
--- a/intake/half_close.go
+++ b/intake/half_close.go
@@ -199,6 +199,9 @@
 
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
+	if c.phase.Load() == phaseGaveWay && c.wasRejectedLate() {
+		return 0, net.ErrClosed
+	}
 	missing := c.halfClose.noteWrite(p)
 	c.unhandled.responded.Store(true)
 	n, err := c.Conn.Write(missing)
--- a/intake/idle_end.go
+++ b/intake/idle_end.go
@@ -24,6 +24,9 @@
 func (c *Conn) beginRead() (inHead, ends bool) {
 	c.idleEnd.mu.Lock()
 	defer c.idleEnd.mu.Unlock()
+	if c.rejectedLate() {
+		return false, true // the bytes that a read has missed are gone
+	}
 	c.phase.CompareAndSwap(phaseArrived, phaseHead)
 	inHead = c.phase.Load() == phaseHead
 	return inHead, inHead && c.idleEnd.ended && c.unhandled.bytes.Load() == 0
--- a/intake/late_request.go
+++ b/intake/late_request.go
@@ -15,14 +15,34 @@
 // lateWriteTimeout bounds the wait for a peer that does not read.
 const lateWriteTimeout = 10 * time.Millisecond
 
+// rejectedLate reports whether rejectLate has claimed the request. The caller holds idleEnd.mu.
+func (c *Conn) rejectedLate() bool {
+	cause, _ := c.unhandled.cause.Load().(closeCause)
+	return c.phase.Load() == phaseGaveWay && (cause == closeLate || cause.isLate())
+}
+
+// wasRejectedLate is rejectedLate once the rejection has been sent.
+func (c *Conn) wasRejectedLate() bool {
+	c.idleEnd.mu.Lock()
+	defer c.idleEnd.mu.Unlock()
+	return c.rejectedLate()
+}
+
+// isLate reports whether a request that is closed for a cause is rejected.
+func (c closeCause) isLate() bool {
+	return c == closeShutdown || c == closeShutdownUnread || c == closeIdleTimeout
+}
+
 // rejectLate rejects a request that was read in part or whole, or lies in the socket, as its server ends,
 // or that crosses the end of the idle time. It reports whether the connection may be closed. net/http
 // closes such a connection without a response, and its client cannot tell that the request has not run.
 func (c *Conn) rejectLate() bool {
+	c.idleEnd.mu.Lock() // no read goes on, and nobody else closes the connection, before the response is sent
+	defer c.idleEnd.mu.Unlock()
 	phase := c.phase.Load()
 	for ; phase <= phaseReady; phase = c.phase.Load() {
 		cause := c.unhandled.closeCause(phase)
-		if cause != closeShutdown && cause != closeShutdownUnread && cause != closeIdleTimeout {
+		if !cause.isLate() {
 			return true
 		}
 		// From here on no handler starts.
--- a/intake/late_request_test.go
+++ b/intake/late_request_test.go
@@ -102,3 +102,27 @@
 	_, err = io.ReadAll(client)
 	require.NoError(t, err)
 }
+
+// The rest of a head that is rejected late must not reach net/http: it lacks what the rejection has read, and
+// net/http would respond with 400.
+func TestRestOfLateRequestIsNotTakenForMalformedHead(t *testing.T) {
+	b := testBudget(limits{bytes: 16 << 20, total: 100, listener: 100, address: 100})
+	client, err := net.Dial("tcp4", startServer(t, b, func(http.ResponseWriter, *http.Request) {}))
+	require.NoError(t, err)
+	defer client.Close()
+	require.NoError(t, client.SetDeadline(time.Now().Add(5*time.Second)))
+	const begun = "GET / HTTP/1.1\r\nHo"
+	_, err = io.WriteString(client, begun)
+	require.NoError(t, err)
+	var conns []*Conn
+	require.Eventually(t, func() bool {
+		conns = b.connsOf([]string{"clients"})
+		return len(conns) == 1 && conns[0].unhandled.bytes.Load() == int64(len(begun))
+	}, time.Second, time.Millisecond)
+	require.True(t, conns[0].rejectLate())
+	_, err = io.WriteString(client, "st a\r\n\r\n")
+	require.NoError(t, err)
+	response, err := io.ReadAll(client)
+	require.NoError(t, err)
+	require.Equal(t, lateResponse, string(response))
+}
