Intake: reject a late request that an unfinished read has taken

Callers got a closed connection as a server ended, although the late rejection was to answer what had arrived.

Cause: a read takes a request from the socket and records it afterwards. A close between the two finds nothing recorded and nothing in the socket. The time between them is long where goroutines wait for processors, which the late rejection is for.

Change: if nothing is known to have arrived, but a read of a head is in progress, the read closes the connection, and sends the 503 first if it has brought bytes. The close ends the read by its deadline and waits for nothing.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -54,6 +54,8 @@
 	// rejectingHead is set while the rest of a head is read whose request is to be rejected.
 	rejectingHead atomic.Bool
 	idleEnd       idleEnd
+	// reading is the state of a read of a head.
+	reading atomic.Int32
 	// lingers is set if Close is to wait for the peer.
 	lingers atomic.Bool
 	// rested is set once a request has ended; only the goroutine of net/http uses it.
@@ -83,6 +85,9 @@
 	if ends {
 		return 0, os.ErrDeadlineExceeded
 	}
+	if inHead {
+		c.reading.Store(readInProgress)
+	}
 	n, err := c.Conn.Read(p)
 	if inHead && n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.readsOn() {
 		n, err = c.Conn.Read(p)
@@ -93,6 +98,9 @@
 	if inHead {
 		c.arrive(p[:max(n, 0)])
 		c.unhandled.noteReadError(err)
+		if !c.reading.CompareAndSwap(readInProgress, readNone) {
+			return 0, c.closeInRead()
+		}
 	}
 	if n <= 0 {
 		return n, err
@@ -141,10 +149,15 @@
 	if !c.closed.Swap(true) {
 		phase := c.phase.Load()
 		c.rejectLate()
-		c.reportClose(phase)
+		if c.finishLate() {
+			c.reportClose(phase)
+		}
 		c.listener.budget.remove(c)
 		c.release()
 	}
+	if c.reading.Load() == readCloses {
+		return nil // the read closes it
+	}
 	c.idleEnd.mu.Lock() // a late rejection may be being sent
 	defer c.idleEnd.mu.Unlock()
 	return c.Conn.Close()
--- a/intake/late_request.go
+++ b/intake/late_request.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"syscall"
 	"time"
 
@@ -15,6 +16,31 @@
 // lateWriteTimeout bounds the wait for a peer that does not read.
 const lateWriteTimeout = 10 * time.Millisecond
 
+// States of a read of a head. Bytes that a read has taken from the socket are seen by nobody else until the
+// read has recorded them, which may take long where the processors are busy.
+const (
+	readNone int32 = iota
+	readInProgress
+	// readCloses: the connection was to be closed meanwhile, and the read closes it.
+	readCloses
+)
+
+// finishLate ends what rejectLate has begun for a connection of which nothing was known to have arrived: a
+// read in progress, if there is one, closes it. It reports whether there is none.
+func (c *Conn) finishLate() bool {
+	c.idleEnd.mu.Lock()
+	defer c.idleEnd.mu.Unlock()
+	if cause, _ := c.unhandled.cause.Load().(closeCause); c.phase.Load() != phaseGaveWay || !cause.isLate() {
+		return true // responded, or not rejected
+	}
+	if c.unhandled.first.Load() == 0 && c.reading.CompareAndSwap(readInProgress, readCloses) {
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails if the connection is closed
+		return false
+	}
+	c.respondLate() // a read may have ended meanwhile
+	return true
+}
+
 // rejectedLate reports whether rejectLate has claimed the request. The caller holds idleEnd.mu.
 func (c *Conn) rejectedLate() bool {
 	cause, _ := c.unhandled.cause.Load().(closeCause)
@@ -33,6 +59,16 @@
 	return c == closeShutdown || c == closeShutdownUnread || c == closeIdleTimeout
 }
 
+// closeInRead ends a connection whose close was handed over to a read.
+func (c *Conn) closeInRead() error {
+	if c.unhandled.first.Load() != 0 {
+		c.respondLate()
+		c.reportClose(phaseHead)
+	}
+	_ = c.Conn.Close() // the peer may have left
+	return net.ErrClosed
+}
+
 // rejectLate rejects a request that was read in part or whole, or lies in the socket, as its server ends,
 // or that crosses the end of the idle time. It reports whether the connection may be closed. net/http
 // closes such a connection without a response, and its client cannot tell that the request has not run.
--- a/intake/late_request_test.go
+++ b/intake/late_request_test.go
@@ -103,6 +103,61 @@
 	require.NoError(t, err)
 }
 
+// heldReadConn is a connection whose reads return only once they are released.
+type heldReadConn struct {
+	*net.TCPConn
+	read, release chan struct{}
+}
+
+func (c *heldReadConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	close(c.read)
+	<-c.release
+	return n, err
+}
+
+// A request that a read has taken from the socket as the server ends is rejected, also if the goroutine of
+// the read gets no processor until the server has closed the connection.
+func TestRequestInUnfinishedReadIsRejected(t *testing.T) {
+	for name, sent := range map[string]string{"request": "GET / HTTP/1.1\r\nHost: a\r\n\r\n", "TLS handshake": string([]byte{22, 3, 1, 0, 5})} {
+		t.Run(name, func(t *testing.T) {
+			b := testBudget(limits{bytes: 16 << 20, total: 100, listener: 100, address: 100})
+			below, err := net.Listen("tcp4", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer below.Close()
+			client, err := net.Dial("tcp4", below.Addr().String())
+			require.NoError(t, err)
+			defer client.Close()
+			accepted, err := b.Listen(below, "clients").Accept()
+			require.NoError(t, err)
+			c := accepted.(*Conn)
+			held := &heldReadConn{TCPConn: c.Conn.(*net.TCPConn), read: make(chan struct{}), release: make(chan struct{})}
+			c.Conn = held
+			_, err = io.WriteString(client, sent)
+			require.NoError(t, err)
+			ended := make(chan error, 1)
+			go func() {
+				_, err := c.Read(make([]byte, 4096))
+				ended <- err
+			}()
+			<-held.read
+			_ = c.Close() // by CloseIdle
+			_ = c.Close() // by http.Server
+			close(held.release)
+			require.Error(t, <-ended)
+			require.NoError(t, client.SetDeadline(time.Now().Add(5*time.Second)))
+			response, err := io.ReadAll(client)
+			require.NoError(t, err)
+			if name == "request" {
+				require.Equal(t, lateResponse, string(response))
+				require.Equal(t, map[string]float64{string(closeLate): 1}, closedUnhandled(t, b))
+			} else {
+				require.Empty(t, response)
+			}
+		})
+	}
+}
+
 // The rest of a head that is rejected late must not reach net/http: it lacks what the rejection has read, and
 // net/http would respond with 400.
 func TestRestOfLateRequestIsNotTakenForMalformedHead(t *testing.T) {
