Intake: tell TLS from HTTP by the first byte of a connection

A client over TLS whose connection is ended by CloseIdle gets a response in plain text between its records, and reports a broken TLS connection. No listener with TLS is ended by CloseIdle today; a close by http.Server sends an alert first, which shows that nothing else may be sent.

Cause: the late rejection looks at the first byte that arrived since the last request. If the read before took the start of a record, that byte is ciphertext.

Change: the first byte of the connection decides.

--- a/intake/closing.go
+++ b/intake/closing.go
@@ -47,7 +47,10 @@
 	bytes atomic.Int64
 	// first is the first of them.
 	first atomic.Uint32
-	echo  headEcho
+	// opening is the first of the connection.
+	opening atomic.Uint32
+	// echo finds the field that the response of a connection itself repeats.
+	echo headEcho
 	// readAt is when bytes last arrived, in nanoseconds of Unix time.
 	readAt atomic.Int64
 	// responded is set if anything was sent meanwhile.
@@ -69,6 +72,7 @@
 func (c *Conn) arrive(p []byte) {
 	u := &c.unhandled
 	if u.bytes.Add(int64(len(p))) == int64(len(p)) && len(p) > 0 {
+		u.opening.CompareAndSwap(0, uint32(p[0]))
 		u.first.Store(uint32(p[0]))
 	}
 	u.echo.write(c.listener.echoHeader, p)
--- a/intake/late_request.go
+++ b/intake/late_request.go
@@ -94,7 +94,7 @@
 // respondLate sends the response if bytes of a request of HTTP have arrived.
 func (c *Conn) respondLate() {
 	c.discardUnread()
-	if !isHTTP(byte(c.unhandled.first.Load())) {
+	if c.unhandled.first.Load() == 0 || !isHTTP(byte(c.unhandled.opening.Load())) {
 		return
 	}
 	c.unhandled.cause.Store(closeLate)
@@ -106,8 +106,8 @@
 	_, _ = io.WriteString(c.Conn, response+"\r\n") // the peer may have left
 }
 
-// isHTTP reports whether a request that starts with a byte may be one of HTTP/1, and not a record of TLS. Without
-// a request the byte is 0.
+// isHTTP reports whether a connection that starts with a byte may be one of HTTP/1, and not of TLS. Later bytes
+// do not tell: a read may begin within a record.
 func isHTTP(first byte) bool { return first >= ' ' }
 
 // discardUnread reads what lies in the socket: a close with unread bytes resets the connection, and the
--- a/intake/late_request_test.go
+++ b/intake/late_request_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"crypto/tls"
 	"io"
 	"net"
@@ -149,7 +150,7 @@
 			response, err := io.ReadAll(client)
 			require.NoError(t, err)
 			if name == "request" {
-				require.Equal(t, lateResponse, string(response))
+				require.Equal(t, lateResponse+"\r\n", string(response))
 				require.Equal(t, map[string]float64{string(closeLate): 1}, closedUnhandled(t, b))
 			} else {
 				require.Empty(t, response)
@@ -179,5 +180,65 @@
 	require.NoError(t, err)
 	response, err := io.ReadAll(client)
 	require.NoError(t, err)
-	require.Equal(t, lateResponse, string(response))
+	require.Equal(t, lateResponse+"\r\n", string(response))
+}
+
+// cutConn is a connection whose writes can be held back.
+type cutConn struct {
+	net.Conn
+	holds bool
+	held  []byte
+}
+
+func (c *cutConn) Write(p []byte) (int, error) {
+	if !c.holds {
+		return c.Conn.Write(p)
+	}
+	c.held = append(c.held, p...)
+	return len(p), nil
+}
+
+// The rest of a TLS record whose start was read before the request ended is not taken for HTTP.
+func TestEndOfIdleTLSConnectionWithinRecordSendsNoPlainText(t *testing.T) {
+	b := testBudget(limits{bytes: 16 << 20, total: 100, listener: 100, address: 100})
+	begun, leave := make(chan struct{}), make(chan struct{})
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		close(begun)
+		<-leave
+	}))
+	s.Listener = b.Protect(s.Config, s.Listener, "clients")
+	s.StartTLS()
+	defer s.Close()
+	raw, err := net.Dial("tcp4", s.Listener.Addr().String())
+	require.NoError(t, err)
+	defer raw.Close()
+	require.NoError(t, raw.SetDeadline(time.Now().Add(5*time.Second)))
+	cut := &cutConn{Conn: raw}
+	client := tls.Client(cut, &tls.Config{InsecureSkipVerify: true})
+	const get = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+	_, err = io.WriteString(client, get)
+	require.NoError(t, err)
+	<-begun
+	cut.holds = true
+	_, err = io.WriteString(client, get)
+	require.NoError(t, err)
+	cut.held[12] = 'x' // ciphertext, of any value
+	const head = 12
+	_, err = raw.Write(cut.held[:head])
+	require.NoError(t, err)
+	conn := b.connsOf([]string{"clients"})[0]
+	require.Eventually(t, func() bool { return conn.unreadBytes() == 0 }, time.Second, time.Millisecond)
+	close(leave)
+	response, err := http.ReadResponse(bufio.NewReader(client), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.Eventually(t, func() bool { return conn.phase.Load() == phaseHead }, time.Second, time.Millisecond)
+	_, err = raw.Write(cut.held[head : head+4])
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return conn.unhandled.bytes.Load() == 4 }, time.Second, time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+	defer cancel()
+	_ = b.CloseIdle(ctx, "clients")
+	rest, _ := io.ReadAll(raw) // the connection may be reset
+	require.NotContains(t, string(rest), "HTTP/1.1")
 }
