Paths: an accepted connection proves none where accepted ones broke

A probe watched an accepted connection for 30 ms. One that was reset later counted as a path: the instance took itself for connected, kept orders, and wrote them to such connections.

Once an accepted connection has broken before a response, a probe is proof only if its connection lives for 500 ms, or a response has come on a newer one. Until then the servers count as unreachable and requests are passed on. Requests may still use the connection after 30 ms, so that a pool at its limit is not blocked. Where connections are refused or hang, nothing changes. A probe that began before the last failure no longer ends a rest: a longer probe overlaps more failures.

--- a/dispatch/backend_state.go
+++ b/dispatch/backend_state.go
@@ -293,10 +293,13 @@
 	return cooldown
 }
 
-// Reached records a connection opened at the given time that the server accepted. It ends a
-// cooldown whose reason was that the server could not be reached.
+// Reached records a connection opened at the given time by which a probe has proven the path. It ends
+// a cooldown whose reason was that the server could not be reached, unless a connection has failed since.
 func (b *BackendState) Reached(opened, now time.Time) {
 	b.Path.Proven(opened)
+	if b.Path.unreachable(now, true) {
+		return
+	}
 	if b.unreached && now.Before(b.cooldownUntil) {
 		b.cooldownUntil = now
 	}
--- a/dispatch/reachability.go
+++ b/dispatch/reachability.go
@@ -18,12 +18,17 @@
 	// that between probes of a silent one.
 	probeInterval      = 250 * time.Millisecond
 	stallProbeInterval = time.Second
+	// brokenPathHold is how long a connection must live to show that a server is reachable, while
+	// accepted connections to servers of its service have broken, and brokenProbeInterval the time
+	// between probes of one server then.
+	brokenPathHold      = 500 * time.Millisecond
+	brokenProbeInterval = 500 * time.Millisecond
 )
 
 // Reachability is whether an instance can open connections to one incarnation of a server, by
 // what its own connections showed. Responses on old connections show nothing: these may live
 // on while new ones are refused.
-type Reachability struct{ failedAt, provenAt, probedAt time.Time }
+type Reachability struct{ failedAt, brokenAt, provenAt, probedAt time.Time }
 
 // Failed records a connection that was not accepted when it was opened, or broke before a
 // response.
@@ -33,7 +38,16 @@
 	}
 }
 
-// Proven records that a connection opened at the given time was accepted and lives.
+// Broken is Failed for a connection that was accepted: that the next one is accepted shows nothing.
+func (r *Reachability) Broken(at time.Time) {
+	r.Failed(at)
+	if at.After(r.brokenAt) {
+		r.brokenAt = at
+	}
+}
+
+// Proven records that a connection opened at the given time carried a response, or was accepted and
+// has lived for PathCount.ProbeHold.
 func (r *Reachability) Proven(opened time.Time) {
 	if opened.After(r.provenAt) {
 		r.provenAt = opened
@@ -49,9 +63,16 @@
 	return r.failedAt.After(r.provenAt) && (keep || now.Sub(r.failedAt) < pathFailureTTL)
 }
 
+// broken reports whether an accepted connection has broken within pathFailureTTL and none was proven since.
+func (r *Reachability) broken(now time.Time) bool {
+	return r.brokenAt.After(r.provenAt) && now.Sub(r.brokenAt) < pathFailureTTL
+}
+
 // PathCount counts the servers of a service by reachability.
 type PathCount struct {
 	servers, unreachable, kept int
+	// broken is set if an accepted connection to a server has broken.
+	broken bool
 	// lastFailure and lastHeard are the newest of all servers.
 	lastFailure, lastHeard time.Time
 }
@@ -65,6 +86,7 @@
 	if b.Path.unreachable(now, true) {
 		c.kept++
 	}
+	c.broken = c.broken || b.Path.broken(now)
 	if b.Path.failedAt.After(c.lastFailure) {
 		c.lastFailure = b.Path.failedAt
 	}
@@ -127,7 +149,11 @@
 func (c *PathCount) ProbeDue(b *BackendState, stalled bool, now time.Time) bool {
 	age := now.Sub(b.Path.probedAt)
 	if b.Path.unreachable(now, true) {
-		return age >= probeInterval && 2*c.kept >= c.servers
+		interval := probeInterval
+		if c.broken {
+			interval = brokenProbeInterval
+		}
+		return age >= interval && 2*c.kept >= c.servers
 	}
 	if stalled && b.awaitingFirstByte > 0 {
 		return age >= stallProbeInterval
@@ -136,6 +162,18 @@
 	return suspect && age >= 2*probeInterval && now.Sub(b.Path.provenAt) >= 2*probeInterval
 }
 
+// ProbeHold returns how long the connection of a probe must live to show that the server is
+// reachable; 0 if it is enough that the server accepts it.
+//
+// Invariant: once accepted connections have broken before a response, an accepted one proves no path,
+// as what is sent on it may have run. A partition may reset connections at any time.
+func (c *PathCount) ProbeHold() time.Duration {
+	if c.broken {
+		return brokenPathHold
+	}
+	return 0
+}
+
 // Peer is another entry instance that may serve a request in place of this one.
 type Peer struct {
 	// SameDomain is set for instances in the own failure domain, which is often cut as a whole.
--- a/dispatch/reachability_test.go
+++ b/dispatch/reachability_test.go
@@ -160,3 +160,42 @@
 	require.Zero(t, chosen[-1])
 	require.Equal(t, -1, pickPeer(nil, 0.5))
 }
+
+// TestAcceptedConnectionThatBrokeIsDoubted guards against a partition that accepts connections and resets
+// them later, and passes for a path as soon as it accepts the next one.
+func TestAcceptedConnectionThatBrokeIsDoubted(t *testing.T) {
+	p := newPathTest(3)
+	p.fail(0, 3)
+	c, _ := p.update()
+	require.Zero(t, c.ProbeHold(), "connections are refused")
+
+	p.servers[0].Path.Broken(p.now)
+	c, _ = p.update()
+	hold := c.ProbeHold()
+	require.Positive(t, hold)
+	p.servers[1].Path.Probed(p.now)
+	require.False(t, c.ProbeDue(&p.servers[1], false, p.now.Add(hold-1)), "the probe before may be in progress")
+	require.True(t, c.ProbeDue(&p.servers[1], false, p.now.Add(hold)))
+
+	p.servers[0].Path.Proven(p.now.Add(1))
+	c, _ = p.update()
+	require.Zero(t, c.ProbeHold(), "a connection opened since has carried a response")
+
+	p.servers[0].Path.Broken(p.now.Add(2))
+	p.now = p.now.Add(2 + pathFailureTTL)
+	c, _ = p.update()
+	require.Zero(t, c.ProbeHold(), "long ago")
+}
+
+// TestOlderProbeEndsNoRest guards against requests to a server whose connections fail, because a probe that
+// began before the last failure has ended well.
+func TestOlderProbeEndsNoRest(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := NewBackendState(BackendInfo{}, now)
+	b.Path.Broken(now.Add(time.Millisecond))
+	b.Failed(true, now.Add(time.Millisecond))
+	b.Reached(now, now.Add(2*time.Millisecond))
+	require.True(t, b.CoolingDown(now.Add(2*time.Millisecond)))
+	b.Reached(now.Add(2*time.Millisecond), now.Add(3*time.Millisecond))
+	require.False(t, b.CoolingDown(now.Add(3*time.Millisecond)))
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -360,9 +360,9 @@
 	if a.exchange != nil {
 		b.recordPath(a.exchange.OpenedAt())
 	} else if e != nil && e.Phase == upstream.PhaseDial {
-		b.recordPathFailure(a.startedAt)
+		b.recordPathFailure(false, a.startedAt)
 	} else if isConnectionBroken(a.err) {
-		b.recordPathFailure(now)
+		b.recordPathFailure(true, now)
 	}
 	c.endRetry(a, reached, now)
 	if a.result == maybeRun || a.result == responseReceived {
--- a/gateway/probes.go
+++ b/gateway/probes.go
@@ -24,12 +24,17 @@
 	pathMemory = 5 * time.Second
 )
 
-// recordPathFailure records a connection to the server that could not be opened, or broke
-// before a response. at is when the dial began: one that times out shows nothing of its end.
-func (b *backend) recordPathFailure(at time.Time) {
+// recordPathFailure records a connection to the server that could not be opened, or was accepted and
+// broke before a response. at is when the dial of one that could not be opened began: one that times
+// out shows nothing of its end.
+func (b *backend) recordPathFailure(accepted bool, at time.Time) {
 	b.state.mu.Lock()
 	defer b.state.mu.Unlock()
-	b.tracker.Path.Failed(at)
+	if accepted {
+		b.tracker.Path.Broken(at)
+	} else {
+		b.tracker.Path.Failed(at)
+	}
 	if at.After(b.state.pathFailedAt) {
 		b.state.pathFailedAt = at
 	}
@@ -70,20 +75,26 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			for _, b := range g.probesDue(now, min(probesPerTick, maxProbes-int(inProgress.Load()))) {
+			for _, due := range g.probesDue(now, min(probesPerTick, maxProbes-int(inProgress.Load()))) {
 				inProgress.Add(1)
 				go func() {
 					defer inProgress.Add(-1)
-					g.probe(ctx, b)
+					g.probe(ctx, due.backend, due.hold)
 				}()
 			}
 		}
 	}
 }
 
+// dueProbe is a server to probe, and how long the connection of the probe must live.
+type dueProbe struct {
+	backend *backend
+	hold    time.Duration
+}
+
 // probesDue returns the servers to probe now, at most n of all services: those of each service
 // that were probed least recently.
-func (g *Gateway) probesDue(now time.Time, n int) (due []*backend) {
+func (g *Gateway) probesDue(now time.Time, n int) (due []dueProbe) {
 	rs := g.routing.Load()
 	for service, list := range rs.services {
 		if len(list) == 0 || len(due) >= n {
@@ -105,7 +116,7 @@
 				continue
 			}
 			b.tracker.Path.Probed(now)
-			due = append(due, b)
+			due = append(due, dueProbe{b, count.ProbeHold()})
 		}
 		s.probeOffset = (s.probeOffset + probesPerTick) % len(list)
 		s.mu.Unlock()
@@ -113,21 +124,21 @@
 	return due
 }
 
-// probe opens a connection to a server and records whether it is accepted.
-func (g *Gateway) probe(ctx context.Context, b *backend) {
+// probe opens a connection to a server and records whether it is accepted and lives.
+func (g *Gateway) probe(ctx context.Context, b *backend, hold time.Duration) {
 	startedAt := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout+hold)
 	defer cancel()
-	switch err := b.pool.Probe(ctx); {
+	switch err := b.pool.Probe(ctx, hold); {
 	case err == nil:
 		b.state.mu.Lock()
 		b.tracker.Reached(startedAt, time.Now())
 		b.state.queue.Schedule()
 		b.state.mu.Unlock()
 		g.metrics.probes.WithLabelValues("accepted").Inc()
-	case errors.Is(err, upstream.ErrConnectionLimit) || errors.Is(err, context.Canceled):
+	case errors.Is(err, upstream.ErrConnectionLimit) || errors.Is(err, upstream.ErrProbeCut) || errors.Is(err, context.Canceled):
 	default:
-		b.recordPathFailure(startedAt)
+		b.recordPathFailure(errors.Is(err, upstream.ErrClosedUnused), startedAt)
 		g.metrics.probes.WithLabelValues("failed").Inc()
 		g.logger.Debug("probe failed", slog.String("server", b.server), slog.Any("error", err))
 	}
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -77,7 +77,7 @@
 		}
 		b.recordBroken(time.Now())
 		if b.peer == nil {
-			b.recordPathFailure(dialedAt)
+			b.recordPathFailure(false, dialedAt)
 		}
 		if b.peer == nil && errors.Is(err, syscall.ECONNREFUSED) {
 			c.gateway.recordRefused(b)
--- a/upstream/identify.go
+++ b/upstream/identify.go
@@ -81,7 +81,7 @@
 		return nil
 	}
 	if err == nil {
-		err = errClosedUnused
+		err = ErrClosedUnused
 		p.discardClosed(c)
 	} else {
 		p.discard(c)
--- a/upstream/lost.go
+++ b/upstream/lost.go
@@ -64,7 +64,7 @@
 // noteClosed records that the server has closed a connection, which is no longer in conns: it may have ended
 // since that was last known to be open. mu must be held.
 func (p *Pool) noteClosed(c *conn) {
-	p.identified = false
+	p.identified, c.lost = false, true
 	p.noteEnd(time.Duration(c.aliveAt.Load()), c.reset)
 }
 
--- a/upstream/lost_beside_test.go
+++ b/upstream/lost_beside_test.go
@@ -122,7 +122,7 @@
 		},
 		"a probe is refused": func(t *testing.T, s *endingServer, p *Pool) {
 			s.end()
-			require.Error(t, p.Probe(t.Context()))
+			require.Error(t, p.Probe(t.Context(), 0))
 			s.start()
 			s.prepare(p)
 		},
@@ -170,7 +170,7 @@
 		"a connection is refused beside an older one": func(t *testing.T, s *endingServer, p *Pool) {
 			s.prepare(p)
 			s.listener.Close()
-			require.Error(t, p.Probe(t.Context()))
+			require.Error(t, p.Probe(t.Context(), 0))
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/upstream/prepare.go
+++ b/upstream/prepare.go
@@ -71,9 +71,9 @@
 	return nil
 }
 
-// Probe is Prepare that fails also if the server, or a partition, closes the connection
-// within probeHold: a connection may be accepted and reset at once.
-func (p *Pool) Probe(ctx context.Context) error {
+// Probe is Prepare that fails also if the server, or a partition, closes the connection within hold, which is at
+// least probeHold: a connection may be accepted and reset afterwards. Requests may use it after probeHold.
+func (p *Pool) Probe(ctx context.Context, hold time.Duration) error {
 	c, err := p.dialInPlace(ctx, nil)
 	if err != nil {
 		return err
@@ -81,14 +81,39 @@
 	time.Sleep(probeHold)
 	if !c.reusable() {
 		p.discardClosed(c)
-		return &Error{Phase: PhaseDial, Address: p.address, Err: errClosedUnused}
+		return &Error{Phase: PhaseDial, Address: p.address, Err: ErrClosedUnused}
 	}
 	p.putIdle(c)
+	if hold <= probeHold {
+		return nil
+	}
+	select {
+	case <-time.After(hold - probeHold):
+	case <-ctx.Done():
+		return ErrProbeCut
+	}
+	return p.checkHeld(c)
+}
+
+// checkHeld reports whether a connection of a probe is still open.
+func (p *Pool) checkHeld(c *conn) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case c.lost || !c.closed && !c.established():
+		return &Error{Phase: PhaseDial, Address: p.address, Err: ErrClosedUnused}
+	case c.closed:
+		return ErrProbeCut
+	}
 	return nil
 }
 
-// errClosedUnused reports a connection that was closed before anything was sent on it.
-var errClosedUnused = errors.New("connection was closed before it was used")
+// ErrProbeCut reports a probe that shows nothing: it was ended, or this side closed its connection, before the
+// connection had lived for long enough.
+var ErrProbeCut = errors.New("probe ended early")
+
+// ErrClosedUnused reports a connection that was closed before anything was sent on it.
+var ErrClosedUnused = errors.New("connection was closed before it was used")
 
-// probeHold is how long a probe watches a connection that was accepted.
+// probeHold is how long a probe watches a connection that was accepted before requests may use it.
 const probeHold = 30 * time.Millisecond
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -131,6 +131,8 @@
 	closed, ended, lastResponse bool
 	// reset is set once an idle connection was found to be reset.
 	reset bool
+	// lost is set once the server was found to have closed the connection. mu guards it.
+	lost bool
 }
 
 // Pool holds the connections to one incarnation of one backend server.
