Probes: leave connections that are held for requests

A request that left a silent server for another one, where a connection was held for it, could find all connections there in use: a probe took the held one, for 30 ms, in place of an idle one. By reading; no request was seen to meet it. In the new test a probe took the only connection of a pool, which was held.

A probe takes no connection that is held. If all are, it is put off, as it is when all are in use.

--- a/upstream/prepare.go
+++ b/upstream/prepare.go
@@ -71,10 +71,11 @@
 	return nil
 }
 
-// Probe is Prepare that fails also if the server, or a partition, closes the connection within hold, which is at
-// least probeHold: a connection may be accepted and reset afterwards. Requests may use it after probeHold.
+// Probe opens a connection like Prepare, but none that is held for a request, and fails also if the server, or a
+// partition, closes the connection within hold, which is at least probeHold: a connection may be accepted and
+// reset afterwards. Requests may use it after probeHold.
 func (p *Pool) Probe(ctx context.Context, hold time.Duration) error {
-	c, err := p.dialInPlace(ctx, nil)
+	c, err := p.dialInPlace(ctx, &claim{})
 	if err != nil {
 		return err
 	}
--- a/upstream/probe_test.go
+++ b/upstream/probe_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"context"
 	"net"
 	"testing"
 	"time"
@@ -70,3 +71,19 @@
 		})
 	}
 }
+
+// TestProbeLeavesHeldConnections guards against a request that has a connection promised and finds it in
+// use by a probe.
+func TestProbeLeavesHeldConnections(t *testing.T) {
+	for _, prepared := range []bool{false, true} {
+		address, _ := accepting(t)
+		p := NewPool(address, 1)
+		require.True(t, p.Hold())
+		if prepared {
+			require.NoError(t, p.Prepare(t.Context()))
+		}
+		require.ErrorIs(t, p.Probe(t.Context(), 0), ErrConnectionLimit)
+		_, _, err := p.take(context.Background(), &Request{Held: true})
+		require.NoError(t, err)
+	}
+}
