Control: a leader that is stopped transfers its leadership

Beside each planned stop of the leader, operators' changes and the entry instances' calls at all control instances waited for an election: 503 after 0.9 s, or an answer a second late. OPERATIONS.md promises a transfer.

Cause: the transfer runs in the consensus loop. App.Stop ends the context of that loop before it stops the components, and Close ended it once more before the transfer, which then waited its whole second for the loop. Group.Stop alone, as the simulations call it, worked. The test of the transfer on stop was content with an election.

Change: the transfer is the drain of the replica, which runs behind that of the registrar and while the loop runs. Close stops the group before it ends the context. A transfer in a loop that has ended returns at once.

--- a/control/group.go
+++ b/control/group.go
@@ -86,12 +86,15 @@
 	return l.group.Start(ctx)
 }
 
-// Close stops the replica. It always returns nil. It ends the context of the consensus
-// loop before it calls Group.Stop, so a leader's attempt to transfer its leadership
-// fails after transferTimeout (package replog).
+// TransferLeadership transfers the leadership, if this replica is the leader, so that the group has
+// a leader while it stops.
+func (l *ReplicatedLog) TransferLeadership(ctx context.Context) { l.group.TransferLeadership(ctx) }
+
+// Close stops the replica. A leader transfers its leadership first unless its context has ended. It
+// always returns nil.
 func (l *ReplicatedLog) Close() error {
-	l.stop()
 	l.group.Stop()
+	l.stop()
 	return nil
 }
 
--- a/control/group_test.go
+++ b/control/group_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/galenaarch/galenaarch/api/consensusv1"
@@ -157,6 +158,34 @@
 	require.Equal(t, controlv1.BeginOutcome_BEGIN_OUTCOME_DISPATCH, g.begin("a", "2").Outcome)
 }
 
+// A process that is asked to stop ends the context of its replica before it stops it. The leadership must
+// have been transferred before, or the group has no leader for an election timeout.
+func TestLeadershipIsTransferredBeforeProcessStops(t *testing.T) {
+	g := newTestGroup(t, 3)
+	g.begin("a", "1")
+	apps := make(map[string]*kernel.App)
+	for _, name := range g.names {
+		g.crash(name)
+	}
+	for _, name := range g.names {
+		g.running[name] = NewReplica(g.settings[name])
+		apps[name] = kernel.NewApp(&kernel.Context{Logger: slog.New(slog.DiscardHandler), Registry: prometheus.NewRegistry()}, g.running[name])
+		require.NoError(t, apps[name].Start())
+	}
+	g.begin("a", "2")
+	first := g.leader()
+	stopping := g.running[first]
+	startedAt := time.Now()
+	require.NoError(t, apps[first].Drain(g.context()))
+	drained := time.Since(startedAt)
+	assert.False(t, stopping.IsLeader())
+	apps[first].Stop(g.context())
+	stopped := time.Since(startedAt)
+	delete(g.running, first)
+	require.Equal(t, controlv1.BeginOutcome_BEGIN_OUTCOME_DISPATCH, g.begin("a", "3").Outcome)
+	t.Logf("drained after %v, stopped after %v, a change accepted after %v", drained, stopped, time.Since(startedAt))
+}
+
 func TestLeaderWithoutQuorumServesNothing(t *testing.T) {
 	g := newTestGroup(t, 3)
 	g.begin("a", "1")
--- a/control/process.go
+++ b/control/process.go
@@ -389,7 +389,16 @@
 	return log.Ready()
 }
 
-// Stop implements kernel.Stopper. A leader first transfers its leadership.
+// Drain implements kernel.Drainer. A leader transfers its leadership while its context still runs, and
+// refers what other replicas forward to it to the next leader.
+func (r *Replica) Drain(ctx context.Context) error {
+	if log := r.Log(); log != nil {
+		log.TransferLeadership(ctx)
+	}
+	return nil
+}
+
+// Stop implements kernel.Stopper.
 func (r *Replica) Stop(context.Context) error {
 	select {
 	case <-r.stopped:
--- a/control/replog/group.go
+++ b/control/replog/group.go
@@ -91,6 +91,8 @@
 
 	stop context.CancelFunc
 	wg   sync.WaitGroup
+	// ended is closed once the loop has ended: nothing is executed from then on.
+	ended chan struct{}
 }
 
 // Open opens the data directory of a replica. From then on the replica responds to
@@ -108,7 +110,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "open log of group %s", s.Group)
 	}
-	g := &Group{settings: s, machine: machine, logger: logger, store: store, queues: newQueues(), stages: stages}
+	g := &Group{settings: s, machine: machine, logger: logger, store: store, queues: newQueues(), stages: stages, ended: make(chan struct{})}
 	if durable.LeftoversError != nil {
 		g.logger.Warn("unfinished files remain", slog.Any("error", durable.LeftoversError))
 	}
@@ -181,6 +183,7 @@
 	go g.apply(ctx)
 	go func() {
 		defer g.wg.Done()
+		defer close(g.ended)
 		if err := g.join(ctx); err != nil {
 			g.Fail(err)
 			return
@@ -196,7 +199,7 @@
 // transferTimeout.
 func (g *Group) Stop() {
 	if g.stop != nil {
-		g.transferLeadership()
+		g.TransferLeadership(context.Background())
 	}
 	g.Kill()
 }
@@ -356,6 +359,8 @@
 	done := make(chan error, 1)
 	select {
 	case g.loopCalls <- func() { done <- f() }:
+	case <-g.ended:
+		return ErrStopped
 	case <-ctx.Done():
 		return ctx.Err()
 	}
--- a/control/replog/transfer.go
+++ b/control/replog/transfer.go
@@ -10,10 +10,10 @@
 // transferTimeout bounds the leadership transfer when a leader stops.
 const transferTimeout = time.Second
 
-// transferLeadership tries to transfer leadership to the reachable voter with the most
-// complete log before this replica stops. It does nothing if this replica has failed or
-// is not the leader, or if there is no such voter.
-func (g *Group) transferLeadership() {
+// TransferLeadership tries to transfer leadership to the reachable voter with the most
+// complete log before this replica stops, for at most transferTimeout. It does nothing if
+// this replica has failed or ended or is not the leader, or if there is no such voter.
+func (g *Group) TransferLeadership(ctx context.Context) {
 	s := g.Status()
 	if s.Role != consensus.RoleLeader || g.Err() != nil {
 		return
@@ -27,7 +27,7 @@
 	if target == "" {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), transferTimeout)
+	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
 	defer cancel()
 	if g.runInLoop(ctx, func() error { return g.node.TransferLeadership(target) }) != nil {
 		return
