Control: requests at a replica that has ended fail at once

A request that lay in the queues of a replica as its loop ended (a stop, a failed disk), or came before its listener closed, got no result: the control instance that had forwarded it waited for 0.6 of its 0.9 s, an entry instance for 2 s, although the next leader might have served it.

Cause: the loop fails the proposals that it has appended and the reads that it has begun, and nobody reads the queues behind it.

Change: Propose and Barrier end with ErrStopped once the loop has ended. A result that is there already counts. The outcome of a change is as unknown as before.

Measured: a test asks a replica whose loop was ended.

--- a/control/group_test.go
+++ b/control/group_test.go
@@ -186,6 +186,21 @@
 	t.Logf("drained after %v, stopped after %v, a change accepted after %v", drained, stopped, time.Since(startedAt))
 }
 
+// Requests that wait in the queues of a replica whose loop has ended must not wait for their time to be over.
+func TestEndedReplicaRefusesRequestsAtOnce(t *testing.T) {
+	g := newTestGroup(t, 1)
+	g.begin("a", "1")
+	log := g.running[g.leader()].Log()
+	log.group.Kill()
+	ended := NewServer(log)
+	startedAt := time.Now()
+	_, err := ended.GetStatus(g.context(), &controlv1.GetStatusRequest{})
+	require.ErrorContains(t, err, replog.ErrStopped.Error())
+	_, err = ended.AcquireLease(g.context(), &controlv1.AcquireLeaseRequest{Name: "l", Holder: "h", TermMs: 1000})
+	require.ErrorContains(t, err, replog.ErrStopped.Error())
+	require.Less(t, time.Since(startedAt), testTimeout/2)
+}
+
 func TestLeaderWithoutQuorumServesNothing(t *testing.T) {
 	g := newTestGroup(t, 3)
 	g.begin("a", "1")
--- a/control/replog/group.go
+++ b/control/replog/group.go
@@ -289,9 +289,16 @@
 	select {
 	case r := <-p.done:
 		return r.result, r.err
+	case <-g.ended:
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
+	select {
+	case r := <-p.done: // before the loop ended
+		return r.result, r.err
+	default:
+		return nil, ErrStopped
+	}
 }
 
 // Barrier returns once the state machine includes every command committed
@@ -321,6 +328,8 @@
 	select {
 	case err := <-done:
 		return refusalReason(err), err
+	case <-g.ended:
+		return RefusedFailed, ErrStopped
 	case <-ctx.Done():
 		return RefusedUnconfirmed, errUnconfirmed(ctx)
 	}
