Control: a poll goes on at the log that replaces a failed one

A long poll at a control instance whose log failed, as on a full disk, got no change until its wait was over: 2 s for an entry instance of galena-entry, 10 s for an operator, 1 s for a feed.

Cause: the poll waits on a channel of the log that was open as it began. superviseLog opens another one, and nobody closes that channel any more.

Change: superviseLog wakes those who wait at the failed log once the next is open. They read the new state, which may be older: a poll then waits on.

Measured: a test fails the log below a poll of 20 s and applies a change.

--- a/control/group.go
+++ b/control/group.go
@@ -238,6 +238,13 @@
 	return result
 }
 
+// wakeWaiting wakes those who wait on ConfigChanged.
+func (m *stateMachine) wakeWaiting() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.notifyChanged()
+}
+
 // notifyChanged closes the changed channel and replaces it. m.mu must be held.
 func (m *stateMachine) notifyChanged() {
 	close(m.changed)
--- a/control/group_test.go
+++ b/control/group_test.go
@@ -24,6 +24,7 @@
 	"github.com/galenaarch/galenaarch/control/client"
 	"github.com/galenaarch/galenaarch/control/replog"
 	"github.com/galenaarch/galenaarch/control/state"
+	"github.com/galenaarch/galenaarch/internal/configtest"
 	"github.com/galenaarch/galenaarch/internal/loopback"
 	"github.com/galenaarch/galenaarch/kernel"
 	"github.com/galenaarch/galenaarch/storage"
@@ -381,6 +382,37 @@
 	require.EqualValues(t, 401, records)
 }
 
+// A poll that waits for changes of a log which fails must go on at the log that replaces it.
+func TestPollIsWokenByChangeAfterLogWasReopened(t *testing.T) {
+	g := newTestGroup(t, 1)
+	g.begin("a", "1")
+	r := g.running[g.leader()]
+	failed := r.Log()
+	const wait = 20 * time.Second
+	type result struct {
+		revision uint64
+		took     time.Duration
+		err      error
+	}
+	polled := make(chan result, 1)
+	startedAt := time.Now()
+	go func() {
+		response, err := r.LocalService().GetConfig(g.context(), &controlv1.GetConfigRequest{Environment: "haddon-trial", WaitMs: uint32(wait.Milliseconds())})
+		polled <- result{response.GetRevision(), time.Since(startedAt), err}
+	}()
+	time.Sleep(100 * time.Millisecond) // lets the poll wait
+	failed.group.Fail(errors.New("no space left on device"))
+	require.Eventually(t, func() bool { return r.Log() != failed && r.Log().group.Err() == nil }, testTimeout, 10*time.Millisecond)
+	_, items := configtest.ItemsWithAccounts(t, 10)
+	applied, err := g.client.ApplyConfig(g.context(), &controlv1.ApplyConfigRequest{Environment: "haddon-trial", ChangeId: "1", Upserts: items})
+	require.NoError(t, err)
+	require.True(t, applied.Accepted, applied.Reason)
+	got := <-polled
+	require.NoError(t, got.err)
+	require.Equal(t, applied.Revision, got.revision)
+	require.Less(t, got.took, wait)
+}
+
 func TestReplicaRecoversFromDiskFailure(t *testing.T) {
 	g := newTestGroup(t, 3)
 	require.Equal(t, controlv1.BeginOutcome_BEGIN_OUTCOME_DISPATCH, g.begin("a", "1").Outcome)
--- a/control/process.go
+++ b/control/process.go
@@ -309,6 +309,7 @@
 			r.logger.Error("failed to reopen log", slog.Any("error", err))
 			continue
 		}
+		failed.stateMachine.wakeWaiting() // they go on at the log that is open
 		if err := r.Log().Start(ctx); err != nil {
 			r.logger.Error("failed to restart log", slog.Any("error", err))
 		}
