Intake: send a rejection without a deadline

Cause, by reading and a test: the rejection was written with a deadline of 10 ms. If the process stands still between the two calls, the write fails although the socket has room. What had arrived was read before, so that the connection ended by a FIN. That this was the cause of each is not shown; the log has no line for a failed write.

Change: the response is sent by a call that does not wait, as what lies in the socket is read.

Measured: a test whose connection stands still as a deadline is set; before, its client gets no response.

--- a/intake/late_request.go
+++ b/intake/late_request.go
@@ -1,7 +1,6 @@
 package intake
 
 import (
-	"io"
 	"net"
 	"syscall"
 	"time"
@@ -13,9 +12,6 @@
 // sent again at once. The echoed field follows.
 const lateResponse = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 0\r\nContent-Length: 0\r\n"
 
-// lateWriteTimeout bounds the wait for a peer that does not read.
-const lateWriteTimeout = 10 * time.Millisecond
-
 // States of a read of a head. Bytes that a read has taken from the socket are seen by nobody else until the
 // read has recorded them, which may take long where the processors are busy.
 const (
@@ -98,12 +94,30 @@
 		return
 	}
 	c.unhandled.cause.Store(closeLate)
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(lateWriteTimeout)) // fails if the connection is closed
 	response := lateResponse
 	if value := c.unhandled.echo.found(); value != "" {
 		response += c.listener.echoHeader + ": " + value + "\r\n"
 	}
-	_, _ = io.WriteString(c.Conn, response+"\r\n") // the peer may have left
+	c.writeNow(response + "\r\n")
+}
+
+// writeNow sends what the socket takes at once. A write with a deadline fails if the process stands still
+// meanwhile.
+func (c *Conn) writeNow(text string) {
+	c.control(func(fd int) {
+		_ = unix.Sendto(fd, []byte(text), unix.MSG_DONTWAIT|unix.MSG_NOSIGNAL, nil) // the peer may have left, or not read
+	})
+}
+
+// control calls a function with the socket, unless it is closed.
+func (c *Conn) control(f func(fd int)) {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	if raw, err := socket.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { f(int(fd)) }) // fails if the connection is closed
+	}
 }
 
 // isHTTP reports whether a connection that starts with a byte may be one of HTTP/1, and not of TLS. Later bytes
@@ -113,18 +127,10 @@
 // discardUnread reads what lies in the socket: a close with unread bytes resets the connection, and the
 // peer may lose its response. It does not wait for a read in progress, as Read of net.Conn does.
 func (c *Conn) discardUnread() {
-	socket, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return
-	}
 	buffer := make([]byte, 4<<10)
-	_ = raw.Control(func(fd uintptr) { // fails if the connection is closed
+	c.control(func(fd int) {
 		for total := 0; total < maxUnread; {
-			n, _, err := unix.Recvfrom(int(fd), buffer, unix.MSG_DONTWAIT)
+			n, _, err := unix.Recvfrom(fd, buffer, unix.MSG_DONTWAIT)
 			if err != nil || n == 0 {
 				return
 			}
--- a/intake/late_request_test.go
+++ b/intake/late_request_test.go
@@ -86,6 +86,36 @@
 	}
 }
 
+// standingConn stands still once a write deadline is set, for longer than any that rejections had.
+type standingConn struct{ *net.TCPConn }
+
+func (c standingConn) SetWriteDeadline(t time.Time) error {
+	defer time.Sleep(time.Until(t) + time.Millisecond)
+	return c.TCPConn.SetWriteDeadline(t)
+}
+
+// A request is rejected although the process stands still while it ends.
+func TestStandstillDoesNotPreventRejection(t *testing.T) {
+	below, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer below.Close()
+	client, err := net.Dial("tcp4", below.Addr().String())
+	require.NoError(t, err)
+	defer client.Close()
+	accepted, err := testBudget(limits{total: 100, listener: 100, address: 100}).Listen(below, "clients").Accept()
+	require.NoError(t, err)
+	c := accepted.(*Conn)
+	c.Conn = standingConn{c.Conn.(*net.TCPConn)}
+	_, err = io.WriteString(client, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return c.unreadBytes() > 0 }, 5*time.Second, time.Millisecond)
+	require.NoError(t, c.Close())
+	require.NoError(t, client.SetDeadline(time.Now().Add(5*time.Second)))
+	response, err := http.ReadResponse(bufio.NewReader(client), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+}
+
 // A request over TLS that the end of its server crosses gets no bytes outside TLS.
 func TestShutdownOverTLSSendsNoPlainText(t *testing.T) {
 	b := testBudget(limits{bytes: 16 << 20, total: 100, listener: 100, address: 100})
