--- a/intake/bench_test.go
+++ b/intake/bench_test.go
@@ -19,6 +19,9 @@
 			}
 			s := &http.Server{Handler: http.HandlerFunc(echo)}
 			counted := budget.Protect(s, l, "clients")
+			if counted, ok := counted.(*Listener); ok {
+				counted.SetEchoHeader("X-Request-Id")
+			}
 			go func() { _ = s.Serve(counted) }()
 			defer s.Close()
 			sent := strings.Repeat("x", 2<<10)
--- a/intake/head_echo.go
+++ b/intake/head_echo.go
@@ -55,13 +55,12 @@
 
 // take looks at a whole line.
 func (e *headEcho) take(name string) {
-	line := string(bytes.TrimSuffix(e.line, []byte{'\r'}))
-	whole := len(e.line) < maxEchoLine
+	line, whole := bytes.TrimSuffix(e.line, []byte{'\r'}), len(e.line) < maxEchoLine
 	e.line = e.line[:0]
-	e.ended = line == ""
-	field, value, _ := strings.Cut(line, ":")
-	if whole && strings.EqualFold(field, name) && strings.IndexFunc(value, isControl) < 0 {
-		e.value = strings.TrimSpace(value)
+	e.ended = len(line) == 0
+	field, value, _ := bytes.Cut(line, []byte{':'})
+	if whole && len(field) == len(name) && strings.EqualFold(string(field), name) && bytes.IndexFunc(value, isControl) < 0 {
+		e.value = string(bytes.TrimSpace(value))
 	}
 }
 
