Gateway: the end of a drain and the silence of a server are monotonic times

Cause: the drain's end was kept as nanoseconds of Unix time. The gateway gave the reason "stopping", which it gives only behind a drain. The same held for the last event of a stream, whose server looks silent after a step, for the last arrival and for the last broken connection.

Change: these times are kept relative to the start of the process, with the monotonic clock.

--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -45,8 +45,8 @@
 
 	tracker dispatch.BackendState
 	weights map[string]uint64
-	// brokenAt is when a connection to the server last broke or was refused, in nanoseconds of
-	// Unix time; 0 for never.
+	// brokenAt is when a connection to the server last broke or was refused, by
+	// monotonic; 0 for never.
 	brokenAt atomic.Int64
 	// rateLimit is the rate limit of the incarnation; nil if it never stated one.
 	rateLimit atomic.Pointer[serverLimit]
@@ -73,7 +73,7 @@
 // unsure for a time after a connection to the server broke, and while no control instance hears
 // of it. The caller holds the state's lock.
 func (b *backend) mayHaveRestarted(reannounced time.Duration, now time.Time) bool {
-	return b.tracker.Unreported() || now.Sub(time.Unix(0, b.brokenAt.Load())) < reannounced || now.Sub(b.pool.LostAt()) < reannounced
+	return b.tracker.Unreported() || now.Sub(fromMonotonic(b.brokenAt.Load())) < reannounced || now.Sub(b.pool.LostAt()) < reannounced
 }
 
 // unreported reports whether no control instance hears of the server.
@@ -87,7 +87,7 @@
 func (b *backend) runs() *dispatch.Software { return &b.software }
 
 // recordBroken records that a connection to the server broke or was refused.
-func (b *backend) recordBroken(now time.Time) { b.brokenAt.Store(now.UnixNano()) }
+func (b *backend) recordBroken(now time.Time) { b.brokenAt.Store(monotonic(now)) }
 
 // update changes the tracked state of the server under the lock of the service's state,
 // which all of its servers share.
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -80,8 +80,7 @@
 	refusedBy map[string]bool
 	// search is that for a server once the request has left a silent one.
 	search dispatch.ServerSearch
-	// lastEventAt is when the client was sent the last event, in nanoseconds of Unix time; 0
-	// before the first.
+	// lastEventAt is when the client was sent the last event, by monotonic; 0 before the first.
 	lastEventAt atomic.Int64
 	// state is the scheduling state of the service, decision the last decision on
 	// this request, and work its load on the chosen server.
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -28,7 +28,7 @@
 // cut off; all others are rejected at once as not run, and another instance serves them. Before
 // the drain starts, everything is accepted.
 type drainState struct {
-	// deadline is when the process must have finished, in nanoseconds of Unix time; 0
+	// deadline is when the process must have finished, by monotonic; 0
 	// before the drain.
 	deadline atomic.Int64
 	// ended is set when no further request is accepted.
@@ -36,7 +36,7 @@
 }
 
 func (s *drainState) start(now time.Time, grace time.Duration) {
-	s.deadline.Store(now.Add(grace - graceMargin).UnixNano())
+	s.deadline.Store(monotonic(now.Add(grace - graceMargin)))
 }
 
 // end ends the drain: no further request is accepted.
@@ -47,7 +47,7 @@
 // admits reports whether a request that ends at the given time at the latest may still be accepted.
 func (s *drainState) admits(latestEnd time.Time) bool {
 	deadline := s.deadline.Load()
-	return !s.ended.Load() && (deadline == 0 || latestEnd.Add(finishMargin).UnixNano() <= deadline)
+	return !s.ended.Load() && (deadline == 0 || monotonic(latestEnd.Add(finishMargin)) <= deadline)
 }
 
 // endsInTime reports whether the request may be passed on to a server by a draining instance.
@@ -58,5 +58,5 @@
 // expired reports whether the time for draining is over.
 func (s *drainState) expired(now time.Time) bool {
 	deadline := s.deadline.Load()
-	return deadline != 0 && now.UnixNano() >= deadline
+	return deadline != 0 && monotonic(now) >= deadline
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -75,7 +75,7 @@
 	inflight  atomic.Int64
 	// emptyDomains are the emptied failure domains without requests in progress. Only Run uses it.
 	emptyDomains map[string]bool
-	// lastArrival is when the last request arrived, in nanoseconds of Unix time.
+	// lastArrival is when the last request arrived, by monotonic.
 	lastArrival      atomic.Int64
 	promptMix        placement.LengthMix
 	accessLogLimiter *rate.Limiter
@@ -166,7 +166,7 @@
 		rw = &forwardWriter{ResponseWriter: rw, call: c}
 	}
 	defer g.recoverPanic(rw, r, c)
-	g.lastArrival.Store(now.UnixNano())
+	g.lastArrival.Store(monotonic(now))
 	if g.drain.started() {
 		rw.Header().Set("Connection", "close")
 	}
--- a/gateway/panic_test.go
+++ b/gateway/panic_test.go
@@ -94,7 +94,7 @@
 	h.scorer = scorer
 	c, silent := h.silentCall()
 	w := &stallWatch{call: c, stream: &stream{call: c}, attempt: &attempt{gateway: h.Gateway, backend: silent}, ctx: t.Context()}
-	w.lastEventAt.Store(time.Now().Add(-w.fraction(failoverShare)).UnixNano())
+	w.lastEventAt.Store(monotonic(time.Now().Add(-w.fraction(failoverShare))))
 	require.NotPanics(t, w.check)
 	require.True(t, scorer.used)
 }
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -369,7 +369,7 @@
 			return ctx.Err()
 		case <-ticker.C:
 			now := time.Now() // the time of a tick is not that of its receipt
-			quiet := quietFor.Check(now, time.Unix(0, p.gateway.lastArrival.Load())) > drainQuietPeriod
+			quiet := quietFor.Check(now, fromMonotonic(p.gateway.lastArrival.Load())) > drainQuietPeriod
 			if p.gateway.drain.expired(now) || (now.Sub(startedAt) > minDrainTime && quiet && p.gateway.inflight.Load() == 0) {
 				p.closeListener()
 				p.awaitAdmitted(ctx, ticker.C)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -369,7 +369,7 @@
 			return false
 		}
 		s.call.markEvent(a)
-		s.call.lastEventAt.Store(now.UnixNano())
+		s.call.lastEventAt.Store(monotonic(now))
 		s.recordEvents(events)
 	}
 	s.sendHeaders(a)
--- a/gateway/service_state_test.go
+++ b/gateway/service_state_test.go
@@ -99,7 +99,7 @@
 		repeated.attemptsSent, repeated.mayHaveRun = 1, true
 		begun.attemptsSent, begun.mayHaveRun = 1, true
 		begun.startedAt = time.Now().Add(-5 * time.Second)
-		begun.lastEventAt.Store(time.Now().UnixNano())
+		begun.lastEventAt.Store(monotonic(time.Now()))
 		want := dispatch.Send
 		if backlog > testFirstByteTimeout {
 			want = dispatch.Reject
--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -29,7 +29,7 @@
 	call    *call
 	stream  *stream
 	attempt *attempt
-	// lastEventAt is the time of the last event, in nanoseconds of Unix time.
+	// lastEventAt is the time of the last event, by monotonic.
 	lastEventAt atomic.Int64
 	// timeout is how long the server may send no event, in nanoseconds.
 	timeout atomic.Int64
@@ -58,7 +58,7 @@
 func (c *call) startStallWatch(ctx context.Context, s *stream, a *attempt) *stallWatch {
 	w := &stallWatch{call: c, stream: s, attempt: a}
 	w.ctx, w.endSearches = context.WithCancel(ctx)
-	w.lastEventAt.Store(time.Now().UnixNano())
+	w.lastEventAt.Store(monotonic(time.Now()))
 	if c.route.ClientTimeout == 0 || a.forward != nil {
 		return w // another instance watches its server itself
 	}
@@ -105,7 +105,7 @@
 
 // progress records a complete event.
 func (w *stallWatch) progress() {
-	w.lastEventAt.Store(time.Now().UnixNano())
+	w.lastEventAt.Store(monotonic(time.Now()))
 	w.timeout.Store(int64(w.fraction(failoverShare)))
 	if cancel := w.cancelSearch.Load(); cancel != nil {
 		(*cancel)()
@@ -144,7 +144,7 @@
 	// This is read first: a write that ends now has updated lastEventAt before.
 	forwarding := w.forwarding.Load()
 	now := time.Now()
-	lastEventAt, timeout := time.Unix(0, w.lastEventAt.Load()), time.Duration(w.timeout.Load())
+	lastEventAt, timeout := fromMonotonic(w.lastEventAt.Load()), time.Duration(w.timeout.Load())
 	sinceEvent := now.Sub(lastEventAt)
 	switch {
 	case forwarding, w.late(now):
@@ -173,7 +173,7 @@
 	if !c.reserveReplacement(ctx, w.attempt.backend, lastEventAt) {
 		return false
 	}
-	if w.forwarding.Load() || w.lastEventAt.Load() != lastEventAt.UnixNano() {
+	if w.forwarding.Load() || w.lastEventAt.Load() != monotonic(lastEventAt) {
 		c.releaseReserved()
 		return false
 	}
--- a/gateway/stall_test.go
+++ b/gateway/stall_test.go
@@ -23,7 +23,7 @@
 	w.timer = time.AfterFunc(time.Hour, func() {})
 	defer w.timer.Stop()
 	now := time.Now()
-	w.lastEventAt.Store(now.Add(-w.fraction(failoverShare)).UnixNano())
+	w.lastEventAt.Store(monotonic(now.Add(-w.fraction(failoverShare))))
 	w.dueAt = now.Add(-w.fraction(failoverShare))
 	h.routing.services["llm"][1].tracker.Responded(now) // it needs no connection to be taken for reachable
 	w.check()
--- a/gateway/work_times.go
+++ b/gateway/work_times.go
@@ -106,7 +106,7 @@
 // that is no stream awaits its response as one event.
 func (c *call) awaitedEvent() (since time.Time, objective time.Duration) {
 	if at := c.lastEventAt.Load(); at != 0 {
-		return time.Unix(0, at), max(c.route.TargetLatency, c.route.TargetEventGap)
+		return fromMonotonic(at), max(c.route.TargetLatency, c.route.TargetEventGap)
 	}
 	return c.startedAt, c.route.TargetLatency
 }
--- a/gateway/work_times_test.go
+++ b/gateway/work_times_test.go
@@ -49,7 +49,7 @@
 				c.route, c.attemptsSent, c.ranServers = tt.route, sends, make(map[string]bool)
 				c.startedAt, c.deadline = now.Add(-tt.sinceStart), now.Add(tt.left)
 				if tt.sinceEvent > 0 {
-					c.lastEventAt.Store(now.Add(-tt.sinceEvent).UnixNano())
+					c.lastEventAt.Store(monotonic(now.Add(-tt.sinceEvent)))
 				}
 				require.Equal(t, tt.want, c.timeLeft(now))
 				require.Equal(t, tt.want, c.maySwitchServer(h.routing.services["llm"][0], now))
