Gateway: a reset of connections to control instances hides no record of a stream

Cause: a look-up asks the control instances that count as reachable. One whose poll was reset counts as unreachable until its next poll, 160 ms later in the log, although it responds. An instance that had lost four of five connections asked the fifth one alone, which had no record.

Change: where none of the reachable ones has the record, the others are asked at once, within the same bound on time.

--- a/gateway/stream_look_up.go
+++ b/gateway/stream_look_up.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -35,7 +36,16 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, lookUpTimeout)
 	defer cancel()
-	return s.askHolders(ctx, digest)
+	reachable := s.view.Current().ReachableURLs
+	software, source = s.askHolders(ctx, digest, reachable)
+	if source == softwareUnknown {
+		// A control instance whose connection was reset counts as unreachable until the next poll.
+		others := slices.DeleteFunc(s.view.Members(), func(url string) bool { return slices.Contains(reachable, url) })
+		if software, _ = s.askAll(ctx, digest, others, time.Now()); software != nil {
+			source = softwareLookup
+		}
+	}
+	return software, source
 }
 
 // lookUpAnswer is the response of a control instance to one of up to two questions; last is set if no
@@ -47,15 +57,15 @@
 	last     bool
 }
 
-// askHolders asks the control instances that may hold a record: the next one as well once one
+// askHolders asks those of the reachable control instances that may hold a record: the next one as well once one
 // has responded without it, or has not responded for questionPatience.
 //
 // A question goes on until ctx ends or another one finds the record: where the processor is overloaded all
 // responses are late, and to ask again costs as much.
-func (s *streamRecords) askHolders(ctx context.Context, digest registry.StreamDigest) (software *dispatch.Software, source string) {
+func (s *streamRecords) askHolders(ctx context.Context, digest registry.StreamDigest, reachable []string) (software *dispatch.Software, source string) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	holders := recordHolders(digest, s.view.Current().ReachableURLs, lookUpAttempts)
+	holders := recordHolders(digest, reachable, lookUpAttempts)
 	answers := make(chan lookUpAnswer, 2*len(holders))
 	patience := time.NewTimer(questionPatience)
 	defer patience.Stop()
@@ -107,34 +117,40 @@
 // although it would have been found if a newer version had begun the stream since a time: it was stored at recordCopies of
 // the control instances, and fewer have been lost since, or do not respond.
 func (s *streamRecords) isRecorded(ctx context.Context, digest registry.StreamDigest, since time.Time) (software *dispatch.Software, missing bool) {
+	members := s.view.Members()
+	software, complete := s.askAll(ctx, digest, members, since)
+	return software, software == nil && len(members) > 0 && complete > len(members)-min(recordCopies, len(members))
+}
+
+// askAll asks control instances for a record at the same time, and returns the software in it. Without one, complete is
+// the number of them that responded within questionPatience and would have a record that was stored since a time.
+func (s *streamRecords) askAll(ctx context.Context, digest registry.StreamDigest, urls []string, since time.Time) (software *dispatch.Software, complete int) {
 	type answer struct {
 		software *dispatch.Software
 		complete bool
 	}
-	members := s.view.Members()
-	answers := make(chan answer, len(members))
-	for _, url := range members {
+	answers := make(chan answer, len(urls))
+	for _, url := range urls {
 		go func() {
 			askedAt := time.Now()
 			software, history, err := s.view.LookUpStream(ctx, url, digest[:])
 			answers <- answer{software, err == nil && history > 0 && !askedAt.Add(-history).After(since)}
 		}()
 	}
-	complete := 0
 	patience := time.NewTimer(questionPatience)
 	defer patience.Stop()
-	for range members {
+	for range urls {
 		select {
 		case a := <-answers:
 			if a.software != nil {
-				return a.software, false
+				return a.software, 0
 			}
 			if a.complete {
 				complete++
 			}
 		case <-patience.C:
-			return nil, len(members) > 0 && complete > len(members)-min(recordCopies, len(members))
+			return nil, complete
 		}
 	}
-	return nil, len(members) > 0 && complete > len(members)-min(recordCopies, len(members))
+	return nil, complete
 }
--- a/gateway/stream_look_up_test.go
+++ b/gateway/stream_look_up_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -27,6 +28,8 @@
 	fleet fleetv1.Fleet
 	takes atomic.Int64
 	asked atomic.Int64
+	// resetsPolls is set while the connections of polls break.
+	resetsPolls atomic.Bool
 }
 
 // newRecordsAt returns the records of an entry instance that polls control instances, which take some
@@ -42,6 +45,9 @@
 		c.takes.Store(int64(d))
 		served := fleetv1.NewFleetServer(hub)
 		server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+			if c.resetsPolls.Load() && strings.HasSuffix(r.URL.Path, "/Sync") {
+				panic(http.ErrAbortHandler)
+			}
 			if strings.HasSuffix(r.URL.Path, "/LookUpStream") {
 				c.asked.Add(1)
 				body, err := io.ReadAll(r.Body) // the end of the connection is noticed only after it
@@ -174,3 +180,25 @@
 		})
 	}
 }
+
+// Guards against streams that are rejected because the connections to the control instances that hold their
+// record were reset a moment before: these counted as unreachable, and were not asked.
+func TestLookUpAsksControlInstancesWhoseConnectionsWereReset(t *testing.T) {
+	t.Parallel()
+	s, controls := newRecordsAt(t, 0, 0, 0, 0, 0)
+	v1 := dispatch.Software{Service: "s", Version: "v1"}
+	all := s.view.Current().ReachableURLs
+	holders := recordHolders(streamDigestOf(1), all, recordCopies)
+	for _, c := range controls {
+		if slices.Contains(holders, c.url) {
+			record(t, []*slowControl{c}, v1, streamDigestOf(1))
+			c.resetsPolls.Store(true)
+		}
+	}
+	require.Eventually(t, func() bool { return len(s.view.Current().ReachableURLs) == len(all)-recordCopies }, 5*time.Second, time.Millisecond)
+	software, source := s.lookUp(t.Context(), streamDigestOf(1))
+	require.Equal(t, softwareLookup, source)
+	require.Equal(t, v1, *software)
+	_, source = s.lookUp(t.Context(), streamDigestOf(2))
+	require.Equal(t, softwareUnknown, source)
+}
