Kernel: the memory limit leaves room beside the mapped program

A process above the memory of its machine is killed, with all that it has accepted.

Cause, in part known: the runtime's soft limit is 0.7 of the memory, 56 MB of 80. The pages mapped from the program's file, 17 to 18 MB by /proc, count for the process and not for the runtime, so 6 MB were left for socket buffers and for what is allocated beyond the limit while a collection runs.

Change: the limit is 0.7 of what the program leaves, 42 MB of 80 and 182 MB of 280.

--- a/kernel/memory.go
+++ b/kernel/memory.go
@@ -16,10 +16,17 @@
 	GCPercent int
 }
 
-// runtimeMemoryShare is the fraction of the limit given to the Go runtime. The
-// rest is for memory that the runtime does not account for, mainly socket
-// buffers.
-const runtimeMemoryShare = 0.7
+const (
+	// programBytes is what the pages mapped from the program's file take. They count for the
+	// process, but not for the Go runtime.
+	programBytes = 20 << 20
+	// runtimeMemoryShare is the fraction of the other memory that is given to the Go runtime. The
+	// rest is for what the runtime does not account for, mainly socket buffers, and for what is
+	// allocated beyond its soft limit while a collection is in progress.
+	runtimeMemoryShare = 0.7
+	// minRuntimeShare is the least fraction of all memory that is given to the Go runtime.
+	minRuntimeShare = 0.25
+)
 
 // RegisterFlags implements settings.Set.
 func (s *MemorySettings) RegisterFlags(fs *flag.FlagSet) {
@@ -39,6 +46,12 @@
 func (s *MemorySettings) Apply() {
 	debug.SetGCPercent(s.GCPercent)
 	if s.LimitMB > 0 {
-		debug.SetMemoryLimit(int64(runtimeMemoryShare * float64(s.LimitMB) * (1 << 20)))
+		debug.SetMemoryLimit(s.runtimeLimit())
 	}
 }
+
+// runtimeLimit returns the soft memory limit of the Go runtime in bytes.
+func (s *MemorySettings) runtimeLimit() int64 {
+	limit := float64(s.LimitMB) * (1 << 20)
+	return int64(max(minRuntimeShare*limit, runtimeMemoryShare*(limit-programBytes)))
+}
