Gateway: close the listener for other instances on an empty queue

An instance that stops closed its listener for other instances at once. A request that one of them had passed on, on a connection in the accept queue, got a reset. The other instance cannot tell that it has not run: a request that may not run twice ends with 502, any other one counts as run once more.

The listener is now closed as that for clients is, beside the wait for the responses in progress, so that a stop takes no longer at most. What was accepted must also be known to the server before connections are ended: a connection between Accept and the server is seen neither by CloseIdle nor by Shutdown, which then closes it on its request. The stop waits until the goroutine that accepts has ended, for AcceptTimeout at most.

--- a/gateway/process.go
+++ b/gateway/process.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -162,10 +163,12 @@
 	clientListener net.Listener
 	readyServer    *http.Server
 	peers          *peers
-	// peerListener is closed before peerServer, for the same reason.
-	peerListener net.Listener
-	peerServer   *http.Server
-	cancel       context.CancelFunc
+	// peerListener is closed before peerServer, for the same reason; peersAccepted is closed once
+	// the connections from it are known to peerServer.
+	peerListener  net.Listener
+	peersAccepted <-chan struct{}
+	peerServer    *http.Server
+	cancel        context.CancelFunc
 }
 
 // NewProcess returns the component.
@@ -256,17 +259,17 @@
 		ErrorLog: p.clientServer.ErrorLog,
 	}
 	var err error
-	if p.clientListener, err = p.serve(listenerClients, p.clientServer, p.settings.Listen); err != nil {
+	if p.clientListener, _, err = p.serve(listenerClients, p.clientServer, p.settings.Listen); err != nil {
 		return err
 	}
-	if _, err := p.serve("readiness", p.readyServer, p.settings.ReadinessListen); err != nil {
+	if _, _, err := p.serve("readiness", p.readyServer, p.settings.ReadinessListen); err != nil {
 		return err
 	}
 	mux := http.NewServeMux()
 	mux.Handle(fleetv1.EntriesPathPrefix, fleetv1.NewEntriesServer(p.peers))
 	p.peerServer = httpserver.New(p.acceptForwarded(mux), httpserver.InternalLimits)
 	p.peerServer.MaxHeaderBytes = maxHeaderBytes + maxForwardHeaderBytes
-	if p.peerListener, err = p.serve(listenerPeers, p.peerServer, p.settings.PeerListen); err != nil {
+	if p.peerListener, p.peersAccepted, err = p.serve(listenerPeers, p.peerServer, p.settings.PeerListen); err != nil {
 		return err
 	}
 	p.view.Start(ctx)
@@ -301,25 +304,27 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// serve listens on an address and serves its connections in the background. A later
-// failure of the listener is only logged.
-func (p *Process) serve(name string, s *http.Server, address string) (net.Listener, error) {
+// serve listens on an address and serves its connections in the background; accepted is closed
+// once no further one follows. A later failure of the listener is only logged.
+func (p *Process) serve(name string, s *http.Server, address string) (listener net.Listener, accepted <-chan struct{}, err error) {
 	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: clientKeepAliveIdle, Interval: time.Second}}
-	listener, err := config.Listen(context.Background(), "tcp4", address)
+	listener, err = config.Listen(context.Background(), "tcp4", address)
 	if err != nil {
-		return nil, eris.Wrapf(err, "listen on %s", address)
+		return nil, nil, eris.Wrapf(err, "listen on %s", address)
 	}
 	counted := p.intake.Protect(s, userTimeoutListener{listener}, name)
 	if l, ok := counted.(*intake.Listener); ok && s == p.clientServer {
 		l.SetTimeouts(p.gateway.clientTimeouts)
 		l.SetEchoHeader(p.gateway.dialect.RequestIDHeader())
 	}
+	ended := make(chan struct{})
 	go func() {
+		defer close(ended)
 		if err := s.Serve(counted); !httpserver.IsClosed(err) {
 			p.logger.Error("listener failed", slog.String("address", address), slog.Any("error", err))
 		}
 	}()
-	return listener, nil
+	return listener, ended, nil
 }
 
 // clientTimeouts returns the times that the site document in force grants clients for a head, and
@@ -419,15 +424,13 @@
 		p.cancel()
 	}
 	p.gateway.drain.end()
+	var listeners sync.WaitGroup
+	listeners.Go(p.closeListeners)
 	if !p.awaitResponses(ctx, shutdownTimeout) {
 		p.gateway.stopRequests()
 		p.awaitResponses(ctx, answerTimeout)
 	}
-	for _, l := range []net.Listener{p.clientListener, p.peerListener} {
-		if l != nil {
-			_ = l.Close() // that for clients is closed by a drain
-		}
-	}
+	listeners.Wait()
 	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
 	defer cancel()
 	p.closeIdle(ctx)
@@ -443,6 +446,27 @@
 	return nil
 }
 
+// closeListeners closes the listeners for clients, which a drain has closed before, and for other
+// instances. Requests on connections that were accepted before are rejected: it waits until those of
+// other instances, which have no lingerTime, are known to their server.
+func (p *Process) closeListeners() {
+	for _, l := range []net.Listener{p.clientListener, p.peerListener} {
+		if l == nil {
+			continue
+		}
+		if err := httpserver.CloseListener(l); err != nil {
+			p.logger.Warn("listener not closed", slog.Any("error", err))
+		}
+	}
+	if p.peerListener == nil {
+		return
+	}
+	select {
+	case <-p.peersAccepted:
+	case <-time.After(httpserver.AcceptTimeout): // by a process that gets no processor time
+	}
+}
+
 // closeIdle closes the connections of clients and other instances between two requests, and leaves
 // half of the time of ctx for the rest.
 func (p *Process) closeIdle(ctx context.Context) {
--- a/gateway/process_test.go
+++ b/gateway/process_test.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"bufio"
 	"log/slog"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -10,6 +12,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/galenaarch/galenaarch/fleetview"
+	"github.com/galenaarch/galenaarch/httpserver"
+	"github.com/galenaarch/galenaarch/intake"
 )
 
 // closeHookListener calls a function when it is closed.
@@ -57,3 +61,42 @@
 	require.GreaterOrEqual(t, took, grace-graceMargin)
 	require.Less(t, took, grace-shutdownTimeout-answerTimeout, "the shutdown fits into the grace period")
 }
+
+// A request of another instance on a connection that waits to be accepted gets a response although
+// the process stops.
+func TestQueuedConnectionsOfInstancesAreAnsweredAtStop(t *testing.T) {
+	logger := slog.New(slog.DiscardHandler)
+	budget, err := intake.New(intake.Settings{}, 0, logger)
+	require.NoError(t, err)
+	p := &Process{logger: logger, intake: budget, gateway: newTestGateway(t, 1).Gateway}
+	stalled, released := make(chan struct{}), make(chan struct{})
+	first := true
+	p.peerServer = httpserver.New(p.acceptForwarded(http.NotFoundHandler()), httpserver.InternalLimits)
+	p.peerServer.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew && first { // called by the loop that accepts
+			first = false
+			close(stalled)
+			<-released
+		}
+	}
+	p.peerListener, p.peersAccepted, err = p.serve(listenerPeers, p.peerServer, "127.0.0.1:0")
+	require.NoError(t, err)
+	var connections []net.Conn
+	for range 20 {
+		c, err := net.Dial("tcp4", p.peerListener.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		_, err = c.Write([]byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"))
+		require.NoError(t, err)
+		connections = append(connections, c)
+		<-stalled
+	}
+	time.AfterFunc(httpserver.AcceptTimeout/5, func() { close(released) })
+	require.NoError(t, p.Stop(t.Context()))
+	for i, c := range connections {
+		require.NoError(t, c.SetReadDeadline(time.Now().Add(5*time.Second)))
+		response, err := http.ReadResponse(bufio.NewReader(c), nil)
+		require.NoError(t, err, "connection %d", i)
+		require.NoError(t, response.Body.Close())
+	}
+}
