Gateway: no request is given up while its response lies in the socket

An entry instance that stood still, or got no processor time, gave up requests whose responses had come in time. As it goes on, its timers race with the reads: the one of the deadline ended the request with 504 although its client still waited, and the one of an attempt took an idempotent request from a server that had responded, so that it ended for want of time, or ran once more.

Both timers now ask the socket first. At its deadline a request whose response waits to be read has the time until its client's own deadline, as one that has begun; an attempt whose response waits goes on. A deadline of the client itself ends the wait as before.

TestResponseDuringStandstillIsRelayed stops the process of an instance with 100 requests in progress, whose deadlines lie around its end.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -106,7 +106,7 @@
 	}
 	request := &upstream.Request{
 		Method: r.Method, Target: c.target, Host: r.Host, Header: c.gateway.dialect.OutboundHeader(r.Header, d), Body: c.body,
-		Identify: c.identification(b), Confirm: c.confirmation(b), Admit: func() error { return c.gateway.mayReceive(b) }, Held: c.takeHold(b),
+		Identify: c.identification(b), Confirm: c.confirmation(b), Admit: func() error { return c.gateway.mayReceive(b) }, Sent: c.noteSent, Held: c.takeHold(b),
 	}
 	timer := c.startAttemptTimer(ctx, a, timeout) // it may hold another connection
 	x, err := b.pool.Send(ctx, request)
@@ -245,9 +245,13 @@
 const recheckInterval = 100 * time.Millisecond
 
 // tryAbandon reports whether to stop waiting for a server because another one takes over
-// the request.
+// the request. It does not if a response has arrived.
 func (c *call) tryAbandon(ctx context.Context, a *attempt, now time.Time) bool {
-	if !c.maySwitchServer(a.backend, now) || !a.backend.stalled(now) || !c.reserveReplacement(ctx, a.backend, a.startedAt) {
+	if c.mayRelay() || !c.maySwitchServer(a.backend, now) || !a.backend.stalled(now) || !c.reserveReplacement(ctx, a.backend, a.startedAt) {
+		return false
+	}
+	if c.mayRelay() {
+		c.releaseReserved()
 		return false
 	}
 	c.leftSilent = true
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -80,6 +80,9 @@
 	refusedBy map[string]bool
 	// search is that for a server once the request has left a silent one.
 	search dispatch.ServerSearch
+	// responseWaits reports whether bytes of a response lie unread in the socket of the last attempt; nil
+	// before the first.
+	responseWaits atomic.Pointer[func() bool]
 	// lastEventAt is when the client was sent the last event, by monotonic; 0 before the first.
 	lastEventAt atomic.Int64
 	// state is the scheduling state of the service, decision the last decision on
@@ -115,6 +118,16 @@
 	crashState
 }
 
+// noteSent implements Sent of upstream.Request.
+func (c *call) noteSent(responseWaits func() bool) { c.responseWaits.Store(&responseWaits) }
+
+// mayRelay reports whether a response has arrived that is not read yet, because this process stood
+// still or got no processor time.
+func (c *call) mayRelay() bool {
+	waits := c.responseWaits.Load()
+	return waits != nil && (*waits)()
+}
+
 // decisionRouting returns the routing state for a decision on the request.
 func (c *call) decisionRouting() *routingState {
 	if c.explained != nil {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -169,7 +169,7 @@
 	c.forwards++
 	a := &attempt{gateway: c.gateway, backend: b, startedAt: time.Now(), work: c.work, retry: c.retryInUse}
 	ctx, a.cancel = context.WithCancelCause(ctx)
-	x, err := b.pool.Send(ctx, &upstream.Request{Method: r.Method, Target: c.target, Host: r.Host, Header: c.forwardHeaders(r.Header, lastEventID), Body: c.body, Held: c.takeHold(b)})
+	x, err := b.pool.Send(ctx, &upstream.Request{Method: r.Method, Target: c.target, Host: r.Host, Header: c.forwardHeaders(r.Header, lastEventID), Body: c.body, Sent: c.noteSent, Held: c.takeHold(b)})
 	a.abandoned = ctx.Err() != nil && err != nil
 	a.headersAt, a.exchange = time.Now(), x
 	b.update(func(tracker *dispatch.BackendState) { tracker.StopAwaiting(a.work) })
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -53,11 +53,11 @@
 }
 
 // startDeadline cancels the request at its deadline, which leaves time for a last response.
-// A response that has begun can only be cut, so it has that time too: what arrives by the client's
-// deadline is of use. The returned function stops the timer.
+// A response that has begun can only be cut, so it has that time too, as has one that waits to be
+// read: what arrives by the client's deadline is of use. The returned function stops the timer.
 func (s *stream) startDeadline(cancel context.CancelCauseFunc) (stop func() bool) {
 	return time.AfterFunc(time.Until(s.call.deadline), func() {
-		if s.begun.Load() {
+		if s.begun.Load() || s.call.mayRelay() {
 			time.AfterFunc(s.call.responseMargin, func() { cancel(errDeadline) })
 			return
 		}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/galenaarch/galenaarch/framing"
@@ -12,7 +13,7 @@
 )
 
 // Exchange is a request whose response has begun. It must be ended by Finish or
-// Abandon, and is not safe for concurrent use.
+// Abandon, and is not safe for concurrent use but for responseWaits.
 type Exchange struct {
 	// Response holds the status and headers; the body is read through Read.
 	Response *http.Response
@@ -27,7 +28,13 @@
 	bodyComplete bool
 	// writeErr is the error of a request that was not written to its end; nil if it was.
 	writeErr error
-	ended    bool
+	ended    atomic.Bool
+}
+
+// responseWaits reports whether bytes of the response lie in the socket. A process that stood still
+// has not read what came meanwhile.
+func (x *Exchange) responseWaits() bool {
+	return !x.ended.Load() && x.conn.queued(unix.TIOCINQ) > 0
 }
 
 // Read reads the body. It returns io.EOF only after the whole body: a body without a
@@ -49,28 +56,31 @@
 }
 
 // unsent returns how many bytes the peer's system has not acknowledged; 0 if that is not known.
-func (c *conn) unsent() int {
+func (c *conn) unsent() int { return c.queued(unix.SIOCOUTQ) }
+
+// queued returns the length of a queue of the socket; 0 if that is not known.
+func (c *conn) queued(queue uint) int {
 	raw, err := c.headerLimitedConn.Conn.(*net.TCPConn).SyscallConn()
 	if err != nil {
 		return 0
 	}
-	unsent := 0
+	length := 0
 	err = raw.Control(func(fd uintptr) {
-		if n, ioctlErr := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); ioctlErr == nil {
-			unsent = n
+		if n, ioctlErr := unix.IoctlGetInt(int(fd), queue); ioctlErr == nil {
+			length = n
 		}
 	})
 	if err != nil {
 		return 0
 	}
-	return unsent
+	return length
 }
 
 // Finish ends the exchange. The connection is kept if the body was read to its end,
 // nothing follows it and the server keeps it open too. idle is the server's stated
 // idle timeout; 0 if it states none.
 func (x *Exchange) Finish(idle time.Duration) {
-	if x.ended {
+	if x.ended.Load() {
 		return
 	}
 	c := x.conn
@@ -79,7 +89,7 @@
 		x.Abandon()
 		return
 	}
-	x.ended = true
+	x.ended.Store(true)
 	c.idleTimeout = defaultIdleTimeout
 	if idle > 0 {
 		c.idleTimeout = min(defaultIdleTimeout, idle-reuseMargin)
@@ -92,10 +102,10 @@
 
 // Abandon ends the exchange and closes its connection.
 func (x *Exchange) Abandon() {
-	if x.ended {
+	if x.ended.Load() {
 		return
 	}
-	x.ended = true
+	x.ended.Store(true)
 	x.stop()
 	if x.bodyComplete {
 		x.pool.discard(x.conn)
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -110,6 +110,10 @@
 	// Admit, if it is set, is called immediately before the request is written. If it returns an error
 	// nothing is sent and the connection is kept.
 	Admit func() error
+	// Sent, if it is set, is called immediately before the request is written, after Admit.
+	// responseWaits reports whether bytes of the response have arrived that are not read yet; it may be
+	// called at any time.
+	Sent func(responseWaits func() bool)
 	// Held is set if the request uses a connection held by Hold. Send uses it up in any case.
 	Held bool
 }
@@ -392,6 +396,9 @@
 	}
 	x := &Exchange{pool: p, conn: c, Reused: reused}
 	x.stop = context.AfterFunc(ctx, func() { p.cancel(c) })
+	if r.Sent != nil {
+		r.Sent(x.responseWaits)
+	}
 	if err := c.writeRequest(r); err != nil {
 		// The server may respond before it has read the whole body.
 		if x.Response, _ = c.readResponse(r); x.Response == nil {
