Intake: a closed connection waits for its client to read the response

What callers saw: a whole response to a whole request is cut, by a reset, if the client has sent anything behind the request: a pipelined request, or the line end that old clients send behind a body. It happens also if these bytes come after the close, as long as the client has not received the response.

Cause: a close with unread bytes resets the connection, and bytes that arrive after a close do the same. What the socket has not sent by then is dropped. net/http waits for the peer only where a body was not read.

Why it works: a close with unsent bytes, or with unread ones behind a response, ends the sending side and reads on until the peer closes, for a second at most, as after a rejected body. At a bound of connections it closes at once. The connection counts until its socket is closed, and CloseIdle does not wait for it.

--- a/intake/closing.go
+++ b/intake/closing.go
@@ -116,23 +116,19 @@
 }
 
 // unreadBytes returns the bytes in the socket's receive buffer, -1 if that is not known.
-func (c *Conn) unreadBytes() int {
-	socket, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return -1
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return -1
-	}
+func (c *Conn) unreadBytes() int { return c.socketBytes(unix.TIOCINQ) }
+
+// unsentBytes returns the bytes that the socket has not sent yet, -1 if that is not known.
+func (c *Conn) unsentBytes() int { return c.socketBytes(unix.SIOCOUTQNSD) }
+
+// socketBytes asks the socket for a number of bytes.
+func (c *Conn) socketBytes(request uint) int {
 	n := -1
-	if err := raw.Control(func(fd uintptr) {
-		if unread, err := unix.IoctlGetInt(int(fd), unix.TIOCINQ); err == nil {
-			n = unread
+	c.control(func(fd int) {
+		if bytes, err := unix.IoctlGetInt(fd, request); err == nil {
+			n = bytes
 		}
-	}); err != nil {
-		return -1
-	}
+	})
 	return n
 }
 
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -56,8 +56,9 @@
 	idleEnd       idleEnd
 	// reading is the state of a read of a head.
 	reading atomic.Int32
-	// lingers is set if Close is to wait for the peer.
-	lingers atomic.Bool
+	// lingers is set if Close is to wait for the peer; lingering is the state of that wait.
+	lingers   atomic.Bool
+	lingering atomic.Int32
 	// rested is set once a request has ended; only the goroutine of net/http uses it.
 	rested bool
 }
@@ -131,20 +132,32 @@
 	return n, err
 }
 
-// linger ends the sending side, and closes once the peer has ended its own, or in time. A close with
-// unread bytes would reset the connection, and the peer may lose its response.
+// States of the wait for a peer before a close.
+const (
+	lingerNone int32 = iota
+	lingerInProgress
+	lingerEnded
+)
+
+// linger ends the sending side, and closes once the peer has ended its own, or in time.
 func (c *Conn) linger() {
 	_ = c.CloseWrite()
 	_ = c.Conn.SetReadDeadline(time.Now().Add(unreadTimeout))
 	_, _ = io.CopyN(io.Discard, c.Conn, maxUnread)
-	_ = c.Close()
+	c.lingering.Store(lingerEnded)
+	_ = c.closeSocket()
+}
+
+// cutsResponse reports whether a close may take a response from its peer: unread bytes reset the connection, and
+// so do those that come after the close. What is not sent by then is lost.
+func (c *Conn) cutsResponse() bool {
+	return c.unsentBytes() > 0 || c.phase.Load() >= phaseGaveWay && c.unreadBytes() > 0
 }
 
 // Close implements net.Conn.
 func (c *Conn) Close() error {
-	if c.lingers.Swap(false) && c.listener.budget.mayLinger(c) {
-		go c.linger() // Close of http.Server must not wait
-		return nil
+	if c.lingering.Load() == lingerInProgress {
+		return nil // linger closes it
 	}
 	if !c.closed.Swap(true) {
 		phase := c.phase.Load()
@@ -152,12 +165,21 @@
 		if c.finishLate() {
 			c.reportClose(phase)
 		}
-		c.listener.budget.remove(c)
 		c.release()
 	}
 	if c.reading.Load() == readCloses {
 		return nil // the read closes it
 	}
+	return c.closeSocket()
+}
+
+// closeSocket closes the connection, or lets it wait for its peer first.
+func (c *Conn) closeSocket() error {
+	if (c.lingers.Swap(false) || c.cutsResponse()) && c.listener.budget.mayLinger(c) && c.lingering.CompareAndSwap(lingerNone, lingerInProgress) {
+		go c.linger() // Close of http.Server must not wait
+		return nil
+	}
+	c.listener.budget.remove(c)
 	c.idleEnd.mu.Lock() // a late rejection may be being sent
 	defer c.idleEnd.mu.Unlock()
 	return c.Conn.Close()
--- a/intake/idle_end.go
+++ b/intake/idle_end.go
@@ -92,12 +92,12 @@
 	}
 }
 
-// connsOf returns the open connections of some listeners.
+// connsOf returns the open connections of some listeners, but those that wait for their peer.
 func (b *Budget) connsOf(listeners []string) (conns []*Conn) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for c := range b.open {
-		if slices.Contains(listeners, c.listener.name) {
+		if slices.Contains(listeners, c.listener.name) && c.lingering.Load() == lingerNone {
 			conns = append(conns, c)
 		}
 	}
--- a/intake/late_request.go
+++ b/intake/late_request.go
@@ -61,7 +61,7 @@
 		c.respondLate()
 		c.reportClose(phaseHead)
 	}
-	_ = c.Conn.Close() // the peer may have left
+	_ = c.closeSocket() // the peer may have left
 	return net.ErrClosed
 }
 
