Intake: closes at the same time do not prevent a rejection

What callers saw: a request that arrives as its server stops is closed without a response, if net/http and its Shutdown, or CloseIdle, close the connection at the same time.

Cause: the first close marks the connection as closed and then rejects the request. A second one that comes in between finds the mark and closes the socket.

Evidence: TestSimultaneousClosesDoNotPreventRejection, eight closes at once.

Why it works: a second close waits until the first has rejected what has arrived.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -44,6 +45,7 @@
 	// leavingBytes is what the connection held when it was told to give way.
 	leavingBytes atomic.Int64
 	closed       atomic.Bool
+	ends         sync.Once
 	// body is that of the present request, nil if it has none; only its handler uses it.
 	body       *body
 	halfClose  halfClose
@@ -159,14 +161,15 @@
 	if c.lingering.Load() == lingerInProgress {
 		return nil // linger closes it
 	}
-	if !c.closed.Swap(true) {
+	c.ends.Do(func() { // another Close waits until a late request is rejected
+		c.closed.Store(true)
 		phase := c.phase.Load()
 		c.rejectLate()
 		if c.finishLate() {
 			c.reportClose(phase)
 		}
 		c.release()
-	}
+	})
 	if c.reading.Load() == readCloses {
 		return nil // the read closes it
 	}
--- a/intake/late_request_test.go
+++ b/intake/late_request_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -272,3 +273,36 @@
 	rest, _ := io.ReadAll(raw) // the connection may be reset
 	require.NotContains(t, string(rest), "HTTP/1.1")
 }
+
+// A request is rejected although net/http and its server close the connection at the same time.
+func TestSimultaneousClosesDoNotPreventRejection(t *testing.T) {
+	below, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer below.Close()
+	l := testBudget(limits{total: 100, listener: 100, address: 100}).Listen(below, "clients")
+	for range 500 {
+		client, err := net.Dial("tcp4", below.Addr().String())
+		require.NoError(t, err)
+		accepted, err := l.Accept()
+		require.NoError(t, err)
+		c := accepted.(*Conn)
+		_, err = io.WriteString(client, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		require.NoError(t, err)
+		require.Eventually(t, func() bool { return c.unreadBytes() > 0 }, 5*time.Second, 10*time.Microsecond)
+		var closes sync.WaitGroup
+		begin := make(chan struct{})
+		for range 8 {
+			closes.Go(func() {
+				<-begin
+				_ = c.Close()
+			})
+		}
+		close(begin)
+		closes.Wait()
+		require.NoError(t, client.SetDeadline(time.Now().Add(5*time.Second)))
+		response, err := http.ReadResponse(bufio.NewReader(client), nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+		require.NoError(t, client.Close())
+	}
+}
