Intake: a request at a connection that gives way is rejected

What callers saw: with connections or memory at their bound, a request that was sent on an idle connection before it was chosen to give way ends with a closed or reset connection.

Cause: a connection that gives way is closed at once. Its request may lie in the socket, or a read may just have taken it. The close of a server rejects both; this one did not.

Evidence: TestRequestAtConnectionThatGivesWayIsRejected.

Why it works: the cause counts among those that reject what has arrived. Phase and cause change under the lock that a read begins with, so that no read begins in between and takes bytes that nobody records.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -234,16 +234,15 @@
 	return true
 }
 
-// giveWay ends the reading of the request. A connection without a whole head is closed. The caller
-// holds the budget's lock.
+// giveWay ends the reading of the request. A connection without a whole head is closed, and what has arrived
+// is rejected. The caller holds the budget's lock.
 func (c *Conn) giveWay() {
 	budget, closing := c.listener.budget, false
 	if c.phase.CompareAndSwap(phaseBody, phaseGaveWay) {
 		// The handler responds.
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails if the connection is closed
-	} else if c.phase.CompareAndSwap(phaseHead, phaseGaveWay) {
+	} else if c.giveWayInHead() {
 		closing = true
-		c.unhandled.setCause(closeGaveWay)
 		go c.Close() // takes the budget's lock
 	} else {
 		return
@@ -257,6 +256,17 @@
 	budget.countRefusal(reasonSlow)
 }
 
+// giveWayInHead claims a connection whose next bytes net/http waits for. Close rejects what has arrived.
+func (c *Conn) giveWayInHead() bool {
+	c.idleEnd.mu.Lock() // no read begins between the phase and the cause
+	defer c.idleEnd.mu.Unlock()
+	if !c.phase.CompareAndSwap(phaseHead, phaseGaveWay) {
+		return false
+	}
+	c.unhandled.setCause(closeGaveWay)
+	return true
+}
+
 // begin starts the handling of a request whose head has been read, and reports whether it may go
 // on. whole is set if it has no body.
 func (c *Conn) begin(whole bool) bool {
--- a/intake/giving_way_test.go
+++ b/intake/giving_way_test.go
@@ -120,3 +120,49 @@
 	require.ErrorIs(t, large.take(Bodies, 5<<20), ErrNoRoom)
 	require.Less(t, gaveWay(conns), len(conns)/2)
 }
+
+// A request that has arrived as its idle connection gives way, or that a read takes meanwhile, is rejected.
+func TestRequestAtConnectionThatGivesWayIsRejected(t *testing.T) {
+	for name, held := range map[string]bool{"not read": false, "in an unfinished read": true} {
+		t.Run(name, func(t *testing.T) {
+			b := testBudget(limits{bytes: 8 << 20, total: 1000, listener: 1000, address: 1000})
+			below, err := net.Listen("tcp4", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer below.Close()
+			client, err := net.Dial("tcp4", below.Addr().String())
+			require.NoError(t, err)
+			defer client.Close()
+			accepted, err := b.Listen(below, "clients").Accept()
+			require.NoError(t, err)
+			c := accepted.(*Conn)
+			_, err = io.WriteString(client, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+			require.NoError(t, err)
+			require.Eventually(t, func() bool { return c.unreadBytes() > 0 }, 5*time.Second, time.Millisecond)
+			read := &heldReadConn{TCPConn: c.Conn.(*net.TCPConn), read: make(chan struct{}), release: make(chan struct{})}
+			ended := make(chan error, 1)
+			if held {
+				c.Conn = read
+				go func() {
+					_, err := c.Read(make([]byte, 4096))
+					ended <- err
+				}()
+				<-read.read
+			}
+			b.mu.Lock()
+			gaveWay := b.replace("clients", "", time.Now().Add(time.Minute))
+			b.mu.Unlock()
+			require.True(t, gaveWay)
+			if held {
+				require.Eventually(t, c.closed.Load, 5*time.Second, time.Millisecond)
+				close(read.release)
+				require.Error(t, <-ended)
+			}
+			require.NoError(t, client.SetDeadline(time.Now().Add(5*time.Second)))
+			response, err := io.ReadAll(client)
+			require.NoError(t, err)
+			require.Equal(t, lateResponse+"\r\n", string(response))
+			require.Equal(t, map[string]float64{string(closeGaveWay): 1}, closedUnhandled(t, b))
+			require.Eventually(t, func() bool { return b.held.Load() == 0 && b.leaving.Load() == 0 }, 5*time.Second, time.Millisecond)
+		})
+	}
+}
