--- a/intake/conn.go
+++ b/intake/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -44,6 +45,7 @@
 	// leavingBytes is what the connection held when it was told to give way.
 	leavingBytes atomic.Int64
 	closed       atomic.Bool
+	ends         sync.Once
 	// body is that of the present request, nil if it has none; only its handler uses it.
 	body       *body
 	halfClose  halfClose
@@ -56,8 +58,9 @@
 	idleEnd       idleEnd
 	// reading is the state of a read of a head.
 	reading atomic.Int32
-	// lingers is set if Close is to wait for the peer.
-	lingers atomic.Bool
+	// lingers is set if Close is to wait for the peer; lingering is the state of that wait.
+	lingers   atomic.Bool
+	lingering atomic.Int32
 	// rested is set once a request has ended; only the goroutine of net/http uses it.
 	rested bool
 }
@@ -131,33 +134,55 @@
 	return n, err
 }
 
-// linger ends the sending side, and closes once the peer has ended its own, or in time. A close with
-// unread bytes would reset the connection, and the peer may lose its response.
+// States of the wait for a peer before a close.
+const (
+	lingerNone int32 = iota
+	lingerInProgress
+	lingerEnded
+)
+
+// linger ends the sending side, and closes once the peer has ended its own, or in time.
 func (c *Conn) linger() {
 	_ = c.CloseWrite()
 	_ = c.Conn.SetReadDeadline(time.Now().Add(unreadTimeout))
 	_, _ = io.CopyN(io.Discard, c.Conn, maxUnread)
-	_ = c.Close()
+	c.lingering.Store(lingerEnded)
+	_ = c.closeSocket()
+}
+
+// cutsResponse reports whether a close may take a response from its peer: unread bytes reset the connection, and
+// so do those that come after the close. What is not sent by then is lost.
+func (c *Conn) cutsResponse() bool {
+	return c.unsentBytes() > 0 || c.phase.Load() >= phaseGaveWay && c.unreadBytes() > 0
 }
 
 // Close implements net.Conn.
 func (c *Conn) Close() error {
-	if c.lingers.Swap(false) && c.listener.budget.mayLinger(c) {
-		go c.linger() // Close of http.Server must not wait
-		return nil
+	if c.lingering.Load() == lingerInProgress {
+		return nil // linger closes it
 	}
-	if !c.closed.Swap(true) {
+	c.ends.Do(func() { // another Close waits until a late request is rejected
+		c.closed.Store(true)
 		phase := c.phase.Load()
 		c.rejectLate()
 		if c.finishLate() {
 			c.reportClose(phase)
 		}
-		c.listener.budget.remove(c)
 		c.release()
-	}
+	})
 	if c.reading.Load() == readCloses {
 		return nil // the read closes it
 	}
+	return c.closeSocket()
+}
+
+// closeSocket closes the connection, or lets it wait for its peer first.
+func (c *Conn) closeSocket() error {
+	if (c.lingers.Swap(false) || c.cutsResponse()) && c.listener.budget.mayLinger(c) && c.lingering.CompareAndSwap(lingerNone, lingerInProgress) {
+		go c.linger() // Close of http.Server must not wait
+		return nil
+	}
+	c.listener.budget.remove(c)
 	c.idleEnd.mu.Lock() // a late rejection may be being sent
 	defer c.idleEnd.mu.Unlock()
 	return c.Conn.Close()
@@ -209,16 +234,15 @@
 	return true
 }
 
-// giveWay ends the reading of the request. A connection without a whole head is closed. The caller
-// holds the budget's lock.
+// giveWay ends the reading of the request. A connection without a whole head is closed, and what has arrived
+// is rejected. The caller holds the budget's lock.
 func (c *Conn) giveWay() {
 	budget, closing := c.listener.budget, false
 	if c.phase.CompareAndSwap(phaseBody, phaseGaveWay) {
 		// The handler responds.
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails if the connection is closed
-	} else if c.phase.CompareAndSwap(phaseHead, phaseGaveWay) {
+	} else if c.giveWayInHead() {
 		closing = true
-		c.unhandled.setCause(closeGaveWay)
 		go c.Close() // takes the budget's lock
 	} else {
 		return
@@ -232,6 +256,17 @@
 	budget.countRefusal(reasonSlow)
 }
 
+// giveWayInHead claims a connection whose next bytes net/http waits for. Close rejects what has arrived.
+func (c *Conn) giveWayInHead() bool {
+	c.idleEnd.mu.Lock() // no read begins between the phase and the cause
+	defer c.idleEnd.mu.Unlock()
+	if !c.phase.CompareAndSwap(phaseHead, phaseGaveWay) {
+		return false
+	}
+	c.unhandled.setCause(closeGaveWay)
+	return true
+}
+
 // begin starts the handling of a request whose head has been read, and reports whether it may go
 // on. whole is set if it has no body.
 func (c *Conn) begin(whole bool) bool {
