Intake: a connection that is to be reset does not wait for its client

Callers would see: a response to an HTTP/1.0 client that is broken off looks complete. Such a response may have no length, so the gateway resets its connection. Since a close with unsent bytes ends the sending side in order and waits, also then.

Change: a close behind SetLinger(0) does not wait.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -61,6 +61,8 @@
 	// lingers is set if Close is to wait for the peer; lingering is the state of that wait.
 	lingers   atomic.Bool
 	lingering atomic.Int32
+	// resets is set if Close is to reset the connection.
+	resets atomic.Bool
 	// rested is set once a request has ended; only the goroutine of net/http uses it.
 	rested bool
 }
@@ -153,6 +155,9 @@
 // cutsResponse reports whether a close may take a response from its peer: unread bytes reset the connection, and
 // so do those that come after the close. What is not sent by then is lost.
 func (c *Conn) cutsResponse() bool {
+	if c.resets.Load() {
+		return false // it is to be cut
+	}
 	return c.unsentBytes() > 0 || c.phase.Load() >= phaseGaveWay && c.unreadBytes() > 0
 }
 
@@ -198,6 +203,7 @@
 
 // SetLinger sets how Close treats unsent bytes: see net.TCPConn.
 func (c *Conn) SetLinger(seconds int) error {
+	c.resets.Store(seconds == 0)
 	if l, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
 		return l.SetLinger(seconds)
 	}
--- a/intake/linger_test.go
+++ b/intake/linger_test.go
@@ -111,3 +111,33 @@
 		})
 	}
 }
+
+// A response without a length that is broken off looks complete, because its connection ends in order while the
+// client has not received all that was sent.
+func TestResetBreaksOffResponseThatIsNotReceivedYet(t *testing.T) {
+	b := testBudget(limits{total: 100, listener: 100, address: 100})
+	reset := make(chan struct{})
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, strings.Repeat("x", 300<<10))
+		connection, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			_ = connection.(interface{ SetLinger(int) error }).SetLinger(0)
+			_ = connection.Close()
+		}
+		close(reset)
+	})}
+	below, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	l := b.Protect(s, bufferingListener{below}, "clients")
+	go func() { _ = s.Serve(l) }()
+	defer s.Close()
+	client, err := windowDialer.Dial("tcp4", below.Addr().String())
+	require.NoError(t, err)
+	defer client.Close()
+	require.NoError(t, client.SetDeadline(time.Now().Add(5*time.Second)))
+	_, err = io.WriteString(client, "GET / HTTP/1.0\r\n\r\n")
+	require.NoError(t, err)
+	<-reset
+	_, err = io.Copy(io.Discard, client)
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+}
