Intake: what has arrived on a connection that gives way is rejected

Where memory is at its bound, a connection whose head is not whole gives way to others and is closed. Callers whose request lay in the socket, or was just being read, got a reset or a closed connection; if the goroutine that closes it got no processor at once, net/http responded with 400 to a proper request, since the error of the read is none that it knows.

A connection that gives way now ends as one whose server stops: what has arrived of a request is answered with 503, what a read takes meanwhile too, and net/http writes nothing more. The cause in logs and metrics stays "gave way". Phase and cause change under the lock of the end, so that no read sees one without the other.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -216,9 +216,8 @@
 	if c.phase.CompareAndSwap(phaseBody, phaseGaveWay) {
 		// The handler responds.
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails if the connection is closed
-	} else if c.phase.CompareAndSwap(phaseHead, phaseGaveWay) {
+	} else if c.beginGivingWay() {
 		closing = true
-		c.unhandled.setCause(closeGaveWay)
 		go c.Close() // takes the budget's lock
 	} else {
 		return
@@ -232,6 +231,17 @@
 	budget.countRefusal(reasonSlow)
 }
 
+// beginGivingWay makes a connection without a whole head give way. What has arrived of a request is rejected.
+func (c *Conn) beginGivingWay() bool {
+	c.idleEnd.mu.Lock() // no read sees the phase without the cause
+	defer c.idleEnd.mu.Unlock()
+	if !c.phase.CompareAndSwap(phaseHead, phaseGaveWay) {
+		return false
+	}
+	c.unhandled.setCause(closeGaveWay)
+	return true
+}
+
 // begin starts the handling of a request whose head has been read, and reports whether it may go
 // on. whole is set if it has no body.
 func (c *Conn) begin(whole bool) bool {
--- a/intake/giving_way_test.go
+++ b/intake/giving_way_test.go
@@ -120,3 +120,76 @@
 	require.ErrorIs(t, large.take(Bodies, 5<<20), ErrNoRoom)
 	require.Less(t, gaveWay(conns), len(conns)/2)
 }
+
+// A request that arrives as its connection gives way is rejected: net/http would respond with 400 to it,
+// or it would get no response.
+func TestRequestThatArrivesAsItsConnectionGivesWayIsRejected(t *testing.T) {
+	const request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+	for name, tt := range map[string]struct{ read, unread string }{
+		"in a read":           {request, ""},
+		"in a read, in part":  {request[:9], request[9:]},
+		"in a read, and more": {request, "GET"},
+	} {
+		for _, closes := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, closed meanwhile %t", name, closes), func(t *testing.T) {
+				b := testBudget(limits{bytes: 16 << 20, total: 100, listener: 100, address: 100})
+				below, err := net.Listen("tcp4", "127.0.0.1:0")
+				require.NoError(t, err)
+				defer below.Close()
+				client, err := net.Dial("tcp4", below.Addr().String())
+				require.NoError(t, err)
+				defer client.Close()
+				accepted, err := below.Accept()
+				require.NoError(t, err)
+				held := &heldReadConn{TCPConn: accepted.(*net.TCPConn), read: make(chan struct{}), release: make(chan struct{})}
+				l := oneConn{make(chan net.Conn, 1)}
+				l.conns <- held
+				s := &http.Server{Handler: http.HandlerFunc(echo)}
+				go func() { _ = s.Serve(b.Protect(s, l, "clients")) }()
+				_, err = io.WriteString(client, tt.read)
+				require.NoError(t, err)
+				<-held.read
+				_, err = io.WriteString(client, tt.unread)
+				require.NoError(t, err)
+				b.mu.Lock()
+				b.replace("clients", "", time.Now().Add(time.Minute))
+				if closes {
+					b.mu.Unlock()
+				}
+				time.Sleep(50 * time.Millisecond) // the connection is closed, or waits for the lock
+				close(held.release)
+				require.NoError(t, client.SetDeadline(time.Now().Add(time.Second)))
+				r, err := http.ReadResponse(bufio.NewReader(client), nil)
+				if !closes {
+					b.mu.Unlock()
+				}
+				require.NoError(t, err)
+				require.Equal(t, http.StatusServiceUnavailable, r.StatusCode)
+				require.Eventually(t, func() bool { return closedUnhandled(t, b)[string(closeGaveWay)] == 1 }, 5*time.Second, time.Millisecond, "%v", closedUnhandled(t, b))
+			})
+		}
+	}
+}
+
+// A request that nobody has read when its connection gives way is rejected, and does not get a reset.
+func TestUnreadRequestOfConnectionThatGivesWayIsRejected(t *testing.T) {
+	b := testBudget(limits{bytes: 16 << 20, total: 100, listener: 100, address: 100})
+	below, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer below.Close()
+	client, err := net.Dial("tcp4", below.Addr().String())
+	require.NoError(t, err)
+	defer client.Close()
+	accepted, err := b.Listen(below, "clients").Accept()
+	require.NoError(t, err)
+	_, err = io.WriteString(client, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return accepted.(*Conn).unreadBytes() > 0 }, time.Second, time.Millisecond)
+	b.mu.Lock()
+	b.replace("clients", "", time.Now().Add(time.Minute))
+	b.mu.Unlock()
+	require.NoError(t, client.SetDeadline(time.Now().Add(5*time.Second)))
+	response, err := io.ReadAll(client)
+	require.NoError(t, err)
+	require.Equal(t, lateResponse+"\r\n", string(response))
+}
--- a/intake/late_request.go
+++ b/intake/late_request.go
@@ -8,8 +8,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// lateResponse rejects a request that no handler sees because its connection or server ends. It can be
-// sent again at once. The echoed field follows.
+// lateResponse rejects a request that no handler sees because its connection gives way or ends, or its
+// server ends. It can be sent again at once. The echoed field follows.
 const lateResponse = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 0\r\nContent-Length: 0\r\n"
 
 // States of a read of a head. Bytes that a read has taken from the socket are seen by nobody else until the
@@ -52,7 +52,7 @@
 
 // isLate reports whether a request that is closed for a cause is rejected.
 func (c closeCause) isLate() bool {
-	return c == closeShutdown || c == closeShutdownUnread || c == closeIdleTimeout
+	return c == closeShutdown || c == closeShutdownUnread || c == closeIdleTimeout || c == closeGaveWay
 }
 
 // closeInRead ends a connection whose close was handed over to a read.
@@ -93,7 +93,9 @@
 	if c.unhandled.first.Load() == 0 || !isHTTP(byte(c.unhandled.opening.Load())) {
 		return
 	}
-	c.unhandled.cause.Store(closeLate)
+	if c.unhandled.cause.Load() != closeGaveWay {
+		c.unhandled.cause.Store(closeLate)
+	}
 	response := lateResponse
 	if value := c.unhandled.echo.found(); value != "" {
 		response += c.listener.echoHeader + ": " + value + "\r\n"
