--- a/intake/late_request.go
+++ b/intake/late_request.go
@@ -8,8 +8,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// lateResponse rejects a request that no handler sees because its connection or server ends. It can be
-// sent again at once. The echoed field follows.
+// lateResponse rejects a request that no handler sees because its connection gives way or ends, or its
+// server ends. It can be sent again at once. The echoed field follows.
 const lateResponse = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 0\r\nContent-Length: 0\r\n"
 
 // States of a read of a head. Bytes that a read has taken from the socket are seen by nobody else until the
