Intake: a head beyond its time is rejected, not malformed

What callers saw: a request whose head is late gets 400, as if it were malformed, if its time ends within a line. If the rest of the head came in time, but the process stood still, the connection is reset without a response.

Cause: net/http takes a line that was read in part, with the error of the deadline, for a malformed header and responds with 400. Bytes that wait in the socket reset the connection as it is closed.

Evidence: TestHeadBeyondItsTimeIsRejected.

Why it works: the connection itself rejects the request with 503 as the read fails, as it does when the idle time ends, and takes what waits in the socket.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -56,6 +56,8 @@
 	// rejectingHead is set while the rest of a head is read whose request is to be rejected.
 	rejectingHead atomic.Bool
 	idleEnd       idleEnd
+	// rejected is set once respondLate has responded.
+	rejected atomic.Bool
 	// reading is the state of a read of a head.
 	reading atomic.Int32
 	// lingers is set if Close is to wait for the peer; lingering is the state of that wait.
@@ -104,6 +106,7 @@
 		if !c.reading.CompareAndSwap(readInProgress, readNone) {
 			return 0, c.closeInRead()
 		}
+		c.rejectSlowHead()
 	}
 	if n <= 0 {
 		return n, err
--- a/intake/late_request.go
+++ b/intake/late_request.go
@@ -52,7 +52,11 @@
 
 // isLate reports whether a request that is closed for a cause is rejected.
 func (c closeCause) isLate() bool {
-	return c == closeShutdown || c == closeShutdownUnread || c == closeIdleTimeout || c == closeGaveWay
+	switch c {
+	case closeShutdown, closeShutdownUnread, closeIdleTimeout, closeHeaderTimeout, closeGaveWay:
+		return true
+	}
+	return false
 }
 
 // closeInRead ends a connection whose close was handed over to a read.
@@ -87,13 +91,23 @@
 	return false
 }
 
+// rejectSlowHead rejects a request whose head was not read in time. net/http takes a line that was read in part for
+// a malformed one, and responds with 400.
+func (c *Conn) rejectSlowHead() {
+	if c.unhandled.cause.Load() == closeHeaderTimeout && isHTTP(byte(c.unhandled.opening.Load())) {
+		phase := c.phase.Load()
+		c.rejectLate()
+		c.reportClose(phase)
+	}
+}
+
 // respondLate sends the response if bytes of a request of HTTP have arrived.
 func (c *Conn) respondLate() {
 	c.discardUnread()
-	if c.unhandled.first.Load() == 0 || !isHTTP(byte(c.unhandled.opening.Load())) {
+	if c.unhandled.first.Load() == 0 || !isHTTP(byte(c.unhandled.opening.Load())) || c.rejected.Swap(true) {
 		return
 	}
-	if c.unhandled.cause.Load() != closeGaveWay {
+	if cause := c.unhandled.cause.Load(); cause != closeGaveWay && cause != closeHeaderTimeout {
 		c.unhandled.cause.Store(closeLate)
 	}
 	response := lateResponse
--- a/intake/timeouts_test.go
+++ b/intake/timeouts_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -146,3 +147,56 @@
 	r.Body.Close()
 	require.Equal(t, http.StatusOK, r.StatusCode)
 }
+
+// A head that was read in part as its time ends is rejected: not with 400, as a malformed one, and not by a reset if
+// the rest waits in the socket of a process that stood still.
+func TestHeadBeyondItsTimeIsRejected(t *testing.T) {
+	const begun = "GET / HTTP/1.1\r\nHo"
+	for name, waits := range map[string]string{"rest not sent": "", "rest waits in the socket": "st: a\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			b := testBudget(limits{total: 100, listener: 100, address: 100})
+			server := oneConn{make(chan net.Conn, 1)}
+			below, err := net.Listen("tcp4", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer below.Close()
+			client, err := net.Dial("tcp4", below.Addr().String())
+			require.NoError(t, err)
+			defer client.Close()
+			accepted, err := below.Accept()
+			require.NoError(t, err)
+			// net/http reads the start, and stands still before its next read until the time is over.
+			held := &heldSecondRead{TCPConn: accepted.(*net.TCPConn), release: make(chan struct{})}
+			server.conns <- held
+			s := &http.Server{Handler: http.HandlerFunc(echo), ReadHeaderTimeout: 50 * time.Millisecond}
+			go func() { _ = s.Serve(b.Protect(s, server, "clients")) }()
+			defer s.Close()
+			defer close(server.conns)
+			_, err = io.WriteString(client, begun)
+			require.NoError(t, err)
+			require.Eventually(t, func() bool { return held.reads.Load() == 2 }, 5*time.Second, time.Millisecond)
+			_, err = io.WriteString(client, waits)
+			require.NoError(t, err)
+			time.Sleep(100 * time.Millisecond)
+			close(held.release)
+			require.NoError(t, client.SetDeadline(time.Now().Add(5*time.Second)))
+			response, err := io.ReadAll(client)
+			require.NoError(t, err)
+			require.Equal(t, lateResponse+"\r\n", string(response))
+			require.Eventually(t, func() bool { return closedUnhandled(t, b)[string(closeHeaderTimeout)] == 1 }, 5*time.Second, time.Millisecond)
+		})
+	}
+}
+
+// heldSecondRead is a connection whose second read stands still.
+type heldSecondRead struct {
+	*net.TCPConn
+	reads   atomic.Int32
+	release chan struct{}
+}
+
+func (c *heldSecondRead) Read(p []byte) (int, error) {
+	if c.reads.Add(1) == 2 {
+		<-c.release
+	}
+	return c.TCPConn.Read(p)
+}
