Intake: closes at the same time do not cut a response

What callers saw: since a closed connection waits for its client to read the response, the response is still cut if net/http and its Shutdown close the connection at the same time.

Cause: the second close finds that the first has just begun to wait, and closes the socket.

Evidence: TestSimultaneousClosesDoNotCutResponse, eight closes at once.

Why it works: whether a connection waits is decided under one lock, and the wait alone closes it.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -181,14 +181,21 @@
 
 // closeSocket closes the connection, or lets it wait for its peer first.
 func (c *Conn) closeSocket() error {
-	if (c.lingers.Swap(false) || c.cutsResponse()) && c.listener.budget.mayLinger(c) && c.lingering.CompareAndSwap(lingerNone, lingerInProgress) {
+	waits := (c.lingers.Load() || c.cutsResponse()) && c.listener.budget.mayLinger(c)
+	c.idleEnd.mu.Lock() // a late rejection may be being sent, or another close may begin to wait
+	if waits && c.lingering.CompareAndSwap(lingerNone, lingerInProgress) {
 		go c.linger() // Close of http.Server must not wait
-		return nil
 	}
-	c.listener.budget.remove(c)
-	c.idleEnd.mu.Lock() // a late rejection may be being sent
-	defer c.idleEnd.mu.Unlock()
-	return c.Conn.Close()
+	waits = c.lingering.Load() == lingerInProgress
+	var err error
+	if !waits {
+		err = c.Conn.Close()
+	}
+	c.idleEnd.mu.Unlock()
+	if !waits {
+		c.listener.budget.remove(c)
+	}
+	return err
 }
 
 // CloseWrite ends the sending side, so that net/http can wait for the peer to read an error.
--- a/intake/linger_test.go
+++ b/intake/linger_test.go
@@ -111,3 +111,39 @@
 		})
 	}
 }
+
+// Of closes at the same time none cuts a response that another waits for.
+func TestSimultaneousClosesDoNotCutResponse(t *testing.T) {
+	const size = 300 << 10
+	below, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer below.Close()
+	l := testBudget(limits{total: 1000, listener: 1000, address: 1000}).Listen(bufferingListener{below}, "clients")
+	for range 200 {
+		client, err := windowDialer.Dial("tcp4", below.Addr().String())
+		require.NoError(t, err)
+		accepted, err := l.Accept()
+		require.NoError(t, err)
+		c := accepted.(*Conn)
+		c.phase.Store(phaseResponse)
+		_, err = io.WriteString(c, strings.Repeat("x", size))
+		require.NoError(t, err)
+		var closes sync.WaitGroup
+		begin := make(chan struct{})
+		for range 8 {
+			closes.Go(func() {
+				<-begin
+				_ = c.Close()
+			})
+		}
+		close(begin)
+		closes.Wait()
+		_, err = io.WriteString(client, "next")
+		require.NoError(t, err)
+		require.NoError(t, client.SetDeadline(time.Now().Add(5*time.Second)))
+		content, err := io.ReadAll(client)
+		require.NoError(t, err)
+		require.Len(t, content, size)
+		require.NoError(t, client.Close())
+	}
+}
