Gateway: a run at another instance counts at the next one

A request that was passed on to an instance that ended, or broke off, may have run there once. The next instance was not told, and sent it to as many servers as the route allows in all, so that it ran once more often than allowed.

The mark of a forwarded request now lists such an instance among the servers that may have run it. An instance is no server to which a request may return: it no longer allows a further run by itself.

--- a/gateway/forward_message.go
+++ b/gateway/forward_message.go
@@ -1,11 +1,11 @@
 package gateway
 
 import (
+	"maps"
 	"net/http"
 	"net/url"
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -154,14 +154,9 @@
 	return f, nil
 }
 
-// forwardedServers lists servers for a header, without the stand-ins of other instances.
-func forwardedServers(servers map[string]bool) (list []string) {
-	for server := range servers {
-		if !strings.HasPrefix(server, peerServerPrefix) {
-			list = append(list, server)
-		}
-	}
-	slices.Sort(list)
+// forwardedServers lists servers for a header. An instance that may have run the request counts as one.
+func forwardedServers(servers map[string]bool) []string {
+	list := slices.Sorted(maps.Keys(servers))
 	return list[:min(len(list), maxForwardedServers)]
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/galenaarch/galenaarch/dispatch"
@@ -255,7 +256,7 @@
 		return true
 	}
 	for server := range c.ranServers {
-		if !c.triedServers[server] {
+		if !c.triedServers[server] && !strings.HasPrefix(server, peerServerPrefix) {
 			return true
 		}
 	}
