Gateway: idempotent requests leave an instance that stands still

A request that an instance without a path to the servers had passed on to one that stands still waited there for its deadline, and got 504 beside an instance that would have served it: only servers had a timer.

An idempotent request now leaves such an instance after the time that one server has for its response, if the instance does not respond to a call either, for 300 ms or half of the time that is left. An instance that responds watches its servers itself. The request leaves only for a further instance, with a retry and a run left; streams and requests that may run only once stay.

What has left an instance must not run there once that goes on: with 500 as the response of all servers a request ran three times, two are allowed. An instance now drops a forwarded request whose connection its sender has ended, by the state of the socket; instances keep their sending side open, unlike clients.

TestIdempotentRequestsLeaveInstanceThatStandsStill fails in 5 of 5 runs before, with 504 for 7 to 18 of 30 reads, and passes in 21 of 21 since.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -247,6 +247,9 @@
 // tryAbandon reports whether to stop waiting for a server because another one takes over
 // the request. It does not if a response has arrived.
 func (c *call) tryAbandon(ctx context.Context, a *attempt, now time.Time) bool {
+	if a.backend.peer != nil {
+		return c.tryAbandonPeer(ctx, a, now)
+	}
 	if c.mayRelay() || !c.maySwitchServer(a.backend, now) || !a.backend.stalled(now) || !c.reserveReplacement(ctx, a.backend, a.startedAt) {
 		return false
 	}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/galenaarch/galenaarch/api/fleetv1"
+	"github.com/galenaarch/galenaarch/config/site"
 	"github.com/galenaarch/galenaarch/dispatch"
 	"github.com/galenaarch/galenaarch/fleetview"
 	"github.com/galenaarch/galenaarch/placement"
@@ -169,10 +170,16 @@
 	c.forwards++
 	a := &attempt{gateway: c.gateway, backend: b, startedAt: time.Now(), work: c.work, retry: c.retryInUse}
 	ctx, a.cancel = context.WithCancelCause(ctx)
-	x, err := b.pool.Send(ctx, &upstream.Request{Method: r.Method, Target: c.target, Host: r.Host, Header: c.forwardHeaders(r.Header, lastEventID), Body: c.body, Sent: c.noteSent, Held: c.takeHold(b)})
-	a.abandoned = ctx.Err() != nil && err != nil
+	request := &upstream.Request{Method: r.Method, Target: c.target, Host: r.Host, Header: c.forwardHeaders(r.Header, lastEventID), Body: c.body, Sent: c.noteSent, Held: c.takeHold(b)}
+	timer := c.startAttemptTimer(ctx, a, c.attemptTimeout(time.Now()))
+	x, err := b.pool.Send(ctx, request)
+	inTime := timer.stop()
+	a.abandoned = ctx.Err() != nil && (err != nil || !inTime)
 	a.headersAt, a.exchange = time.Now(), x
 	b.update(func(tracker *dispatch.BackendState) { tracker.StopAwaiting(a.work) })
+	if err == nil && !inTime {
+		err = &upstream.Error{Phase: upstream.PhaseAwaitResponse, Address: b.address, Err: errAttemptTimeout}
+	}
 	if err == nil {
 		err = a.decodeForwarded(c)
 	}
@@ -181,6 +188,36 @@
 	return a
 }
 
+// peerProbeTimeout is how long another instance may take to respond to a call, while a request that was
+// passed on to it waits, before it counts as standing still; less if the request has little time left.
+const peerProbeTimeout = 300 * time.Millisecond
+
+// tryAbandonPeer reports whether to stop waiting for another instance because it stands still, and a
+// further one may serve the request. An instance that responds to a call watches its servers itself.
+//
+// Invariant: only an idempotent request leaves it. The instance may still run it when it goes on.
+func (c *call) tryAbandonPeer(ctx context.Context, a *attempt, now time.Time) bool {
+	mayLeave := func(now time.Time) bool {
+		client := c.clientTime(now)
+		return client.MaySwitch(now) && c.gateway.retryBudget(c.service.Name).Allows(now, c.missingRetries()) && !c.mayRelay()
+	}
+	if c.route.Kind != site.KindIdempotent || len(c.ranServers)+1 >= c.route.MaxServers || !c.hasOtherPeer(a.backend.peer, now) || !mayLeave(now) {
+		return false
+	}
+	client := c.clientTime(now)
+	probeCtx, cancel := context.WithTimeout(ctx, min(peerProbeTimeout, client.LatestStart().Sub(now)/2))
+	defer cancel()
+	_, err := c.gateway.peers.permitClient("http://"+a.backend.peer.address).GetDomainWork(probeCtx, &fleetv1.GetDomainWorkRequest{Domain: c.gateway.zone})
+	return err != nil && errors.Is(probeCtx.Err(), context.DeadlineExceeded) && ctx.Err() == nil && mayLeave(time.Now())
+}
+
+// hasOtherPeer reports whether the request may be passed on to an instance other than p.
+func (c *call) hasOtherPeer(p *forwardPeer, now time.Time) bool {
+	return c.mayForward() && slices.ContainsFunc(c.gateway.routing.Load().forwardPeers, func(other *forwardPeer) bool {
+		return other != p && !c.triedPeers[other.name] && other.usable(c.service.Name, now)
+	})
+}
+
 // decodeForwarded decodes the response of another instance and removes what is not for the
 // client. A response without a result was not made by its gateway: nothing ran.
 func (a *attempt) decodeForwarded(c *call) error {
--- a/gateway/forward_serve.go
+++ b/gateway/forward_serve.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"log/slog"
 	"net/http"
 	"time"
+
+	"github.com/galenaarch/galenaarch/intake"
 )
 
 // Reasons why a forwarded request is rejected before it is routed.
@@ -13,7 +16,14 @@
 
 // serveForwarded serves a request that another instance has passed on. It has everything that a
 // client's own request has, but is not passed on again.
+//
+// Invariant: a request that has left this instance, while that stood still, is not run here. Instances
+// keep their sending side open, unlike clients.
 func (g *Gateway) serveForwarded(rw http.ResponseWriter, r *http.Request) {
+	if intake.FromContext(r.Context()).PeerLeft() {
+		g.logger.Info("forwarded request dropped", slog.String("reason", string(reasonClientLeft)), slog.String("remote", r.RemoteAddr))
+		panic(http.ErrAbortHandler)
+	}
 	f, err := decodeForwardedRequest(r.Header.Get(forwardHeader))
 	if err != nil {
 		g.logger.Warn("forwarded request not understood", "error", err)
