Gateway: an instance that serves a stream for another goes on where it has found a server

Callers at an instance that reaches no server of a service lost streams while that instance and the one that it had passed them on to were both stopping: each sound server was silent for a second or two, the second instance found another server and left the silent one, and did not go on there. It left that to the first instance, which reached no server, and which no stopping instance takes a request from.

The second instance has then reserved a server, within what the route allows, and holds a connection and a retry for it. It now goes on there. What remains: if that server breaks off as well, the first instance does not know of it, and may send the stream to one server more than the route allows.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -416,8 +416,9 @@
 	if !errors.Is(err, errNotRecorded) {
 		a.backend.recordFailure(false, time.Now())
 	}
-	// The instance that has passed the stream on goes on with it: it counts the servers.
-	if c.forwarded != nil || !c.route.Resumable || s.unnumbered.Load() {
+	// The instance that has passed the stream on goes on with it, since it counts the servers, unless one is reserved
+	// here: the other instance may reach none, and this one may be stopping.
+	if (c.forwarded != nil && c.reserved == nil) || !c.route.Resumable || s.unnumbered.Load() {
 		c.giveUp(s.rw, r, s, reasonNotRetryable)
 		return true
 	}
