Gateway: a stream leaves its silent server for one that has shown a sign of life

Callers saw: where servers fall silent in turn (1.7 s each, 0.5 s apart), streams got their next event after 2.1 to 2.7 s, though each server was sound and their clients wait 2 s.

Cause, from a trace of each search (TestStreamsGoOnWhenServersFallSilentInTurn): - After 1.2 s all streams of a server left it at once, for one that had last sent something 51 or 220 ms before and was silent as well, or for one from which nothing was awaited, so that its silence did not show. - 0.68 s later they left that one for a third, silent for 1.2 to 1.4 s: the comparison of silences began anew with each server that was asked. - Streams that still waited in the last moment followed to a server that had sent nothing to the first one that tried it.

Change: a server that has sent nothing since the stream was due to leave, and has requests of this instance, takes no stream: what is in progress there shows whether it is silent. One without requests takes one stream, early enough for it to leave again, and others once it has sent something. Silences are compared over the client's wait. In the last moment of the client's time servers without a proof take streams, as before, but none that has stalled meanwhile.

--- a/dispatch/backend_state.go
+++ b/dispatch/backend_state.go
@@ -387,17 +387,17 @@
 // although the stall timeout has passed: minStallTimeout plus the time that an engine at
 // the expected prefill rate needs for the work of this instance.
 func (b *BackendState) UnresponsiveSince(since, now time.Time, r *PrefillModel) bool {
-	return b.lastHeard.Before(since) && now.Sub(since) >= b.stallTimeout(r)
+	return b.lastHeard.Before(since) && now.Sub(since) >= b.StallTimeout(r)
 }
 
 // Stalled reports whether the current silence exceeds the stall timeout.
 func (b *BackendState) Stalled(now time.Time, r *PrefillModel) bool {
-	return b.Silence(now) >= b.stallTimeout(r)
+	return b.Silence(now) >= b.StallTimeout(r)
 }
 
-// stallTimeout returns how long the server may be silent before it counts as stalled:
+// StallTimeout returns how long the server may be silent before it counts as stalled:
 // minStallTimeout plus the prefill time of this instance's load.
-func (b *BackendState) stallTimeout(r *PrefillModel) time.Duration {
+func (b *BackendState) StallTimeout(r *PrefillModel) time.Duration {
 	tokens := b.ownLoad.PrefillTokens + b.ownLoad.DeferredTokens
 	if tokens == 0 {
 		return minStallTimeout
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -72,9 +72,10 @@
 	// reserved is the server that takes over the request from a silent one, and held is its pool
 	// while a connection is held there for the request. leftSilent is
 	// set once the request has left a server for its silence.
-	reserved   *backend
-	held       *upstream.Pool
-	leftSilent bool
+	reserved    *backend
+	held        *upstream.Pool
+	leftSilent  bool
+	replacement replacementSearch
 	// refusedBy are the servers that have refused or failed the request. One that was left for its
 	// silence is none of them: it may still respond.
 	refusedBy map[string]bool
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -40,14 +40,33 @@
 		c.retrySilent() // the servers left before may respond again
 	}
 	c.triedServers[silent.server] = true
-	var skipped []string
-	for dials := 0; dials < maxReplacementDials; dials++ {
+	return c.searchReplacement(ctx, since)
+}
+
+// searchReplacement is reserveReplacement once a retry is left. It takes an unproven server only if a
+// later search would come too late.
+func (c *call) searchReplacement(ctx context.Context, since time.Time) bool {
+	waits := c.waitsSince(since)
+	if c.replacement.dueAt.Before(waits) {
+		c.replacement.dueAt = time.Now()
+	}
+	c.replacement.since, c.replacement.waits, c.replacement.provenOnly = since, waits, true
+	dials := 0
+	if c.reserveAny(ctx, &dials) {
+		return true
+	}
+	if ctx.Err() != nil || c.maySearchAgain(time.Now()) {
+		return false
+	}
+	c.replacement.provenOnly = false
+	return c.reserveAny(ctx, &dials)
+}
+
+// reserveAny reserves a server that has not been tried. dials counts the servers dialed in the search.
+func (c *call) reserveAny(ctx context.Context, dials *int) bool {
+	budget, retries := c.gateway.retryBudget(c.service.Name), c.missingRetries()
+	for ; *dials < maxReplacementDials; *dials++ {
 		b := c.tryReserve(time.Now())
-		for ; b != nil && b.silentDuring(since, time.Now()); b = c.tryReserve(time.Now()) {
-			c.undoReservation(b)
-			c.triedServers[b.server] = true
-			skipped = append(skipped, b.server)
-		}
 		if b == nil {
 			return false
 		}
@@ -58,12 +77,9 @@
 		}
 		c.held = b.pool
 		dialedAt := time.Now()
-		err := b.ensureReachable(ctx, since)
+		err := b.ensureReachable(ctx, c.replacement.since)
 		if now := time.Now(); err == nil && ctx.Err() == nil && budget.TryRetries(now, retries) {
 			c.reserved, c.retryGranted, c.spareRetry = b, true, true
-			for _, server := range skipped {
-				delete(c.triedServers, server)
-			}
 			return true
 		}
 		c.releaseHold()
@@ -88,12 +104,45 @@
 	return false
 }
 
+// replacementSearch is the state of the searches for a server that takes a request from one that is silent.
+type replacementSearch struct {
+	// since is when that server's silence began, waits since when the client waits, and dueAt when the
+	// request was first due to leave a server in that wait.
+	since, waits, dueAt time.Time
+	// provenOnly is set while no unproven server takes the request.
+	provenOnly bool
+}
+
+// maySearchAgain reports whether the next search for a replacement still finds a server in the
+// client's time, also if its timer is late.
+func (c *call) maySearchAgain(now time.Time) bool {
+	client := c.clientTime(now)
+	return client.MaySwitch(now.Add(2 * recheckInterval))
+}
+
+// waitsSince returns since when the client waits for what its silent server does not send. A request
+// that has left a silent server before has waited for longer than the present one is silent.
+func (c *call) waitsSince(since time.Time) time.Time {
+	if c.leftSilent {
+		if waits, _ := c.awaitedEvent(); waits.Before(since) {
+			return waits
+		}
+	}
+	return since
+}
+
 // tryReserve chooses a server that takes the request now; nil if there is none. A server
 // that rests after failures is none: each request would dial it in each search.
 func (c *call) tryReserve(now time.Time) *backend {
 	s := c.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	passedOver := c.passOver(now)
+	defer func() {
+		for _, server := range passedOver {
+			delete(c.triedServers, server)
+		}
+	}()
 	var claimed map[string]bool
 	if c.prompt != nil || c.ordered() {
 		claimed = s.queue.Claimed(c.queuePosition())
@@ -106,6 +155,32 @@
 	return result.backend
 }
 
+// passOver excludes the servers that are as silent as the request's own, or have stalled with requests of
+// this instance since that was due to leave, and with provenOnly those that are unproven: they have
+// sent nothing since then, and this instance has requests there, or it is too late for the request to
+// leave again. A server without requests takes one, and others once it has sent something: requests that
+// leave a server together are not all lost to one that is silent too. The caller holds the state's lock.
+func (c *call) passOver(now time.Time) (servers []string) {
+	client, search := c.clientTime(now), &c.replacement
+	for _, b := range c.decisionRouting().services[c.service.Name] {
+		if c.triedServers[b.server] || b.peer != nil { // another instance watches its servers itself
+			continue
+		}
+		excluded := b.silentDuring(search.waits, now)
+		if !b.tracker.RespondedAfter(search.dueAt) {
+			stay := b.tracker.StallTimeout(&b.state.prefill) + recheckInterval
+			late := client.MaySwitch(search.dueAt.Add(stay)) && !client.MaySwitch(now.Add(stay))
+			busy := b.tracker.OwnLoad().Requests > 0
+			excluded = excluded || (search.provenOnly && (busy || late)) || (busy && b.tracker.Stalled(now, &b.state.prefill))
+		}
+		if excluded {
+			c.triedServers[b.server] = true
+			servers = append(servers, b.server)
+		}
+	}
+	return servers
+}
+
 // undoReservation removes the load of a request that is not sent to a server.
 func (c *call) undoReservation(b *backend) {
 	c.state.mu.Lock()
@@ -161,14 +236,9 @@
 
 // silentDuring reports whether the server has sent nothing in the later half of a pause that began
 // at the given time, although this instance awaited something from it. Servers that fall silent for
-// one reason do so at slightly different times.
+// one reason do so at slightly different times. The caller holds the state's lock.
 func (b *backend) silentDuring(since, now time.Time) bool {
-	if b.peer != nil {
-		return false // another instance watches its server itself
-	}
 	half := since.Add(now.Sub(since) / 2)
-	b.state.mu.Lock()
-	defer b.state.mu.Unlock()
 	return b.tracker.Awaited(half) && b.tracker.UnresponsiveSince(half, now, &b.state.prefill)
 }
 
