Gateway: a stream that tries an unproven server keeps its connection for the return

Callers saw: a stream that had left its silent server for one that was silent as well got its next event 2.7 s after the last, though its first server went on after 1.7 s: the stream was due to return after 1.88 s.

Cause, from a trace: another stream had taken the last of the four connections that the instance may open to that server.

Change: a connection to the server that was left is held until the next event, the response of a request that is no stream, or the return. It is held only if the other server has sent nothing since the request was due to leave; one request at a time tries such a server.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -76,6 +76,10 @@
 	held        *upstream.Pool
 	leftSilent  bool
 	replacement replacementSearch
+	// returnTo is the pool of the silent server that the request leaves for an unproven one, heldReturn that pool
+	// while a connection is held there for the return: until the next event, which may come beside a search.
+	returnTo   *upstream.Pool
+	heldReturn atomic.Pointer[upstream.Pool]
 	// refusedBy are the servers that have refused or failed the request. One that was left for its
 	// silence is none of them: it may still respond.
 	refusedBy map[string]bool
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -120,6 +120,7 @@
 // truncated one never looks complete.
 func (c *call) relayBuffered(r *http.Request, s *stream, a *attempt) bool {
 	rw := s.rw
+	c.releaseReturn()
 	if a.forward != nil && a.forward.generated && impliesNotRun(a.status) && c.mayHaveRun {
 		// The other instance has not run the request, but an earlier attempt here may have.
 		c.gateway.reject(rw, c, http.StatusBadGateway, outcomeRejectedByPeer, 0, nil)
@@ -369,6 +370,7 @@
 			return false
 		}
 		s.call.markEvent(a)
+		s.call.releaseReturn()
 		s.call.lastEventAt.Store(monotonic(now))
 		s.recordEvents(events)
 	}
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -40,7 +40,13 @@
 		c.retrySilent() // the servers left before may respond again
 	}
 	c.triedServers[silent.server] = true
-	return c.searchReplacement(ctx, since)
+	if !c.searchReplacement(ctx, since) {
+		return false
+	}
+	if !c.reserved.respondedAfter(c.replacement.dueAt) {
+		c.returnTo = silent.pool
+	}
+	return true
 }
 
 // searchReplacement is reserveReplacement once a retry is left. It takes an unproven server only if a
@@ -70,7 +76,7 @@
 		if b == nil {
 			return false
 		}
-		if !b.pool.Hold() {
+		if !c.takeReturn(b) && !b.pool.Hold() {
 			c.undoReservation(b)
 			c.triedServers[b.server] = true
 			continue
@@ -199,12 +205,35 @@
 func (c *call) takeHold(b *backend) bool {
 	if c.held != b.pool {
 		c.releaseHold()
-		return false
+		return c.takeReturn(b)
 	}
 	c.held = nil
 	return true
 }
 
+// holdReturn holds a connection for the return to a silent server that the request has left for one which
+// has not shown that it is not silent itself: others must not take the place meanwhile.
+func (c *call) holdReturn() {
+	pool := c.returnTo
+	if c.returnTo = nil; pool != nil && pool.Hold() {
+		c.releaseReturn()
+		c.heldReturn.Store(pool)
+	}
+}
+
+// takeReturn reports whether a connection to the server is held for the return of the request, which
+// uses it now.
+func (c *call) takeReturn(b *backend) bool {
+	return b.pool != nil && c.heldReturn.CompareAndSwap(b.pool, nil)
+}
+
+// releaseReturn ends the hold for the return, if there is one.
+func (c *call) releaseReturn() {
+	if pool := c.heldReturn.Swap(nil); pool != nil {
+		pool.Unhold()
+	}
+}
+
 // releaseHold gives up the connection that is held for the request, if there is one.
 func (c *call) releaseHold() {
 	if c.held != nil {
@@ -217,6 +246,7 @@
 func (c *call) releaseReserved() {
 	c.refundSpareRetry()
 	c.releaseHold()
+	c.returnTo = nil
 	if b := c.takeReserved(); b != nil {
 		c.undoReservation(b)
 	}
@@ -225,15 +255,19 @@
 // ensureReachable opens a connection to the server unless it has responded since the given
 // time.
 func (b *backend) ensureReachable(ctx context.Context, since time.Time) error {
-	b.state.mu.Lock()
-	responded := b.tracker.RespondedAfter(since)
-	b.state.mu.Unlock()
-	if responded {
+	if b.respondedAfter(since) {
 		return nil
 	}
 	return b.pool.Prepare(ctx)
 }
 
+// respondedAfter reports whether the server has responded since the given time.
+func (b *backend) respondedAfter(since time.Time) bool {
+	b.state.mu.Lock()
+	defer b.state.mu.Unlock()
+	return b.tracker.RespondedAfter(since)
+}
+
 // silentDuring reports whether the server has sent nothing in the later half of a pause that began
 // at the given time, although this instance awaited something from it. Servers that fall silent for
 // one reason do so at slightly different times. The caller holds the state's lock.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -36,6 +36,7 @@
 		c.gateway.retryBudget(c.service.Name).RecordRequest(c.startedAt)
 	}
 	defer c.returnRetries()
+	defer c.releaseReturn()
 	defer c.releaseReserved()
 	for {
 		a, reason := c.nextResponse(ctx, r, s)
@@ -141,6 +142,7 @@
 			c.undoReservation(result.backend)
 			return nil, reasonStopping
 		}
+		c.holdReturn()
 		a := c.sendTo(ctx, r, result.backend, s.lastEventID)
 		switch a.result {
 		case responseReceived:
