Gateway: a stream that breaks late goes on at another instance

A stream that an instance without a path to the servers had passed on was cut if it broke, or its second instance stopped, later than two seconds after its start, the time that clients wait for an event. The next instance knew the time since the request had arrived, but not that events had been sent since: it took the client to have left and rejected the stream at once ("time is over", no sends), and so did each further one.

The mark of a forwarded request now has the time since the last event.

--- a/gateway/forward_message.go
+++ b/gateway/forward_message.go
@@ -39,6 +39,8 @@
 	// last event that the client has.
 	software  *dispatch.Software
 	lastEvent string
+	// sinceEvent is the time since the client was sent that event; 0 if the stream has not begun.
+	sinceEvent time.Duration
 	// decision is nil from an instance that does not pass it on.
 	decision *forwardDecision
 }
@@ -59,6 +61,9 @@
 	if f.lastEvent != "" {
 		v.Set("last_event", f.lastEvent)
 	}
+	if f.sinceEvent > 0 {
+		v.Set("since_event_us", strconv.FormatInt(f.sinceEvent.Microseconds(), 10))
+	}
 	if f.decision != nil {
 		v.Set("decision", f.decision.encode())
 	}
@@ -81,6 +86,11 @@
 	if v.Has("software_service") {
 		f.software = &dispatch.Software{Service: v.Get("software_service"), Version: v.Get("software")}
 	}
+	if v.Has("since_event_us") {
+		if f.sinceEvent, err = decodeMicroseconds(v.Get("since_event_us")); err != nil {
+			return nil, err
+		}
+	}
 	if v.Has("decision") {
 		if f.decision, err = decodeForwardDecision(v.Get("decision")); err != nil {
 			return nil, err
@@ -171,6 +181,9 @@
 	if lastEventID != c.request.LastEventID {
 		f.lastEvent = lastEventID
 	}
+	if at := c.lastEventAt.Load(); at != 0 {
+		f.sinceEvent = max(time.Microsecond, now.Sub(fromMonotonic(at)))
+	}
 	h.Set(forwardHeader, f.encode())
 	h.Del(forwardResultHeader)
 	return h
--- a/gateway/forward_serve.go
+++ b/gateway/forward_serve.go
@@ -155,6 +155,9 @@
 	if f.lastEvent != "" {
 		c.request.LastEventID = f.lastEvent
 	}
+	if f.sinceEvent > 0 {
+		c.lastEventAt.Store(monotonic(now.Add(-f.sinceEvent)))
+	}
 	if f.software != nil {
 		c.software.Store(f.software)
 	}
