Httpserver: the quiet time of a drain is a monotonic time

The time of the last request was kept in time of day. A step ahead within the drain of a control instance counted as time without a request: the drain ended at once, and the requests that followed got 503.

It is kept as the time since the process started. A step itself is played in no test.

--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -82,7 +82,8 @@
 	draining atomic.Bool
 	// drained is set at the end of a drain; requests that follow are rejected.
 	drained atomic.Bool
-	// activeAt is when the last request arrived or was handled, in nanoseconds of Unix time.
+	// activeAt is when the last request arrived or was handled, as the time since epoch: a step of the
+	// time of day is no passing of time.
 	activeAt atomic.Int64
 
 	mu sync.Mutex
@@ -98,14 +99,23 @@
 	answerTimeout = 150 * time.Millisecond
 )
 
+// epoch is where activeAt counts from.
+var epoch = time.Now()
+
+// noteActive records a request.
+func (t *Requests) noteActive(now time.Time) { t.activeAt.Store(int64(now.Sub(epoch))) }
+
+// lastActive returns the time of the last request.
+func (t *Requests) lastActive() time.Time { return epoch.Add(time.Duration(t.activeAt.Load())) }
+
 // Track returns a handler that tracks the requests to next. During a drain responses end
 // their connections, and after it requests are rejected without reaching next.
 func (t *Requests) Track(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		t.open.Add(1)
-		t.activeAt.Store(time.Now().UnixNano())
+		t.noteActive(time.Now())
 		defer func() {
-			t.activeAt.Store(time.Now().UnixNano())
+			t.noteActive(time.Now())
 			t.open.Add(-1)
 		}()
 		if t.draining.Load() {
@@ -172,7 +182,7 @@
 		errs = append(errs, CloseListener(l))
 	}
 	now := time.Now()
-	t.activeAt.Store(now.UnixNano())
+	t.noteActive(now)
 	quietFor := NewQuiet(now, quiet/2)
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
@@ -188,7 +198,7 @@
 			return errors.Join(errs...)
 		case <-ticker.C: // received long after its time by a process that stood still
 			idle := t.open.Load() == 0
-			if quietFor.Check(time.Now(), time.Unix(0, t.activeAt.Load())) < quiet || !idle {
+			if quietFor.Check(time.Now(), t.lastActive()) < quiet || !idle {
 				continue
 			}
 			t.drained.Store(true)
--- a/httpserver/httpserver_test.go
+++ b/httpserver/httpserver_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -85,3 +86,12 @@
 	require.NoError(t, err)
 	require.Equal(t, "whole", string(body))
 }
+
+// A step of the time of day does not count as time without a request.
+func TestTimeOfLastRequestIsMonotonic(t *testing.T) {
+	var requests Requests
+	startedAt := time.Now()
+	requests.Track(http.NotFoundHandler()).ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil))
+	require.Contains(t, requests.lastActive().String(), " m=+")
+	require.False(t, requests.lastActive().Before(startedAt))
+}
