Health: the end of an ejection is a monotonic time

The end of the time that an ejected server rests was kept in time of day. A step back kept the server out for as long as the step, a step ahead let it in at once.

It keeps its monotonic reading. A step itself is played in no test.

--- a/health/health.go
+++ b/health/health.go
@@ -46,9 +46,9 @@
 // for concurrent use.
 type Server struct {
 	failures atomic.Int32
-	// ejectedUntil is when the ejection ends, in Unix nanoseconds; 0 if the server is
+	// ejectedUntil is when the ejection ends, with its monotonic reading; nil if the server is
 	// not ejected.
-	ejectedUntil atomic.Int64
+	ejectedUntil atomic.Pointer[time.Time]
 
 	mu           sync.Mutex
 	stateMachine *stateless.StateMachine
@@ -66,7 +66,7 @@
 // Usable reports whether calls may be sent now.
 func (s *Server) Usable(now time.Time) bool {
 	until := s.ejectedUntil.Load()
-	return until == 0 || now.UnixNano() >= until
+	return until == nil || !now.Before(*until)
 }
 
 // State returns the current health state.
@@ -93,7 +93,7 @@
 	}
 	_ = s.stateMachine.Fire(triggerRecover) // permitted or ignored in every state
 	s.ejectionTime = 0
-	s.ejectedUntil.Store(0)
+	s.ejectedUntil.Store(nil)
 }
 
 // Failed records a call that got no response. An unreachable server is ejected at once,
@@ -115,7 +115,8 @@
 	}
 	_ = s.stateMachine.Fire(triggerEject) // permitted in the other states
 	s.ejectionTime = min(max(2*s.ejectionTime, minEjection), maxEjection)
-	s.ejectedUntil.Store(now.Add(s.ejectionTime).UnixNano())
+	until := now.Add(s.ejectionTime)
+	s.ejectedUntil.Store(&until)
 }
 
 func (s *Server) probeIfDue(now time.Time) {
--- a/health/health_test.go
+++ b/health/health_test.go
@@ -46,3 +46,12 @@
 		s.Failed(now, true)
 	}
 }
+
+// A step of the time of day neither ends nor prolongs an ejection.
+func TestEndOfEjectionIsMonotonic(t *testing.T) {
+	now := time.Now()
+	var s Server
+	s.Failed(now, true)
+	require.Contains(t, s.ejectedUntil.Load().String(), " m=+")
+	require.Equal(t, minEjection, s.ejectedUntil.Load().Sub(now))
+}
