Intake: an early response does not wait for a body that is held back

What callers saw: a client that sends Expect: 100-continue and waits gets a response that needs no body, such as 429, a second late.

Cause: before a response net/http reads what is left of the body, unless the client may hold it back. It tells that from the type of the request's body, which intake had replaced by one that counts. The client waits, and the read ends by its deadline of a second.

Evidence: TestEarlyResponseDoesNotWaitForBodyThatIsHeldBack.

Why it works: the handler gets a copy of the request, and net/http keeps its own. The response ends the connection, as without intake, since the client may send the body or not. Requests without Expect are not copied.

--- a/intake/handler.go
+++ b/intake/handler.go
@@ -87,6 +87,11 @@
 		c.halfClose.beginRequest(r)
 		if !whole {
 			c.body = &body{ReadCloser: r.Body, conn: c, header: rw.Header()}
+			if r.Header.Get("Expect") != "" {
+				// net/http looks at the body of its own request: behind another one it would wait for what the
+				// client holds back, before a response that does not ask for it.
+				r = r.WithContext(r.Context())
+			}
 			r.Body = c.body
 			defer c.body.leave()
 		}
--- a/intake/rejected_body_test.go
+++ b/intake/rejected_body_test.go
@@ -81,3 +81,36 @@
 		})
 	}
 }
+
+// A client that holds its body back until 100 Continue gets a response that needs no body at once, and whole if it
+// sends the body all the same.
+func TestEarlyResponseDoesNotWaitForBodyThatIsHeldBack(t *testing.T) {
+	const size = 100 << 10
+	for name, sends := range map[string]bool{"waits": false, "sends": true} {
+		t.Run(name, func(t *testing.T) {
+			b := testBudget(limits{total: 100, listener: 100, address: 100})
+			address := startServer(t, b, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTooManyRequests) })
+			c, err := net.Dial("tcp4", address)
+			require.NoError(t, err)
+			defer c.Close()
+			require.NoError(t, c.SetDeadline(time.Now().Add(5*time.Second)))
+			begun := time.Now()
+			_, err = fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n", size)
+			require.NoError(t, err)
+			for n := 0; sends && n < size; n += size / 10 {
+				_, err = io.WriteString(c, strings.Repeat("x", size/10))
+				require.NoError(t, err)
+				time.Sleep(5 * time.Millisecond)
+			}
+			r, err := http.ReadResponse(bufio.NewReader(c), nil)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusTooManyRequests, r.StatusCode)
+			require.True(t, r.Close)
+			require.Less(t, time.Since(begun), unreadTimeout/2)
+			_, err = io.ReadAll(c)
+			require.NoError(t, err, "no reset")
+			require.NoError(t, c.Close())
+			require.Eventually(t, func() bool { return b.held.Load() == 0 }, 5*time.Second, time.Millisecond)
+		})
+	}
+}
