Faults: the soak of silent servers plays long silences, lost paths, large documents and held memory

Not played before: half-closed clients whose servers are silent for longer than clients wait, beside drains; gateways that need each other to reach the servers and stop together; gateways that lose the paths to each other beside documents; memory at its bound beside large documents.

By hand, the soak takes the longest silence (GALENA_SOAK_SILENCE), routes that no request uses (GALENA_SOAK_ROUTES), clients that hold the beginning of a body (GALENA_SOAK_HOLDERS, with GALENA_SOAK_MEMORY_MB) and paths that gateways do not have (GALENA_SOAK_PATHS). Half of the requests of half-closing clients wait for events until their time is over.

--- a/faults/observed_connection_test.go
+++ b/faults/observed_connection_test.go
@@ -25,6 +25,8 @@
 // clientBehavior is how a client sends a request and reads its response.
 type clientBehavior struct {
 	http10, expectContinue, halfClose bool
+	// patient is set for a client that waits for an event until its time is over.
+	patient bool
 	// fillerBytes are added to each event of the response, or to its body.
 	fillerBytes int
 }
--- a/faults/partition_paths_test.go
+++ b/faults/partition_paths_test.go
@@ -28,6 +28,11 @@
 	// proxies holds the proxy's URL for the URL of each control replica.
 	proxies map[string]string
 	paths   map[string]*platformtest.Path
+	// toPeers is set if the paths lead to the other gateways in place of the servers. unreachable
+	// decides which services are cut off for good, and leaves the other paths as they are; nil for
+	// none. Both are set before the gateway starts.
+	toPeers     bool
+	unreachable func(service string) bool
 	// how is the cut in force, nil for none.
 	how func(*platformtest.Path) error
 }
@@ -83,8 +88,17 @@
 	}
 	g.mu.Unlock()
 	for _, a := range response.Announcements {
-		if a.Address != "" {
+		switch {
+		case a.Address == "" || g.toPeers:
+		case g.unreachable == nil:
 			a.Address = g.pathTo(a.Address)
+		case g.unreachable(a.Service):
+			a.Address = g.refusedPathTo(a.Address)
+		}
+	}
+	for _, e := range response.Entries {
+		if address, ok := strings.CutPrefix(e.PeerUrl, "http://"); ok && g.toPeers {
+			e.PeerUrl = "http://" + g.pathTo(address)
 		}
 	}
 	if content, err = proto.Marshal(response); err != nil {
@@ -112,6 +126,15 @@
 	return p.Address
 }
 
+// refusedPathTo returns the address of a path that refuses connections.
+func (g *gatewayPaths) refusedPathTo(server string) string {
+	address := g.pathTo(server)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.paths[server].Refuse(false)
+	return address
+}
+
 // set cuts all paths, or opens them if how is nil.
 func (g *gatewayPaths) set(how func(*platformtest.Path) error) {
 	g.mu.Lock()
--- a/faults/silent_servers_soak_test.go
+++ b/faults/silent_servers_soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -19,7 +20,11 @@
 )
 
 // Parameters of the soak with servers that fall silent and connections that stay open. The
-// environment is that of the stream soak.
+// environment is that of the stream soak, GALENA_SOAK_SILENCE for the longest silence of a server,
+// GALENA_SOAK_ROUTES for the number of routes that configurations have besides those in use,
+// GALENA_SOAK_HOLDERS for the number of connections to each gateway that hold memory, and
+// GALENA_SOAK_PATHS: with "peers", gateways lose the paths to each other for a time, with "servers"
+// each reaches only some services, and pairs that need each other stop together.
 const (
 	silentServersDuration = 3 * time.Second
 	// maxSoundSilence is the longest silence of a sound server.
@@ -41,6 +46,8 @@
 	// exitSlack is how long after the exit of a process its clients may see the end of their
 	// connections.
 	exitSlack = 100 * time.Millisecond
+	// heldBytes are sent of a body that holds memory, below the usual limit of bodies.
+	heldBytes = 60000
 )
 
 // clientKind is how a client of the soak uses its connections.
@@ -76,6 +83,11 @@
 	// requestsOf the requests by kind of client and status.
 	ends, calls, requestsOf map[string]int
 	cutBesideSilence        int
+	longestSilence          time.Duration
+	// paths are those of the gateways, if GALENA_SOAK_PATHS is set; stopsPairs is set if each
+	// stops together with its partner.
+	paths      []*gatewayPaths
+	stopsPairs bool
 }
 
 // disturbed returns a channel that is closed with the next disturbance of a process, or with the
@@ -169,7 +181,7 @@
 	case expectClient:
 		r.behavior.expectContinue = true
 	case halfClosingClient:
-		r.behavior.halfClose = true
+		r.behavior.halfClose, r.behavior.patient = true, n%2 == 0
 	}
 	return r
 }
@@ -226,7 +238,7 @@
 	silent := slices.ContainsFunc(s.arrivals[r.id], func(a arrival) bool {
 		a.server.mu.Lock()
 		defer a.server.mu.Unlock()
-		return a.server.silentUntil.After(r.endedAt.Add(-maxSoundSilence))
+		return a.server.silentUntil.After(r.endedAt.Add(-s.longestSilence))
 	})
 	excuse, history := s.excuse(r), ""
 	if silent {
@@ -348,6 +360,9 @@
 				defer func() { <-stops }()
 				var stopped sync.WaitGroup
 				s.injectInto(index, kind, lasts, &stopped)
+				if gateway, ok := s.gatewayIndex(index); ok && s.stopsPairs && gateway^1 < len(s.gateways) {
+					s.injectInto(len(s.controls)+(gateway^1), kind, lasts, &stopped)
+				}
 				stopped.Wait()
 			})
 		default:
@@ -355,7 +370,7 @@
 	}
 	switch {
 	case choice < 5:
-		s.silenceUpTo(maxSoundSilence, random)
+		s.silenceUpTo(s.longestSilence, random)
 	case choice < 6:
 		faults.Go(func() { s.replaceServer(ctx, server) })
 	case choice < 9:
@@ -374,6 +389,73 @@
 	}
 }
 
+// Values of GALENA_SOAK_PATHS.
+const (
+	pathsToPeers   = "peers"
+	pathsToServers = "servers"
+)
+
+// narrowPaths restarts the gateways with paths of their own. They lead to the other gateways, or do
+// not lead to the engines for every second gateway, and to the other servers for the rest.
+func (s *silentServersSoak) narrowPaths(which string) {
+	var controls []string
+	for _, c := range s.controls {
+		controls = append(controls, c.args[slices.Index(c.args, "-listen")+1])
+	}
+	for i, g := range s.gateways {
+		g.kill()
+		paths := newGatewayPaths(s.t, controls)
+		switch which {
+		case pathsToPeers:
+			paths.toPeers = true
+		case pathsToServers:
+			paths.unreachable = func(service string) bool { return isEngine(service) == (i%2 == 0) }
+			s.stopsPairs = true
+		default:
+			s.t.Fatalf("GALENA_SOAK_PATHS: %q is not known", which)
+		}
+		g.args[slices.Index(g.args, "-seeds")+1] = paths.seeds()
+		s.paths = append(s.paths, paths)
+		g.start()
+	}
+}
+
+// cutPeersInSeries cuts gateways off from the others, one at a time, until the context ends.
+func (s *silentServersSoak) cutPeersInSeries(ctx context.Context, random *rand.Rand) {
+	for ctx.Err() == nil {
+		how, gateway := pathCuts[random.IntN(len(pathCuts))], random.IntN(len(s.paths))
+		d := s.begin(disturbance{name: fmt.Sprintf("paths of gateway-%d to others: %s", gateway, how.name), gateway: -1, window: contactTime})
+		s.paths[gateway].set(how.how)
+		sleepUnless(ctx, minFaultDuration+time.Duration(random.Int64N(int64(maxFaultDuration-minFaultDuration))))
+		s.paths[gateway].set(nil)
+		s.end(d)
+		sleepUnless(ctx, time.Duration(random.Int64N(int64(cutPause))))
+	}
+}
+
+// withManyRoutes adds routes that no request uses to a configuration.
+func withManyRoutes(content string, n int) string {
+	if n == 0 {
+		return content
+	}
+	var document map[string]any
+	if err := json.Unmarshal([]byte(content), &document); err != nil {
+		panic(err) // seriesDocument returns JSON
+	}
+	service := document["services"].([]any)[0].(map[string]any)["name"]
+	for i := range n {
+		document["routes"] = append(document["routes"].([]any), map[string]any{
+			"name": fmt.Sprint("many-", i), "host": platformtest.Host, "path_prefix": fmt.Sprintf("/many-%d/", i), "kind": "idempotent",
+			"timeout_ms": 3000, "target_latency_ms": 300, "service": service, "max_attempts": 2, "public": true,
+		})
+	}
+	edited, err := json.Marshal(document)
+	if err != nil {
+		panic(err) // it was decoded from JSON
+	}
+	return string(edited)
+}
+
 // logCounts logs how connections, requests and calls ended.
 func (s *silentServersSoak) logCounts() {
 	s.endsMu.Lock()
@@ -404,12 +486,30 @@
 	s.t.Logf("requests that ended since %s, by route and status: %v", s.since(from), counts)
 }
 
+// holdMemory holds the beginning of a body at a gateway again and again, until the context ends.
+func (s *silentServersSoak) holdMemory(ctx context.Context, gateway int) {
+	for n := 0; ctx.Err() == nil; n++ {
+		c, err := dialGateway(ctx, s.gatewayAddresses[gateway])
+		if err == nil {
+			release := context.AfterFunc(ctx, func() { c.Close() })
+			_, _ = fmt.Fprintf(c, "POST /look/x HTTP/1.1\r\nHost: %s\r\nX-Request-Id: holder-%d-%d\r\nContent-Length: %d\r\n\r\n%s", platformtest.Host, gateway, n, heldBytes+1, strings.Repeat("x", heldBytes))
+			_, _ = c.reader.ReadByte() // whatever ends the request
+			release()
+			c.Close()
+		}
+		sleepUnless(ctx, time.Duration(rand.Int64N(int64(longIdle/10))))
+	}
+}
+
 // startClients starts the clients of all gateways and those of the control replicas.
 func (s *silentServersSoak) startClients(ctx context.Context, settings soakSettings, clients *sync.WaitGroup) {
 	for gateway := range settings.gateways {
 		for n := range max(settings.clients, int(clientKinds)) {
 			clients.Go(func() { s.runClient(ctx, gateway, clientKind(n%int(clientKinds))) })
 		}
+		for range settings.holders {
+			clients.Go(func() { s.holdMemory(ctx, gateway) })
+		}
 	}
 	for control := range settings.controls {
 		for n := range connectionCalls {
@@ -436,6 +536,12 @@
 	s := &silentServersSoak{wake: make(map[int]chan struct{}), ends: make(map[string]int), calls: make(map[string]int), requestsOf: make(map[string]int)}
 	s.streamSoak = newStreamSoak(t, settings, requestSoakRoutes)
 	s.adjust = s.pauseInResponse
+	if s.longestSilence = maxSoundSilence; settings.silence > 0 {
+		s.longestSilence = settings.silence
+	}
+	if settings.paths != "" {
+		s.narrowPaths(settings.paths)
+	}
 	s.start(ctx, requestSoakServers, &workers)
 	defer s.summary(settings.seed)
 	defer s.logCounts()
@@ -446,12 +552,16 @@
 	}
 	s.document, s.inSeries = func(version int, random *rand.Rand, served []*soakRoute) (string, publishedConfig) {
 		s.announceDisturbance(-1)
-		return seriesDocument(version, random, served)
+		content, published := seriesDocument(version, random, served)
+		return withManyRoutes(content, settings.manyRoutes), published
 	}, true
 	seriesCtx, endSeries := context.WithCancel(ctx)
 	defer endSeries()
 	s.startClients(ctx, settings, &clients)
 	series.Go(func() { s.configureInSeries(seriesCtx, ctx) })
+	if settings.paths == pathsToPeers {
+		series.Go(func() { s.cutPeersInSeries(seriesCtx, rand.New(rand.NewPCG(settings.seed, 13))) })
+	}
 
 	gatewayStops, controlStops := make(chan struct{}, max(1, settings.gateways/3)), make(chan struct{}, max(1, (settings.controls-1)/2))
 	for began := time.Now(); time.Since(began) < settings.duration; {
--- a/faults/stream_client_test.go
+++ b/faults/stream_client_test.go
@@ -133,7 +133,7 @@
 		r.wroteAt = time.Now()
 	}
 	gap := r.timeout
-	if r.events > 0 {
+	if r.events > 0 && !r.behavior.patient {
 		gap = clientEventGap
 	}
 	await := func() {
--- a/faults/stream_soak_test.go
+++ b/faults/stream_soak_test.go
@@ -348,6 +348,13 @@
 	seed                        uint64
 	controls, gateways, clients int
 	flags                       []string
+	// The soak of silent servers uses these: silence is the longest silence of a server, 0 for the
+	// default; manyRoutes is the number of routes that configurations have besides those in use;
+	// holders is the number of connections to each gateway that hold memory; paths names the paths
+	// that gateways do not have.
+	silence             time.Duration
+	manyRoutes, holders int
+	paths               string
 }
 
 func soakSettingsFromEnv(t *testing.T, duration time.Duration) soakSettings {
@@ -365,6 +372,14 @@
 		c.duration, err = time.ParseDuration(v)
 		require.NoError(t, err)
 	}
+	if v := os.Getenv("GALENA_SOAK_SILENCE"); v != "" {
+		var err error
+		c.silence, err = time.ParseDuration(v)
+		require.NoError(t, err)
+	}
+	c.paths = os.Getenv("GALENA_SOAK_PATHS")
+	number("GALENA_SOAK_ROUTES", func(n int) { c.manyRoutes = n })
+	number("GALENA_SOAK_HOLDERS", func(n int) { c.holders = n })
 	number("GALENA_SOAK_SEED", func(n int) { c.seed = uint64(n) })
 	number("GALENA_SOAK_CONTROLS", func(n int) { c.controls = n })
 	number("GALENA_SOAK_GATEWAYS", func(n int) { c.gateways = n })
