Kernel: half of a small memory is left to the runtime

With the program counted, the soft limit of a process of 48 MB was 19.6 MB, below the least that its budget of requests may hold beside 10 MB when idle. At least half of the memory is the runtime's now; from 70 MB on nothing changes.

TestMemoryLimitLeavesRoomBesideProgram has the new value of the least share.

--- a/kernel/memory.go
+++ b/kernel/memory.go
@@ -25,7 +25,7 @@
 	// allocated beyond its soft limit while a collection is in progress.
 	runtimeMemoryShare = 0.7
 	// minRuntimeShare is the least fraction of all memory that is given to the Go runtime.
-	minRuntimeShare = 0.25
+	minRuntimeShare = 0.5
 )
 
 // RegisterFlags implements settings.Set.
--- a/kernel/memory_test.go
+++ b/kernel/memory_test.go
@@ -15,5 +15,5 @@
 		require.GreaterOrEqual(t, left, int64(megabytes)<<20/5, "bytes left of %d MB", megabytes)
 	}
 	s := MemorySettings{LimitMB: 16}
-	require.EqualValues(t, 4<<20, s.runtimeLimit())
+	require.EqualValues(t, 8<<20, s.runtimeLimit())
 }
