Intake: the test of orders checks once the connection has ended

One of 20 runs with the race detector failed (order "start head pause give way resume next end", second request, EOF).

--- a/intake/orders_test.go
+++ b/intake/orders_test.go
@@ -395,7 +395,6 @@
 	}
 	<-received
 	_ = p.raw.Close()
-	v.check(p, fail)
 	if err := <-p.stopped; err != nil {
 		fail("the server does not end: %v", err)
 	}
@@ -407,6 +406,7 @@
 		}
 		time.Sleep(time.Millisecond)
 	}
+	v.check(p, fail) // once the connection is in its last phase
 	return violations
 }
 
