Intake: a connection told to give way while it closes leaves nothing counted

What callers saw: nothing at once. Each case leaves 16 KiB counted as about to be freed for the rest of the process. Once a quarter of the budget is counted so, no slow connection gives way any more, and new requests get 503 or a closed connection instead.

Cause: since "a closed connection waits for its client to read the response", Close returns what the request holds before the budget forgets the connection. Until then another connection that needs the place may choose it and count it as leaving. One whose peer has closed stays in phaseHead and may be chosen.

Why it works: what is held is returned again after the budget has forgotten the connection. Nothing can choose it then, and a second return of nothing is harmless.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -199,6 +199,7 @@
 	c.idleEnd.mu.Unlock()
 	if !waits {
 		c.listener.budget.remove(c)
+		c.release() // it may have been told to give way until here
 	}
 	return err
 }
