Intake: the test of giving way during a close cannot lock itself

Seen: one run of the package ended at its time limit of 600 s.

Cause: the connection that gives way is closed a second time, and the test then asked for the place once more and waited for its own channel while it held the lock of the budget. The code under test is not concerned.

The checks are the same.

--- a/intake/leaving_test.go
+++ b/intake/leaving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -25,15 +26,18 @@
 	client, server := net.Pipe()
 	defer client.Close()
 	gaveWay := make(chan bool, 1)
+	var once sync.Once // the connection that gives way is closed a second time
 	raw := closingConn{Conn: server, closing: func() {
-		locked := make(chan struct{})
-		go func() { // as for a new connection, which waits until the socket is closed
-			b.mu.Lock()
-			defer b.mu.Unlock()
-			close(locked)
-			gaveWay <- b.replace("clients", "", time.Now().Add(time.Minute))
-		}()
-		<-locked
+		once.Do(func() {
+			locked := make(chan struct{})
+			go func() { // as for a new connection, which waits until the socket is closed
+				b.mu.Lock()
+				defer b.mu.Unlock()
+				close(locked)
+				gaveWay <- b.replace("clients", "", time.Now().Add(time.Minute))
+			}()
+			<-locked
+		})
 	}}
 	c := &Conn{Conn: raw, listener: &Listener{name: "clients", budget: b}, address: "10.0.0.1"}
 	require.Empty(t, b.admit(c, time.Now()))
